--- /dev/null
+++ b/examples/generate_rpc.py
@@ -0,0 +1,60 @@
+"""Generates the gRPC code from proto/chivehold.proto, or checks that it is not stale."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import grpc_tools
+from grpc_tools import protoc
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEMA = ROOT / "proto" / "chivehold.proto"
+TARGET = ROOT / "src" / "chivehold" / "rpc"
+GENERATED = ("chivehold_pb2.py", "chivehold_pb2.pyi", "chivehold_pb2_grpc.py")
+
+
+def generate(into: Path) -> None:
+    """Write the generated modules into a directory."""
+    well_known = Path(grpc_tools.__file__).parent / "_proto"
+    arguments = [
+        "protoc",
+        f"-I{SCHEMA.parent}",
+        f"-I{well_known}",
+        f"--python_out={into}",
+        f"--pyi_out={into}",
+        f"--grpc_python_out={into}",
+        str(SCHEMA),
+    ]
+    if protoc.main(arguments) != 0:
+        raise SystemExit("protoc failed")
+    stub = into / "chivehold_pb2_grpc.py"
+    text = stub.read_text().replace(
+        "import chivehold_pb2 as", "from chivehold.rpc import chivehold_pb2 as"
+    )
+    stub.write_text(text)
+
+
+def stale() -> list[str]:
+    """Return the names of committed modules that differ from what the schema gives."""
+    with tempfile.TemporaryDirectory() as folder:
+        fresh = Path(folder)
+        generate(fresh)
+        return [
+            name
+            for name in GENERATED
+            if not (TARGET / name).exists()
+            or (fresh / name).read_bytes() != (TARGET / name).read_bytes()
+        ]
+
+
+def main() -> None:
+    if "--check" not in sys.argv:
+        generate(TARGET)
+        return
+    names = stale()
+    if names:
+        raise SystemExit(f"stale generated code, run `make proto`: {', '.join(names)}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chivehold/core/wire.py
@@ -0,0 +1,281 @@
+"""Messages between an entry and a sidecar.
+
+Times on the wire are durations, never instants, so that clocks of two machines are never compared.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from chivehold.core.identity import (
+    AttemptId,
+    EntryIncarnation,
+    KeyId,
+    Organisation,
+    RequestId,
+    Role,
+    SidecarIncarnation,
+    TargetName,
+    Urgency,
+)
+
+
+class Reason(StrEnum):
+    """Why an attempt was refused or failed."""
+
+    FULL = "full"
+    TOO_LATE = "too_late"
+    LEAVING = "leaving"
+    WRONG_INCARNATION = "wrong_incarnation"
+    REVOKED = "revoked"
+    DUPLICATE = "duplicate"
+    MALFORMED = "malformed"
+    UNAUTHORISED = "unauthorised"
+    CANCELLED = "cancelled"
+    LEASE_LAPSED = "lease_lapsed"
+    ENGINE_FAILED = "engine_failed"
+    TRANSFER_STALLED = "transfer_stalled"
+    KV_EXPIRED = "kv_expired"
+    DEADLINE = "deadline"
+
+
+class AttemptOffer(NamedTuple):
+    """An entry asks a sidecar for a place; nothing runs at the upstream before the grant.
+
+    At a decode engine the grant reserves a place, and the decode starts with the import. At a
+    plain service the call starts with the grant.
+    """
+
+    attempt: AttemptId
+    entry: EntryIncarnation
+    incarnation: SidecarIncarnation
+    """The sidecar run this attempt is addressed to; any other refuses it."""
+    target: TargetName
+    organisation: Organisation
+    share_weight: float
+    urgency: Urgency
+    waited_s: float
+    """Time since the caller's request arrived at the entry."""
+    start_within_s: float
+    """The sidecar refuses at once if it does not expect to grant a place within this time."""
+    deadline_in_s: float
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    first_offset: int = 0
+    """Offset of the first output token to produce; above 0 when a cut stream is resumed."""
+    kv_bytes: int = 0
+
+
+class FrameKind(StrEnum):
+    """What a frame of an attempt's stream says."""
+
+    QUEUED = "queued"
+    GRANTED = "granted"
+    REFUSED = "refused"
+    TOKENS = "tokens"
+    FINISHED = "finished"
+    FAILED = "failed"
+
+
+class AttemptFrame(NamedTuple):
+    """One frame of the stream with which a sidecar answers an offer.
+
+    The order is ``QUEUED? GRANTED TOKENS* (FINISHED | FAILED)`` or ``QUEUED? REFUSED``. After
+    ``REFUSED`` the attempt has not run and never will. ``FINISHED`` carries in ``offset`` the total
+    number of output tokens, so that a gap or a cut is noticed.
+    """
+
+    kind: FrameKind
+    attempt: AttemptId
+    offset: int = 0
+    tokens: tuple[str, ...] = ()
+    reason: Reason | None = None
+    retry_after_s: float | None = None
+
+
+class PrefillOrder(NamedTuple):
+    """An entry asks a prefill engine's sidecar to run a prompt."""
+
+    attempt: AttemptId
+    entry: EntryIncarnation
+    incarnation: SidecarIncarnation
+    target: TargetName
+    organisation: Organisation
+    urgency: Urgency
+    prompt: str
+    prompt_tokens: int
+    prefix_blocks: tuple[int, ...]
+    """Chained digests of the prompt's blocks, the first block first."""
+    start_within_s: float
+    deadline_in_s: float
+
+
+class PrefillKind(StrEnum):
+    """How a prefill ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class PrefillResult(NamedTuple):
+    """The result of a prefill; the KV cache stays at its engine until imported or expired."""
+
+    kind: PrefillKind
+    attempt: AttemptId
+    handle: str = ""
+    engine_address: str = ""
+    kv_bytes: int = 0
+    expires_in_s: float = 0.0
+    reused_tokens: int = 0
+    reason: Reason | None = None
+    retry_after_s: float | None = None
+
+
+class ImportOrder(NamedTuple):
+    """An entry tells the decode engine's sidecar where the KV cache of an attempt lies."""
+
+    attempt: AttemptId
+    handle: str
+    engine_address: str
+    kv_bytes: int
+    prompt_tokens: int
+    expires_in_s: float
+
+
+class CallContent(NamedTuple):
+    """A plain service's call as the caller made it."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class CallResult(NamedTuple):
+    """A plain service's whole answer, or the reason why there is none.
+
+    ``reason`` is ``None`` for an answer. ``started`` tells whether the upstream may have run it.
+    """
+
+    attempt: AttemptId
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: Reason | None = None
+    started: bool = True
+    retry_after_s: float | None = None
+
+
+class RevokeResult(StrEnum):
+    """What a sidecar knows of an attempt that an entry revokes."""
+
+    NEVER_STARTED = "never_started"
+    """It had not started and is barred from starting."""
+    STARTED = "started"
+    """It has started, or has ended after starting; it is cancelled if it still runs."""
+    OTHER_INCARNATION = "other_incarnation"
+    """The attempt was addressed to an earlier run of the sidecar, which may have started it."""
+    UNREACHABLE = "unreachable"
+    """Filled in by the entry's shell: the sidecar did not answer in time."""
+
+
+class UpstreamState(StrEnum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+class Heartbeat(NamedTuple):
+    """Renews an entry's lease at a sidecar: all its attempts there live by it."""
+
+    entry: EntryIncarnation
+    incarnation: SidecarIncarnation
+    """The sidecar run the entry believes in; empty at first contact."""
+    revision: int
+    """The newest declarations the entry knows of."""
+
+
+class LoadReport(NamedTuple):
+    """A sidecar's answer to a heartbeat: its upstream's true load as its ledger has it."""
+
+    incarnation: SidecarIncarnation
+    up_for_s: float
+    role: Role
+    state: UpstreamState
+    revision: int
+    places: int
+    places_free: int
+    waiting_urgent: int
+    waiting_patient: int
+    wait_urgent_s: float
+    """Expected wait of a new urgent offer for its grant."""
+    wait_patient_s: float
+    prefill_backlog_s: float
+    prefill_tokens_per_s: float
+    token_interval_s: float
+    """Smoothed time between output tokens of a stream; 0 where none is known."""
+    link_backlog_s: float
+    prefix_blocks: tuple[int, ...] = ()
+    """Digests of blocks believed cached, most recent first; a hint."""
+
+
+class KeyDecision(StrEnum):
+    """What a key's home says to a request that wants to run under the key."""
+
+    FRESH = "fresh"
+    IN_PROGRESS = "in_progress"
+    ALREADY_ANSWERED = "already_answered"
+    UNKNOWN = "unknown"
+    """The home is younger than the request's first sending and cannot rule out an answer."""
+    UNREACHABLE = "unreachable"
+
+
+class KeyRegistration(NamedTuple):
+    """An entry asks a key's home whether a request may run."""
+
+    key: KeyId
+    request: RequestId
+    entry: EntryIncarnation
+    first_sent_ago_s: float
+
+
+class KeyCommit(NamedTuple):
+    """An entry asks for leave to give the last part of the answer to the caller.
+
+    Only the registered request of a live entry may commit, and a key commits once. An entry whose
+    commit is refused must not let its answer look whole.
+    """
+
+    key: KeyId
+    request: RequestId
+    entry: EntryIncarnation
+
+
+class OrderKind(StrEnum):
+    """Orders to an engine."""
+
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_ROLE = "set_role"
+
+
+class EngineOrder(NamedTuple):
+    """An order to an engine, given under the control lease with its fencing number."""
+
+    fencing_number: int
+    operation_id: str
+    kind: OrderKind
+    argument: str
+    lease_left_s: float
+    """What is left of the holder's lease, by its own clock, less its pause margin."""
+
+
+class OrderResult(StrEnum):
+    """What became of an order."""
+
+    DONE = "done"
+    STALE = "stale"
+    FAILED = "failed"
+    UNSURE = "unsure"
--- /dev/null
+++ b/src/chivehold/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems outside: engines, plain services and the platform."""
--- /dev/null
+++ b/src/chivehold/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only gate to its upstream."""
