Engine cost model without I/O for the stand-in and the measurements

Cause: the stand-in engine and the measured policy must share one cost model.

Ruled out: an event per token, which at 20 streams an engine costs some 10^5 events a simulated minute and engine; streams of a batch advance alike, so one step counter serves for all.

Conclusion: stated units, next-event driven, usable on any clock.

--- /dev/null
+++ b/src/chivehold/fakes/engine_model.py
@@ -0,0 +1,272 @@
+"""The cost model of a stand-in engine, without I/O: one prefill queue, a link and decode places.
+
+All times are seconds on the caller's clock. Decode is a batch whose streams advance alike: one
+token each ``interval``, which grows with the batch, so progress is one counter for all streams.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chivehold.core.identity import AttemptId
+from chivehold.core.prefix import BLOCK_TOKENS, matching_blocks
+
+
+class EngineCost(NamedTuple):
+    """What work costs at an engine."""
+
+    places: int = 20
+    prefill_tokens_per_s: float = 16_000.0
+    prefill_overhead_s: float = 0.010
+    kv_bytes_per_token: int = 160_000
+    kv_lifetime_s: float = 0.8
+    link_bytes_per_s: float = 12.5e9
+    interval_base_s: float = 0.008
+    interval_per_stream_s: float = 0.0006
+    prefix_cache_blocks: int = 2_000
+
+
+class PrefillJob(NamedTuple):
+    """A prompt to run."""
+
+    attempt: AttemptId
+    prompt_tokens: int
+    prefix_blocks: tuple[int, ...]
+    urgent: bool
+
+
+class DecodeJob(NamedTuple):
+    """A KV cache to import, and the output to produce from it."""
+
+    attempt: AttemptId
+    kv_bytes: int
+    kv_expires_at: float
+    tokens: int
+    """Output tokens still to produce, at least 1."""
+    stalls: bool = False
+    """The transfer stops halfway and never ends by itself."""
+
+
+class PrefillDone(NamedTuple):
+    """A prompt has been run; its KV cache lives until ``expires_at``."""
+
+    attempt: AttemptId
+    kv_bytes: int
+    expires_at: float
+    reused_tokens: int
+    work_s: float
+
+
+class FirstToken(NamedTuple):
+    """A stream's first token has been produced."""
+
+    attempt: AttemptId
+
+
+class DecodeDone(NamedTuple):
+    """A stream has produced all its tokens; its place is free."""
+
+    attempt: AttemptId
+    tokens: int
+
+
+class KvExpired(NamedTuple):
+    """A KV cache expired before its transfer ended; the place is free."""
+
+    attempt: AttemptId
+
+
+EngineOutput = PrefillDone | FirstToken | DecodeDone | KvExpired
+
+
+class _Stream(NamedTuple):
+    started_at_step: float
+    tokens: int
+
+
+class EngineModel:
+    """An engine that prefills, or imports and decodes, in model time."""
+
+    def __init__(self, cost: EngineCost) -> None:
+        self.cost = cost
+        self._speed = 1.0
+        self._queue: list[tuple[bool, int, PrefillJob]] = []
+        self._sequence = 0
+        self._running: tuple[float, PrefillDone, PrefillJob] | None = None
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._link_free_at = 0.0
+        self._transfers: dict[AttemptId, tuple[float, DecodeJob]] = {}
+        self._streams: dict[AttemptId, _Stream] = {}
+        self._milestones: list[tuple[float, bool, AttemptId]] = []
+        self._step = 0.0
+        self._step_at = 0.0
+
+    @property
+    def held(self) -> frozenset[AttemptId]:
+        """Attempts that hold a decode place."""
+        return frozenset(self._transfers) | frozenset(self._streams)
+
+    @property
+    def cached_blocks(self) -> tuple[int, ...]:
+        """Digests of cached prefix blocks, most recent first."""
+        return tuple(reversed(self._cache))
+
+    @property
+    def prefill_backlog_tokens(self) -> int:
+        """Prompt tokens queued or running."""
+        running = self._running[2].prompt_tokens if self._running else 0
+        return running + sum(job.prompt_tokens for _, _, job in self._queue)
+
+    def interval(self) -> float:
+        """Return the time between tokens at the present batch."""
+        batch = max(1, len(self._streams))
+        alone = self.cost.interval_base_s + self.cost.interval_per_stream_s * batch
+        return alone / self._speed
+
+    def set_speed(self, speed: float, now: float) -> None:
+        """Slow the engine down; 1.0 is full speed."""
+        self._move_steps(now)
+        self._speed = speed
+
+    def submit_prefill(self, job: PrefillJob, now: float) -> None:
+        """Queue a prompt, urgent ones before patient ones."""
+        self._sequence += 1
+        heapq.heappush(self._queue, (not job.urgent, self._sequence, job))
+        self._start_prefill(now)
+
+    def submit_decode(self, job: DecodeJob, now: float) -> bool:
+        """Take a place and start the import; ``False`` when no place is free."""
+        if len(self._streams) + len(self._transfers) >= self.cost.places:
+            return False
+        if job.stalls:
+            self._transfers[job.attempt] = (float("inf"), job)
+            return True
+        starts_at = max(now, self._link_free_at)
+        self._link_free_at = starts_at + job.kv_bytes / self.cost.link_bytes_per_s
+        ends_at = min(self._link_free_at, max(now, job.kv_expires_at))
+        self._transfers[job.attempt] = (ends_at, job)
+        return True
+
+    def cancel(self, attempt: AttemptId, now: float) -> bool:
+        """Free whatever an attempt holds; tell whether it held anything."""
+        self._move_steps(now)
+        held = attempt in self._transfers or attempt in self._streams
+        self._transfers.pop(attempt, None)
+        self._streams.pop(attempt, None)
+        kept = [entry for entry in self._queue if entry[2].attempt != attempt]
+        if len(kept) != len(self._queue):
+            held = True
+            self._queue = kept
+            heapq.heapify(self._queue)
+        if self._running and self._running[2].attempt == attempt:
+            held = True
+            self._running = None
+            self._start_prefill(now)
+        return held
+
+    def clear(self, now: float) -> None:
+        """Lose everything, as a killed engine does."""
+        self._move_steps(now)
+        self._queue.clear()
+        self._running = None
+        self._transfers.clear()
+        self._streams.clear()
+        self._milestones.clear()
+        self._cache.clear()
+
+    def produced(self, attempt: AttemptId, now: float) -> int:
+        """Return how many tokens a stream has produced, 0 before its first."""
+        stream = self._streams.get(attempt)
+        if stream is None:
+            return 0
+        self._move_steps(now)
+        return min(stream.tokens, int(self._step - stream.started_at_step + 1e-9))
+
+    def next_event(self) -> float | None:
+        """Return when ``advance`` has something to do."""
+        times = [ends_at for ends_at, _ in self._transfers.values()]
+        if self._running:
+            times.append(self._running[0])
+        self._drop_stale_milestones()
+        if self._milestones:
+            times.append(self._step_at + (self._milestones[0][0] - self._step) * self.interval())
+        soonest = min(times, default=float("inf"))
+        return None if soonest == float("inf") else soonest
+
+    def advance(self, now: float) -> Iterator[EngineOutput]:
+        """Yield what has happened up to ``now``, in order; exhaust the iterator."""
+        while (due := self.next_event()) is not None and due <= now + 1e-9:
+            at = max(due, self._step_at)
+            self._move_steps(at)
+            yield from self._prefill_outputs(at)
+            yield from self._transfer_outputs(at)
+            yield from self._stream_outputs()
+        self._move_steps(now)
+
+    def _prefill_outputs(self, at: float) -> Iterator[EngineOutput]:
+        if not self._running or self._running[0] > at + 1e-9:
+            return
+        _, done, job = self._running
+        self._running = None
+        for digest in job.prefix_blocks:
+            self._cache[digest] = None
+            self._cache.move_to_end(digest)
+        while len(self._cache) > self.cost.prefix_cache_blocks:
+            self._cache.popitem(last=False)
+        self._start_prefill(at)
+        yield done
+
+    def _transfer_outputs(self, at: float) -> Iterator[EngineOutput]:
+        ended = [job for ends_at, job in self._transfers.values() if ends_at <= at + 1e-9]
+        for job in ended:
+            ends_at, _ = self._transfers.pop(job.attempt)
+            if ends_at >= job.kv_expires_at:
+                yield KvExpired(job.attempt)
+                continue
+            self._streams[job.attempt] = _Stream(self._step, job.tokens)
+            heapq.heappush(self._milestones, (self._step + 1, False, job.attempt))
+            heapq.heappush(self._milestones, (self._step + job.tokens, True, job.attempt))
+
+    def _stream_outputs(self) -> Iterator[EngineOutput]:
+        while self._milestones and self._milestones[0][0] <= self._step + 1e-6:
+            _, last, attempt = heapq.heappop(self._milestones)
+            stream = self._streams.get(attempt)
+            if stream is None:
+                continue
+            if not last:
+                yield FirstToken(attempt)
+                continue
+            del self._streams[attempt]
+            yield DecodeDone(attempt, stream.tokens)
+
+    def _drop_stale_milestones(self) -> None:
+        while self._milestones and self._milestones[0][2] not in self._streams:
+            heapq.heappop(self._milestones)
+
+    def _move_steps(self, now: float) -> None:
+        if now <= self._step_at:
+            return
+        if self._streams:
+            self._step += (now - self._step_at) / self.interval()
+        self._step_at = now
+
+    def _start_prefill(self, now: float) -> None:
+        if self._running or not self._queue:
+            return
+        _, _, job = heapq.heappop(self._queue)
+        reused = min(
+            matching_blocks(job.prefix_blocks, frozenset(self._cache)) * BLOCK_TOKENS,
+            max(0, job.prompt_tokens - 1),
+        )
+        fresh = job.prompt_tokens - reused
+        work_s = self.cost.prefill_overhead_s + fresh / self.cost.prefill_tokens_per_s
+        ends_at = now + work_s / self._speed
+        done = PrefillDone(
+            attempt=job.attempt,
+            kv_bytes=job.prompt_tokens * self.cost.kv_bytes_per_token,
+            expires_at=ends_at + self.cost.kv_lifetime_s,
+            reused_tokens=reused,
+            work_s=work_s,
+        )
+        self._running = (ends_at, done, job)
