Prefill in chunks, so that an urgent prompt interrupts a patient one

Cause: a prompt of 40,000 tokens held a stand-in engine for seconds, although the engines it stands for honour priorities.

Ruled out: keeping engines free of patient prompts in the router; that would hide a priority which the engines give.

Change: prompts run in chunks of 2,048 tokens, the most urgent first at each boundary.

Conclusion: the stand-in honours priorities as the engines do.

--- a/src/chivehold/fakes/engine_model.py
+++ b/src/chivehold/fakes/engine_model.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from chivehold.core.identity import AttemptId
-from chivehold.core.prefix import BLOCK_TOKENS, matching_blocks
+from chivehold.core.prefix import BLOCK_TOKENS
 
 
 class EngineCost(NamedTuple):
@@ -19,6 +19,8 @@
     places: int = 20
     prefill_tokens_per_s: float = 16_000.0
     prefill_overhead_s: float = 0.010
+    prefill_chunk_tokens: int = 2_048
+    """A more urgent prompt goes first between two chunks of another."""
     kv_bytes_per_token: int = 160_000
     kv_lifetime_s: float = 0.8
     link_bytes_per_s: float = 12.5e9
@@ -80,6 +82,13 @@
 EngineOutput = PrefillDone | FirstToken | DecodeDone | KvExpired
 
 
+class _Prompt(NamedTuple):
+    job: PrefillJob
+    reused_tokens: int
+    left_tokens: int
+    work_s: float
+
+
 class _Stream(NamedTuple):
     started_at_step: float
     tokens: int
@@ -91,9 +100,9 @@
     def __init__(self, cost: EngineCost) -> None:
         self.cost = cost
         self._speed = 1.0
-        self._queue: list[tuple[bool, int, PrefillJob]] = []
+        self._queue: list[tuple[bool, int, _Prompt]] = []
         self._sequence = 0
-        self._running: tuple[float, PrefillDone, PrefillJob] | None = None
+        self._running: tuple[float, int, _Prompt] | None = None
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._link_free_at = 0.0
         self._transfers: dict[AttemptId, tuple[float, DecodeJob]] = {}
@@ -115,8 +124,8 @@
     @property
     def prefill_backlog_tokens(self) -> int:
         """Prompt tokens queued or running."""
-        running = self._running[2].prompt_tokens if self._running else 0
-        return running + sum(job.prompt_tokens for _, _, job in self._queue)
+        running = self._running[2].left_tokens if self._running else 0
+        return running + sum(prompt.left_tokens for _, _, prompt in self._queue)
 
     def interval(self) -> float:
         """Return the time between tokens at the present batch."""
@@ -132,7 +141,8 @@
     def submit_prefill(self, job: PrefillJob, now: float) -> None:
         """Queue a prompt, urgent ones before patient ones."""
         self._sequence += 1
-        heapq.heappush(self._queue, (not job.urgent, self._sequence, job))
+        prompt = _Prompt(job, -1, job.prompt_tokens, 0.0)
+        heapq.heappush(self._queue, (not job.urgent, self._sequence, prompt))
         self._start_prefill(now)
 
     def submit_decode(self, job: DecodeJob, now: float) -> bool:
@@ -154,12 +164,12 @@
         held = attempt in self._transfers or attempt in self._streams
         self._transfers.pop(attempt, None)
         self._streams.pop(attempt, None)
-        kept = [entry for entry in self._queue if entry[2].attempt != attempt]
+        kept = [entry for entry in self._queue if entry[2].job.attempt != attempt]
         if len(kept) != len(self._queue):
             held = True
             self._queue = kept
             heapq.heapify(self._queue)
-        if self._running and self._running[2].attempt == attempt:
+        if self._running and self._running[2].job.attempt == attempt:
             held = True
             self._running = None
             self._start_prefill(now)
@@ -207,15 +217,28 @@
     def _prefill_outputs(self, at: float) -> Iterator[EngineOutput]:
         if not self._running or self._running[0] > at + 1e-9:
             return
-        _, done, job = self._running
+        _, sequence, prompt = self._running
         self._running = None
-        for digest in job.prefix_blocks:
+        if prompt.left_tokens > 0:
+            heapq.heappush(self._queue, (not prompt.job.urgent, sequence, prompt))
+            self._start_prefill(at)
+            return
+        self._remember_blocks(prompt.job.prefix_blocks)
+        self._start_prefill(at)
+        yield PrefillDone(
+            attempt=prompt.job.attempt,
+            kv_bytes=prompt.job.prompt_tokens * self.cost.kv_bytes_per_token,
+            expires_at=at + self.cost.kv_lifetime_s,
+            reused_tokens=prompt.reused_tokens,
+            work_s=prompt.work_s,
+        )
+
+    def _remember_blocks(self, digests: tuple[int, ...]) -> None:
+        for digest in digests:
             self._cache[digest] = None
             self._cache.move_to_end(digest)
         while len(self._cache) > self.cost.prefix_cache_blocks:
             self._cache.popitem(last=False)
-        self._start_prefill(at)
-        yield done
 
     def _transfer_outputs(self, at: float) -> Iterator[EngineOutput]:
         ended = [job for ends_at, job in self._transfers.values() if ends_at <= at + 1e-9]
@@ -254,19 +277,23 @@
     def _start_prefill(self, now: float) -> None:
         if self._running or not self._queue:
             return
-        _, _, job = heapq.heappop(self._queue)
-        reused = min(
-            matching_blocks(job.prefix_blocks, frozenset(self._cache)) * BLOCK_TOKENS,
-            max(0, job.prompt_tokens - 1),
-        )
-        fresh = job.prompt_tokens - reused
-        work_s = self.cost.prefill_overhead_s + fresh / self.cost.prefill_tokens_per_s
-        ends_at = now + work_s / self._speed
-        done = PrefillDone(
-            attempt=job.attempt,
-            kv_bytes=job.prompt_tokens * self.cost.kv_bytes_per_token,
-            expires_at=ends_at + self.cost.kv_lifetime_s,
-            reused_tokens=reused,
-            work_s=work_s,
+        _, sequence, prompt = heapq.heappop(self._queue)
+        started = prompt.reused_tokens >= 0
+        if not started:
+            prompt = self._reuse_prefix(prompt)
+        chunk = min(prompt.left_tokens, self.cost.prefill_chunk_tokens)
+        overhead_s = 0.0 if started else self.cost.prefill_overhead_s
+        work_s = overhead_s + chunk / self.cost.prefill_tokens_per_s
+        prompt = prompt._replace(
+            left_tokens=prompt.left_tokens - chunk, work_s=prompt.work_s + work_s
         )
-        self._running = (ends_at, done, job)
+        self._running = (now + work_s / self._speed, sequence, prompt)
+
+    def _reuse_prefix(self, prompt: _Prompt) -> _Prompt:
+        matched = 0
+        for digest in prompt.job.prefix_blocks:
+            if digest not in self._cache:
+                break
+            matched += 1
+        reused = min(matched * BLOCK_TOKENS, max(0, prompt.job.prompt_tokens - 1))
+        return prompt._replace(reused_tokens=reused, left_tokens=prompt.job.prompt_tokens - reused)
--- a/tests/fakes/test_engine_model.py
+++ b/tests/fakes/test_engine_model.py
@@ -45,6 +45,14 @@
             model.submit_prefill(PrefillJob(attempt(number), 100, (), urgent), 0.0)
         assert [output.attempt.number for _, output in run_until_idle(model)] == [1, 3, 2]
 
+    def test_urgent_interrupts_a_long_patient_prompt(self) -> None:
+        """Between two chunks of a patient prompt an urgent one is run first."""
+        model = EngineModel(COST)
+        model.submit_prefill(PrefillJob(attempt(1), 10 * 2_048, (), False), 0.0)
+        model.submit_prefill(PrefillJob(attempt(2), 100, (), True), 0.5)
+        seen = [(at, output.attempt.number) for at, output in run_until_idle(model)]
+        assert seen == [(pytest.approx(2.148), 2), (pytest.approx(20.58), 1)]
+
 
 class TestDecode:
     def test_streams_share_one_pace(self) -> None:
