Unary gRPC between trio processes, with a token and a deadline on each call

Cause: grpcio has no trio loop; control calls between the processes need one. Ruled out: grpc.aio (asyncio is a second loop); streams over gRPC (a thread each); trio.from_thread.run in the workers (runs handlers as system tasks that no nursery owns). Change: serve_rpc moves each call from its worker thread into a nursery and checks the token in constant time; RpcChannel.call waits on the loop. RpcFailed says whether a handler may have run. Conclusion: control calls can be built on it; a handler that waits holds one of 8 worker threads.

--- /dev/null
+++ b/src/chivehold/rpc/bridge.py
@@ -0,0 +1,321 @@
+"""Unary gRPC on trio: a server whose handlers run on the trio loop, and a channel to call one.
+
+grpcio brings its own threads. They only carry messages: every handler is an async function that
+runs on the trio loop, and every caller waits there.
+"""
+
+import hmac
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import asynccontextmanager, suppress
+from typing import Any, Generic, NamedTuple, Protocol, TypeVar
+
+import grpc
+import trio
+
+SERVER_WORKERS = 8
+SERVER_CALLS_MOST = 256
+STOP_GRACE_S = 2.0
+HANDLER_MOST_S = 60.0
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+RECONNECT_FIRST_MS = 100
+RECONNECT_MOST_MS = 500
+CONNECT_TIMEOUT_MS = 1_000
+
+_COMMON_OPTIONS = (
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+)
+_SERVER_OPTIONS = (*_COMMON_OPTIONS, ("grpc.so_reuseport", 0))
+_CHANNEL_OPTIONS = (
+    *_COMMON_OPTIONS,
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_FIRST_MS),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MOST_MS),
+)
+_NEVER_CONNECTED = "failed to connect to all addresses"
+_CODES_BEFORE_HANDLER = (grpc.StatusCode.UNAUTHENTICATED, grpc.StatusCode.RESOURCE_EXHAUSTED)
+
+_log = logging.getLogger(__name__)
+
+RequestT = TypeVar("RequestT", contravariant=True)
+ResponseT = TypeVar("ResponseT", covariant=True)
+
+ServicerAdder = Callable[[Any], None]
+"""Registers a servicer with a gRPC server, as the generated ``add_…Servicer_to_server`` does."""
+
+
+class RpcFailed(Exception):  # noqa: N818
+    """A call to a peer failed.
+
+    Attributes:
+        step: The method that was called, as ``/chivehold.v1.Sidecar/Heartbeat``.
+        peer: The address that was called.
+        code: The gRPC status code.
+        sent: ``False`` proves that no handler of the peer ran for this call.
+    """
+
+    def __init__(
+        self, step: str, peer: str, code: grpc.StatusCode, sent: bool, detail: str = ""
+    ) -> None:
+        super().__init__(f"{step} at {peer}: {code.name}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.code = code
+        self.sent = sent
+        self.detail = detail
+
+
+class RpcRefused(Exception):  # noqa: N818
+    """Raised by a handler to answer with a status code of its choice."""
+
+    def __init__(self, code: grpc.StatusCode, detail: str) -> None:
+        super().__init__(f"{code.name}: {detail}")
+        self.code = code
+        self.detail = detail
+
+
+class UnaryMethod(Protocol[RequestT, ResponseT]):
+    """A method of a generated stub."""
+
+    def future(self, request: RequestT, timeout: float, metadata: Any) -> Any:
+        """Start the call."""
+        ...
+
+
+class _Failure(NamedTuple):
+    code: grpc.StatusCode
+    detail: str
+
+
+class _Call(Generic[RequestT, ResponseT]):
+    """One call on its way from a worker thread through the trio loop and back."""
+
+    def __init__(
+        self,
+        handler: Callable[[RequestT, Any], Awaitable[ResponseT]],
+        request: RequestT,
+        context: Any,
+        limit_s: float,
+    ) -> None:
+        self._handler = handler
+        self._request = request
+        self._context = context
+        self._limit_s = limit_s
+        self.settled: Future[ResponseT | _Failure] = Future()
+
+    async def run(self) -> None:
+        """Run the handler on the trio loop and settle the call, also when cancelled."""
+        result: ResponseT | _Failure = _Failure(grpc.StatusCode.UNAVAILABLE, "shutting down")
+        try:
+            result = await self._result()
+        finally:
+            self.settled.set_result(result)
+
+    async def _result(self) -> ResponseT | _Failure:
+        try:
+            with trio.fail_after(self._limit_s):
+                return await self._handler(self._request, self._context)
+        except trio.TooSlowError:
+            return _Failure(grpc.StatusCode.DEADLINE_EXCEEDED, "the handler took too long")
+        except RpcRefused as refusal:
+            return _Failure(refusal.code, refusal.detail)
+        except Exception as error:
+            _log.exception("a gRPC handler failed")
+            return _Failure(grpc.StatusCode.INTERNAL, type(error).__name__)
+
+
+class _TrioInterceptor(grpc.ServerInterceptor):  # type: ignore[misc]
+    """Checks the token and moves each call from its worker thread to the trio loop."""
+
+    def __init__(self, token: str | None) -> None:
+        self._nursery: trio.Nursery | None = None
+        self._trio_token = trio.lowlevel.current_trio_token()
+        self._expected = None if token is None else f"Bearer {token}".encode()
+
+    def open(self, nursery: trio.Nursery) -> None:
+        """Run the handlers of calls in this nursery."""
+        self._nursery = nursery
+
+    def close(self) -> None:
+        """Refuse calls that have not reached the loop yet."""
+        self._nursery = None
+
+    def intercept_service(self, continuation: Any, details: Any) -> Any:
+        """Return a handler for the call; runs on a worker thread."""
+        method = continuation(details)
+        if method is None:
+            return None
+        if not self._authorised(details.invocation_metadata):
+            return _refusing(method, grpc.StatusCode.UNAUTHENTICATED, "wrong or missing token")
+
+        def run_on_loop(request: Any, context: Any) -> Any:
+            return self._run_on_loop(method.unary_unary, request, context)
+
+        return _unary_handler(method, run_on_loop)
+
+    def _authorised(self, metadata: Iterable[tuple[str, str | bytes]]) -> bool:
+        if self._expected is None:
+            return True
+        values = (value for name, value in metadata if name == "authorization")
+        given = next(values, "")
+        given_bytes = given.encode() if isinstance(given, str) else given
+        return hmac.compare_digest(given_bytes, self._expected)
+
+    def _run_on_loop(
+        self, handler: Callable[[Any, Any], Awaitable[Any]], request: Any, context: Any
+    ) -> Any:
+        remaining_s = context.time_remaining()
+        limit_s = HANDLER_MOST_S if remaining_s is None else min(remaining_s, HANDLER_MOST_S)
+        call = _Call(handler, request, context, max(0.0, limit_s))
+        try:
+            self._trio_token.run_sync_soon(self._start, call)
+            result = call.settled.result(timeout=limit_s + STOP_GRACE_S)
+        except (trio.RunFinishedError, TimeoutError):
+            result = _Failure(grpc.StatusCode.UNAVAILABLE, "the loop does not answer")
+        if isinstance(result, _Failure):
+            context.abort(result.code, result.detail)
+        return result
+
+    def _start(self, call: _Call[Any, Any]) -> None:
+        if self._nursery is None:
+            call.settled.set_result(_Failure(grpc.StatusCode.UNAVAILABLE, "shutting down"))
+            return
+        self._nursery.start_soon(call.run)
+
+
+def _unary_handler(method: Any, behaviour: Callable[[Any, Any], Any]) -> Any:
+    return grpc.unary_unary_rpc_method_handler(
+        behaviour, method.request_deserializer, method.response_serializer
+    )
+
+
+def _refusing(method: Any, code: grpc.StatusCode, detail: str) -> Any:
+    def refuse(_request: Any, context: Any) -> None:
+        context.abort(code, detail)
+
+    return _unary_handler(method, refuse)
+
+
+def _bind(server: Any, address: str) -> str:
+    host, _, _ = address.rpartition(":")
+    try:
+        port = server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise OSError(f"cannot listen for gRPC on {address}: {error}") from error
+    return f"{host}:{port}"
+
+
+@asynccontextmanager
+async def serve_rpc(
+    address: str, adders: Iterable[ServicerAdder], token: str | None
+) -> AsyncIterator[str]:
+    """Serve gRPC until the block ends; calls in progress then have ``STOP_GRACE_S`` to finish.
+
+    Args:
+        address: ``host:port`` to listen on; port 0 lets the kernel choose.
+        adders: Each registers a servicer whose methods are ``async def (request, context)``.
+        token: The shared token that calls carry as ``authorization: Bearer <token>``; ``None``
+            admits every caller.
+
+    Returns:
+        The ``host:port`` that is bound.
+
+    Raises:
+        OSError: The address cannot be listened on.
+    """
+    interceptor = _TrioInterceptor(token)
+    workers = ThreadPoolExecutor(SERVER_WORKERS, thread_name_prefix="grpc")
+    server = grpc.server(
+        workers,
+        interceptors=(interceptor,),
+        options=_SERVER_OPTIONS,
+        maximum_concurrent_rpcs=SERVER_CALLS_MOST,
+    )
+    for add in adders:
+        add(server)
+    bound = _bind(server, address)
+    async with trio.open_nursery() as nursery:
+        interceptor.open(nursery)
+        server.start()
+        try:
+            yield bound
+        finally:
+            with trio.CancelScope(shield=True):
+                stopped = server.stop(STOP_GRACE_S)
+                await trio.to_thread.run_sync(stopped.wait, 2 * STOP_GRACE_S)
+            interceptor.close()
+            nursery.cancel_scope.cancel()
+            workers.shutdown(wait=False)
+
+
+class RpcChannel:
+    """A connection to one peer's gRPC server; made and used on the trio loop."""
+
+    def __init__(self, address: str, token: str | None) -> None:
+        self._address = address
+        self._metadata = () if token is None else (("authorization", f"Bearer {token}"),)
+        self._channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+
+    @property
+    def address(self) -> str:
+        """The peer's ``host:port``."""
+        return self._address
+
+    @property
+    def grpc_channel(self) -> Any:
+        """The channel to build a generated stub on, as ``SidecarStub(channel.grpc_channel)``."""
+        return self._channel
+
+    async def call(
+        self, method: UnaryMethod[RequestT, ResponseT], request: RequestT, timeout_s: float
+    ) -> ResponseT:
+        """Call a method of a stub and wait for the answer; a cancelled wait cancels the call.
+
+        Args:
+            method: The stub's method, as ``stub.Heartbeat``.
+            request: The request message.
+            timeout_s: Time in seconds after which the call fails with ``DEADLINE_EXCEEDED``.
+
+        Returns:
+            The response message.
+
+        Raises:
+            RpcFailed: The peer refused, failed, or did not answer in time.
+        """
+        trio_token = trio.lowlevel.current_trio_token()
+        done = trio.Event()
+        future = method.future(request, timeout=timeout_s, metadata=self._metadata)
+
+        def settle(_future: Any) -> None:
+            with suppress(trio.RunFinishedError):
+                trio_token.run_sync_soon(done.set)
+
+        future.add_done_callback(settle)
+        try:
+            await done.wait()
+        finally:
+            future.cancel()
+        if future.code() is grpc.StatusCode.OK:
+            response: ResponseT = future.result()
+            return response
+        raise self._failure(method, future)
+
+    def close(self) -> None:
+        """Close the connection; calls in progress fail with ``CANCELLED``."""
+        self._channel.close()
+
+    def _failure(self, method: Any, future: Any) -> RpcFailed:
+        code = future.code()
+        detail = future.details() or ""
+        never_connected = code is grpc.StatusCode.UNAVAILABLE and _NEVER_CONNECTED in detail
+        sent = not (never_connected or code in _CODES_BEFORE_HANDLER)
+        return RpcFailed(_method_name(method), self._address, code, sent, detail)
+
+
+def _method_name(method: Any) -> str:
+    name = getattr(method, "_method", b"")
+    return name.decode() if isinstance(name, bytes) else str(name)
