The platform's client, the settling of unsure writes, and a stand-in that loses answers

Cause: declarations, claims and leases rest on conditional writes whose answers may be lost. Ruled out: calling an unsure write failed once a read-back misses its operation id: the write may still be on its way and take effect after the read.

--- /dev/null
+++ b/src/chivehold/fakes/object_store.py
@@ -0,0 +1,243 @@
+"""A stand-in for the platform's object store, in memory, that can be told how to fail."""
+
+from collections import Counter, deque
+from collections.abc import Iterator, Sequence
+from random import Random
+from typing import NamedTuple
+from uuid import UUID
+
+import trio
+from returns.result import Failure, Result, Success
+
+from chivehold.platform.api import (
+    MAX_VALUE_BYTES,
+    MAX_WATCH_WAIT_S,
+    OPERATIONS_KEPT,
+    Conflict,
+    NotFound,
+    ReadError,
+    Snapshot,
+    Stored,
+    Unavailable,
+    Unsure,
+    WriteError,
+)
+from chivehold.platform.client import VmList
+
+ANSWER_LOST = "answer lost"
+RATE_LIMITED = "rate limited"
+RATE_WINDOW_S = 1.0
+PEER = "platform"
+
+
+class Faults(NamedTuple):
+    """How the store fails; the default is not at all."""
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: float = 0.0
+    """Share of answers lost after the call has taken effect, 0 to 1."""
+    lose_answer_next: int = 0
+    """Number of next writes whose answers are lost."""
+    watch_lag_s: float = 0.0
+    vm_lag_s: float = 0.0
+    reads_per_s: int = 0
+    """0 for no limit."""
+    writes_per_s: int = 0
+    """0 for no limit."""
+    seed: int = 0
+
+
+NO_FAULTS = Faults()
+
+
+class _Write(NamedTuple):
+    at: float
+    stored: Stored
+
+
+class MemoryObjectStore:
+    """Implements ``ObjectStore`` with one version counter for all objects."""
+
+    def __init__(self, faults: Faults = NO_FAULTS) -> None:
+        self._objects: dict[tuple[str, str], _Write] = {}
+        self._revision = 0
+        self._changed = trio.Event()
+        self._calls: Counter[str] = Counter()
+        self._recent: dict[bool, deque[float]] = {True: deque(), False: deque()}
+        self._vms: list[tuple[float, VmList]] = []
+        self.set_faults(faults)
+
+    @property
+    def faults(self) -> Faults:
+        """How the store fails."""
+        return self._faults
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Calls so far by kind, refused ones included."""
+        return self._calls
+
+    @property
+    def revision(self) -> int:
+        """The version of the latest write."""
+        return self._revision
+
+    def set_faults(self, faults: Faults) -> None:
+        """Fail in another way from now on."""
+        self._faults = faults
+        self._rng = Random(faults.seed)
+        self._losses_left = faults.lose_answer_next
+
+    def set_vms(self, vms: VmList) -> None:
+        """Change the list of VMs; readers see it after the lag."""
+        self._vms.append((trio.current_time(), vms))
+
+    async def get(self, kind: str, name: str) -> Result[Stored, ReadError]:
+        """Read one object."""
+        step = f"get {kind}/{name}"
+        if refusal := await self._admit("get", step):
+            return Failure(refusal)
+        found = self._objects.get((kind, name))
+        if self._loses_answer():
+            return Failure(Unavailable(step, PEER, ANSWER_LOST))
+        if found is None or found.stored.deleted:
+            return Failure(NotFound(step, PEER))
+        return Success(found.stored)
+
+    async def list(self, kind: str) -> Result[Snapshot, Unavailable]:
+        """Read all objects of a kind, with the store's revision."""
+        step = f"list {kind}"
+        if refusal := await self._admit("list", step):
+            return Failure(refusal)
+        found = Snapshot(self._revision, tuple(self._live(kind)))
+        if self._loses_answer():
+            return Failure(Unavailable(step, PEER, ANSWER_LOST))
+        return Success(found)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Write an object whose version is the expected one; 0 creates it."""
+        step = f"put {kind}/{name}"
+        if refusal := await self._admit("put", step):
+            return Failure(refusal)
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(Unavailable(step, PEER, f"value exceeds {MAX_VALUE_BYTES} bytes"))
+        return self._write(step, kind, name, value, expected_version, operation_id)
+
+    async def delete(
+        self, kind: str, name: str, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Delete an object whose version is the expected one."""
+        step = f"delete {kind}/{name}"
+        if refusal := await self._admit("delete", step):
+            return Failure(refusal)
+        return self._write(step, kind, name, None, expected_version, operation_id)
+
+    async def watch(
+        self, kinds: Sequence[str], after_revision: int, wait_s: float
+    ) -> Result[Snapshot, Unavailable]:
+        """Wait for objects of these kinds changed after a revision, deletions included."""
+        step = f"watch {','.join(kinds)}"
+        if refusal := await self._admit("watch", step):
+            return Failure(refusal)
+        found = Snapshot(after_revision, ())
+        with trio.move_on_after(min(wait_s, MAX_WATCH_WAIT_S)):
+            while not (found := self._changes(kinds, after_revision)).objects:
+                await self._wait_change()
+        if self._faults.outage or self._loses_answer():
+            return Failure(Unavailable(step, PEER, ANSWER_LOST))
+        return Success(found)
+
+    async def list_vms(self) -> Result[VmList, Unavailable]:
+        """Read the list of VMs as it was some time ago."""
+        step = "list VMs"
+        if refusal := await self._admit("vms", step):
+            return Failure(refusal)
+        seen_until = trio.current_time() - self._faults.vm_lag_s
+        seen = [vms for at, vms in self._vms if at <= seen_until]
+        return Success(seen[-1] if seen else VmList((), ()))
+
+    async def _admit(self, call: str, step: str) -> Unavailable | None:
+        self._calls[call] += 1
+        await trio.sleep(self._faults.delay_s)
+        if self._faults.outage:
+            return Unavailable(step, PEER, "outage")
+        if self._exceeds_rate(is_write=call in ("put", "delete")):
+            return Unavailable(step, PEER, RATE_LIMITED)
+        return None
+
+    def _exceeds_rate(self, is_write: bool) -> bool:
+        limit = self._faults.writes_per_s if is_write else self._faults.reads_per_s
+        recent = self._recent[is_write]
+        now = trio.current_time()
+        while recent and recent[0] <= now - RATE_WINDOW_S:
+            recent.popleft()
+        if limit and len(recent) >= limit:
+            return True
+        recent.append(now)
+        return False
+
+    def _write(
+        self,
+        step: str,
+        kind: str,
+        name: str,
+        value: bytes | None,
+        expected_version: int,
+        operation_id: str,
+    ) -> Result[Stored, WriteError]:
+        former = self._objects.get((kind, name))
+        live = former is not None and not former.stored.deleted
+        version = former.stored.version if former and live else 0
+        if version == 0 and (expected_version > 0 or value is None):
+            return Failure(NotFound(step, PEER))
+        if version != expected_version:
+            return Failure(Conflict(step, PEER, version))
+        self._revision += 1
+        operations = former.stored.operations if former else ()
+        uid = former.stored.uid if former and live else str(UUID(int=self._revision))
+        stored = Stored(
+            kind,
+            name,
+            uid,
+            self._revision,
+            value or b"",
+            (*operations, operation_id)[-OPERATIONS_KEPT:],
+            deleted=value is None,
+        )
+        self._objects[kind, name] = _Write(trio.current_time(), stored)
+        self._wake()
+        if self._loses_answer(is_write=True):
+            return Failure(Unsure(step, PEER, ANSWER_LOST))
+        return Success(stored)
+
+    def _loses_answer(self, is_write: bool = False) -> bool:
+        if is_write and self._losses_left > 0:
+            self._losses_left -= 1
+            return True
+        return self._rng.random() < self._faults.lose_answers
+
+    def _live(self, kind: str) -> Iterator[Stored]:
+        for _, stored in self._objects.values():
+            if stored.kind == kind and not stored.deleted:
+                yield stored
+
+    def _changes(self, kinds: Sequence[str], after_revision: int) -> Snapshot:
+        seen_until = trio.current_time() - self._faults.watch_lag_s
+        seen = [stored for at, stored in self._objects.values() if at <= seen_until]
+        revision = max((stored.version for stored in seen), default=0)
+        changed = (stored for stored in seen if stored.kind in kinds)
+        newer = tuple(stored for stored in changed if stored.version > after_revision)
+        return Snapshot(max(revision, after_revision), newer)
+
+    async def _wait_change(self) -> None:
+        if self._faults.watch_lag_s > 0:
+            await trio.sleep(self._faults.watch_lag_s / 4)
+            return
+        await self._changed.wait()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/src/chivehold/platform/client.py
@@ -0,0 +1,267 @@
+"""The platform's object API over HTTP, and how an unsure write is settled."""
+
+from collections.abc import Callable, Sequence
+from itertools import islice
+from random import Random
+from typing import NamedTuple, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+import trio
+from returns.result import Failure, Result, Success
+
+from chivehold.http_client import HttpAnswer, HttpClient, LinkBroken, NothingSent
+from chivehold.platform.api import (
+    Conflict,
+    NotFound,
+    ObjectStore,
+    ReadError,
+    Snapshot,
+    Stored,
+    Unavailable,
+    Unsure,
+    WriteError,
+)
+from chivehold.platform.backoff import waits
+from chivehold.platform.object_json import (
+    CONFLICT_STATUS,
+    NOT_FOUND_STATUS,
+    ConflictJson,
+    VmsJson,
+    decode_snapshot,
+    decode_stored,
+)
+
+CALL_TIMEOUT_S = 2.0
+WATCH_MARGIN_S = 1.0
+SETTLE_TRIES = 5
+OK_STATUS = 200
+# Below 500 the platform has refused the call; 503 says so as well. Other errors prove nothing.
+_REFUSED_STATUSES = (*range(400, 500), 503)
+
+ValueT = TypeVar("ValueT")
+ErrorT = TypeVar("ErrorT")
+
+
+class VmList(NamedTuple):
+    """The platform's lagging list of VMs, by name."""
+
+    live: tuple[str, ...]
+    leaving: tuple[str, ...]
+
+
+class HttpObjectStore:
+    """The object store behind one address; implements ``ObjectStore``."""
+
+    def __init__(
+        self,
+        address: str,
+        client: HttpClient,
+        token: str | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._address = address
+        self._client = client
+        self._headers = () if token is None else (("authorization", f"Bearer {token}"),)
+        self._timeout_s = timeout_s
+
+    @property
+    def address(self) -> str:
+        """The store's ``host:port``."""
+        return self._address
+
+    async def get(self, kind: str, name: str) -> Result[Stored, ReadError]:
+        """Read one object."""
+        step = f"get {kind}/{name}"
+        answer = await self._read(step, _object_path(kind, name), self._timeout_s)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        if answer.status == NOT_FOUND_STATUS:
+            return Failure(NotFound(step, self._address))
+        return self._decoded(step, answer, decode_stored)
+
+    async def list(self, kind: str) -> Result[Snapshot, Unavailable]:
+        """Read all objects of a kind, with the store's revision."""
+        step = f"list {kind}"
+        answer = await self._read(step, f"/objects/{quote(kind, safe='')}", self._timeout_s)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        return self._decoded(step, answer, decode_snapshot)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Write an object whose version is the expected one; 0 creates it."""
+        return await self._write("PUT", kind, name, value, expected_version, operation_id)
+
+    async def delete(
+        self, kind: str, name: str, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Delete an object whose version is the expected one."""
+        return await self._write("DELETE", kind, name, b"", expected_version, operation_id)
+
+    async def watch(
+        self, kinds: Sequence[str], after_revision: int, wait_s: float
+    ) -> Result[Snapshot, Unavailable]:
+        """Wait for objects of these kinds changed after a revision, deletions included."""
+        step = f"watch {','.join(kinds)}"
+        query = urlencode({"kinds": ",".join(kinds), "after": after_revision, "wait_s": wait_s})
+        answer = await self._read(step, f"/watch?{query}", wait_s + WATCH_MARGIN_S)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        return self._decoded(step, answer, decode_snapshot)
+
+    async def list_vms(self) -> Result[VmList, Unavailable]:
+        """Read the list of live and leaving VMs, which lags behind reality."""
+        step = "list VMs"
+        answer = await self._read(step, "/vms", self._timeout_s)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        return self._decoded(step, answer, _decode_vms)
+
+    async def _read(self, step: str, path: str, timeout_s: float) -> HttpAnswer | Unavailable:
+        try:
+            answer = await self._client.call(
+                self._address, "GET", path, step=step, timeout_s=timeout_s, headers=self._headers
+            )
+        except (NothingSent, LinkBroken) as error:
+            return Unavailable(step, self._address, error.detail)
+        if answer.status in (OK_STATUS, NOT_FOUND_STATUS):
+            return answer
+        return Unavailable(step, self._address, f"status {answer.status}")
+
+    async def _write(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        value: bytes,
+        expected_version: int,
+        operation_id: str,
+    ) -> Result[Stored, WriteError]:
+        step = f"{method.lower()} {kind}/{name}"
+        try:
+            answer = await self._client.call(
+                self._address,
+                method,
+                _object_path(kind, name),
+                step=step,
+                timeout_s=self._timeout_s,
+                body=value,
+                headers=[
+                    *self._headers,
+                    ("if-match", str(expected_version)),
+                    ("operation-id", operation_id),
+                ],
+            )
+        except NothingSent as error:
+            return Failure(Unavailable(step, self._address, error.detail))
+        except LinkBroken as error:
+            return Failure(Unsure(step, self._address, error.detail))
+        return self._written(step, answer)
+
+    def _written(self, step: str, answer: HttpAnswer) -> Result[Stored, WriteError]:
+        try:
+            if answer.status == OK_STATUS:
+                return Success(decode_stored(answer.body))
+            if answer.status == CONFLICT_STATUS:
+                found = msgspec.json.decode(answer.body, type=ConflictJson)
+                return Failure(Conflict(step, self._address, found["current_version"]))
+        except msgspec.DecodeError as error:
+            return Failure(Unsure(step, self._address, str(error)))
+        if answer.status == NOT_FOUND_STATUS:
+            return Failure(NotFound(step, self._address))
+        detail = f"status {answer.status}"
+        if answer.status in _REFUSED_STATUSES:
+            return Failure(Unavailable(step, self._address, detail))
+        return Failure(Unsure(step, self._address, detail))
+
+    def _decoded(
+        self, step: str, answer: HttpAnswer, decode: Callable[[bytes], ValueT]
+    ) -> Result[ValueT, Unavailable]:
+        if answer.status != OK_STATUS:
+            return Failure(Unavailable(step, self._address, f"status {answer.status}"))
+        try:
+            return Success(decode(answer.body))
+        except msgspec.DecodeError as error:
+            return Failure(Unavailable(step, self._address, str(error)))
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _decode_vms(body: bytes) -> VmList:
+    found = msgspec.json.decode(body, type=VmsJson)
+    return VmList(tuple(found["live"]), tuple(found["leaving"]))
+
+
+class Write(NamedTuple):
+    """A conditional write; ``value`` is ``None`` to delete."""
+
+    kind: str
+    name: str
+    value: bytes | None
+    expected_version: int
+    operation_id: str
+
+
+async def settle(
+    store: ObjectStore, write: Write, rng: Random, tries: int = SETTLE_TRIES
+) -> Result[Stored, WriteError]:
+    """Carry out a write, and find out what became of it when its answer is lost.
+
+    The object is read back for the operation id. While its version is still the expected one, the
+    lost write may be on its way, so the same write is sent again: the condition lets only one of
+    the two take effect.
+
+    Args:
+        store: The platform.
+        write: What to write; its operation id is new.
+        rng: Draws the waiting times.
+        tries: Read-backs at most.
+
+    Returns:
+        The object as written or as changed since, a definite error, or ``Unsure`` when the tries
+        are spent. A deletion that took effect may show as ``NotFound``.
+    """
+    result = await _send(store, write)
+    for wait_s in islice(waits(rng), tries):
+        if not isinstance(_error(result), Unsure):
+            return result
+        await trio.sleep(wait_s)
+        result = await _read_back(store, write, result)
+    return result
+
+
+async def _read_back(
+    store: ObjectStore, write: Write, unsure: Result[Stored, WriteError]
+) -> Result[Stored, WriteError]:
+    read = await store.get(write.kind, write.name)
+    error = _error(read)
+    if isinstance(error, Unavailable):
+        return unsure
+    if error is not None and write.expected_version > 0:
+        return Failure(error)
+    if error is None:
+        stored = read.unwrap()
+        if write.operation_id in stored.operations:
+            return Success(stored)
+        if stored.version != write.expected_version:
+            return Failure(Conflict("read back", write.name, stored.version))
+    again = await _send(store, write)
+    return again if isinstance(again, Success) else unsure
+
+
+async def _send(store: ObjectStore, write: Write) -> Result[Stored, WriteError]:
+    if write.value is None:
+        return await store.delete(
+            write.kind, write.name, write.expected_version, write.operation_id
+        )
+    return await store.put(
+        write.kind, write.name, write.value, write.expected_version, write.operation_id
+    )
+
+
+def _error(result: Result[Stored, ErrorT]) -> ErrorT | None:
+    return None if isinstance(result, Success) else result.failure()
--- /dev/null
+++ b/src/chivehold/platform/object_json.py
@@ -0,0 +1,95 @@
+"""The platform's objects as JSON."""
+
+from typing import NotRequired, TypedDict
+
+import msgspec
+
+from chivehold.platform.api import Snapshot, Stored
+
+CONFLICT_STATUS = 409
+NOT_FOUND_STATUS = 404
+RATE_LIMITED_STATUS = 429
+OUTAGE_STATUS = 503
+
+
+class StoredJson(TypedDict):
+    """One object; ``value`` is base64."""
+
+    kind: str
+    name: str
+    uid: str
+    version: int
+    value: bytes
+    operations: list[str]
+    deleted: NotRequired[bool]
+
+
+class SnapshotJson(TypedDict):
+    """Objects and the store's revision."""
+
+    revision: int
+    objects: list[StoredJson]
+
+
+class ConflictJson(TypedDict):
+    """The body of a refused conditional write."""
+
+    current_version: int
+
+
+class VmsJson(TypedDict):
+    """The platform's list of VMs, by name."""
+
+    live: list[str]
+    leaving: list[str]
+
+
+def stored_json(stored: Stored) -> StoredJson:
+    """Return an object in the form that is encoded."""
+    return StoredJson(
+        kind=stored.kind,
+        name=stored.name,
+        uid=stored.uid,
+        version=stored.version,
+        value=stored.value,
+        operations=list(stored.operations),
+        deleted=stored.deleted,
+    )
+
+
+def snapshot_json(snapshot: Snapshot) -> SnapshotJson:
+    """Return a snapshot in the form that is encoded."""
+    return SnapshotJson(
+        revision=snapshot.revision, objects=[stored_json(stored) for stored in snapshot.objects]
+    )
+
+
+def decode_stored(body: bytes) -> Stored:
+    """Decode one object.
+
+    Raises:
+        msgspec.DecodeError: It is malformed.
+    """
+    return _stored(msgspec.json.decode(body, type=StoredJson))
+
+
+def decode_snapshot(body: bytes) -> Snapshot:
+    """Decode a snapshot.
+
+    Raises:
+        msgspec.DecodeError: It is malformed.
+    """
+    found = msgspec.json.decode(body, type=SnapshotJson)
+    return Snapshot(found["revision"], tuple(map(_stored, found["objects"])))
+
+
+def _stored(found: StoredJson) -> Stored:
+    return Stored(
+        kind=found["kind"],
+        name=found["name"],
+        uid=found["uid"],
+        version=found["version"],
+        value=found["value"],
+        operations=tuple(found["operations"]),
+        deleted=found.get("deleted", False),
+    )
