--- /dev/null
+++ b/src/chivehold/core/attempts.py
@@ -0,0 +1,147 @@
+"""The ledger of attempts: each starts at most once, and never after it was barred."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import NamedTuple
+
+from chivehold.core.identity import AttemptId, EntryIncarnation
+from chivehold.core.wire import Reason, RevokeResult
+
+ATTEMPT_RETENTION_S = 960.0
+BARRED_MOST = 16_384
+STARTED_MOST = 32_768
+REFUSED_MOST = 8_192
+
+
+class Phase(StrEnum):
+    """How far an attempt in progress has come."""
+
+    WAITING = "waiting"
+    RESERVED = "reserved"
+    """A place is granted; nothing runs yet."""
+    RUNNING = "running"
+
+
+class LiveAttempt(NamedTuple):
+    """An attempt in progress."""
+
+    attempt: AttemptId
+    entry: EntryIncarnation
+    phase: Phase
+
+
+class _Memory:
+    """Attempts remembered for a fixed time, the oldest first."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._until: dict[AttemptId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._until)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._until
+
+    @property
+    def full(self) -> bool:
+        """Whether adding one more would drop the oldest early."""
+        return len(self._until) >= self._most
+
+    def add(self, attempt: AttemptId, now: float) -> bool:
+        """Remember an attempt; tell whether an older one was forgotten early for it."""
+        self.purge(now)
+        self._until.pop(attempt, None)
+        early = self.full
+        if early:
+            del self._until[next(iter(self._until))]
+        self._until[attempt] = now + ATTEMPT_RETENTION_S
+        return early
+
+    def purge(self, now: float) -> None:
+        """Forget what has been remembered for long enough."""
+        while self._until:
+            oldest = next(iter(self._until))
+            if self._until[oldest] > now:
+                return
+            del self._until[oldest]
+
+
+class AttemptLedger:
+    """Remembers attempts in progress, started, refused and barred, each within a bound.
+
+    A revocation that cannot be remembered, or that comes while started attempts had to be
+    forgotten early, is answered ``STARTED``: the attempt may have run.
+    """
+
+    def __init__(self) -> None:
+        self._live: dict[AttemptId, LiveAttempt] = {}
+        self._of_entry: dict[EntryIncarnation, dict[AttemptId, None]] = {}
+        self._barred = _Memory(BARRED_MOST)
+        self._started = _Memory(STARTED_MOST)
+        self._refused = _Memory(REFUSED_MOST)
+        self._unsure_until = 0.0
+
+    def __iter__(self) -> Iterator[LiveAttempt]:
+        return iter(tuple(self._live.values()))
+
+    @property
+    def remembered(self) -> int:
+        """Number of attempts remembered after their end."""
+        return len(self._barred) + len(self._started) + len(self._refused)
+
+    def get(self, attempt: AttemptId) -> LiveAttempt | None:
+        """Return an attempt in progress, or ``None``."""
+        return self._live.get(attempt)
+
+    def of_entry(self, entry: EntryIncarnation) -> tuple[AttemptId, ...]:
+        """Return an entry's attempts in progress."""
+        return tuple(self._of_entry.get(entry, ()))
+
+    def refusal(self, attempt: AttemptId) -> Reason | None:
+        """Return why an attempt may not be opened, or ``None``."""
+        if attempt in self._barred:
+            return Reason.REVOKED
+        if attempt in self._live or attempt in self._started or attempt in self._refused:
+            return Reason.DUPLICATE
+        return None
+
+    def open(self, attempt: AttemptId, entry: EntryIncarnation) -> None:
+        """Begin an attempt as waiting."""
+        self._live[attempt] = LiveAttempt(attempt, entry, Phase.WAITING)
+        self._of_entry.setdefault(entry, {})[attempt] = None
+
+    def advance(self, attempt: AttemptId, phase: Phase) -> None:
+        """Move an attempt in progress to its next phase."""
+        self._live[attempt] = self._live[attempt]._replace(phase=phase)
+
+    def refuse(self, attempt: AttemptId, now: float) -> None:
+        """Remember an attempt that was refused before it was opened."""
+        self._refused.add(attempt, now)
+
+    def close(self, attempt: AttemptId, now: float) -> None:
+        """End an attempt in progress; it will not be opened again."""
+        live = self._live.pop(attempt)
+        of_entry = self._of_entry[live.entry]
+        del of_entry[attempt]
+        if not of_entry:
+            del self._of_entry[live.entry]
+        if live.phase is not Phase.RUNNING:
+            self._refused.add(attempt, now)
+            return
+        if self._started.add(attempt, now):
+            self._unsure_until = now + ATTEMPT_RETENTION_S
+
+    def revoke(self, attempt: AttemptId, now: float) -> RevokeResult:
+        """Bar an attempt that has not started; the caller closes it if it is in progress."""
+        self._barred.purge(now)
+        live = self._live.get(attempt)
+        if attempt in self._started or (live is not None and live.phase is Phase.RUNNING):
+            return RevokeResult.STARTED
+        if attempt in self._barred:
+            return RevokeResult.NEVER_STARTED
+        surely_new = live is not None or attempt in self._refused or now >= self._unsure_until
+        if not surely_new or self._barred.full:
+            return RevokeResult.STARTED
+        self._barred.add(attempt, now)
+        return RevokeResult.NEVER_STARTED
--- /dev/null
+++ b/src/chivehold/core/availability.py
@@ -0,0 +1,55 @@
+"""Whether an upstream takes new work."""
+
+from chivehold.core.sidecar_messages import EngineStatus
+from chivehold.core.wire import Reason, UpstreamState
+
+UNREACHABLE_REPORTS_MOST = 2
+
+
+class Availability:
+    """Follows the engine's reports on itself and orders to leave."""
+
+    def __init__(self) -> None:
+        self._known = False
+        self._misses = 0
+        self._draining = False
+        self._engine_leaving = False
+
+    @property
+    def known(self) -> bool:
+        """Whether the engine has ever told what it holds."""
+        return self._known
+
+    @property
+    def state(self) -> UpstreamState:
+        """The state for entries."""
+        if not self._known or self._misses >= UNREACHABLE_REPORTS_MOST:
+            return UpstreamState.DOWN
+        if self._draining or self._engine_leaving:
+            return UpstreamState.LEAVING
+        return UpstreamState.READY
+
+    @property
+    def refusal(self) -> Reason | None:
+        """Why new work is refused at once, or ``None``.
+
+        Until the engine's first report new work waits and is not refused.
+        """
+        if self._misses >= UNREACHABLE_REPORTS_MOST:
+            return Reason.ENGINE_FAILED
+        if self._draining or self._engine_leaving:
+            return Reason.LEAVING
+        return None
+
+    def drain(self) -> None:
+        """Leave for good."""
+        self._draining = True
+
+    def observe(self, status: EngineStatus) -> None:
+        """Take a report of the engine."""
+        if not status.reachable:
+            self._misses += 1
+            return
+        self._misses = 0
+        self._known = True
+        self._engine_leaving = status.leaving
--- /dev/null
+++ b/src/chivehold/core/deadlines.py
@@ -0,0 +1,74 @@
+"""Times at which keys fall due, cheap to move later."""
+
+import heapq
+from collections.abc import Hashable, Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+KeyT = TypeVar("KeyT", bound=Hashable)
+
+
+class _Due(NamedTuple):
+    at: float
+    sequence: int
+
+
+class Deadlines(Generic[KeyT]):
+    """Keeps one due time per key.
+
+    Moving a key later costs no heap operation until its former time comes up, so that a lease may
+    be renewed with every message.
+    """
+
+    def __init__(self) -> None:
+        self._due: dict[KeyT, _Due] = {}
+        self._heap: list[tuple[float, int, KeyT]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def __contains__(self, key: KeyT) -> bool:
+        return key in self._due
+
+    def __iter__(self) -> Iterator[KeyT]:
+        return iter(tuple(self._due))
+
+    def at(self, key: KeyT) -> float | None:
+        """Return when a key is due in seconds, or ``None`` for an unknown key."""
+        due = self._due.get(key)
+        return None if due is None else due.at
+
+    def set(self, key: KeyT, at: float) -> None:
+        """Set or move a key's due time, in seconds on the caller's clock."""
+        known = self._due.get(key)
+        if known is not None and known.at <= at:
+            self._due[key] = _Due(at, known.sequence)
+            return
+        self._sequence += 1
+        self._due[key] = _Due(at, self._sequence)
+        heapq.heappush(self._heap, (at, self._sequence, key))
+
+    def discard(self, key: KeyT) -> None:
+        """Forget a key; an unknown one is ignored."""
+        self._due.pop(key, None)
+
+    def next_due(self) -> float | None:
+        """Return the earliest due time in seconds, or ``None``."""
+        heap = self._heap
+        while heap:
+            at, sequence, key = heap[0]
+            due = self._due.get(key)
+            if due is None or due.sequence != sequence:
+                heapq.heappop(heap)
+            elif due.at > at:
+                heapq.heapreplace(heap, (due.at, sequence, key))
+            else:
+                return at
+        return None
+
+    def expire(self, now: float) -> Iterator[KeyT]:
+        """Remove and yield the keys that are due, the earliest first."""
+        while (at := self.next_due()) is not None and at <= now:
+            key = heapq.heappop(self._heap)[2]
+            del self._due[key]
+            yield key
--- /dev/null
+++ b/src/chivehold/core/fairness.py
@@ -0,0 +1,138 @@
+"""Start-time fair queueing over flows, such as organisations."""
+
+import heapq
+from collections.abc import Hashable, Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+KeyT = TypeVar("KeyT", bound=Hashable)
+
+IDLE_FLOWS_KEPT = 1_024
+
+
+class Ahead(NamedTuple):
+    """What is expected to be served before an item."""
+
+    items: int
+    cost: float
+
+
+class _Flow(Generic[KeyT]):
+    """The waiting items of one flow, first come first."""
+
+    __slots__ = ("items", "weight", "start", "cost", "sequence")
+
+    def __init__(self, start: float) -> None:
+        self.items: dict[KeyT, float] = {}
+        self.weight = 1.0
+        self.start = start
+        self.cost = 0.0
+        self.sequence = 0
+
+
+class FairQueue(Generic[KeyT]):
+    """Serves flows in proportion to their weights, and each flow first come, first served.
+
+    Each flow's first item has a virtual start time: the finish of the flow's last served item, or
+    the present virtual time if that is later. The item with the least start time is next; serving
+    it moves its flow on by cost over weight. A flow that was idle gains no credit.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow[KeyT]] = {}
+        self._flow_of: dict[KeyT, str] = {}
+        self._idle_finish: dict[str, float] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._virtual_time = 0.0
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._flow_of)
+
+    def __contains__(self, key: KeyT) -> bool:
+        return key in self._flow_of
+
+    def __iter__(self) -> Iterator[KeyT]:
+        return iter(tuple(self._flow_of))
+
+    def push(self, key: KeyT, flow_name: str, weight: float, cost: float) -> None:
+        """Add an item.
+
+        Args:
+            key: The item; not waiting already.
+            flow_name: Whose item it is.
+            weight: The flow's share, above 0; the latest one counts.
+            cost: What serving it costs, above 0.
+        """
+        flow = self._flows.get(flow_name)
+        if flow is None:
+            finish = self._idle_finish.pop(flow_name, 0.0)
+            flow = self._flows[flow_name] = _Flow(max(self._virtual_time, finish))
+            self._schedule(flow_name, flow)
+        flow.items[key] = cost
+        flow.weight = weight
+        flow.cost += cost
+        self._flow_of[key] = flow_name
+
+    def peek(self) -> KeyT | None:
+        """Return the item to serve next, or ``None``."""
+        heap = self._heap
+        while heap:
+            _, sequence, flow_name = heap[0]
+            flow = self._flows.get(flow_name)
+            if flow is not None and flow.sequence == sequence:
+                return next(iter(flow.items))
+            heapq.heappop(heap)
+        return None
+
+    def serve(self, key: KeyT) -> None:
+        """Remove an item and charge its flow; it need not be the next one."""
+        if self.peek() == key:
+            self._virtual_time = max(self._virtual_time, self._heap[0][0])
+        flow_name = self._flow_of[key]
+        flow = self._flows[flow_name]
+        flow.start += flow.items[key] / flow.weight
+        self.discard(key)
+        if flow.items:
+            self._schedule(flow_name, flow)
+
+    def discard(self, key: KeyT) -> bool:
+        """Remove an item without charging its flow; tell whether it waited."""
+        flow_name = self._flow_of.pop(key, None)
+        if flow_name is None:
+            return False
+        flow = self._flows[flow_name]
+        flow.cost -= flow.items.pop(key)
+        if not flow.items:
+            del self._flows[flow_name]
+            self._keep_finish(flow_name, flow.start)
+        return True
+
+    def ahead(self, flow_name: str) -> Ahead:
+        """Estimate what is served before the last item of a waiting flow."""
+        flow = self._flows[flow_name]
+        own_cost = flow.cost - next(reversed(flow.items.values()))
+        start = flow.start + own_cost / flow.weight
+        count = len(flow.items) - 1
+        cost = own_cost
+        for other_name, other in self._flows.items():
+            if other_name == flow_name or other.start > start:
+                continue
+            mean = other.cost / len(other.items)
+            served = min(len(other.items), int((start - other.start) * other.weight / mean) + 1)
+            count += served
+            cost += served * mean
+        return Ahead(count, cost)
+
+    def _schedule(self, flow_name: str, flow: _Flow[KeyT]) -> None:
+        self._sequence += 1
+        flow.sequence = self._sequence
+        heapq.heappush(self._heap, (flow.start, self._sequence, flow_name))
+
+    def _keep_finish(self, flow_name: str, finish: float) -> None:
+        if finish <= self._virtual_time:
+            return
+        self._idle_finish[flow_name] = finish
+        if len(self._idle_finish) <= IDLE_FLOWS_KEPT:
+            return
+        kept = sorted(self._idle_finish.items(), key=lambda item: item[1])
+        self._idle_finish = dict(kept[len(kept) // 2 :])
--- /dev/null
+++ b/src/chivehold/core/keys.py
@@ -0,0 +1,117 @@
+"""The home of idempotency keys."""
+
+from typing import NamedTuple
+
+from chivehold.core.identity import EntryIncarnation, KeyId, RequestId
+from chivehold.core.wire import KeyCommit, KeyDecision, KeyRegistration
+
+CLOCK_MARGIN_S = 2.0
+KEYS_MOST = 65_536
+
+
+class KeyOwner(NamedTuple):
+    """The request that runs or ran under a key."""
+
+    request: RequestId
+    entry: EntryIncarnation
+
+
+class _Committed(NamedTuple):
+    owner: KeyOwner
+    until: float
+
+
+class KeyHome:
+    """Keeps which request runs under each key, and which keys have been answered.
+
+    Args:
+        retention_s: How long a committed key is remembered.
+        keys_most: Keys kept at once; beyond it new ones are ``UNKNOWN``.
+    """
+
+    def __init__(self, retention_s: float, keys_most: int = KEYS_MOST) -> None:
+        self._retention_s = retention_s
+        self._keys_most = keys_most
+        self._in_progress: dict[KeyId, KeyOwner] = {}
+        self._of_entry: dict[EntryIncarnation, dict[KeyId, None]] = {}
+        self._committed: dict[KeyId, _Committed] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Number of keys whose request runs."""
+        return len(self._in_progress)
+
+    @property
+    def committed(self) -> int:
+        """Number of answered keys remembered."""
+        return len(self._committed)
+
+    def register(self, registration: KeyRegistration, up_for_s: float, now: float) -> KeyDecision:
+        """Decide whether a request may run under its key.
+
+        Args:
+            registration: The request, from an entry whose lease has just been renewed.
+            up_for_s: Age of this home in seconds.
+            now: Time in seconds.
+
+        Returns:
+            ``UNKNOWN`` where an answer under the key may have been given and forgotten.
+        """
+        self._purge(now)
+        key = registration.key
+        owner = KeyOwner(registration.request, registration.entry)
+        if key in self._committed:
+            return KeyDecision.ALREADY_ANSWERED
+        known = self._in_progress.get(key)
+        if known is not None:
+            return KeyDecision.FRESH if known == owner else KeyDecision.IN_PROGRESS
+        if not self._remembers_since(registration.first_sent_ago_s, up_for_s):
+            return KeyDecision.UNKNOWN
+        if len(self._in_progress) + len(self._committed) >= self._keys_most:
+            return KeyDecision.UNKNOWN
+        self._in_progress[key] = owner
+        self._of_entry.setdefault(owner.entry, {})[key] = None
+        return KeyDecision.FRESH
+
+    def commit(self, commit: KeyCommit, now: float) -> bool:
+        """Let the registered request answer; a repeat of a granted commit is granted again."""
+        self._purge(now)
+        owner = KeyOwner(commit.request, commit.entry)
+        committed = self._committed.get(commit.key)
+        if committed is not None:
+            return committed.owner == owner
+        if self._in_progress.get(commit.key) != owner:
+            return False
+        self._forget(commit.key)
+        self._committed[commit.key] = _Committed(owner, now + self._retention_s)
+        return True
+
+    def release(self, commit: KeyCommit) -> None:
+        """Free a key whose request was not answered; one committed stays."""
+        owner = KeyOwner(commit.request, commit.entry)
+        if self._in_progress.get(commit.key) == owner:
+            self._forget(commit.key)
+
+    def lapse(self, entry: EntryIncarnation) -> None:
+        """Free the uncommitted keys of an entry whose lease has lapsed."""
+        for key in tuple(self._of_entry.get(entry, ())):
+            self._forget(key)
+
+    def _remembers_since(self, first_sent_ago_s: float, up_for_s: float) -> bool:
+        if first_sent_ago_s < -CLOCK_MARGIN_S:
+            return False
+        return first_sent_ago_s + CLOCK_MARGIN_S <= min(up_for_s, self._retention_s)
+
+    def _forget(self, key: KeyId) -> None:
+        owner = self._in_progress.pop(key)
+        of_entry = self._of_entry[owner.entry]
+        del of_entry[key]
+        if not of_entry:
+            del self._of_entry[owner.entry]
+
+    def _purge(self, now: float) -> None:
+        while self._committed:
+            oldest = next(iter(self._committed))
+            if self._committed[oldest].until > now:
+                return
+            del self._committed[oldest]
--- /dev/null
+++ b/src/chivehold/core/place_admission.py
@@ -0,0 +1,309 @@
+"""Admission to the places of a decode engine or a plain service."""
+
+from collections.abc import Iterator
+
+from chivehold.core.attempts import AttemptLedger, Phase
+from chivehold.core.availability import Availability
+from chivehold.core.cancellations import Cancellations
+from chivehold.core.deadlines import Deadlines
+from chivehold.core.identity import AttemptId, Role, Urgency
+from chivehold.core.link import ImportLink
+from chivehold.core.policy import Policy
+from chivehold.core.sidecar_messages import (
+    CancelAtEngine,
+    EngineFinished,
+    EngineTokens,
+    ImportArrived,
+    ReplyImport,
+    SendFrame,
+    SidecarCommand,
+    SidecarConfig,
+    StartCall,
+    StartDecode,
+)
+from chivehold.core.slots import SlotLedger
+from chivehold.core.smoothing import Average
+from chivehold.core.wait_estimate import expected_wait_s
+from chivehold.core.waitlist import WaitList
+from chivehold.core.wire import AttemptFrame, AttemptOffer, FrameKind, Reason
+
+RETRY_SOON_S = 1.0
+MIN_RETRY_S = 0.1
+INTERVAL_WEIGHT = 0.05
+
+
+class PlaceAdmission:
+    """Grants places, starts what is granted, and frees places once the engine confirms it.
+
+    Args:
+        config: The sidecar's settings.
+        policy: Which decisions are in force.
+        attempts: The ledger of attempts.
+        availability: Whether the upstream takes new work.
+        cancellations: Cancels at the engine.
+    """
+
+    def __init__(
+        self,
+        config: SidecarConfig,
+        policy: Policy,
+        attempts: AttemptLedger,
+        availability: Availability,
+        cancellations: Cancellations,
+    ) -> None:
+        self._config = config
+        self._policy = policy
+        self._attempts = attempts
+        self._availability = availability
+        self._cancellations = cancellations
+        self.slots = SlotLedger(config.places, config.patient_floor)
+        self.waitlist = WaitList(policy)
+        self.link = ImportLink(config.link_bytes_per_s, config.kv_lifetime_s, policy.link_budget)
+        self.token_interval_s = Average(INTERVAL_WEIGHT)
+        self._offers: dict[AttemptId, AttemptOffer] = {}
+        self._start_by: Deadlines[AttemptId] = Deadlines()
+        self._import_by: Deadlines[AttemptId] = Deadlines()
+        self._first_token_by: Deadlines[AttemptId] = Deadlines()
+        self._last_token_at: dict[AttemptId, float] = {}
+
+    @property
+    def _is_decode(self) -> bool:
+        return self._config.role is Role.DECODE
+
+    def offer(self, offer: AttemptOffer, now: float) -> Iterator[SidecarCommand]:
+        """Grant an offer, let it wait, or refuse it at once."""
+        reason = self._standing_refusal(offer)
+        if reason is not None:
+            yield from self._refuse_unopened(offer, reason, now)
+            return
+        self._attempts.open(offer.attempt, offer.entry)
+        self._offers[offer.attempt] = offer
+        self.waitlist.add(offer, now)
+        yield from self.fill(now)
+        if offer.attempt not in self.waitlist:
+            return
+        wait_s = self.expected_wait_s(offer.urgency, self.waitlist.ahead(offer), now)
+        reason = self._late_refusal(offer, wait_s)
+        if reason is not None:
+            yield from self._refuse_waiting(offer.attempt, reason, wait_s, now)
+            return
+        self._start_by.set(offer.attempt, now + min(offer.start_within_s, offer.deadline_in_s))
+        yield SendFrame(offer.entry, AttemptFrame(FrameKind.QUEUED, offer.attempt))
+
+    def fill(self, now: float) -> Iterator[SidecarCommand]:
+        """Grant free places to waiting offers and start the imports whose turn has come."""
+        if self.link.pending_bytes:
+            yield from self._start_imports(now)
+        while (offer := self._next_grant(now)) is not None:
+            yield from self._grant(offer, now)
+
+    def order_import(self, event: ImportArrived, now: float) -> Iterator[SidecarCommand]:
+        """Take an import order for a granted place."""
+        attempt = event.order.attempt
+        accepted = attempt in self._import_by
+        yield ReplyImport(event.reply, accepted)
+        if not accepted:
+            return
+        self._import_by.discard(attempt)
+        self.link.order(event.order, now)
+        yield from self._start_imports(now)
+
+    def tokens(self, event: EngineTokens, now: float) -> Iterator[SidecarCommand]:
+        """Pass tokens on to the attempt's stream."""
+        offer = self._offers.get(event.attempt)
+        if offer is None:
+            return
+        last_at = self._last_token_at.get(event.attempt)
+        if last_at is None:
+            self._first_token_by.discard(event.attempt)
+        elif event.tokens:
+            self.token_interval_s.add((now - last_at) / len(event.tokens))
+        self._last_token_at[event.attempt] = now
+        frame = AttemptFrame(FrameKind.TOKENS, event.attempt, event.offset, event.tokens)
+        yield SendFrame(offer.entry, frame)
+
+    def finished(self, event: EngineFinished, now: float) -> Iterator[SidecarCommand]:
+        """End an attempt whose whole output the engine has produced."""
+        offer = self._offers.get(event.attempt)
+        if offer is not None:
+            frame = AttemptFrame(FrameKind.FINISHED, event.attempt, event.total)
+            yield SendFrame(offer.entry, frame)
+            self._forget(event.attempt, now)
+        yield from self.released(event.attempt, now)
+
+    def call_ended(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        """End a plain service's call."""
+        if attempt in self._offers:
+            self._forget(attempt, now)
+        yield from self.released(attempt, now)
+
+    def released(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        """Free a place on the engine's word that nothing is held."""
+        self._cancellations.settle(attempt)
+        if self.slots.release(attempt, now):
+            yield from self.fill(now)
+
+    def drop(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        """End an attempt whose entry no longer listens."""
+        if attempt in self._offers:
+            yield from self._end(attempt, now)
+            yield from self.fill(now)
+
+    def fail(self, attempt: AttemptId, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """End an attempt with a reason told to its entry."""
+        offer = self._offers.get(attempt)
+        if offer is None:
+            return
+        kind = FrameKind.REFUSED if attempt in self.waitlist else FrameKind.FAILED
+        yield SendFrame(offer.entry, AttemptFrame(kind, attempt, reason=reason))
+        yield from self._end(attempt, now)
+        yield from self.fill(now)
+
+    def refuse_all_waiting(self, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """Refuse every waiting offer."""
+        for waiting in self.waitlist:
+            yield from self._refuse_waiting(waiting.offer.attempt, reason, RETRY_SOON_S, now)
+
+    def fail_all(self, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """Refuse what waits and fail what was granted or runs."""
+        yield from self.refuse_all_waiting(reason, now)
+        for attempt in tuple(self._offers):
+            yield from self.fail(attempt, reason, now)
+
+    def covers(self, attempt: AttemptId) -> bool:
+        """Tell whether an attempt that the engine holds is one that runs here."""
+        return attempt in self._offers
+
+    def expire(self, now: float) -> Iterator[SidecarCommand]:
+        """Carry out what time alone decides."""
+        for attempt in list(self._start_by.expire(now)):
+            offer = self._offers[attempt]
+            late = offer.start_within_s < offer.deadline_in_s
+            reason = Reason.TOO_LATE if late else Reason.DEADLINE
+            wait_s = self.expected_wait_s(offer.urgency, self.waitlist.ahead(offer), now)
+            yield from self._refuse_waiting(attempt, reason, wait_s, now)
+        for attempt in list(self._import_by.expire(now)):
+            yield from self.fail(attempt, Reason.CANCELLED, now)
+        for attempt in list(self._first_token_by.expire(now)):
+            yield from self.fail(attempt, Reason.TRANSFER_STALLED, now)
+        yield from self.fill(now)
+
+    def next_due(self, now: float) -> float | None:
+        """Return when ``expire`` has something to do, or ``None``."""
+        times = [
+            self._start_by.next_due(),
+            self._import_by.next_due(),
+            self._first_token_by.next_due(),
+            self.link.next_due(),
+            self._grant_recheck_at(now),
+        ]
+        return min((time for time in times if time is not None), default=None)
+
+    def expected_wait_s(self, urgency: Urgency, ahead: int, now: float) -> float:
+        """Return the expected wait of an offer with so many others ahead in its queue."""
+        wait_s = expected_wait_s(self.slots, self.waitlist, urgency, ahead, now)
+        link_s = self.link.excess_s(self.waitlist.kv_bytes(urgency), now)
+        return max(wait_s, link_s)
+
+    def _standing_refusal(self, offer: AttemptOffer) -> Reason | None:
+        if offer.incarnation != self._config.incarnation:
+            return Reason.WRONG_INCARNATION
+        known = self._attempts.refusal(offer.attempt)
+        if known is not None:
+            return known
+        if offer.deadline_in_s <= 0:
+            return Reason.DEADLINE
+        if self.link.never_fits(offer.kv_bytes):
+            return Reason.KV_EXPIRED
+        return self._availability.refusal
+
+    def _late_refusal(self, offer: AttemptOffer, wait_s: float) -> Reason | None:
+        if not self._policy.wait_list or len(self.waitlist) > self._config.waiting_most:
+            return Reason.FULL
+        if not self._policy.shed_late:
+            return None
+        if wait_s > offer.deadline_in_s:
+            return Reason.DEADLINE
+        return Reason.TOO_LATE if wait_s > offer.start_within_s else None
+
+    def _refused(self, offer: AttemptOffer, reason: Reason, retry_after_s: float) -> SendFrame:
+        retry = max(MIN_RETRY_S, retry_after_s)
+        frame = AttemptFrame(
+            FrameKind.REFUSED, offer.attempt, reason=reason, retry_after_s=round(retry, 3)
+        )
+        return SendFrame(offer.entry, frame)
+
+    def _refuse_unopened(
+        self, offer: AttemptOffer, reason: Reason, now: float
+    ) -> Iterator[SidecarCommand]:
+        if self._attempts.refusal(offer.attempt) is None:
+            self._attempts.refuse(offer.attempt, now)
+        yield self._refused(offer, reason, RETRY_SOON_S)
+
+    def _refuse_waiting(
+        self, attempt: AttemptId, reason: Reason, retry_after_s: float, now: float
+    ) -> Iterator[SidecarCommand]:
+        yield self._refused(self._offers[attempt], reason, retry_after_s)
+        yield from self._end(attempt, now)
+
+    def _next_grant(self, now: float) -> AttemptOffer | None:
+        if not len(self.waitlist) or not self.slots.free:
+            return None
+        if self._availability.refusal is not None:
+            return None
+        if self._is_decode and not self._availability.known:
+            return None
+        offer = self.waitlist.next(self.slots, now)
+        if offer is None or self.link.excess_s(offer.kv_bytes, now) > 0:
+            return None
+        return offer
+
+    def _grant_recheck_at(self, now: float) -> float | None:
+        if not len(self.waitlist) or not self.slots.free:
+            return None
+        offer = self.waitlist.next(self.slots, now)
+        return None if offer is None else self.link.recheck_at(offer.kv_bytes, now)
+
+    def _grant(self, offer: AttemptOffer, now: float) -> Iterator[SidecarCommand]:
+        attempt = offer.attempt
+        self.waitlist.take(attempt)
+        self._start_by.discard(attempt)
+        self.slots.hold(attempt, offer.urgency, now)
+        yield SendFrame(offer.entry, AttemptFrame(FrameKind.GRANTED, attempt))
+        if not self._is_decode:
+            self._attempts.advance(attempt, Phase.RUNNING)
+            yield StartCall(attempt)
+            return
+        self._attempts.advance(attempt, Phase.RESERVED)
+        self.link.reserve(attempt, offer.kv_bytes, now)
+        self._import_by.set(attempt, now + self._config.import_wait_s)
+
+    def _start_imports(self, now: float) -> Iterator[SidecarCommand]:
+        for start in self.link.starts(now):
+            attempt = start.order.attempt
+            if start.expired:
+                yield from self.fail(attempt, Reason.KV_EXPIRED, now)
+                continue
+            self._attempts.advance(attempt, Phase.RUNNING)
+            self._first_token_by.set(attempt, start.ends_at + self._config.transfer_stall_s)
+            yield StartDecode(self._offers[attempt], start.order)
+
+    def _end(self, attempt: AttemptId, now: float) -> Iterator[CancelAtEngine]:
+        """Forget an attempt; a place under which it runs stays held until confirmed free."""
+        live = self._attempts.get(attempt)
+        running = live is not None and live.phase is Phase.RUNNING
+        self._forget(attempt, now)
+        if running:
+            yield from self._cancellations.begin(attempt, now)
+            return
+        self.slots.release(attempt, now, ran=False)
+
+    def _forget(self, attempt: AttemptId, now: float) -> None:
+        del self._offers[attempt]
+        self.waitlist.discard(attempt)
+        self.link.release(attempt)
+        self._start_by.discard(attempt)
+        self._import_by.discard(attempt)
+        self._first_token_by.discard(attempt)
+        self._last_token_at.pop(attempt, None)
+        self._attempts.close(attempt, now)
--- /dev/null
+++ b/src/chivehold/core/prefill_admission.py
@@ -0,0 +1,186 @@
+"""Admission to a prefill engine."""
+
+from collections.abc import Iterator
+
+from chivehold.core.attempts import AttemptLedger, Phase
+from chivehold.core.availability import Availability
+from chivehold.core.cancellations import Cancellations
+from chivehold.core.deadlines import Deadlines
+from chivehold.core.identity import AttemptId
+from chivehold.core.policy import Policy
+from chivehold.core.prefill_queue import PrefillQueue
+from chivehold.core.sidecar_messages import (
+    SendPrefillResult,
+    SidecarCommand,
+    SidecarConfig,
+    StartPrefill,
+)
+from chivehold.core.wire import PrefillKind, PrefillOrder, PrefillResult, Reason
+
+PREFILLS_AT_ENGINE = 1
+RETRY_SOON_S = 1.0
+MIN_RETRY_S = 0.1
+
+
+class PrefillAdmission:
+    """Queues prompts here rather than at the engine, so that they can be dropped unrun.
+
+    Args:
+        config: The sidecar's settings.
+        policy: Which decisions are in force.
+        attempts: The ledger of attempts.
+        availability: Whether the upstream takes new work.
+        cancellations: Cancels at the engine.
+    """
+
+    def __init__(
+        self,
+        config: SidecarConfig,
+        policy: Policy,
+        attempts: AttemptLedger,
+        availability: Availability,
+        cancellations: Cancellations,
+    ) -> None:
+        self._config = config
+        self._policy = policy
+        self._attempts = attempts
+        self._availability = availability
+        self._cancellations = cancellations
+        self.queue = PrefillQueue(policy, config.patient_floor, config.prefill_tokens_per_s)
+        self._orders: dict[AttemptId, PrefillOrder] = {}
+        self._start_by: Deadlines[AttemptId] = Deadlines()
+
+    def order(self, order: PrefillOrder, now: float) -> Iterator[SidecarCommand]:
+        """Run a prompt, queue it, or refuse it at once."""
+        reason = self._standing_refusal(order)
+        if reason is not None:
+            if self._attempts.refusal(order.attempt) is None:
+                self._attempts.refuse(order.attempt, now)
+            yield self._refused(order, reason, RETRY_SOON_S)
+            return
+        self.queue.add(order)
+        wait_s = self.queue.wait_s(order, now)
+        reason = self._late_refusal(order, wait_s)
+        if reason is not None:
+            self.queue.discard(order.attempt)
+            self._attempts.refuse(order.attempt, now)
+            yield self._refused(order, reason, wait_s - order.start_within_s)
+            return
+        self._attempts.open(order.attempt, order.entry)
+        self._orders[order.attempt] = order
+        self._start_by.set(order.attempt, now + min(order.start_within_s, order.deadline_in_s))
+        yield from self.fill(now)
+
+    def fill(self, now: float) -> Iterator[SidecarCommand]:
+        """Give the engine its next prompts."""
+        while len(self.queue) and len(self.queue.running) < PREFILLS_AT_ENGINE:
+            order = self.queue.start_next(now)
+            if order is None:
+                return
+            self._start_by.discard(order.attempt)
+            self._attempts.advance(order.attempt, Phase.RUNNING)
+            yield StartPrefill(order)
+
+    def prefilled(self, result: PrefillResult, now: float) -> Iterator[SidecarCommand]:
+        """Pass the engine's result on and start the next prompt."""
+        running = self.queue.ended(result.attempt)
+        self._cancellations.settle(result.attempt)
+        if running is not None and result.kind is PrefillKind.DONE:
+            self.queue.measure(running, result, now)
+        order = self._orders.get(result.attempt)
+        if order is not None:
+            yield SendPrefillResult(order.entry, result)
+            self._forget(result.attempt, now)
+        yield from self.fill(now)
+
+    def released(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        """Note the engine's word that a cancelled prompt no longer runs."""
+        self._cancellations.settle(attempt)
+        if attempt not in self._orders and self.queue.ended(attempt) is not None:
+            yield from self.fill(now)
+
+    def drop(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        """End a prompt whose entry no longer listens."""
+        if attempt not in self._orders:
+            return
+        waiting = self.queue.discard(attempt) is not None
+        self._forget(attempt, now)
+        if not waiting:
+            yield from self._cancellations.begin(attempt, now)
+
+    def fail(self, attempt: AttemptId, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """End a prompt with a reason told to its entry."""
+        order = self._orders.get(attempt)
+        if order is None:
+            return
+        kind = PrefillKind.REFUSED if attempt in self.queue else PrefillKind.FAILED
+        yield SendPrefillResult(order.entry, PrefillResult(kind, attempt, reason=reason))
+        yield from self.drop(attempt, now)
+
+    def refuse_all_waiting(self, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """Refuse every queued prompt."""
+        for order in self.queue:
+            yield from self._refuse_waiting(order, reason, RETRY_SOON_S, now)
+
+    def fail_all(self, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        """Refuse what waits and fail what runs."""
+        yield from self.refuse_all_waiting(reason, now)
+        for attempt in tuple(self._orders):
+            yield from self.fail(attempt, reason, now)
+
+    def covers(self, attempt: AttemptId) -> bool:
+        """Tell whether an attempt that the engine holds is one that runs here."""
+        return attempt in self._orders
+
+    def expire(self, now: float) -> Iterator[SidecarCommand]:
+        """Refuse prompts that could not be started in time."""
+        for attempt in list(self._start_by.expire(now)):
+            order = self._orders[attempt]
+            late = order.start_within_s < order.deadline_in_s
+            reason = Reason.TOO_LATE if late else Reason.DEADLINE
+            yield from self._refuse_waiting(order, reason, self.queue.backlog_s(now), now)
+
+    def next_due(self) -> float | None:
+        """Return when ``expire`` has something to do, or ``None``."""
+        return self._start_by.next_due()
+
+    def _standing_refusal(self, order: PrefillOrder) -> Reason | None:
+        if order.incarnation != self._config.incarnation:
+            return Reason.WRONG_INCARNATION
+        known = self._attempts.refusal(order.attempt)
+        if known is not None:
+            return known
+        if order.deadline_in_s <= 0:
+            return Reason.DEADLINE
+        return self._availability.refusal
+
+    def _late_refusal(self, order: PrefillOrder, wait_s: float) -> Reason | None:
+        if len(self.queue) > self._config.waiting_most:
+            return Reason.FULL
+        if not self._policy.shed_late:
+            return None
+        if wait_s > order.deadline_in_s:
+            return Reason.DEADLINE
+        return Reason.TOO_LATE if wait_s > order.start_within_s else None
+
+    def _refused(
+        self, order: PrefillOrder, reason: Reason, retry_after_s: float
+    ) -> SendPrefillResult:
+        result = PrefillResult(
+            PrefillKind.REFUSED,
+            order.attempt,
+            reason=reason,
+            retry_after_s=round(max(MIN_RETRY_S, retry_after_s), 3),
+        )
+        return SendPrefillResult(order.entry, result)
+
+    def _refuse_waiting(
+        self, order: PrefillOrder, reason: Reason, retry_after_s: float, now: float
+    ) -> Iterator[SidecarCommand]:
+        yield self._refused(order, reason, retry_after_s)
+        yield from self.drop(order.attempt, now)
+
+    def _forget(self, attempt: AttemptId, now: float) -> None:
+        del self._orders[attempt]
+        self._start_by.discard(attempt)
+        self._attempts.close(attempt, now)
--- /dev/null
+++ b/src/chivehold/core/prefill_queue.py
@@ -0,0 +1,161 @@
+"""Prompts waiting for the prefill engine."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chivehold.core.fairness import FairQueue
+from chivehold.core.identity import AttemptId, Urgency
+from chivehold.core.policy import Policy
+from chivehold.core.prefix import BLOCK_TOKENS, matching_blocks
+from chivehold.core.smoothing import Average
+from chivehold.core.wire import PrefillOrder, PrefillResult
+
+RATE_WEIGHT = 0.2
+MIN_MEASURED_TOKENS = 64
+
+
+class RunningPrefill(NamedTuple):
+    """A prompt at the engine."""
+
+    order: PrefillOrder
+    tokens: int
+    """Prompt tokens expected to be run, without the cached prefix."""
+    since: float
+
+
+class PrefillQueue:
+    """Orders prompts by urgency and fair share, and knows how long they take.
+
+    Patient prompts get at least their floor's share of the tokens while both kinds wait.
+
+    Args:
+        policy: Which orders apply; without any it is first come, first served.
+        patient_floor: Share of the tokens kept for patient prompts, 0 to 1.
+        tokens_per_s: First estimate of the engine's rate, above 0.
+    """
+
+    def __init__(self, policy: Policy, patient_floor: float, tokens_per_s: float) -> None:
+        self._policy = policy
+        self._patient_floor = patient_floor
+        self._first_tokens_per_s = tokens_per_s
+        self._seconds_per_token = Average(RATE_WEIGHT)
+        self._orders: dict[AttemptId, PrefillOrder] = {}
+        self._tokens: dict[AttemptId, int] = {}
+        self._waiting_tokens = dict.fromkeys(Urgency, 0)
+        self._queues = {urgency: FairQueue[AttemptId]() for urgency in Urgency}
+        self._running: dict[AttemptId, RunningPrefill] = {}
+        self._patient_credit = 0.0
+        self._cached: frozenset[int] = frozenset()
+
+    def __len__(self) -> int:
+        return len(self._orders)
+
+    def __iter__(self) -> Iterator[PrefillOrder]:
+        return iter(tuple(self._orders.values()))
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._orders
+
+    @property
+    def running(self) -> tuple[RunningPrefill, ...]:
+        """Prompts at the engine."""
+        return tuple(self._running.values())
+
+    @property
+    def tokens_per_s(self) -> float:
+        """The engine's rate for prompt tokens that are not cached."""
+        known = self._seconds_per_token.value
+        return self._first_tokens_per_s if known is None else 1.0 / max(known, 1e-9)
+
+    def set_patient_floor(self, patient_floor: float) -> None:
+        """Change the share of tokens kept for patient prompts, 0 to 1."""
+        self._patient_floor = patient_floor
+
+    def set_cached(self, prefix_blocks: tuple[int, ...]) -> None:
+        """Take the engine's word on which blocks are cached."""
+        self._cached = frozenset(prefix_blocks)
+
+    def waiting(self, urgency: Urgency) -> int:
+        """Return how many prompts of one urgency wait."""
+        return sum(order.urgency is urgency for order in self._orders.values())
+
+    def add(self, order: PrefillOrder) -> None:
+        """Let a prompt wait."""
+        reused = matching_blocks(order.prefix_blocks, self._cached) * BLOCK_TOKENS
+        tokens = max(1, order.prompt_tokens - reused)
+        self._orders[order.attempt] = order
+        self._tokens[order.attempt] = tokens
+        self._waiting_tokens[order.urgency] += tokens
+        self._queue_of(order.urgency).push(order.attempt, self._flow_of(order), 1.0, tokens)
+
+    def discard(self, attempt: AttemptId) -> PrefillOrder | None:
+        """Remove a prompt that has not been run; ``None`` if it does not wait."""
+        order = self._orders.pop(attempt, None)
+        if order is None:
+            return None
+        self._queue_of(order.urgency).discard(attempt)
+        self._waiting_tokens[order.urgency] -= self._tokens.pop(attempt)
+        return order
+
+    def start_next(self, now: float) -> PrefillOrder | None:
+        """Move the next prompt to the engine; ``None`` where none waits."""
+        attempt = self._next_attempt()
+        if attempt is None:
+            return None
+        order = self._orders.pop(attempt)
+        tokens = self._tokens.pop(attempt)
+        self._waiting_tokens[order.urgency] -= tokens
+        self._queue_of(order.urgency).serve(attempt)
+        self._running[attempt] = RunningPrefill(order, tokens, now)
+        self._count_credit(order.urgency, tokens)
+        return order
+
+    def ended(self, attempt: AttemptId) -> RunningPrefill | None:
+        """Remove a prompt from those at the engine; ``None`` if it is not there."""
+        return self._running.pop(attempt, None)
+
+    def measure(self, running: RunningPrefill, result: PrefillResult, now: float) -> None:
+        """Learn the engine's rate from a prompt that has been run."""
+        tokens = running.order.prompt_tokens - result.reused_tokens
+        elapsed_s = now - running.since
+        if tokens >= MIN_MEASURED_TOKENS and elapsed_s > 0:
+            self._seconds_per_token.add(elapsed_s / tokens)
+
+    def backlog_s(self, now: float) -> float:
+        """Return all prompts queued and running, in seconds of the engine."""
+        waiting_s = sum(self._waiting_tokens.values()) / self.tokens_per_s
+        return self._running_s(now) + waiting_s
+
+    def wait_s(self, order: PrefillOrder, now: float) -> float:
+        """Return how long the newest prompt of its flow is expected to wait for the engine."""
+        tokens = self._queue_of(order.urgency).ahead(self._flow_of(order)).cost
+        if self._policy.class_order and order.urgency is Urgency.PATIENT:
+            tokens += self._waiting_tokens[Urgency.URGENT]
+        return self._running_s(now) + tokens / self.tokens_per_s
+
+    def _running_s(self, now: float) -> float:
+        rate = self.tokens_per_s
+        return sum(max(0.0, run.tokens / rate - (now - run.since)) for run in self.running)
+
+    def _next_attempt(self) -> AttemptId | None:
+        urgent = self._queues[Urgency.URGENT].peek()
+        patient = self._queues[Urgency.PATIENT].peek()
+        if urgent is None or patient is None:
+            return urgent or patient
+        return patient if self._patient_credit >= self._tokens[patient] else urgent
+
+    def _count_credit(self, urgency: Urgency, tokens: int) -> None:
+        if not len(self._queues[Urgency.PATIENT]):
+            self._patient_credit = 0.0
+            return
+        if urgency is Urgency.PATIENT:
+            self._patient_credit = max(0.0, self._patient_credit - tokens)
+            return
+        floor = min(self._patient_floor, 0.99)
+        self._patient_credit += tokens * floor / (1.0 - floor)
+
+    def _queue_of(self, urgency: Urgency) -> FairQueue[AttemptId]:
+        return self._queues[urgency if self._policy.class_order else Urgency.URGENT]
+
+    def _flow_of(self, order: PrefillOrder) -> str:
+        return order.organisation if self._policy.fair_shares else ""
--- /dev/null
+++ b/src/chivehold/core/sidecar.py
@@ -0,0 +1,333 @@
+"""The decisions of a sidecar, the only gate to its upstream, as a state machine without I/O."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from chivehold.core.attempts import AttemptLedger
+from chivehold.core.availability import Availability
+from chivehold.core.cancellations import Cancellations
+from chivehold.core.identity import AttemptId, EntryIncarnation, Role, SidecarIncarnation, Urgency
+from chivehold.core.keys import KeyHome
+from chivehold.core.leases import EntryLeases
+from chivehold.core.orders import OrderGate
+from chivehold.core.place_admission import PlaceAdmission
+from chivehold.core.policy import Policy
+from chivehold.core.prefill_admission import PrefillAdmission
+from chivehold.core.sidecar_dump import SidecarDump, dump_sidecar
+from chivehold.core.sidecar_messages import (
+    CallEnded,
+    CancelSettled,
+    DeclarationRevision,
+    DrainStarted,
+    EngineFailed,
+    EngineFinished,
+    EnginePrefilled,
+    EngineStatus,
+    EngineTokens,
+    HeartbeatArrived,
+    ImportArrived,
+    KeyCommitArrived,
+    KeyRegisterArrived,
+    KeyReleaseArrived,
+    OfferArrived,
+    OrderArrived,
+    OrderSettled,
+    PrefillArrived,
+    PrefillClosed,
+    ReplyHeartbeat,
+    ReplyImport,
+    ReplyKey,
+    ReplyKeyCommit,
+    ReplyRevoke,
+    RevokeArrived,
+    SendFrame,
+    SendPrefillResult,
+    SidecarCommand,
+    SidecarConfig,
+    SidecarEvent,
+    StreamClosed,
+    Tick,
+)
+from chivehold.core.wire import (
+    AttemptFrame,
+    FrameKind,
+    LoadReport,
+    PrefillKind,
+    PrefillResult,
+    Reason,
+    RevokeResult,
+    UpstreamState,
+)
+
+PREFIX_BLOCKS_REPORTED = 64
+
+
+class SidecarCore:
+    """Decides for one upstream; implements ``DecisionCore[SidecarEvent, SidecarCommand]``.
+
+    A decode engine's places are granted only after its first ``EngineStatus``, which tells what an
+    earlier run of the sidecar left behind.
+
+    Args:
+        config: What the sidecar is told at its start.
+        policy: Which decisions are in force.
+    """
+
+    def __init__(self, config: SidecarConfig, policy: Policy) -> None:
+        self.config = config
+        self.attempts = AttemptLedger()
+        self.availability = Availability()
+        self.cancellations = Cancellations()
+        self.leases = EntryLeases(config.entry_lease_s)
+        self.keys = KeyHome(config.key_retention_s)
+        self.orders = OrderGate()
+        shared = (self.attempts, self.availability, self.cancellations)
+        self.places = PlaceAdmission(config, policy, *shared)
+        self.prefills = PrefillAdmission(config, policy, *shared)
+        self._started_at: float | None = None
+        self._now = 0.0
+        self._revision = 0
+        self._prefix_blocks: tuple[int, ...] = ()
+        self._wakeup: float | None = None
+        self._handlers: dict[type, Callable[[Any, float], Iterator[SidecarCommand]]] = {
+            OfferArrived: self._on_offer,
+            PrefillArrived: self._on_prefill,
+            ImportArrived: self._on_import,
+            StreamClosed: self._on_closed,
+            PrefillClosed: self._on_closed,
+            RevokeArrived: self._on_revoke,
+            HeartbeatArrived: self._on_heartbeat,
+            KeyRegisterArrived: self._on_key_register,
+            KeyCommitArrived: self._on_key_commit,
+            KeyReleaseArrived: self._on_key_release,
+            OrderArrived: self._on_order,
+            OrderSettled: self._on_order_settled,
+            EngineTokens: self.places.tokens,
+            EngineFinished: self.places.finished,
+            EngineFailed: self._on_engine_failed,
+            EnginePrefilled: self._on_engine_prefilled,
+            CallEnded: self._on_call_ended,
+            CancelSettled: self._on_cancel_settled,
+            EngineStatus: self._on_engine_status,
+            DeclarationRevision: self._on_revision,
+            DrainStarted: self._on_drain,
+            Tick: self._on_tick,
+        }
+
+    @property
+    def revision(self) -> int:
+        """The revision of the newest declarations kept beside this sidecar."""
+        return self._revision
+
+    def handle(self, event: SidecarEvent, now: float) -> Iterator[SidecarCommand]:
+        """Take one event and yield the commands that follow from it.
+
+        Args:
+            event: What happened.
+            now: Monotonic time in seconds; never decreases from call to call.
+
+        Returns:
+            Commands in the order in which they are to be carried out; exhaust the iterator.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        self._now = now
+        if self._wakeup is not None and self._wakeup <= now:
+            yield from self._expire(now)
+        yield from self._handlers[type(event)](event, now)
+        if type(event) is not EngineTokens:
+            self._wakeup = self._next_due(now)
+
+    def next_wakeup(self) -> float | None:
+        """Return the time in seconds at which a ``Tick`` is due, or ``None``."""
+        return self._wakeup
+
+    def up_for_s(self, now: float) -> float:
+        """Return the age of this run in seconds."""
+        return 0.0 if self._started_at is None else now - self._started_at
+
+    def report(self, now: float) -> LoadReport:
+        """Return the upstream's load as the ledgers have it."""
+        known = self.availability.state is not UpstreamState.DOWN
+        waitlist = self.places.waitlist
+        queue = self.prefills.queue
+        queued = {urgency: waitlist.queued_with(urgency) for urgency in Urgency}
+        return LoadReport(
+            incarnation=SidecarIncarnation(self.config.incarnation),
+            up_for_s=round(self.up_for_s(now), 3),
+            role=self.config.role,
+            state=self.availability.state,
+            revision=self._revision,
+            places=self.places.slots.places,
+            places_free=self.places.slots.free if known else 0,
+            waiting_urgent=waitlist.waiting(Urgency.URGENT) + queue.waiting(Urgency.URGENT),
+            waiting_patient=waitlist.waiting(Urgency.PATIENT) + queue.waiting(Urgency.PATIENT),
+            wait_urgent_s=self._reported_wait_s(Urgency.URGENT, queued[Urgency.URGENT], now),
+            wait_patient_s=self._reported_wait_s(Urgency.PATIENT, queued[Urgency.PATIENT], now),
+            prefill_backlog_s=round(queue.backlog_s(now), 4),
+            prefill_tokens_per_s=round(queue.tokens_per_s, 1),
+            token_interval_s=round(self.places.token_interval_s.or_else(0.0), 5),
+            link_backlog_s=round(self.places.link.backlog_s(now), 4),
+            prefix_blocks=self._prefix_blocks[:PREFIX_BLOCKS_REPORTED],
+        )
+
+    def dump(self) -> SidecarDump:
+        """Return the whole state in types that JSON knows."""
+        return dump_sidecar(self, self._now)
+
+    def _reported_wait_s(self, urgency: Urgency, ahead: int, now: float) -> float:
+        return round(self.places.expected_wait_s(urgency, ahead, now), 4)
+
+    def _next_due(self, now: float) -> float | None:
+        times = (
+            self.leases.next_due(),
+            self.cancellations.next_due(),
+            self.places.next_due(now),
+            self.prefills.next_due(),
+        )
+        return min((time for time in times if time is not None), default=None)
+
+    def _expire(self, now: float) -> Iterator[SidecarCommand]:
+        for entry in list(self.leases.expire(now)):
+            yield from self._lapse(entry, now)
+        yield from self.cancellations.repeat(now)
+        yield from self.places.expire(now)
+        yield from self.prefills.expire(now)
+
+    def _lapse(self, entry: EntryIncarnation, now: float) -> Iterator[SidecarCommand]:
+        self.keys.lapse(entry)
+        for attempt in self.attempts.of_entry(entry):
+            yield from self._fail(attempt, Reason.LEASE_LAPSED, now)
+
+    def _fail(self, attempt: AttemptId, reason: Reason, now: float) -> Iterator[SidecarCommand]:
+        yield from self.places.fail(attempt, reason, now)
+        yield from self.prefills.fail(attempt, reason, now)
+
+    def _on_offer(self, event: OfferArrived, now: float) -> Iterator[SidecarCommand]:
+        offer = event.offer
+        self.leases.renew(offer.entry, now)
+        if self.config.role is Role.PREFILL:
+            frame = AttemptFrame(FrameKind.REFUSED, offer.attempt, reason=Reason.MALFORMED)
+            yield SendFrame(offer.entry, frame)
+            return
+        yield from self.places.offer(offer, now)
+
+    def _on_prefill(self, event: PrefillArrived, now: float) -> Iterator[SidecarCommand]:
+        order = event.order
+        self.leases.renew(order.entry, now)
+        if self.config.role is not Role.PREFILL:
+            refused = PrefillResult(PrefillKind.REFUSED, order.attempt, reason=Reason.MALFORMED)
+            yield SendPrefillResult(order.entry, refused)
+            return
+        yield from self.prefills.order(order, now)
+
+    def _on_import(self, event: ImportArrived, now: float) -> Iterator[SidecarCommand]:
+        live = self.attempts.get(event.order.attempt)
+        if live is None:
+            yield ReplyImport(event.reply, False)
+            return
+        self.leases.renew(live.entry, now)
+        yield from self.places.order_import(event, now)
+
+    def _on_closed(
+        self, event: StreamClosed | PrefillClosed, now: float
+    ) -> Iterator[SidecarCommand]:
+        yield from self.places.drop(event.attempt, now)
+        yield from self.prefills.drop(event.attempt, now)
+
+    def _on_revoke(self, event: RevokeArrived, now: float) -> Iterator[SidecarCommand]:
+        if event.incarnation != self.config.incarnation:
+            yield ReplyRevoke(event.reply, RevokeResult.OTHER_INCARNATION)
+            return
+        live = self.attempts.get(event.attempt)
+        if live is not None:
+            self.leases.renew(live.entry, now)
+        result = self.attempts.revoke(event.attempt, now)
+        yield ReplyRevoke(event.reply, result)
+        barred = result is RevokeResult.NEVER_STARTED
+        yield from self._fail(event.attempt, Reason.REVOKED if barred else Reason.CANCELLED, now)
+
+    def _on_heartbeat(self, event: HeartbeatArrived, now: float) -> Iterator[SidecarCommand]:
+        self.leases.renew(event.heartbeat.entry, now)
+        yield ReplyHeartbeat(event.reply, self.report(now))
+
+    def _on_key_register(self, event: KeyRegisterArrived, now: float) -> Iterator[SidecarCommand]:
+        self.leases.renew(event.registration.entry, now)
+        decision = self.keys.register(event.registration, self.up_for_s(now), now)
+        yield ReplyKey(event.reply, decision)
+
+    def _on_key_commit(self, event: KeyCommitArrived, now: float) -> Iterator[SidecarCommand]:
+        self.leases.renew(event.commit.entry, now)
+        yield ReplyKeyCommit(event.reply, self.keys.commit(event.commit, now))
+
+    def _on_key_release(self, event: KeyReleaseArrived, now: float) -> Iterator[SidecarCommand]:
+        self.leases.renew(event.commit.entry, now)
+        self.keys.release(event.commit)
+        yield from ()
+
+    def _on_order(self, event: OrderArrived, now: float) -> Iterator[SidecarCommand]:
+        yield from self.orders.arrive(event.reply, event.order, now)
+
+    def _on_order_settled(self, event: OrderSettled, now: float) -> Iterator[SidecarCommand]:
+        yield from self.orders.settle(event.order, event.result, now)
+
+    def _on_engine_failed(self, event: EngineFailed, now: float) -> Iterator[SidecarCommand]:
+        yield from self._fail(event.attempt, event.reason, now)
+
+    def _on_engine_prefilled(self, event: EnginePrefilled, now: float) -> Iterator[SidecarCommand]:
+        yield from self.prefills.prefilled(event.result, now)
+
+    def _on_call_ended(self, event: CallEnded, now: float) -> Iterator[SidecarCommand]:
+        yield from self.places.call_ended(event.attempt, now)
+
+    def _on_cancel_settled(self, event: CancelSettled, now: float) -> Iterator[SidecarCommand]:
+        if not event.released or event.attempt not in self.cancellations:
+            return
+        yield from self.places.released(event.attempt, now)
+        yield from self.prefills.released(event.attempt, now)
+
+    def _on_engine_status(self, event: EngineStatus, now: float) -> Iterator[SidecarCommand]:
+        former = self.availability.refusal
+        self.availability.observe(event)
+        refusal = self.availability.refusal
+        if refusal is not former:
+            yield from self._turn_away(refusal, now)
+        if not event.reachable:
+            return
+        self._prefix_blocks = event.prefix_blocks
+        self.prefills.queue.set_cached(event.prefix_blocks)
+        for attempt in event.held:
+            yield from self._cancel_uncovered(attempt, now)
+        yield from self.places.fill(now)
+
+    def _turn_away(self, refusal: Reason | None, now: float) -> Iterator[SidecarCommand]:
+        if refusal is Reason.LEAVING:
+            yield from self.places.refuse_all_waiting(refusal, now)
+            yield from self.prefills.refuse_all_waiting(refusal, now)
+        elif refusal is not None:
+            yield from self.places.fail_all(refusal, now)
+            yield from self.prefills.fail_all(refusal, now)
+
+    def _cancel_uncovered(self, attempt: AttemptId, now: float) -> Iterator[SidecarCommand]:
+        if self.places.covers(attempt) or self.prefills.covers(attempt):
+            return
+        if self.config.role is not Role.PREFILL:
+            self.places.slots.hold_foreign(attempt, now)
+        yield from self.cancellations.begin(attempt, now)
+
+    def _on_revision(self, event: DeclarationRevision, now: float) -> Iterator[SidecarCommand]:
+        if event.revision < self._revision:
+            return
+        self._revision = event.revision
+        self.places.slots.set_patient_floor(event.patient_floor)
+        self.prefills.queue.set_patient_floor(event.patient_floor)
+        yield from self.places.fill(now)
+
+    def _on_drain(self, event: DrainStarted, now: float) -> Iterator[SidecarCommand]:
+        former = self.availability.refusal
+        self.availability.drain()
+        if self.availability.refusal is not former:
+            yield from self._turn_away(self.availability.refusal, now)
+
+    def _on_tick(self, event: Tick, now: float) -> Iterator[SidecarCommand]:
+        yield from self._expire(now)
--- /dev/null
+++ b/src/chivehold/core/sidecar_dump.py
@@ -0,0 +1,190 @@
+"""The whole state of a sidecar's core in types that JSON knows."""
+
+from typing import TYPE_CHECKING, TypedDict
+
+from chivehold.core.identity import AttemptId, Urgency
+
+if TYPE_CHECKING:
+    from chivehold.core.sidecar import SidecarCore
+
+
+class AttemptDump(TypedDict):
+    """An attempt in progress."""
+
+    attempt: str
+    entry: str
+    phase: str
+
+
+class HoldDump(TypedDict):
+    """A held place."""
+
+    attempt: str
+    urgency: str
+    """Empty for an attempt of an earlier run."""
+    held_s: float
+    cancelling: bool
+
+
+class WaitingDump(TypedDict):
+    """A waiting offer."""
+
+    attempt: str
+    organisation: str
+    urgency: str
+    waited_s: float
+
+
+class LeaseDump(TypedDict):
+    """An entry's lease."""
+
+    entry: str
+    left_s: float
+
+
+class PrefillDump(TypedDict):
+    """A prompt queued or at the engine."""
+
+    attempt: str
+    urgency: str
+    prompt_tokens: int
+    running: bool
+
+
+class LinkDump(TypedDict):
+    """The plan of the inbound link."""
+
+    reserved_bytes: int
+    pending_bytes: int
+    backlog_s: float
+
+
+class KeysDump(TypedDict):
+    """The idempotency keys kept here."""
+
+    in_progress: int
+    committed: int
+
+
+class OrdersDump(TypedDict):
+    """The gate for orders."""
+
+    highest_number: int
+    running_operation: str
+
+
+class SidecarDump(TypedDict):
+    """The whole state of a sidecar's core; times are seconds."""
+
+    incarnation: str
+    role: str
+    state: str
+    up_for_s: float
+    revision: int
+    places: int
+    places_free: int
+    patient_floor_places: int
+    expected_wait_urgent_s: float
+    expected_wait_patient_s: float
+    token_interval_s: float
+    prefill_tokens_per_s: float
+    prefill_backlog_s: float
+    attempts: list[AttemptDump]
+    attempts_remembered: int
+    holds: list[HoldDump]
+    cancelling: list[str]
+    waiting: list[WaitingDump]
+    leases: list[LeaseDump]
+    prefills: list[PrefillDump]
+    link: LinkDump
+    keys: KeysDump
+    orders: OrdersDump
+
+
+def dump_sidecar(core: "SidecarCore", now: float) -> SidecarDump:
+    """Return a sidecar's state at a time in seconds."""
+    report = core.report(now)
+    return SidecarDump(
+        incarnation=core.config.incarnation,
+        role=core.config.role.value,
+        state=report.state.value,
+        up_for_s=report.up_for_s,
+        revision=report.revision,
+        places=report.places,
+        places_free=report.places_free,
+        patient_floor_places=core.places.slots.floor_places,
+        expected_wait_urgent_s=report.wait_urgent_s,
+        expected_wait_patient_s=report.wait_patient_s,
+        token_interval_s=report.token_interval_s,
+        prefill_tokens_per_s=report.prefill_tokens_per_s,
+        prefill_backlog_s=report.prefill_backlog_s,
+        attempts=[
+            AttemptDump(attempt=_label(live.attempt), entry=live.entry, phase=live.phase.value)
+            for live in core.attempts
+        ],
+        attempts_remembered=core.attempts.remembered,
+        holds=_holds(core, now),
+        cancelling=[_label(attempt) for attempt in core.cancellations],
+        waiting=_waiting(core, now),
+        leases=[
+            LeaseDump(entry=entry, left_s=round(left_s, 3))
+            for entry, left_s in core.leases.left(now)
+        ],
+        prefills=_prefills(core),
+        link=LinkDump(
+            reserved_bytes=core.places.link.reserved_bytes,
+            pending_bytes=core.places.link.pending_bytes,
+            backlog_s=report.link_backlog_s,
+        ),
+        keys=KeysDump(in_progress=core.keys.in_progress, committed=core.keys.committed),
+        orders=OrdersDump(
+            highest_number=core.orders.highest_number,
+            running_operation=core.orders.running.operation_id if core.orders.running else "",
+        ),
+    )
+
+
+def _label(attempt: AttemptId) -> str:
+    return f"{attempt.request}/{attempt.number}"
+
+
+def _urgency(urgency: Urgency | None) -> str:
+    return "" if urgency is None else urgency.value
+
+
+def _holds(core: "SidecarCore", now: float) -> list[HoldDump]:
+    return [
+        HoldDump(
+            attempt=_label(attempt),
+            urgency=_urgency(hold.urgency),
+            held_s=round(now - hold.since, 3),
+            cancelling=attempt in core.cancellations,
+        )
+        for attempt, hold in core.places.slots
+    ]
+
+
+def _waiting(core: "SidecarCore", now: float) -> list[WaitingDump]:
+    return [
+        WaitingDump(
+            attempt=_label(waiting.offer.attempt),
+            organisation=waiting.offer.organisation,
+            urgency=waiting.offer.urgency.value,
+            waited_s=round(now - waiting.since, 3),
+        )
+        for waiting in core.places.waitlist
+    ]
+
+
+def _prefills(core: "SidecarCore") -> list[PrefillDump]:
+    running = [(run.order, True) for run in core.prefills.queue.running]
+    queued = [(order, False) for order in core.prefills.queue]
+    return [
+        PrefillDump(
+            attempt=_label(order.attempt),
+            urgency=order.urgency.value,
+            prompt_tokens=order.prompt_tokens,
+            running=is_running,
+        )
+        for order, is_running in running + queued
+    ]
--- /dev/null
+++ b/src/chivehold/core/slots.py
@@ -0,0 +1,135 @@
+"""The ledger of an upstream's places."""
+
+import math
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chivehold.core.identity import AttemptId, Urgency
+from chivehold.core.smoothing import Average
+
+FIRST_HOLDING_S = 2.0
+FOREIGN_HOLDING_S = 0.5
+HOLDING_WEIGHT = 0.1
+
+
+class Hold(NamedTuple):
+    """A place held by an attempt."""
+
+    urgency: Urgency | None
+    """``None`` for an attempt of an earlier run, found at the engine."""
+    since: float
+
+
+class _ClassHolds:
+    """The holds of one urgency, with how long they last."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.since_sum = 0.0
+        self.holding_s = Average(HOLDING_WEIGHT)
+
+    def mean_holding_s(self, now: float) -> float:
+        """Return how long a place is expected to be held, in seconds.
+
+        Half the present holds' mean age bounds it from below, so that an engine which has become
+        slow is noticed before its attempts end.
+        """
+        known = self.holding_s.or_else(FIRST_HOLDING_S)
+        if not self.count:
+            return known
+        return max(known, (now - self.since_sum / self.count) / 2)
+
+
+class SlotLedger:
+    """Which attempts hold a place, from the grant until the engine confirms the release.
+
+    Args:
+        places: Requests that the upstream may hold at once, at least 1.
+        patient_floor: Share of the places kept for patient work, 0 to 1.
+    """
+
+    def __init__(self, places: int, patient_floor: float) -> None:
+        self._places = places
+        self._patient_floor = patient_floor
+        self._holds: dict[AttemptId, Hold] = {}
+        self._classes = {urgency: _ClassHolds() for urgency in Urgency}
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._holds
+
+    def __iter__(self) -> Iterator[tuple[AttemptId, Hold]]:
+        return iter(tuple(self._holds.items()))
+
+    @property
+    def places(self) -> int:
+        """Places in all."""
+        return self._places
+
+    @property
+    def held(self) -> int:
+        """Places held, including those of an earlier run."""
+        return len(self._holds)
+
+    @property
+    def free(self) -> int:
+        """Places that can be granted."""
+        return max(0, self._places - len(self._holds))
+
+    @property
+    def floor_places(self) -> int:
+        """Places kept for patient work; one is left to urgent work where there are several."""
+        wanted = math.ceil(self._patient_floor * self._places - 1e-9)
+        return max(0, min(wanted, max(1, self._places - 1)))
+
+    def set_patient_floor(self, patient_floor: float) -> None:
+        """Change the share of places kept for patient work, 0 to 1."""
+        self._patient_floor = patient_floor
+
+    def held_by(self, urgency: Urgency) -> int:
+        """Return how many places one urgency holds."""
+        return self._classes[urgency].count
+
+    def hold(self, attempt: AttemptId, urgency: Urgency, now: float) -> None:
+        """Take a place."""
+        self._holds[attempt] = Hold(urgency, now)
+        holds = self._classes[urgency]
+        holds.count += 1
+        holds.since_sum += now
+
+    def hold_foreign(self, attempt: AttemptId, now: float) -> None:
+        """Count a place that the engine says is held by an attempt of no live one here."""
+        self._holds.setdefault(attempt, Hold(None, now))
+
+    def release(self, attempt: AttemptId, now: float, ran: bool = True) -> bool:
+        """Free a place; tell whether it was held.
+
+        Args:
+            attempt: Whose place.
+            now: Time in seconds.
+            ran: Whether the holding time counts towards what is expected of others.
+        """
+        hold = self._holds.pop(attempt, None)
+        if hold is None:
+            return False
+        if hold.urgency is None:
+            return True
+        holds = self._classes[hold.urgency]
+        holds.count -= 1
+        holds.since_sum -= hold.since
+        if ran:
+            holds.holding_s.add(now - hold.since)
+        return True
+
+    def drain_rate(self, urgency: Urgency, now: float) -> float:
+        """Return how many of one urgency's held places become free a second."""
+        holds = self._classes[urgency]
+        return holds.count / max(1e-3, holds.mean_holding_s(now))
+
+    def foreign_drain_rate(self) -> float:
+        """Return how many places held by earlier runs become free a second."""
+        foreign = len(self._holds) - sum(holds.count for holds in self._classes.values())
+        return foreign / FOREIGN_HOLDING_S
+
+    def holding_s(self, urgency: Urgency, now: float) -> float:
+        """Return how long a place is expected to be held, in seconds."""
+        return self._classes[urgency].mean_holding_s(now)
--- /dev/null
+++ b/src/chivehold/core/wait_estimate.py
@@ -0,0 +1,50 @@
+"""The expected wait for a place."""
+
+from chivehold.core.identity import Urgency
+from chivehold.core.slots import SlotLedger
+from chivehold.core.waitlist import WaitList
+
+WAIT_MOST_S = 3_600.0
+
+
+def expected_wait_s(
+    slots: SlotLedger, waitlist: WaitList, urgency: Urgency, ahead: int, now: float
+) -> float:
+    """Estimate how long an offer waits for its grant.
+
+    Args:
+        slots: The places.
+        waitlist: The offers that wait.
+        urgency: The offer's urgency.
+        ahead: Waiting offers that go before it in its queue.
+        now: Time in seconds.
+
+    Returns:
+        Seconds, at most ``WAIT_MOST_S``; 0 where a place is free and nobody is ahead.
+    """
+    urgent_rate = slots.drain_rate(Urgency.URGENT, now) + slots.foreign_drain_rate()
+    patient_rate = slots.drain_rate(Urgency.PATIENT, now)
+    if not waitlist.by_class:
+        return _wait_s(ahead + 1 - slots.free, urgent_rate + patient_rate)
+    patient_waiting = waitlist.queued_with(Urgency.PATIENT)
+    floor = slots.floor_places if patient_waiting else 0
+    if urgency is Urgency.URGENT:
+        missing = max(0, floor - slots.held_by(Urgency.PATIENT))
+        needed = ahead + 1 + min(patient_waiting, missing) - slots.free
+        return _wait_s(needed, urgent_rate + patient_rate * _beyond(floor, slots))
+    urgent_ahead = waitlist.queued_with(Urgency.URGENT)
+    by_all = _wait_s(urgent_ahead + ahead + 1 - slots.free, urgent_rate + patient_rate)
+    floor_rate = slots.floor_places / slots.holding_s(Urgency.PATIENT, now)
+    return min(by_all, _wait_s(ahead + 1, floor_rate))
+
+
+def _beyond(floor: int, slots: SlotLedger) -> float:
+    """Return the share of patient work's places that it holds beyond its floor."""
+    held = slots.held_by(Urgency.PATIENT)
+    return max(0, held - floor) / held if held else 0.0
+
+
+def _wait_s(needed: int, rate: float) -> float:
+    if needed <= 0:
+        return 0.0
+    return min(WAIT_MOST_S, needed / rate) if rate > 0 else WAIT_MOST_S
--- /dev/null
+++ b/src/chivehold/core/waitlist.py
@@ -0,0 +1,143 @@
+"""Offers waiting for a place, in the order in which they are granted."""
+
+import heapq
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chivehold.core.fairness import FairQueue
+from chivehold.core.identity import AttemptId, Urgency
+from chivehold.core.policy import Policy
+from chivehold.core.slots import SlotLedger
+from chivehold.core.wire import AttemptOffer
+
+MIN_SHARE_WEIGHT = 1e-3
+PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10
+
+
+class Waiting(NamedTuple):
+    """An offer that waits."""
+
+    offer: AttemptOffer
+    since: float
+
+
+def offer_cost(offer: AttemptOffer) -> float:
+    """Return what an offer is expected to cost, in output tokens; at least 1."""
+    prompt_cost = offer.prompt_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
+    return max(1.0, offer.max_tokens + prompt_cost)
+
+
+class WaitList:
+    """Chooses the next offer by urgency, age and fair share.
+
+    Args:
+        policy: Which of these orders apply; without any it is first come, first served.
+    """
+
+    def __init__(self, policy: Policy) -> None:
+        self._policy = policy
+        self._offers: dict[AttemptId, Waiting] = {}
+        self._queues = {urgency: FairQueue[AttemptId]() for urgency in Urgency}
+        self._kv_bytes = dict.fromkeys(Urgency, 0)
+        self._patient_by_age: list[tuple[float, int, AttemptId]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._offers)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._offers
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(tuple(self._offers.values()))
+
+    @property
+    def by_class(self) -> bool:
+        """Whether urgent and patient offers wait in queues of their own."""
+        return self._policy.class_order
+
+    def waiting(self, urgency: Urgency) -> int:
+        """Return how many offers of one urgency wait."""
+        if self._policy.class_order:
+            return len(self._queues[urgency])
+        return sum(waiting.offer.urgency is urgency for waiting in self._offers.values())
+
+    def add(self, offer: AttemptOffer, now: float) -> None:
+        """Let an offer wait."""
+        self._offers[offer.attempt] = Waiting(offer, now)
+        flow = offer.organisation if self._policy.fair_shares else ""
+        weight = max(MIN_SHARE_WEIGHT, offer.share_weight) if self._policy.fair_shares else 1.0
+        queue = self._queue_of(offer)
+        queue.push(offer.attempt, flow, weight, offer_cost(offer))
+        self._kv_bytes[offer.urgency] += offer.kv_bytes
+        if self._policy.class_order and offer.urgency is Urgency.PATIENT:
+            self._sequence += 1
+            born = now - offer.waited_s
+            heapq.heappush(self._patient_by_age, (born, self._sequence, offer.attempt))
+
+    def next(self, slots: SlotLedger, now: float) -> AttemptOffer | None:
+        """Return the offer to grant next where a place is free, or ``None``."""
+        if not self._offers:
+            return None
+        attempt = self._next_attempt(slots, now)
+        return None if attempt is None else self._offers[attempt].offer
+
+    def take(self, attempt: AttemptId) -> AttemptOffer:
+        """Remove an offer that is granted."""
+        offer = self._offers.pop(attempt).offer
+        self._queue_of(offer).serve(attempt)
+        self._kv_bytes[offer.urgency] -= offer.kv_bytes
+        return offer
+
+    def discard(self, attempt: AttemptId) -> AttemptOffer | None:
+        """Remove an offer that is not granted; ``None`` if it does not wait."""
+        waiting = self._offers.pop(attempt, None)
+        if waiting is None:
+            return None
+        self._queue_of(waiting.offer).discard(attempt)
+        self._kv_bytes[waiting.offer.urgency] -= waiting.offer.kv_bytes
+        return waiting.offer
+
+    def ahead(self, offer: AttemptOffer) -> int:
+        """Estimate how many waiting offers of its queue go before the newest of its flow."""
+        flow = offer.organisation if self._policy.fair_shares else ""
+        return self._queue_of(offer).ahead(flow).items
+
+    def queued_with(self, urgency: Urgency) -> int:
+        """Return how many offers wait in the queue that one urgency uses."""
+        return len(self._queues[self._queue_key(urgency)])
+
+    def kv_bytes(self, urgency: Urgency) -> int:
+        """Return the bytes of KV caches that waiting offers of one urgency will import."""
+        return self._kv_bytes[urgency]
+
+    def _next_attempt(self, slots: SlotLedger, now: float) -> AttemptId | None:
+        urgent = self._queues[Urgency.URGENT].peek()
+        if not self._policy.class_order:
+            return urgent
+        patient = self._queues[Urgency.PATIENT].peek()
+        if patient is None:
+            return urgent
+        aged = self._aged(now)
+        if urgent is None:
+            return aged or patient
+        missing = slots.floor_places - slots.held_by(Urgency.PATIENT)
+        if missing <= 0:
+            return urgent
+        if aged is not None:
+            return aged
+        return patient if slots.free <= missing else urgent
+
+    def _aged(self, now: float) -> AttemptId | None:
+        by_age = self._patient_by_age
+        while by_age and by_age[0][2] not in self._offers:
+            heapq.heappop(by_age)
+        if by_age and now - by_age[0][0] >= self._policy.patient_age_limit_s:
+            return by_age[0][2]
+        return None
+
+    def _queue_of(self, offer: AttemptOffer) -> FairQueue[AttemptId]:
+        return self._queues[self._queue_key(offer.urgency)]
+
+    def _queue_key(self, urgency: Urgency) -> Urgency:
+        return urgency if self._policy.class_order else Urgency.URGENT
