HTTP listener with bounded bodies and drain, HTTP client with unambiguous errors

Cause: every role serves and calls HTTP; the library's defaults cut streams at shutdown, do not bound bodies and do not tell whether a peer can have read a request. Ruled out: hypercorn's own settings alone. Its writes are shielded from cancellation, so a frozen caller keeps the process from ending; an application that answers without reading a long body waits for its own queue. Change: http_server.serve_http drains for at most drain_timeout_s, drops callers that acknowledge nothing for send_stall_s (TCP_USER_TIMEOUT), drops unread bodies before the end of an answer; http_client raises NothingSent only for failed connects, LinkBroken otherwise.

--- /dev/null
+++ b/src/chivehold/http_client.py
@@ -0,0 +1,261 @@
+"""HTTP calls to peers, with errors that tell whether the peer can have read the request."""
+
+from collections.abc import AsyncIterator, Iterable, Mapping
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+READ_TIMEOUT_S = 30.0
+MAX_LINE_BYTES = 4_194_304
+
+
+class ClientLimits(NamedTuple):
+    """Bounds of a client."""
+
+    max_connections: int = 512
+    """Connections to one peer at once."""
+    connect_timeout_s: float = 1.0
+    keep_alive_s: float = 2.0
+    """An idle connection is used again within this time; shorter than the servers' own."""
+    max_answer_bytes: int = 16_777_216
+
+
+DEFAULT_CLIENT_LIMITS = ClientLimits()
+
+
+class LinkError(Exception):
+    """A call to a peer did not end with a whole answer."""
+
+    def __init__(self, step: str, peer: str, detail: str) -> None:
+        super().__init__(f"{step}: {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+class NothingSent(LinkError):  # noqa: N818
+    """No connection could be had: the peer has certainly read nothing."""
+
+
+class LinkBroken(LinkError):  # noqa: N818
+    """The connection broke or timed out: the peer may have read the request."""
+
+
+class AnswerTooLarge(LinkBroken):
+    """The peer's answer is longer than allowed."""
+
+
+class HttpAnswer(NamedTuple):
+    """A peer's whole answer; header names are in lower case."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return a header's first value, or ``None``; ``name`` is in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class HttpStream:
+    """A peer's answer as it arrives; iterate it for the whole lines of each part received.
+
+    Iteration raises ``LinkBroken`` when the answer breaks off, also in the middle of a line.
+    """
+
+    def __init__(self, response: httpcore.Response, step: str, peer: str) -> None:
+        self.status = response.status
+        self.headers = _text_headers(response)
+        self._parts = response.aiter_stream()
+        self._step = step
+        self._peer = peer
+        self._rest = b""
+
+    def __aiter__(self) -> "HttpStream":
+        return self
+
+    async def __anext__(self) -> list[bytes]:
+        while True:
+            part = await self._next_part()
+            if part is None:
+                raise StopAsyncIteration
+            *lines, self._rest = (self._rest + part).split(b"\n")
+            if len(self._rest) > MAX_LINE_BYTES:
+                detail = f"line exceeds {MAX_LINE_BYTES} bytes"
+                raise AnswerTooLarge(self._step, self._peer, detail)
+            if lines:
+                return lines
+
+    async def read(self, most: int) -> bytes:
+        """Read the rest of the answer.
+
+        Raises:
+            AnswerTooLarge: It is longer than ``most`` bytes.
+            LinkBroken: It broke off.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self._next_part()) is not None:
+            parts.append(part)
+            size += len(part)
+            if size > most:
+                raise AnswerTooLarge(self._step, self._peer, f"answer exceeds {most} bytes")
+        return b"".join(parts)
+
+    async def _next_part(self) -> bytes | None:
+        try:
+            return await anext(self._parts)
+        except StopAsyncIteration:
+            if self._rest:
+                raise LinkBroken(self._step, self._peer, "ended within a line") from None
+            return None
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise LinkBroken(self._step, self._peer, _detail(error)) from error
+
+
+class HttpClient:
+    """Calls peers named by ``host:port``, with a pool of connections to each."""
+
+    def __init__(self, limits: ClientLimits = DEFAULT_CLIENT_LIMITS) -> None:
+        self._limits = limits
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    async def call(
+        self,
+        peer: str,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> HttpAnswer:
+        """Send a request and read the whole answer, whatever its status.
+
+        Args:
+            peer: ``host:port``.
+            method: HTTP method.
+            path: Path with its query.
+            step: What this call is for; errors carry it.
+            timeout_s: Time for the whole call, in seconds.
+            body: The request's body.
+            headers: Further request headers.
+
+        Raises:
+            NothingSent: The peer has certainly read nothing.
+            LinkBroken: The peer may have read the request.
+        """
+        with trio.move_on_after(timeout_s):
+            async with self.stream(
+                peer,
+                method,
+                path,
+                step=step,
+                body=body,
+                headers=headers,
+                read_timeout_s=timeout_s,
+            ) as stream:
+                answer = await stream.read(self._limits.max_answer_bytes)
+                return HttpAnswer(stream.status, stream.headers, answer)
+        raise LinkBroken(step, peer, f"no answer within {timeout_s} s")
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        peer: str,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: bytes = b"",
+        headers: Iterable[tuple[str, str]] = (),
+        read_timeout_s: float = READ_TIMEOUT_S,
+    ) -> AsyncIterator[HttpStream]:
+        """Send a request and give its answer while it arrives.
+
+        Leaving the context before the answer's end closes the connection, by which the peer
+        learns that nobody waits for it any more.
+
+        Args:
+            peer: ``host:port``.
+            method: HTTP method.
+            path: Path with its query.
+            step: What this call is for; errors carry it.
+            body: The request's body.
+            headers: Further request headers.
+            read_timeout_s: Longest pause between two parts of the answer, in seconds.
+
+        Raises:
+            NothingSent: The peer has certainly read nothing.
+            LinkBroken: The peer may have read the request.
+        """
+        request = _request(peer, method, path, body, headers)
+        request.extensions["timeout"] = self._timeouts(read_timeout_s)
+        try:
+            response = await self._pool(peer).handle_async_request(request)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            raise NothingSent(step, peer, _detail(error)) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise LinkBroken(step, peer, _detail(error)) from error
+        try:
+            yield HttpStream(response, step, peer)
+        finally:
+            await response.aclose()
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        pools, self._pools = self._pools, {}
+        for pool in pools.values():
+            await pool.aclose()
+
+    async def forget(self, peer: str) -> None:
+        """Close the connections to a peer that is not needed any more."""
+        if pool := self._pools.pop(peer, None):
+            await pool.aclose()
+
+    def _pool(self, peer: str) -> httpcore.AsyncConnectionPool:
+        if peer not in self._pools:
+            self._pools[peer] = httpcore.AsyncConnectionPool(
+                max_connections=self._limits.max_connections,
+                keepalive_expiry=self._limits.keep_alive_s,
+            )
+        return self._pools[peer]
+
+    def _timeouts(self, read_timeout_s: float) -> Mapping[str, float]:
+        connect_s = self._limits.connect_timeout_s
+        return {
+            "connect": connect_s,
+            "pool": connect_s,
+            "read": read_timeout_s,
+            "write": read_timeout_s,
+        }
+
+
+def _request(
+    peer: str, method: str, path: str, body: bytes, headers: Iterable[tuple[str, str]]
+) -> httpcore.Request:
+    host, _, port = peer.rpartition(":")
+    raw = [(b"host", peer.encode("ascii"))]
+    raw += [(key.encode("latin-1"), value.encode("latin-1")) for key, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        raw.append((b"content-length", str(len(body)).encode("ascii")))
+    url = httpcore.URL(
+        scheme=b"http",
+        host=host.strip("[]").encode("ascii"),
+        port=int(port),
+        target=path.encode("ascii"),
+    )
+    return httpcore.Request(method, url, headers=raw, content=body, extensions={})
+
+
+def _text_headers(response: httpcore.Response) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (key.decode("latin-1").lower(), value.decode("latin-1")) for key, value in response.headers
+    )
+
+
+def _detail(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
--- /dev/null
+++ b/src/chivehold/http_server.py
@@ -0,0 +1,307 @@
+"""HTTP serving for plain ASGI applications: bounded bodies, disconnects and a bounded drain."""
+
+import logging
+import socket
+from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+from hypercorn.config import Config, Sockets
+from hypercorn.trio import serve
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+Headers = Iterable[tuple[str, str]]
+
+JSON_TYPE = "application/json"
+BODY_TIMEOUT_S = 30.0
+UNREAD_BODY_TIMEOUT_S = 1.0
+BUSY_RETRY_S = 1.0
+
+_log = logging.getLogger("chivehold.http")
+
+
+class ServerLimits(NamedTuple):
+    """Bounds of a listener."""
+
+    max_header_bytes: int = 16_384
+    max_requests: int = 4_096
+    """Requests in progress at once; more are answered with 503."""
+    keep_alive_s: float = 5.0
+    """An idle connection is closed after this time."""
+    drain_timeout_s: float = 30.0
+    """Requests still in progress this long after the shutdown are cut off."""
+    send_stall_s: float = 10.0
+    """A connection whose peer acknowledges nothing for this long is dropped."""
+    backlog: int = 1_024
+
+
+DEFAULT_SERVER_LIMITS = ServerLimits()
+
+
+class BodyTooLarge(Exception):  # noqa: N818
+    """A request's body is longer than allowed."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__(f"body exceeds {most} bytes")
+        self.most = most
+
+
+class BodyIncomplete(Exception):  # noqa: N818
+    """The caller left, or was too slow, before its body had arrived in full."""
+
+
+class ErrorBody(NamedTuple):
+    """The fields of a JSON error answer."""
+
+    reason: str
+    message: str
+
+
+class _ListenerConfig(Config):  # type: ignore[misc]
+    """Configuration that drops connections whose peer has stopped reading.
+
+    The server shields its writes from cancellation, so that a frozen peer would keep the process
+    from ending.
+    """
+
+    send_stall_s = 10.0
+
+    def create_sockets(self) -> Sockets:
+        """Create the listening sockets; accepted ones inherit their options."""
+        sockets = super().create_sockets()
+        stall_ms = int(self.send_stall_s * 1_000)
+        for sock in sockets.insecure_sockets:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stall_ms)
+        return sockets
+
+
+async def serve_http(
+    app: App,
+    address: str,
+    *,
+    limits: ServerLimits = DEFAULT_SERVER_LIMITS,
+    shutdown: trio.Event | None = None,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application until cancelled, or drain once ``shutdown`` is set.
+
+    Args:
+        app: An ASGI application; it sees ``http`` scopes only.
+        address: ``host:port``; with port 0 the kernel gives one.
+        limits: Bounds of this listener.
+        shutdown: When set, the listener closes and requests in progress get
+            ``limits.drain_timeout_s`` to end.
+        task_status: Started with the bound ``host:port``.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    config = _ListenerConfig()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = _log
+    config.backlog = limits.backlog
+    config.graceful_timeout = limits.drain_timeout_s
+    config.h11_max_incomplete_size = limits.max_header_bytes
+    config.include_server_header = False
+    config.keep_alive_timeout = limits.keep_alive_s
+    config.send_stall_s = limits.send_stall_s
+    trigger = trio.sleep_forever if shutdown is None else shutdown.wait
+    async with trio.open_nursery() as nursery:
+
+        async def run(task_status: trio.TaskStatus[list[str]]) -> None:
+            guarded = _GuardedApp(app, limits)
+            await serve(guarded, config, shutdown_trigger=trigger, task_status=task_status)
+
+        (bound,) = await nursery.start(run)
+        task_status.started(bound.removeprefix("http://"))
+
+
+def header(scope: Scope, name: str) -> str | None:
+    """Return a request header's first value, or ``None``; ``name`` is in lower case."""
+    wanted = name.encode("latin-1")
+    for key, value in scope["headers"]:
+        if key == wanted:
+            return bytes(value).decode("latin-1")
+    return None
+
+
+async def read_body(receive: Receive, most: int, within_s: float = BODY_TIMEOUT_S) -> bytes:
+    """Read a request's whole body.
+
+    Args:
+        receive: The ASGI callable of the request.
+        most: Bytes allowed.
+        within_s: Time allowed, in seconds.
+
+    Raises:
+        BodyTooLarge: It is longer than ``most``.
+        BodyIncomplete: The caller left or was too slow.
+    """
+    parts: list[bytes] = []
+    size = 0
+    with trio.move_on_after(within_s):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise BodyIncomplete("the caller left")
+            part = message.get("body", b"")
+            size += len(part)
+            if size > most:
+                raise BodyTooLarge(most)
+            parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+    raise BodyIncomplete(f"the body took longer than {within_s} s")
+
+
+async def wait_disconnect(receive: Receive) -> None:
+    """Return once the caller has left; call it after the body has been read."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+async def respond(
+    send: Send,
+    status: int,
+    body: bytes = b"",
+    content_type: str = JSON_TYPE,
+    headers: Headers = (),
+) -> None:
+    """Send a whole answer."""
+    await start_response(send, status, content_type, [*headers, ("content-length", str(len(body)))])
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+async def respond_json(send: Send, status: int, value: Any, headers: Headers = ()) -> None:
+    """Send a whole answer, its body encoded as JSON by msgspec."""
+    await respond(send, status, msgspec.json.encode(value), JSON_TYPE, headers)
+
+
+async def respond_error(
+    send: Send, status: int, reason: str, message: str, headers: Headers = ()
+) -> None:
+    """Send a typed error: a JSON object with ``reason`` and ``message``."""
+    await respond_json(send, status, ErrorBody(reason, message)._asdict(), headers)
+
+
+async def start_response(send: Send, status: int, content_type: str, headers: Headers = ()) -> None:
+    """Send status and headers; follow with ``send_part`` and ``end_response``."""
+    raw = [(b"content-type", content_type.encode("latin-1"))] if content_type else []
+    raw += [(key.lower().encode("latin-1"), value.encode("latin-1")) for key, value in headers]
+    await send({"type": "http.response.start", "status": status, "headers": raw})
+
+
+async def send_part(send: Send, body: bytes) -> None:
+    """Send a part of a streamed body."""
+    await send({"type": "http.response.body", "body": body, "more_body": True})
+
+
+async def end_response(send: Send) -> None:
+    """Close a streamed body as whole; without this the connection is cut."""
+    await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+class _GuardedApp:
+    """Answers what an application did not, and bounds the requests in progress."""
+
+    def __init__(self, app: App, limits: ServerLimits) -> None:
+        self._app = app
+        self._limits = limits
+        self._in_progress = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            await send({"type": "websocket.close", "code": 1003})
+            return
+        exchange = _Exchange(receive, send)
+        self._in_progress += 1
+        try:
+            await self._answer(scope, exchange)
+        finally:
+            self._in_progress -= 1
+
+    async def _answer(self, scope: Scope, exchange: "_Exchange") -> None:
+        if self._in_progress > self._limits.max_requests:
+            retry = ("retry-after", str(int(BUSY_RETRY_S)))
+            message = f"more than {self._limits.max_requests} requests in progress"
+            await respond_error(exchange.send, 503, "full", message, [retry])
+            return
+        try:
+            await self._app(scope, exchange.receive, exchange.send)
+        except BodyTooLarge as error:
+            if exchange.started:
+                raise
+            await respond_error(exchange.send, 413, "too_large", str(error))
+        except BodyIncomplete as error:
+            _log.info("step=read_body path=%s detail=%s", scope["path"], error)
+            if not exchange.started:
+                await respond_error(exchange.send, 408, "timeout", str(error))
+        except Exception:
+            if exchange.started:
+                raise
+            _log.exception("step=answer path=%s", scope["path"])
+            await respond_error(exchange.send, 500, "internal", "internal error")
+
+
+class _Exchange:
+    """One request and its answer.
+
+    The server hands its last message to the application's own queue when the answer ends, so that
+    an application which answers without reading a long body would wait for itself. The rest of
+    the body is therefore read and dropped before the end of the answer is sent.
+    """
+
+    def __init__(self, receive: Receive, send: Send) -> None:
+        self._receive = receive
+        self._send = send
+        self._body_ended = False
+        self.started = False
+
+    async def receive(self) -> Message:
+        """Return the next message of the request."""
+        message = await self._receive()
+        if message["type"] == "http.disconnect" or not message.get("more_body", False):
+            self._body_ended = True
+        return message
+
+    async def send(self, message: Message) -> None:
+        """Send a message of the answer."""
+        self.started = True
+        if message["type"] == "http.response.start" or message.get("more_body", False):
+            await self._send(message)
+            return
+        if self._body_ended:
+            await self._send(message)
+            return
+        await self._send({**message, "more_body": True})
+        with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
+            await self._drop_body()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drop_messages)
+            await self._send({**message, "body": b""})
+            nursery.cancel_scope.cancel()
+
+    async def _drop_body(self) -> None:
+        while not self._body_ended:
+            await self.receive()
+
+    async def _drop_messages(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,206 @@
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+
+from chivehold.http_client import HttpClient, LinkBroken, NothingSent
+from chivehold.http_server import (
+    App,
+    Receive,
+    Scope,
+    Send,
+    ServerLimits,
+    end_response,
+    header,
+    read_body,
+    respond,
+    send_part,
+    serve_http,
+    start_response,
+    wait_disconnect,
+)
+
+LIMITS = ServerLimits(drain_timeout_s=5.0)
+
+
+@asynccontextmanager
+async def serving(
+    app: App, limits: ServerLimits = LIMITS, shutdown: trio.Event | None = None
+) -> AsyncIterator[tuple[HttpClient, str]]:
+    """Serve, and check that the server ends at once after the last request."""
+    shutdown = trio.Event() if shutdown is None else shutdown
+    ended = trio.Event()
+    async with trio.open_nursery() as nursery:
+
+        async def run(task_status: trio.TaskStatus[str]) -> None:
+            await serve_http(
+                app, "127.0.0.1:0", limits=limits, shutdown=shutdown, task_status=task_status
+            )
+            ended.set()
+
+        address = await nursery.start(run)
+        client = HttpClient()
+        with trio.fail_after(10):
+            yield client, address
+        await client.aclose()
+        shutdown.set()
+        with trio.move_on_after(limits.drain_timeout_s / 2):
+            await ended.wait()
+        assert ended.is_set()
+
+
+async def post(client: HttpClient, peer: str, body: bytes = b"") -> tuple[int, bytes]:
+    answer = await client.call(peer, "POST", "/x", step="test", timeout_s=5.0, body=body)
+    return answer.status, answer.body
+
+
+async def echo(scope: Scope, receive: Receive, send: Send) -> None:
+    body = await read_body(receive, 1_000)
+    await respond(send, 200, body + (header(scope, "host") or "").encode())
+
+
+async def cancel_on_leaving(receive: Receive, scope: trio.CancelScope) -> None:
+    await wait_disconnect(receive)
+    scope.cancel()
+
+
+class Parts:
+    """Streams two lines, the second once told to, and notes when its caller leaves."""
+
+    def __init__(self) -> None:
+        self.go_on = trio.Event()
+        self.left = trio.Event()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        await read_body(receive, 0)
+        await start_response(send, 200, "text/plain")
+        await send_part(send, b"one\nt")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._note_leaving, receive, nursery.cancel_scope)
+            await self.go_on.wait()
+            await send_part(send, b"wo\n")
+            await end_response(send)
+            nursery.cancel_scope.cancel()
+
+    async def _note_leaving(self, receive: Receive, scope: trio.CancelScope) -> None:
+        await cancel_on_leaving(receive, scope)
+        self.left.set()
+
+
+class TestBodies:
+    @pytest.mark.parametrize(
+        ("size", "status"), [(0, 200), (1_000, 200), (1_001, 413), (5_000_000, 413)]
+    )
+    async def test_are_bounded(self, size: int, status: int) -> None:
+        """A body over the bound gets a typed 413 and holds no task, however long it is."""
+        async with serving(echo) as (client, peer):
+            got, body = await post(client, peer, b"x" * size)
+            assert got == status
+            assert status == 200 or b"too_large" in body
+            assert (await post(client, peer, b"again"))[0] == 200
+
+    async def test_unread_long_body_does_not_block_the_answer(self) -> None:
+        """An application that answers without reading a body still ends."""
+
+        async def refuse(scope: Scope, receive: Receive, send: Send) -> None:
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            await respond(send, 401)
+
+        async with serving(refuse) as (client, peer):
+            assert (await post(client, peer, b"x" * 5_000_000))[0] == 401
+
+    async def test_busy_listener_refuses(self) -> None:
+        """More requests than allowed at once get 503, and the listener goes on."""
+        parts = Parts()
+        async with (
+            serving(parts, LIMITS._replace(max_requests=1)) as (client, peer),
+            client.stream(peer, "POST", "/", step="test") as stream,
+        ):
+            assert await anext(stream) == [b"one"]
+            assert (await post(client, peer))[0] == 503
+            parts.go_on.set()
+            assert await anext(stream) == [b"two"]
+
+    async def test_failing_application_answers_500(self) -> None:
+        """An unexpected error becomes a typed answer without detail."""
+
+        async def fail(scope: Scope, receive: Receive, send: Send) -> None:
+            raise ValueError("secret")
+
+        async with serving(fail) as (client, peer):
+            status, body = await post(client, peer)
+            assert (status, b"secret" in body, b"internal" in body) == (500, False, True)
+
+
+class TestStreams:
+    async def test_departed_caller_is_noticed(self) -> None:
+        """The application learns at once that its caller closed the connection."""
+        parts = Parts()
+        async with serving(parts) as (client, peer):
+            async with client.stream(peer, "POST", "/", step="test") as stream:
+                assert await anext(stream) == [b"one"]
+            with trio.fail_after(1):
+                await parts.left.wait()
+
+    async def test_cut_answer_is_not_whole(self) -> None:
+        """A stream whose application fails midway raises LinkBroken at the caller."""
+
+        async def cut(scope: Scope, receive: Receive, send: Send) -> None:
+            await start_response(send, 200, "text/plain")
+            await send_part(send, b"one\n")
+            raise ValueError
+
+        async with (
+            serving(cut) as (client, peer),
+            client.stream(peer, "GET", "/", step="test") as stream,
+        ):
+            assert await anext(stream) == [b"one"]
+            with pytest.raises(LinkBroken):
+                await anext(stream)
+
+    async def test_shutdown_waits_for_a_stream_and_refuses_new_calls(self) -> None:
+        """A stream in progress ends whole after the shutdown; new connections find nobody."""
+        parts, shutdown = Parts(), trio.Event()
+        async with (
+            serving(parts, shutdown=shutdown) as (client, peer),
+            client.stream(peer, "POST", "/", step="test") as stream,
+        ):
+            assert await anext(stream) == [b"one"]
+            shutdown.set()
+            with pytest.raises(NothingSent) as caught:
+                while True:
+                    await post(HttpClient(), peer)
+            assert (caught.value.step, caught.value.peer) == ("test", peer)
+            parts.go_on.set()
+            assert [lines async for lines in stream] == [[b"two"]]
+
+    async def test_shutdown_is_bounded(self) -> None:
+        """A stream that does not end is cut when the drain timeout has passed."""
+        shutdown = trio.Event()
+        limits = LIMITS._replace(drain_timeout_s=0.4)
+        async with (
+            serving(Parts(), limits, shutdown) as (client, peer),
+            client.stream(peer, "POST", "/", step="test") as stream,
+        ):
+            assert await anext(stream) == [b"one"]
+            shutdown.set()
+            with pytest.raises(LinkBroken):
+                await anext(stream)
+
+    async def test_frozen_caller_does_not_keep_the_server(self) -> None:
+        """A caller that stops reading is dropped although writes are shielded."""
+
+        async def flood(scope: Scope, receive: Receive, send: Send) -> None:
+            await start_response(send, 200, "text/plain")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cancel_on_leaving, receive, nursery.cancel_scope)
+                while True:
+                    await send_part(send, b"x" * 1_000_000)
+
+        limits = LIMITS._replace(drain_timeout_s=5.0, send_stall_s=0.5)
+        async with serving(flood, limits) as (_, peer):
+            stream = await trio.open_tcp_stream("127.0.0.1", int(peer.split(":")[1]))
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert await stream.receive_some(10)
