Messages of the Sidecar service between the schema and the core's types

Cause: entries and sidecars speak gRPC for control, while the cores know only NamedTuples. Ruled out: generic conversion by field names in both directions; enumerations and nested messages need their own checks, and a message without meaning must name its field. Change: rpc/convert.py, one pair of functions a message; Malformed for what has no meaning.

--- /dev/null
+++ b/src/chivehold/rpc/convert.py
@@ -0,0 +1,218 @@
+"""Messages of the service ``Sidecar`` between the schema and the core's types.
+
+The functions ending in ``_from_proto`` raise ``Malformed`` for a message without meaning in the
+core.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple, TypeVar
+
+from chivehold.core.identity import (
+    AttemptId,
+    EntryIncarnation,
+    KeyId,
+    Organisation,
+    RequestId,
+    Role,
+    SidecarIncarnation,
+    TargetName,
+)
+from chivehold.core.wire import (
+    EngineOrder,
+    Heartbeat,
+    KeyCommit,
+    KeyDecision,
+    KeyRegistration,
+    LoadReport,
+    OrderKind,
+    OrderResult,
+    RevokeResult,
+    UpstreamState,
+)
+from chivehold.exceptions import Malformed
+from chivehold.rpc import chivehold_pb2 as pb
+
+_ROLES = {
+    Role.PREFILL: pb.ROLE_PREFILL,
+    Role.DECODE: pb.ROLE_DECODE,
+    Role.SERVICE: pb.ROLE_SERVICE,
+}
+_ROLES_BY_NUMBER = {number: role for role, number in _ROLES.items()}
+
+WordT = TypeVar("WordT", bound=StrEnum)
+
+
+class Revocation(NamedTuple):
+    """A ``RevokeRequest``."""
+
+    attempt: AttemptId
+    incarnation: SidecarIncarnation
+
+
+class KeyEnd(NamedTuple):
+    """A ``CommitKeyRequest``: a commit, or with ``release`` the key's return unanswered."""
+
+    commit: KeyCommit
+    release: bool
+
+
+def heartbeat_to_proto(heartbeat: Heartbeat) -> pb.HeartbeatRequest:
+    """Return a heartbeat as its message."""
+    return pb.HeartbeatRequest(**heartbeat._asdict())
+
+
+def heartbeat_from_proto(message: pb.HeartbeatRequest) -> Heartbeat:
+    """Return a message as a heartbeat."""
+    return Heartbeat(
+        entry=EntryIncarnation(_named(message.entry, "HeartbeatRequest.entry")),
+        incarnation=SidecarIncarnation(message.incarnation),
+        revision=message.revision,
+    )
+
+
+def load_report_to_proto(report: LoadReport) -> pb.HeartbeatResponse:
+    """Return a load report as its message."""
+    fields = report._asdict()
+    fields["role"] = _ROLES[report.role]
+    return pb.HeartbeatResponse(**fields)
+
+
+def load_report_from_proto(message: pb.HeartbeatResponse) -> LoadReport:
+    """Return a message as a load report."""
+    role = _ROLES_BY_NUMBER.get(message.role)
+    if role is None:
+        raise Malformed("decode HeartbeatResponse.role", "", str(message.role))
+    return LoadReport(
+        incarnation=SidecarIncarnation(message.incarnation),
+        up_for_s=message.up_for_s,
+        role=role,
+        state=_word(UpstreamState, message.state, "HeartbeatResponse.state"),
+        revision=message.revision,
+        places=message.places,
+        places_free=message.places_free,
+        waiting_urgent=message.waiting_urgent,
+        waiting_patient=message.waiting_patient,
+        wait_urgent_s=message.wait_urgent_s,
+        wait_patient_s=message.wait_patient_s,
+        prefill_backlog_s=message.prefill_backlog_s,
+        prefill_tokens_per_s=message.prefill_tokens_per_s,
+        token_interval_s=message.token_interval_s,
+        link_backlog_s=message.link_backlog_s,
+        prefix_blocks=tuple(message.prefix_blocks),
+    )
+
+
+def revocation_to_proto(attempt: AttemptId, incarnation: SidecarIncarnation) -> pb.RevokeRequest:
+    """Return the revocation of an attempt as its message."""
+    return pb.RevokeRequest(attempt=pb.Attempt(**attempt._asdict()), incarnation=incarnation)
+
+
+def revocation_from_proto(message: pb.RevokeRequest) -> Revocation:
+    """Return a message as a revocation."""
+    request = RequestId(_named(message.attempt.request, "RevokeRequest.attempt.request"))
+    attempt = AttemptId(request, message.attempt.number)
+    return Revocation(attempt, SidecarIncarnation(message.incarnation))
+
+
+def revoke_result_to_proto(result: RevokeResult) -> pb.RevokeResponse:
+    """Return the result of a revocation as its message."""
+    return pb.RevokeResponse(result=result)
+
+
+def revoke_result_from_proto(message: pb.RevokeResponse) -> RevokeResult:
+    """Return a message as the result of a revocation."""
+    return _word(RevokeResult, message.result, "RevokeResponse.result")
+
+
+def registration_to_proto(registration: KeyRegistration) -> pb.RegisterKeyRequest:
+    """Return a key's registration as its message."""
+    fields = registration._asdict()
+    fields["key"] = pb.Key(**registration.key._asdict())
+    return pb.RegisterKeyRequest(**fields)
+
+
+def registration_from_proto(message: pb.RegisterKeyRequest) -> KeyRegistration:
+    """Return a message as a key's registration."""
+    return KeyRegistration(
+        key=_key_from_proto(message.key),
+        request=RequestId(_named(message.request, "RegisterKeyRequest.request")),
+        entry=EntryIncarnation(_named(message.entry, "RegisterKeyRequest.entry")),
+        first_sent_ago_s=message.first_sent_ago_s,
+    )
+
+
+def decision_to_proto(decision: KeyDecision) -> pb.RegisterKeyResponse:
+    """Return a home's decision as its message."""
+    return pb.RegisterKeyResponse(decision=decision)
+
+
+def decision_from_proto(message: pb.RegisterKeyResponse) -> KeyDecision:
+    """Return a message as a home's decision."""
+    return _word(KeyDecision, message.decision, "RegisterKeyResponse.decision")
+
+
+def commit_to_proto(commit: KeyCommit, release: bool = False) -> pb.CommitKeyRequest:
+    """Return a key's commit, or its release, as its message."""
+    return pb.CommitKeyRequest(
+        key=pb.Key(**commit.key._asdict()),
+        request=commit.request,
+        entry=commit.entry,
+        release=release,
+    )
+
+
+def commit_from_proto(message: pb.CommitKeyRequest) -> KeyEnd:
+    """Return a message as a key's commit or release."""
+    commit = KeyCommit(
+        key=_key_from_proto(message.key),
+        request=RequestId(_named(message.request, "CommitKeyRequest.request")),
+        entry=EntryIncarnation(_named(message.entry, "CommitKeyRequest.entry")),
+    )
+    return KeyEnd(commit, message.release)
+
+
+def order_to_proto(order: EngineOrder) -> pb.OrderRequest:
+    """Return an order as its message."""
+    return pb.OrderRequest(**order._asdict())
+
+
+def order_from_proto(message: pb.OrderRequest) -> EngineOrder:
+    """Return a message as an order."""
+    return EngineOrder(
+        fencing_number=message.fencing_number,
+        operation_id=_named(message.operation_id, "OrderRequest.operation_id"),
+        kind=_word(OrderKind, message.kind, "OrderRequest.kind"),
+        argument=message.argument,
+        lease_left_s=message.lease_left_s,
+    )
+
+
+def order_result_to_proto(result: OrderResult) -> pb.OrderResponse:
+    """Return the result of an order as its message."""
+    return pb.OrderResponse(result=result)
+
+
+def order_result_from_proto(message: pb.OrderResponse) -> OrderResult:
+    """Return a message as the result of an order."""
+    return _word(OrderResult, message.result, "OrderResponse.result")
+
+
+def _key_from_proto(message: pb.Key) -> KeyId:
+    return KeyId(
+        organisation=Organisation(message.organisation),
+        target=TargetName(_named(message.target, "Key.target")),
+        key=_named(message.key, "Key.key"),
+    )
+
+
+def _named(value: str, field: str) -> str:
+    if not value:
+        raise Malformed(f"decode {field}", "", "empty")
+    return value
+
+
+def _word(words: type[WordT], value: str, field: str) -> WordT:
+    try:
+        return words(value)
+    except ValueError:
+        raise Malformed(f"decode {field}", "", repr(value)) from None
