--- /dev/null
+++ b/tests/rpc/test_convert_declarations.py
@@ -0,0 +1,46 @@
+"""Declarations survive the schema's messages."""
+
+import pytest
+from returns.result import Success
+
+from chivehold.core.declarations import HeldDeclaration
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.convert_declarations import (
+    decode_declaration,
+    encode_declaration,
+    held_from_proto,
+    held_to_proto,
+)
+from tests.core.declared_examples import deployment, service
+
+
+class TestConversion:
+    @pytest.mark.parametrize("spec", [deployment(), service()], ids=["deployment", "service"])
+    def test_round_trip(self, spec):
+        """Encoding loses nothing."""
+        held = HeldDeclaration(spec.name, "u1", 7, spec)
+        assert decode_declaration(spec.name, encode_declaration(spec)) == Success(spec)
+        assert held_from_proto(held_to_proto(held)) == Success(held)
+
+    def test_tombstone(self):
+        """A deletion keeps its name, unique id and version."""
+        held = HeldDeclaration("forja", "u1", 7, None)
+        assert held_from_proto(held_to_proto(held)) == Success(held)
+
+    @pytest.mark.parametrize(
+        ("value", "field"),
+        [
+            (b"\xff\xff", "value"),
+            (encode_declaration(service("other")), "name"),
+            (pb.Declaration(name="forja").SerializeToString(), "spec"),
+            (
+                pb.Declaration(
+                    name="forja", service=pb.Service(classes=[pb.TrafficClass(urgency=9)])
+                ).SerializeToString(),
+                "classes[0].urgency",
+            ),
+        ],
+    )
+    def test_unreadable(self, value, field):
+        """What cannot be read is told with its field, not raised."""
+        assert decode_declaration("forja", value).failure().field == field
