--- /dev/null
+++ b/src/chivehold/core/inference.py
@@ -0,0 +1,141 @@
+"""The path of a model request: place, prefill, transfer, output."""
+
+from collections.abc import Iterator
+
+from chivehold.core.entry_messages import EntryCommand, Relay
+from chivehold.core.identity import AttemptId
+from chivehold.core.lifecycle import Lifecycle
+from chivehold.core.placement import Placement
+from chivehold.core.requests import Attempt, Phase, Request
+from chivehold.core.sending import Sender
+from chivehold.core.state import EntryState
+from chivehold.core.wire import AttemptFrame, FrameKind, PrefillKind, PrefillResult
+
+PREFILL_REFUSALS_MOST = 3
+OFFER_PHASES = (Phase.OFFERED, Phase.PREFILLING, Phase.DECODING)
+
+
+class Inference:
+    """Takes a model request from its grant to its last token.
+
+    Args:
+        state: The entry's state.
+        lifecycle: Ends requests and attempts.
+        placement: Finds places and decides on further attempts.
+        sender: Sends attempts.
+    """
+
+    def __init__(
+        self, state: EntryState, lifecycle: Lifecycle, placement: Placement, sender: Sender
+    ) -> None:
+        self._state = state
+        self._lifecycle = lifecycle
+        self._placement = placement
+        self._sender = sender
+
+    def frame(self, frame: AttemptFrame) -> Iterator[EntryCommand]:
+        """Take a frame of a request's present attempt; any other is dropped."""
+        request = self._state.current(frame.attempt, *OFFER_PHASES)
+        if request is None or request.attempt is None:
+            return
+        match frame.kind:
+            case FrameKind.GRANTED if request.phase is Phase.OFFERED:
+                yield from self._granted(request, request.attempt)
+            case FrameKind.REFUSED if request.phase is Phase.OFFERED:
+                yield from self._placement.refused(request, frame.reason, frame.retry_after_s)
+            case FrameKind.TOKENS if request.phase is Phase.DECODING:
+                yield from self._tokens(request, frame)
+            case FrameKind.FINISHED if request.phase is Phase.DECODING:
+                yield from self._finished(request, frame.offset)
+            case FrameKind.FAILED | FrameKind.REFUSED if request.attempt.is_open:
+                yield from self._broken_off(request, frame)
+
+    def prefill_settled(self, result: PrefillResult) -> Iterator[EntryCommand]:
+        """Take the end of a prefill."""
+        request = self._state.current(result.attempt, Phase.PREFILLING)
+        if request is None or request.attempt is None:
+            return
+        attempt = request.attempt
+        upstream, attempt.prefill_upstream = attempt.prefill_upstream, None
+        if upstream is None:
+            return
+        match result.kind:
+            case PrefillKind.DONE:
+                yield from self._prefilled(request, attempt, result)
+            case PrefillKind.REFUSED:
+                attempt.prefill_refused_by.add(upstream)
+                yield from self._prefill_refused(request, attempt, result)
+            case PrefillKind.FAILED:
+                attempt.prefill_refused_by.add(upstream)
+                yield from self._prefill_failed(request, attempt)
+
+    def import_settled(self, attempt: AttemptId, accepted: bool) -> Iterator[EntryCommand]:
+        """Try again where the decode sidecar did not take the import order."""
+        request = self._state.current(attempt, Phase.DECODING)
+        if request is not None and not accepted:
+            yield from self._import_failed(request, "import refused")
+
+    def _granted(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        request.target.admission.placed(request.id, request.urgency)
+        request.target.drain[request.urgency].saw_grant(self._state.now)
+        if attempt.prefill is None:
+            yield from self._placement.prefill(request, attempt)
+        elif self._has_expired(attempt, attempt.prefill):
+            yield from self._import_failed(request, "KV cache expired")
+        else:
+            yield from self._sender.import_kv(request, attempt, attempt.prefill)
+        yield from self._placement.dispatch(request.target)
+
+    def _prefilled(
+        self, request: Request, attempt: Attempt, result: PrefillResult
+    ) -> Iterator[EntryCommand]:
+        attempt.prefill = result
+        attempt.prefill_ended_at = self._state.now
+        if attempt.is_open:
+            yield from self._sender.import_kv(request, attempt, result)
+        else:
+            yield from self._sender.offer(request, attempt)
+
+    def _prefill_refused(
+        self, request: Request, attempt: Attempt, result: PrefillResult
+    ) -> Iterator[EntryCommand]:
+        if len(attempt.prefill_refused_by) < PREFILL_REFUSALS_MOST:
+            yield from self._placement.prefill(request, attempt)
+            return
+        yield from self._lifecycle.close_attempt(request)
+        wait_s = result.retry_after_s or 0.0
+        yield from self._placement.turned_away(request, f"prefill: {result.reason}", wait_s)
+
+    def _prefill_failed(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        request.runs += 1
+        policy = self._state.policy
+        allowed = request.idempotent and request.runs < policy.attempts_most
+        if allowed and self._state.budget.take(self._state.now):
+            yield from self._placement.prefill(request, attempt)
+            return
+        yield from self._lifecycle.fail(request, "prefill failed")
+
+    def _tokens(self, request: Request, frame: AttemptFrame) -> Iterator[EntryCommand]:
+        for run in request.relay.take(frame.offset, frame.tokens):
+            yield Relay(request.id, run.offset, run.tokens)
+
+    def _finished(self, request: Request, total: int) -> Iterator[EntryCommand]:
+        yield from self._lifecycle.end_attempt(request, ran=True)
+        if request.relay.is_whole(total):
+            yield from self._lifecycle.complete(request)
+        else:
+            yield from self._placement.retry(request, "gap in the output")
+
+    def _import_failed(self, request: Request, reason: str) -> Iterator[EntryCommand]:
+        yield from self._lifecycle.close_attempt(request)
+        yield from self._placement.retry(request, reason)
+
+    def _broken_off(self, request: Request, frame: AttemptFrame) -> Iterator[EntryCommand]:
+        if not request.attempt_may_have_run:
+            yield from self._placement.refused(request, frame.reason, frame.retry_after_s)
+            return
+        yield from self._lifecycle.end_attempt(request, ran=True)
+        yield from self._placement.retry(request, f"broken off: {frame.reason}")
+
+    def _has_expired(self, attempt: Attempt, prefill: PrefillResult) -> bool:
+        return self._state.now - attempt.prefill_ended_at >= prefill.expires_in_s
--- /dev/null
+++ b/src/chivehold/core/intake.py
@@ -0,0 +1,110 @@
+"""Takes new requests in: target, class, bounds and idempotency key."""
+
+from collections.abc import Iterator
+
+from chivehold.core.declared import TrafficClass
+from chivehold.core.entry_messages import EntryCommand, Finish, RegisterKey, RequestArrived
+from chivehold.core.estimates import NO_UPSTREAM_RETRY_S, Estimates
+from chivehold.core.homes import home_of
+from chivehold.core.identity import Outcome, RequestId
+from chivehold.core.lifecycle import Lifecycle
+from chivehold.core.placement import Placement
+from chivehold.core.requests import Phase, Request
+from chivehold.core.state import EntryState
+from chivehold.core.targets import Target
+from chivehold.core.wire import KeyDecision, KeyRegistration
+
+DRAIN_RETRY_S = 1.0
+HOME_RETRY_S = 2.0
+KEY_OUTCOMES = {
+    KeyDecision.IN_PROGRESS: Outcome.IN_PROGRESS,
+    KeyDecision.ALREADY_ANSWERED: Outcome.ALREADY_ANSWERED,
+    KeyDecision.UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+class Intake:
+    """Admits requests or answers at once why not.
+
+    Args:
+        state: The entry's state.
+        estimates: Say whether a request can be in time.
+        lifecycle: Ends requests.
+        placement: Finds places for those admitted.
+    """
+
+    def __init__(
+        self, state: EntryState, estimates: Estimates, lifecycle: Lifecycle, placement: Placement
+    ) -> None:
+        self._state = state
+        self._estimates = estimates
+        self._lifecycle = lifecycle
+        self._placement = placement
+        self._sequence = 0
+
+    def arrived(self, arrival: RequestArrived) -> Iterator[EntryCommand]:
+        """Take a new request."""
+        if arrival.request in self._state.requests:
+            return
+        target = self._state.targets.get(arrival.target)
+        traffic_class = target.traffic_class(arrival.traffic_class) if target else None
+        if target is None or traffic_class is None:
+            missing = "class" if target else "target"
+            yield Finish(arrival.request, Outcome.REJECTED, f"unknown {missing}")
+        elif target.is_service is (arrival.call is None):
+            yield Finish(arrival.request, Outcome.REJECTED, "wrong kind of target")
+        elif self._state.draining:
+            yield Finish(arrival.request, Outcome.NOT_RUN, "draining", DRAIN_RETRY_S)
+        else:
+            yield from self._admit(self._request(arrival, target, traffic_class))
+
+    def key_settled(self, name: RequestId, decision: KeyDecision) -> Iterator[EntryCommand]:
+        """Place a request whose key is fresh, else end it with what the home knows."""
+        request = self._state.waiting_for(name, Phase.REGISTERING)
+        if request is None:
+            return
+        if decision is KeyDecision.FRESH:
+            yield from self._placement.place(request)
+        elif decision is KeyDecision.UNREACHABLE:
+            yield from self._lifecycle.fail(request, "key's home unreachable", HOME_RETRY_S)
+        else:
+            request.home_asked = False
+            yield from self._lifecycle.finish(request, KEY_OUTCOMES[decision], "key in use")
+
+    def _admit(self, request: Request) -> Iterator[EntryCommand]:
+        self._state.requests[request.id] = request
+        self._state.budget.saw_request(self._state.now)
+        admission = request.target.admission
+        if not admission.has_room(request.urgency):
+            yield from self._lifecycle.fail(request, "queue full")
+            return
+        admission.wait(request.id, request.urgency)
+        self._state.timers.set_deadline(request.id, request.deadline)
+        obstacle = self._estimates.obstacle(request)
+        if obstacle is not None:
+            yield from self._lifecycle.fail(request, obstacle.reason, obstacle.wait_s)
+        elif request.has_home:
+            yield from self._register(request)
+        else:
+            yield from self._placement.place(request)
+
+    def _register(self, request: Request) -> Iterator[EntryCommand]:
+        key = request.arrival.key
+        home = home_of(key, request.target.pool) if key is not None else None
+        if key is None or home is None:
+            yield from self._lifecycle.fail(request, "no upstream", NO_UPSTREAM_RETRY_S)
+            return
+        request.home = home
+        request.home_asked = True
+        age_s = request.arrival.first_sent_ago_s
+        yield RegisterKey(home, KeyRegistration(key, request.id, self._state.incarnation, age_s))
+
+    def _request(
+        self, arrival: RequestArrived, target: Target, traffic_class: TrafficClass
+    ) -> Request:
+        idempotent = arrival.idempotent
+        if idempotent is None:
+            call = arrival.call
+            idempotent = call is None or target.is_idempotent(call.method, call.path)
+        self._sequence += 1
+        return Request(arrival, target, traffic_class, idempotent, self._state.now, self._sequence)
--- /dev/null
+++ b/src/chivehold/core/lifecycle.py
@@ -0,0 +1,140 @@
+"""How a request ends: exactly once, with its key and claim settled and nothing left behind."""
+
+from collections.abc import Iterator
+
+from chivehold.core.entry_messages import (
+    CloseAttempt,
+    CommitKey,
+    EndClaim,
+    EntryCommand,
+    Finish,
+    Relay,
+    ReleaseKey,
+)
+from chivehold.core.estimates import Estimates
+from chivehold.core.identity import Outcome, RequestId
+from chivehold.core.requests import Phase, Request
+from chivehold.core.state import EntryState
+from chivehold.core.wire import KeyCommit
+
+COMMITS_MOST = 2
+
+
+class Lifecycle:
+    """Ends requests and attempts.
+
+    Args:
+        state: The entry's state.
+        estimates: Say when a refused caller should come back.
+    """
+
+    def __init__(self, state: EntryState, estimates: Estimates) -> None:
+        self._state = state
+        self._estimates = estimates
+
+    def finish(
+        self, request: Request, outcome: Outcome, reason: str = "", retry_after_s: float = 0.0
+    ) -> Iterator[EntryCommand]:
+        """End a request with an outcome and clear up behind it."""
+        yield from self._clear_up(request, outcome)
+        retry_after = retry_after_s if outcome is Outcome.NOT_RUN else None
+        call = request.result if outcome is Outcome.ANSWERED else None
+        yield Finish(request.id, outcome, reason, retry_after, call)
+
+    def fail(self, request: Request, reason: str, wait_s: float = 0.0) -> Iterator[EntryCommand]:
+        """End a request unanswered: ``NOT_RUN`` where nothing ran, else ``UNKNOWN``.
+
+        Args:
+            request: The request.
+            reason: Why it is not answered.
+            wait_s: Time until there would be room for it, in seconds.
+        """
+        if request.may_have_run:
+            yield from self.finish(request, Outcome.UNKNOWN, reason)
+            return
+        retry_after_s = self._estimates.retry_after_s(request, wait_s)
+        yield from self.finish(request, Outcome.NOT_RUN, reason, retry_after_s)
+
+    def depart(self, request: Request) -> Iterator[EntryCommand]:
+        """Forget a request whose caller has gone."""
+        outcome = Outcome.UNKNOWN if request.may_have_run else Outcome.NOT_RUN
+        yield from self._clear_up(request, outcome)
+
+    def close_attempt(self, request: Request) -> Iterator[EntryCommand]:
+        """Close what is out for the present attempt, and count whether it may have run."""
+        attempt = request.attempt
+        if attempt is None:
+            return
+        was_open = attempt.is_open
+        yield from self.end_attempt(request, request.attempt_may_have_run)
+        if was_open:
+            yield CloseAttempt(attempt.upstream, attempt.id)
+
+    def end_attempt(self, request: Request, ran: bool) -> Iterator[EntryCommand]:
+        """Note that the present attempt holds nothing at its sidecar any more.
+
+        Args:
+            request: The request.
+            ran: Whether anything may have run for the attempt.
+        """
+        attempt = request.attempt
+        if attempt is None:
+            return
+        request.attempt = None
+        request.runs += ran
+        request.target.admission.returned(request.id)
+        if attempt.prefill_upstream is not None:
+            yield CloseAttempt(attempt.prefill_upstream, attempt.id)
+        if attempt.is_open:
+            self._state.upstreams.left(attempt.upstream)
+
+    def complete(self, request: Request) -> Iterator[EntryCommand]:
+        """End a request whose answer is whole, by leave of its key's home if it has one."""
+        if not request.home_asked:
+            yield from self._answer(request)
+            return
+        request.phase = Phase.COMMITTING
+        yield from self._commit(request)
+
+    def commit_settled(self, name: RequestId, committed: bool | None) -> Iterator[EntryCommand]:
+        """Give the rest of the answer if the key's home allows it, else break it off."""
+        request = self._state.waiting_for(name, Phase.COMMITTING)
+        if request is None:
+            return
+        if committed:
+            request.home_asked = False
+            yield from self._answer(request)
+        elif committed is False:
+            request.home_asked = False
+            yield from self.finish(request, Outcome.UNKNOWN, "superseded")
+        elif request.commits < COMMITS_MOST:
+            yield from self._commit(request)
+        else:
+            yield from self.finish(request, Outcome.UNKNOWN, "key's home unreachable")
+
+    def _answer(self, request: Request) -> Iterator[EntryCommand]:
+        for run in request.relay.release():
+            yield Relay(request.id, run.offset, run.tokens)
+        yield from self.finish(request, Outcome.ANSWERED)
+
+    def _commit(self, request: Request) -> Iterator[EntryCommand]:
+        home, commit = request.home, self._key_commit(request)
+        if home is None or commit is None:
+            return
+        request.commits += 1
+        yield CommitKey(home, commit)
+
+    def _clear_up(self, request: Request, outcome: Outcome) -> Iterator[EntryCommand]:
+        yield from self.close_attempt(request)
+        request.target.admission.placed(request.id, request.urgency)
+        del self._state.requests[request.id]
+        self._state.timers.ended()
+        commit = self._key_commit(request)
+        if request.home_asked and request.home is not None and commit is not None:
+            yield ReleaseKey(request.home, commit)
+        if request.claimed and request.arrival.key is not None:
+            yield EndClaim(request.id, request.arrival.key, outcome)
+
+    def _key_commit(self, request: Request) -> KeyCommit | None:
+        key = request.arrival.key
+        return KeyCommit(key, request.id, self._state.incarnation) if key is not None else None
--- /dev/null
+++ b/src/chivehold/core/placement.py
@@ -0,0 +1,272 @@
+"""Brings a request to an upstream: queue, offer, refusal, revocation and further attempts."""
+
+from collections.abc import Iterator
+
+from chivehold.core.admission import Queued
+from chivehold.core.entry_messages import ClaimDecision, EntryCommand, MakeClaim, Revoke
+from chivehold.core.estimates import NO_UPSTREAM_RETRY_S, Estimates
+from chivehold.core.identity import AttemptId, Outcome, RequestId, UpstreamName, Urgency
+from chivehold.core.lifecycle import Lifecycle
+from chivehold.core.requests import Attempt, Phase, Request
+from chivehold.core.sending import Sender
+from chivehold.core.state import EntryState
+from chivehold.core.targets import Target
+from chivehold.core.wire import Reason, RevokeResult
+
+URGENT_REFUSALS_MOST = 3
+PATIENT_PAUSE_S = 0.25
+"""No patient offer to a sidecar for this long after it refused one without naming a time."""
+LOAD_REASONS = frozenset({Reason.FULL, Reason.TOO_LATE})
+LEAVING_REASONS = frozenset({Reason.LEAVING, Reason.WRONG_INCARNATION})
+FINAL_REASONS = frozenset({Reason.MALFORMED, Reason.DEADLINE})
+OPEN_PHASES = (Phase.OFFERED, Phase.PREFILLING, Phase.DECODING, Phase.CALLING)
+
+
+class Placement:
+    """Finds a place for requests and answers what becomes of their offers.
+
+    Args:
+        state: The entry's state.
+        estimates: Estimates of waiting.
+        lifecycle: Ends requests and attempts.
+        sender: Sends attempts.
+    """
+
+    def __init__(
+        self, state: EntryState, estimates: Estimates, lifecycle: Lifecycle, sender: Sender
+    ) -> None:
+        self._state = state
+        self._estimates = estimates
+        self._lifecycle = lifecycle
+        self._sender = sender
+
+    def place(self, request: Request) -> Iterator[EntryCommand]:
+        """Offer an urgent request at once; queue a patient one in its turn."""
+        if request.urgency is Urgency.URGENT:
+            yield from self._offer_urgent(request)
+            return
+        request.phase = Phase.QUEUED
+        request.target.admission.queue.put(_queued(request))
+        yield from self.dispatch(request.target)
+
+    def dispatch(self, target: Target) -> Iterator[EntryCommand]:
+        """Offer queued patient requests in their order while there is room for offers."""
+        while target.admission.may_offer():
+            queued = target.admission.queue.take(self._state.now)
+            if queued is None:
+                return
+            request = self._state.requests[queued.request]
+            upstream = self._choose(request, patient=True)
+            if upstream is None or not self._estimates.can_prefill(request):
+                target.admission.queue.put_back(queued)
+                return
+            target.admission.offered(request.id)
+            yield from self._begin(request, upstream)
+
+    def claim_settled(self, name: RequestId, decision: ClaimDecision) -> Iterator[EntryCommand]:
+        """Send a claimed attempt, or give the answer that the claim found."""
+        request = self._state.waiting_for(name, Phase.CLAIMING)
+        if request is None or request.attempt is None:
+            return
+        if not decision.granted:
+            request.claimed = False
+            yield from self._claim_declined(request, decision)
+            return
+        view = self._state.upstreams.get(request.attempt.upstream)
+        if view is None or not view.takes(request.attempt.incarnation, self._state.now):
+            yield from self._never_started(request)
+            return
+        yield from self._send(request, request.attempt)
+
+    def refused(
+        self, request: Request, reason: Reason | None, retry_after_s: float | None
+    ) -> Iterator[EntryCommand]:
+        """Take a sidecar's refusal, which proves that this attempt never ran there."""
+        attempt = request.attempt
+        if attempt is None:
+            return
+        yield from self._lifecycle.end_attempt(request, ran=attempt.prefill is not None)
+        self._note_refusal(request, attempt.upstream, reason, retry_after_s)
+        if reason in FINAL_REASONS:
+            yield from self._lifecycle.fail(request, f"refused: {reason}")
+        elif attempt.prefill is not None:
+            yield from self.retry(request, f"refused after prefill: {reason}")
+        elif self._may_ask_another(request, reason):
+            yield from self._place_again(request)
+        else:
+            wait_s = retry_after_s or 0.0
+            yield from self._lifecycle.fail(request, f"refused: {reason}", wait_s)
+
+    def link_lost(self, attempt_id: AttemptId, sent: bool) -> Iterator[EntryCommand]:
+        """Go elsewhere if nothing was sent; else bar the attempt and wait for the answer."""
+        request = self._state.current(attempt_id, *OPEN_PHASES)
+        if request is None or request.attempt is None or not request.attempt.is_open:
+            return
+        attempt = request.attempt
+        view = self._state.upstreams.get(attempt.upstream)
+        if sent:
+            request.phase = Phase.REVOKING
+            yield Revoke(attempt.upstream, attempt.id)
+            return
+        if view is not None:
+            view.reachable = False
+        yield from self._never_started(request)
+
+    def revoke_settled(self, attempt_id: AttemptId, result: RevokeResult) -> Iterator[EntryCommand]:
+        """Take a sidecar's word on an attempt whose link broke."""
+        request = self._state.current(attempt_id, Phase.REVOKING)
+        if request is None:
+            return
+        if result is RevokeResult.NEVER_STARTED:
+            yield from self._never_started(request)
+            return
+        ran = request.attempt_may_have_run
+        yield from self._lifecycle.close_attempt(request)
+        if ran:
+            yield from self.retry(request, f"link lost: {result}")
+        else:
+            yield from self._place_again(request)
+
+    def retry(self, request: Request, reason: str, wait_s: float = 0.0) -> Iterator[EntryCommand]:
+        """Try again after an attempt that may have run, within budget and deadline.
+
+        Args:
+            request: A request without a present attempt.
+            reason: What ended the last attempt.
+            wait_s: Time until there would be room, in seconds, should nothing have run.
+        """
+        if request.has_all_tokens:
+            yield from self._lifecycle.complete(request)
+            return
+        policy = self._state.policy
+        allowed = request.idempotent and request.runs < policy.attempts_most
+        if not allowed or not self._state.budget.take(self._state.now):
+            yield from self._lifecycle.fail(request, reason, wait_s)
+            return
+        request.relay.restart()
+        yield from self._place_again(request)
+
+    def _never_started(self, request: Request) -> Iterator[EntryCommand]:
+        attempt = request.attempt
+        if attempt is None:
+            return
+        prefilled = attempt.prefill is not None or attempt.prefill_upstream is not None
+        self._note_refusal(request, attempt.upstream, None, None)
+        yield from self._lifecycle.end_attempt(request, ran=prefilled)
+        if prefilled:
+            yield from self.retry(request, "link lost after prefill")
+        elif self._may_ask_another(request, None):
+            yield from self._place_again(request)
+        else:
+            yield from self._lifecycle.fail(request, "link lost")
+
+    def _place_again(self, request: Request) -> Iterator[EntryCommand]:
+        if request.urgency is Urgency.URGENT:
+            yield from self._offer_urgent(request)
+            return
+        request.phase = Phase.QUEUED
+        request.refused_by.clear()
+        request.target.admission.wait(request.id, request.urgency)
+        request.target.admission.queue.put_back(_queued(request))
+        yield from self.dispatch(request.target)
+
+    def _offer_urgent(self, request: Request) -> Iterator[EntryCommand]:
+        obstacle = self._estimates.obstacle(request)
+        if obstacle is not None:
+            yield from self._lifecycle.fail(request, obstacle.reason, obstacle.wait_s)
+            return
+        upstream = self._choose(request, patient=False)
+        if upstream is None:
+            yield from self._lifecycle.fail(request, "no upstream", NO_UPSTREAM_RETRY_S)
+            return
+        yield from self._begin(request, upstream)
+
+    def _choose(self, request: Request, patient: bool) -> UpstreamName | None:
+        candidates = self._state.pool_candidates(request, patient)
+        choice = request.target.choice(request.traffic_class)
+        return choice.choose(candidates, request.arrival.prefix_blocks, request.prompt_tokens)
+
+    def _begin(self, request: Request, upstream: UpstreamName) -> Iterator[EntryCommand]:
+        request.attempts += 1
+        number = AttemptId(request.id, request.attempts)
+        incarnation = self._state.upstreams.incarnations[upstream]
+        attempt = request.attempt = Attempt(number, upstream, incarnation)
+        key = request.arrival.key
+        if not request.needs_claim or key is None:
+            yield from self._send(request, attempt)
+            return
+        request.phase = Phase.CLAIMING
+        request.claimed = True
+        yield MakeClaim(request.id, key, number, upstream, request.arrival.first_sent_ago_s)
+
+    def _send(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        if request.target.is_service:
+            yield from self._sender.call(request, attempt)
+        elif self._state.policy.reserve_before_prefill:
+            yield from self._sender.offer(request, attempt)
+        else:
+            yield from self.prefill(request, attempt)
+
+    def prefill(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        """Send the present attempt's prefill, or give its place back where no engine can."""
+        candidates = self._state.prefill_candidates(request)
+        name = self._state.prefill_choice.choose(
+            candidates, request.arrival.prefix_blocks, request.prompt_tokens
+        )
+        chosen = next((one for one in candidates if one.upstream == name), None)
+        if chosen is not None:
+            yield from self._sender.prefill(request, attempt, chosen)
+            return
+        yield from self._lifecycle.close_attempt(request)
+        yield from self.turned_away(request, "no prefill engine")
+
+    def turned_away(
+        self, request: Request, reason: str, wait_s: float = 0.0
+    ) -> Iterator[EntryCommand]:
+        """Queue a patient request again for which nothing ran, and end an urgent one."""
+        if request.urgency is Urgency.URGENT:
+            yield from self._lifecycle.fail(request, reason, wait_s)
+            return
+        request.phase = Phase.QUEUED
+        request.target.admission.wait(request.id, request.urgency)
+        request.target.admission.queue.put_back(_queued(request))
+        pause_s = max(wait_s, PATIENT_PAUSE_S)
+        self._state.timers.remind(request.target.name, self._state.now + pause_s)
+
+    def _claim_declined(self, request: Request, decision: ClaimDecision) -> Iterator[EntryCommand]:
+        yield from self._lifecycle.end_attempt(request, ran=False)
+        outcome = decision.outcome or Outcome.NOT_RUN
+        if outcome is Outcome.NOT_RUN:
+            yield from self._lifecycle.fail(request, "no claim", NO_UPSTREAM_RETRY_S)
+        else:
+            yield from self._lifecycle.finish(request, outcome, "claimed before")
+
+    def _may_ask_another(self, request: Request, reason: Reason | None) -> bool:
+        if request.urgency is Urgency.PATIENT:
+            return True
+        request.refusals += 1
+        if request.refusals > URGENT_REFUSALS_MOST:
+            return False
+        return reason not in LOAD_REASONS or self._state.budget.take(self._state.now)
+
+    def _note_refusal(
+        self,
+        request: Request,
+        upstream: UpstreamName,
+        reason: Reason | None,
+        retry_after_s: float | None,
+    ) -> None:
+        request.refused_by.add(upstream)
+        view = self._state.upstreams.get(upstream)
+        if view is None:
+            return
+        if reason in LEAVING_REASONS:
+            view.refused_leaving = True
+        if request.urgency is Urgency.PATIENT:
+            pause_s = max(retry_after_s or 0.0, PATIENT_PAUSE_S)
+            view.patient_from = self._state.now + pause_s
+            self._state.timers.remind(request.target.name, view.patient_from)
+
+
+def _queued(request: Request) -> Queued:
+    return Queued(request.sequence, request.id, request.organisation, request.arrived_at)
--- a/src/chivehold/core/prefix.py
+++ b/src/chivehold/core/prefix.py
@@ -1,7 +1,7 @@
 """Digests of a prompt's blocks, by which cached prefixes are recognised."""
 
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Container, Iterator, Sequence
 
 BLOCK_TOKENS = 64
 MAX_BLOCKS = 64
@@ -22,7 +22,7 @@
         yield digest
 
 
-def matching_blocks(prefix_blocks: Sequence[int], cached: frozenset[int]) -> int:
+def matching_blocks(prefix_blocks: Sequence[int], cached: Container[int]) -> int:
     """Count the leading blocks that are believed cached."""
     count = 0
     for digest in prefix_blocks:
--- /dev/null
+++ b/src/chivehold/core/relay.py
@@ -0,0 +1,94 @@
+"""Puts the output tokens of a request's attempts into one answer without gap or repeat."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+EARLY_FRAMES_MOST = 64
+
+
+class TokenRun(NamedTuple):
+    """Consecutive output tokens; ``offset`` counts from the answer's first token."""
+
+    offset: int
+    tokens: tuple[str, ...]
+
+
+class AnswerRelay:
+    """Orders the tokens of one answer across its attempts.
+
+    Args:
+        hold_last: Hold the newest run back until another follows or the answer may be completed.
+    """
+
+    def __init__(self, hold_last: bool) -> None:
+        self._hold_last = hold_last
+        self._relayed: list[str] = []
+        self._held: tuple[str, ...] = ()
+        self._early: dict[int, tuple[str, ...]] = {}
+
+    @property
+    def relayed(self) -> int:
+        """Number of tokens passed on to the caller."""
+        return len(self._relayed)
+
+    @property
+    def received(self) -> int:
+        """Number of tokens received in order, those held back included."""
+        return len(self._relayed) + len(self._held)
+
+    @property
+    def text(self) -> str:
+        """The tokens passed on to the caller as one text."""
+        return "".join(self._relayed)
+
+    def take(self, offset: int, tokens: tuple[str, ...]) -> Iterator[TokenRun]:
+        """Take the tokens of a frame and yield what may be passed on now.
+
+        Repeated tokens are dropped. Tokens ahead of their turn are kept, at most
+        ``EARLY_FRAMES_MOST`` frames of them.
+        """
+        if offset > self.received:
+            self._keep_early(offset, tokens)
+            return
+        yield from self._append(offset, tokens)
+        while self._early:
+            soonest = min(self._early)
+            if soonest > self.received:
+                return
+            yield from self._append(soonest, self._early.pop(soonest))
+
+    def is_whole(self, total: int) -> bool:
+        """Tell whether every one of ``total`` tokens has been received."""
+        return self.received == total
+
+    def release(self) -> Iterator[TokenRun]:
+        """Yield what was held back; the answer may be completed."""
+        if self._held:
+            yield self._pass_on(self._held)
+        self._held = ()
+
+    def restart(self) -> None:
+        """Forget what was not passed on; the next attempt produces it again."""
+        self._held = ()
+        self._early.clear()
+
+    def _keep_early(self, offset: int, tokens: tuple[str, ...]) -> None:
+        if len(self._early) < EARLY_FRAMES_MOST:
+            self._early[offset] = max(tokens, self._early.get(offset, ()), key=len)
+
+    def _append(self, offset: int, tokens: tuple[str, ...]) -> Iterator[TokenRun]:
+        fresh = tokens[self.received - offset :]
+        if not fresh:
+            return
+        if not self._hold_last:
+            yield self._pass_on(fresh)
+            return
+        held, self._held = self._held, ()
+        if held:
+            yield self._pass_on(held)
+        self._held = fresh
+
+    def _pass_on(self, tokens: tuple[str, ...]) -> TokenRun:
+        run = TokenRun(len(self._relayed), tokens)
+        self._relayed.extend(tokens)
+        return run
--- /dev/null
+++ b/src/chivehold/core/retries.py
@@ -0,0 +1,44 @@
+"""The budget of further attempts, so that failures never multiply the load."""
+
+from collections import deque
+
+
+class RetryBudget:
+    """Allows further attempts as a share of the requests of the recent window.
+
+    Args:
+        share: Further attempts per recent request, 0 to 1.
+        floor: Further attempts allowed at any rate within the window.
+        window_s: Length of the window in seconds.
+    """
+
+    def __init__(self, share: float, floor: int, window_s: float) -> None:
+        self._share = share
+        self._floor = floor
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    @property
+    def spent(self) -> int:
+        """Further attempts made within the window, as of the last call."""
+        return len(self._retries)
+
+    def saw_request(self, now: float) -> None:
+        """Count a new request."""
+        self._drop_old(now)
+        self._requests.append(now)
+
+    def take(self, now: float) -> bool:
+        """Spend one further attempt, or return ``False`` when the budget is spent."""
+        self._drop_old(now)
+        if len(self._retries) >= max(self._floor, self._share * len(self._requests)):
+            return False
+        self._retries.append(now)
+        return True
+
+    def _drop_old(self, now: float) -> None:
+        oldest = now - self._window_s
+        for times in (self._requests, self._retries):
+            while times and times[0] <= oldest:
+                times.popleft()
--- /dev/null
+++ b/src/chivehold/core/routing.py
@@ -0,0 +1,184 @@
+"""Rules by which an upstream is chosen; each implements ``UpstreamChoice``."""
+
+from collections.abc import Callable, Container, Sequence
+from random import Random
+from statistics import median
+
+from chivehold.core.declared import TrafficClass
+from chivehold.core.identity import UpstreamName, Urgency
+from chivehold.core.policy import DecodeChoiceKind, Policy
+from chivehold.core.prefix import BLOCK_TOKENS, matching_blocks
+from chivehold.core.protocols import Candidate, UpstreamChoice
+from chivehold.core.shedding import expected_wait_s
+
+OTHER_ZONE_COST_S = 0.002
+FULL_BATCH_COST_S = 0.020
+"""Cost of a full upstream against an idle one, which spreads load before queues build up."""
+NEAR_TIE_S = 0.003
+SLOW_FACTOR = 3.0
+DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
+
+
+class RoundRobin:
+    """Takes the upstreams in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> UpstreamName | None:
+        """Return the next upstream in turn."""
+        if not candidates:
+            return None
+        self._turn += 1
+        return candidates[self._turn % len(candidates)].upstream
+
+
+class LeastReported:
+    """Takes the upstream with the most free places as last reported."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> UpstreamName | None:
+        """Return the upstream that reported the least load."""
+        if not candidates:
+            return None
+        most = max(_reported_room(one) for one in candidates)
+        equals = [one.upstream for one in candidates if _reported_room(one) == most]
+        return self._random.choice(equals)
+
+
+class TwoChoices:
+    """Draws two upstreams and takes the less loaded as last reported."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> UpstreamName | None:
+        """Return the better of two random upstreams."""
+        if not candidates:
+            return None
+        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        return max(drawn, key=_reported_room).upstream
+
+
+class ExpectedWait:
+    """Takes the upstream with the smallest expected wait for a grant.
+
+    Args:
+        random: Breaks near-ties, so that many entries do not choose alike.
+        zone: The entry's own availability zone, preferred on near-ties.
+        traffic_class: The class whose requests are placed.
+        avoid_slow: Leave out engines far slower than their pool or than the class's target.
+    """
+
+    def __init__(
+        self, random: Random, zone: str, traffic_class: TrafficClass, avoid_slow: bool
+    ) -> None:
+        self._random = random
+        self._zone = zone
+        self._class = traffic_class
+        self._avoid_slow = avoid_slow
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> UpstreamName | None:
+        """Return the upstream that is expected to grant a place first."""
+        usable = self._fast_enough(candidates) if self._avoid_slow else candidates
+        if not usable:
+            return None
+        scored = [(self._score_s(one), one.upstream) for one in usable]
+        return _any_near_least(scored, self._random)
+
+    def _score_s(self, candidate: Candidate) -> float:
+        report = candidate.report
+        used = report.places - report.places_free + candidate.outstanding
+        score = expected_wait_s(candidate, self._class.urgency)
+        score += FULL_BATCH_COST_S * min(1.0, used / max(1, report.places))
+        if candidate.zone != self._zone:
+            score += OTHER_ZONE_COST_S
+        return score
+
+    def _fast_enough(self, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+        intervals = [c.report.token_interval_s for c in candidates if c.report.token_interval_s]
+        if not intervals:
+            return candidates
+        limit = SLOW_FACTOR * median(intervals)
+        fast = [one for one in candidates if one.report.token_interval_s <= limit]
+        if self._class.urgency is Urgency.PATIENT:
+            return fast
+        target = self._class.between_tokens_target_s
+        return [one for one in fast if one.report.token_interval_s <= target] or fast
+
+
+class LeastPrefillTime:
+    """Takes the prefill engine that would be done with a prompt first.
+
+    A cached prefix counts as the work it saves, so an affinity never costs more than that.
+
+    Args:
+        random: Breaks near-ties.
+        cached: Returns the blocks that an upstream is believed to have cached.
+    """
+
+    def __init__(self, random: Random, cached: Callable[[UpstreamName], Container[int]]) -> None:
+        self._random = random
+        self._cached = cached
+
+    def choose(
+        self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> UpstreamName | None:
+        """Return the engine with the shortest backlog and prompt together."""
+        if not candidates:
+            return None
+        scored = [
+            (self.time_s(one, prefix_blocks, prompt_tokens), one.upstream) for one in candidates
+        ]
+        return _any_near_least(scored, self._random)
+
+    def time_s(
+        self, candidate: Candidate, prefix_blocks: Sequence[int], prompt_tokens: int
+    ) -> float:
+        """Estimate the time until the prompt would be done, in seconds."""
+        cached = matching_blocks(prefix_blocks, self._cached(candidate.upstream)) * BLOCK_TOKENS
+        fresh_s = prefill_work_s(candidate, max(1, prompt_tokens - cached))
+        return candidate.report.prefill_backlog_s + candidate.outstanding_s + fresh_s
+
+
+def prefill_work_s(candidate: Candidate, tokens: int) -> float:
+    """Return the engine's own time for so many uncached tokens, in seconds."""
+    return tokens / (candidate.report.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S)
+
+
+def decode_choice(
+    policy: Policy, zone: str, random: Random, traffic_class: TrafficClass
+) -> UpstreamChoice:
+    """Return the rule for decode engines and service VMs that the policy names."""
+    match policy.decode_choice:
+        case DecodeChoiceKind.ROUND_ROBIN:
+            return RoundRobin()
+        case DecodeChoiceKind.LEAST_REPORTED:
+            return LeastReported(random)
+        case DecodeChoiceKind.TWO_CHOICES:
+            return TwoChoices(random)
+        case DecodeChoiceKind.EXPECTED_WAIT:
+            return ExpectedWait(random, zone, traffic_class, policy.avoid_slow)
+
+
+def _reported_room(candidate: Candidate) -> int:
+    report = candidate.report
+    return report.places_free - report.waiting_urgent - report.waiting_patient
+
+
+def _any_near_least(
+    scored: Sequence[tuple[float, UpstreamName]], random: Random
+) -> UpstreamName | None:
+    least = min(score for score, _ in scored)
+    near = [name for score, name in scored if score <= least + NEAR_TIE_S]
+    return near[0] if len(near) == 1 else random.choice(near)
--- /dev/null
+++ b/src/chivehold/core/sending.py
@@ -0,0 +1,125 @@
+"""Puts together what is sent to sidecars, and counts it as load until a report covers it."""
+
+from collections.abc import Iterator
+
+from chivehold.core.entry_messages import (
+    EntryCommand,
+    SendCall,
+    SendImport,
+    SendOffer,
+    SendPrefill,
+)
+from chivehold.core.estimates import Estimates
+from chivehold.core.identity import UpstreamName
+from chivehold.core.protocols import Candidate
+from chivehold.core.requests import Attempt, Phase, Request
+from chivehold.core.routing import prefill_work_s
+from chivehold.core.state import EntryState
+from chivehold.core.wire import AttemptOffer, ImportOrder, PrefillOrder, PrefillResult
+
+TOKEN_INTERVAL_S = 0.02
+"""Time between tokens where an engine reported none."""
+
+
+class Sender:
+    """Sends the present attempt of a request.
+
+    Args:
+        state: The entry's state.
+        estimates: Say how long the attempt may wait.
+    """
+
+    def __init__(self, state: EntryState, estimates: Estimates) -> None:
+        self._state = state
+        self._estimates = estimates
+
+    def offer(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        """Ask the decode sidecar for a place."""
+        request.phase = Phase.OFFERED
+        self._sent(attempt, request)
+        yield SendOffer(attempt.upstream, self._offer(request, attempt))
+
+    def call(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        """Send a plain service's call."""
+        call = request.arrival.call
+        if call is None:
+            return
+        request.phase = Phase.CALLING
+        self._sent(attempt, request)
+        yield SendCall(attempt.upstream, self._offer(request, attempt), call)
+
+    def prefill(
+        self, request: Request, attempt: Attempt, candidate: Candidate
+    ) -> Iterator[EntryCommand]:
+        """Run the request's prompt, with the output passed on so far, at a prefill engine."""
+        request.phase = Phase.PREFILLING
+        arrival = request.arrival
+        view = self._state.upstreams.get(candidate.upstream)
+        if view is not None:
+            view.sent(prefill_work_s(candidate, request.prompt_tokens), self._state.now)
+            view.blocks.sent(arrival.prefix_blocks)
+        order = PrefillOrder(
+            attempt=attempt.id,
+            entry=self._state.incarnation,
+            incarnation=candidate.report.incarnation,
+            target=request.target.name,
+            organisation=request.organisation,
+            urgency=request.urgency,
+            prompt=request.prompt,
+            prompt_tokens=request.prompt_tokens,
+            prefix_blocks=arrival.prefix_blocks,
+            start_within_s=self._estimates.prefill_within_s(request),
+            deadline_in_s=self._estimates.left_s(request),
+        )
+        attempt.prefill_upstream = candidate.upstream
+        yield SendPrefill(candidate.upstream, order)
+
+    def import_kv(
+        self, request: Request, attempt: Attempt, prefill: PrefillResult
+    ) -> Iterator[EntryCommand]:
+        """Tell the decode sidecar where the KV cache lies."""
+        request.phase = Phase.DECODING
+        passed_s = self._state.now - attempt.prefill_ended_at
+        order = ImportOrder(
+            attempt=attempt.id,
+            handle=prefill.handle,
+            engine_address=prefill.engine_address,
+            kv_bytes=prefill.kv_bytes,
+            prompt_tokens=request.prompt_tokens,
+            expires_in_s=prefill.expires_in_s - passed_s,
+        )
+        yield SendImport(attempt.upstream, order)
+
+    def _offer(self, request: Request, attempt: Attempt) -> AttemptOffer:
+        target = request.target
+        kv_bytes = request.prompt_tokens * target.kv_bytes_per_token
+        if attempt.prefill is not None:
+            kv_bytes = attempt.prefill.kv_bytes
+        return AttemptOffer(
+            attempt=attempt.id,
+            entry=self._state.incarnation,
+            incarnation=attempt.incarnation,
+            target=target.name,
+            organisation=request.organisation,
+            share_weight=target.weight_of(request.organisation),
+            urgency=request.urgency,
+            waited_s=self._estimates.waited_s(request),
+            start_within_s=self._estimates.start_within_s(request),
+            deadline_in_s=self._estimates.left_s(request),
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.tokens_left,
+            first_offset=request.relay.relayed,
+            kv_bytes=kv_bytes,
+        )
+
+    def _sent(self, attempt: Attempt, request: Request) -> None:
+        attempt.is_open = True
+        self._state.upstreams.entered(attempt.upstream)
+        view = self._state.upstreams.get(attempt.upstream)
+        if view is not None:
+            view.sent(self._place_time_s(attempt.upstream, request), self._state.now)
+
+    def _place_time_s(self, upstream: UpstreamName, request: Request) -> float:
+        view = self._state.upstreams.get(upstream)
+        interval_s = view.report.token_interval_s if view and view.report else 0.0
+        return max(1, request.tokens_left) * (interval_s or TOKEN_INTERVAL_S)
--- /dev/null
+++ b/src/chivehold/core/shedding.py
@@ -0,0 +1,102 @@
+"""Estimates of waiting, by which a request is refused at once rather than answered too late."""
+
+import math
+from collections.abc import Sequence
+from random import Random
+
+from chivehold.core.identity import Urgency
+from chivehold.core.protocols import Candidate
+
+RETRY_AFTER_LEAST_S = 0.2
+RETRY_AFTER_MOST_S = 60.0
+RETRY_AFTER_SPREAD = 0.25
+RATE_WINDOW_S = 5.0
+RATE_LEAST_S = 1.0
+RATE_COUNT_LEAST = 3.0
+RETURNING_SHARE = 0.5
+"""Share of the drain rate that is planned for callers told to come back."""
+
+
+def expected_wait_s(candidate: Candidate, urgency: Urgency) -> float:
+    """Estimate how long a new offer would wait for its grant, in seconds.
+
+    What the upstream reported is corrected by the offers that its report cannot cover yet.
+    """
+    report = candidate.report
+    reported = report.wait_urgent_s if urgency is Urgency.URGENT else report.wait_patient_s
+    waiting = report.waiting_urgent
+    if urgency is Urgency.PATIENT:
+        waiting += report.waiting_patient
+    ahead = waiting + candidate.outstanding + 1 - report.places_free
+    if ahead <= 0:
+        return 0.0
+    beyond_report = min(ahead, candidate.outstanding)
+    return reported + beyond_report * _time_per_place_s(candidate, waiting)
+
+
+def _time_per_place_s(candidate: Candidate, waiting: int) -> float:
+    """Estimate the time between two places becoming free, in seconds."""
+    report = candidate.report
+    if waiting and report.wait_urgent_s:
+        return report.wait_urgent_s / (waiting + 1)
+    if not candidate.outstanding:
+        return 0.0
+    return candidate.outstanding_s / candidate.outstanding / max(1, report.places)
+
+
+def least_wait_s(candidates: Sequence[Candidate], urgency: Urgency) -> float | None:
+    """Return the smallest expected wait in seconds, or ``None`` without candidates."""
+    return min((expected_wait_s(one, urgency) for one in candidates), default=None)
+
+
+class DrainRate:
+    """Grants a second, smoothed over ``RATE_WINDOW_S``."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._since = 0.0
+        self._first: float | None = None
+
+    def saw_grant(self, now: float) -> None:
+        """Count one grant."""
+        if self._first is None:
+            self._first = now
+        self._count = self._decayed(now) + 1.0
+        self._since = now
+
+    def per_s(self, now: float) -> float | None:
+        """Return the rate in grants a second, or ``None`` while too little was seen."""
+        count = self._decayed(now)
+        if self._first is None or count < RATE_COUNT_LEAST:
+            return None
+        return count / min(RATE_WINDOW_S, max(now - self._first, RATE_LEAST_S))
+
+    def _decayed(self, now: float) -> float:
+        return self._count * math.exp((self._since - now) / RATE_WINDOW_S)
+
+
+class RetrySchedule:
+    """Tells refused callers when to come back, one after another at the drain rate."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._next_at = 0.0
+
+    def retry_after_s(self, wait_s: float, rate_per_s: float | None, now: float) -> float:
+        """Return the time in seconds after which a refused caller should find room.
+
+        Args:
+            wait_s: Time until there would be room for one request, in seconds.
+            rate_per_s: Grants a second, or ``None`` where unknown.
+            now: Monotonic time in seconds.
+
+        Returns:
+            A delay between ``RETRY_AFTER_LEAST_S`` and ``RETRY_AFTER_MOST_S``.
+        """
+        soonest = now + wait_s
+        if rate_per_s:
+            self._next_at = max(soonest, self._next_at + 1.0 / (rate_per_s * RETURNING_SHARE))
+            self._next_at = min(self._next_at, now + RETRY_AFTER_MOST_S)
+            soonest = self._next_at
+        delay = (soonest - now) * (1.0 + self._random.random() * RETRY_AFTER_SPREAD)
+        return min(max(delay, RETRY_AFTER_LEAST_S), RETRY_AFTER_MOST_S)
--- /dev/null
+++ b/src/chivehold/core/state.py
@@ -0,0 +1,72 @@
+"""What the parts of the entry's core share."""
+
+from collections.abc import Container, Sequence
+from random import Random
+
+from chivehold.core.identity import AttemptId, EntryIncarnation, RequestId, TargetName, UpstreamName
+from chivehold.core.policy import Policy
+from chivehold.core.protocols import Candidate
+from chivehold.core.requests import Phase, Request
+from chivehold.core.retries import RetryBudget
+from chivehold.core.routing import LeastPrefillTime
+from chivehold.core.targets import Target
+from chivehold.core.timers import Timers
+from chivehold.core.upstreams import NO_BLOCKS, Upstreams
+
+
+class EntryState:
+    """Requests, targets and upstreams of one entry at the time of the present event.
+
+    Args:
+        incarnation: This run of the entry.
+        zone: The entry's availability zone.
+        policy: What to decide by.
+        random: Breaks ties and spreads times.
+    """
+
+    def __init__(
+        self, incarnation: EntryIncarnation, zone: str, policy: Policy, random: Random
+    ) -> None:
+        self.incarnation = incarnation
+        self.zone = zone
+        self.policy = policy
+        self.random = random
+        self.now = 0.0
+        self.draining = False
+        self.requests: dict[RequestId, Request] = {}
+        self.targets: dict[TargetName, Target] = {}
+        self.upstreams = Upstreams()
+        self.budget = RetryBudget(
+            policy.retry_budget, policy.retry_budget_floor, policy.retry_window_s
+        )
+        self.timers = Timers(self.requests)
+        self.prefill_choice = LeastPrefillTime(random, self._cached)
+
+    def current(self, attempt: AttemptId, *phases: Phase) -> Request | None:
+        """Return the request whose present attempt this is, if it is in one of the phases."""
+        request = self.requests.get(attempt.request)
+        if request is None or request.attempt is None or request.attempt.id != attempt:
+            return None
+        return request if request.phase in phases else None
+
+    def waiting_for(self, request: RequestId, phase: Phase) -> Request | None:
+        """Return a request in progress if it is in the phase."""
+        found = self.requests.get(request)
+        return found if found is not None and found.phase is phase else None
+
+    def pool_candidates(self, request: Request, patient: bool = False) -> list[Candidate]:
+        """Return the upstreams that may take the request's next attempt."""
+        return self.upstreams.candidates(
+            request.target.pool, self.now, request.refused_by, patient=patient
+        )
+
+    def prefill_candidates(self, request: Request) -> Sequence[Candidate]:
+        """Return the prefill engines that may run the request's prompt."""
+        refused_by = request.attempt.prefill_refused_by if request.attempt else ()
+        return self.upstreams.candidates(request.target.prefill, self.now, refused_by)
+
+    def _cached(self, upstream: UpstreamName) -> Container[int]:
+        view = self.upstreams.get(upstream)
+        if view is None or not self.policy.prefix_affinity:
+            return NO_BLOCKS
+        return view.blocks
--- /dev/null
+++ b/src/chivehold/core/targets.py
@@ -0,0 +1,133 @@
+"""A declared target as the entry works with it."""
+
+from collections.abc import Iterator
+from random import Random
+from typing import TypedDict
+
+from chivehold.core.admission import Admission, PatientQueue
+from chivehold.core.declared import (
+    CallRule,
+    Declarations,
+    Deployment,
+    Service,
+    Share,
+    TrafficClass,
+    Upstream,
+    Weigh,
+)
+from chivehold.core.identity import Organisation, TargetName, UpstreamName, Urgency
+from chivehold.core.policy import Policy
+from chivehold.core.protocols import UpstreamChoice
+from chivehold.core.routing import decode_choice
+from chivehold.core.shedding import DrainRate, RetrySchedule
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+
+
+class TargetDump(TypedDict):
+    """One target's queues."""
+
+    waiting_urgent: int
+    waiting_patient: int
+    queued_patient: int
+    oldest_queued_s: float | None
+
+
+class Target:
+    """One deployment or service with its queues; a newer declaration keeps the queues."""
+
+    def __init__(
+        self, declared: Deployment | Service, policy: Policy, zone: str, random: Random
+    ) -> None:
+        self.name: TargetName = declared.name
+        self._policy = policy
+        self._zone = zone
+        self._random = random
+        self._weights: dict[Organisation, float] = {}
+        queue = PatientQueue(self.weight_of, policy.fair_shares, policy.patient_age_limit_s)
+        self.admission = Admission(
+            queue, policy.urgent_queue_most, policy.patient_queue_most, policy.patient_offers_most
+        )
+        self.drain = {urgency: DrainRate() for urgency in Urgency}
+        self.schedule = {urgency: RetrySchedule(random) for urgency in Urgency}
+        self.declare(declared)
+
+    def declare(self, declared: Deployment | Service) -> None:
+        """Take a newer declaration."""
+        self._weights = _weights(declared.shares)
+        self._classes = {one.name: one for one in declared.classes}
+        self._default_class = declared.default_class or next(iter(self._classes), "")
+        self._choices = {
+            one.name: decode_choice(self._policy, self._zone, self._random, one)
+            for one in declared.classes
+        }
+        self.rules: tuple[CallRule, ...] = ()
+        self.prefill: tuple[UpstreamName, ...] = ()
+        self.kv_bytes_per_token = 0
+        self.weigh = Weigh.GOODPUT
+        self.is_service = isinstance(declared, Service)
+        self.admission.unseen_places = 0
+        if isinstance(declared, Service):
+            self.admission.unseen_places = sum(one.places for one in declared.upstreams)
+            self.pool = _names(declared.upstreams)
+            self.rules = declared.rules
+            return
+        self.pool = _names(declared.decode)
+        self.prefill = _names(declared.prefill)
+        self.kv_bytes_per_token = declared.kv_bytes_per_token
+        self.weigh = declared.weigh
+
+    def traffic_class(self, name: str) -> TrafficClass | None:
+        """Return a class by its name, the default one for an empty name."""
+        return self._classes.get(name or self._default_class)
+
+    def choice(self, traffic_class: TrafficClass) -> UpstreamChoice:
+        """Return the rule by which the class's requests are placed."""
+        choice = self._choices.get(traffic_class.name)
+        if choice is None:
+            choice = decode_choice(self._policy, self._zone, self._random, traffic_class)
+        return choice
+
+    def weight_of(self, organisation: Organisation) -> float:
+        """Return an organisation's declared share, 1.0 where none is declared."""
+        return self._weights.get(organisation, 1.0)
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Tell whether a plain service's call may be repeated, by rule or else by method."""
+        for rule in self.rules:
+            if rule.method in ("*", method) and path.startswith(rule.path_prefix):
+                return rule.idempotent
+        return method in IDEMPOTENT_METHODS
+
+    def dump(self, now: float) -> TargetDump:
+        """Return the queues for an operator."""
+        oldest = self.admission.queue.oldest_arrival()
+        return TargetDump(
+            waiting_urgent=self.admission.waiting(Urgency.URGENT),
+            waiting_patient=self.admission.waiting(Urgency.PATIENT),
+            queued_patient=len(self.admission.queue),
+            oldest_queued_s=None if oldest is None else round(now - oldest, 3),
+        )
+
+
+def declared_targets(declarations: Declarations) -> Iterator[Deployment | Service]:
+    """Yield every deployment and service."""
+    yield from declarations.deployments
+    yield from declarations.services
+
+
+def declared_upstreams(declarations: Declarations) -> Iterator[Upstream]:
+    """Yield every upstream of every target."""
+    for deployment in declarations.deployments:
+        yield from deployment.prefill
+        yield from deployment.decode
+    for service in declarations.services:
+        yield from service.upstreams
+
+
+def _names(upstreams: tuple[Upstream, ...]) -> tuple[UpstreamName, ...]:
+    return tuple(one.name for one in upstreams)
+
+
+def _weights(shares: tuple[Share, ...]) -> dict[Organisation, float]:
+    return {share.organisation: share.weight for share in shares if share.weight > 0}
