--- /dev/null
+++ b/src/chivehold/settings.py
@@ -0,0 +1,295 @@
+"""Settings of the daemons, read from TOML and checked whole.
+
+Every fault of a file is reported at once: a value of the wrong form, a missing key, an unknown one.
+"""
+
+import difflib
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, TypedDict, get_args, get_type_hints, is_typeddict
+
+import msgspec
+
+from chivehold.core.declared import DEFAULT_PATIENT_FLOOR
+from chivehold.core.identity import Role
+from chivehold.core.policy import DecodeChoiceKind, Policy
+from chivehold.exceptions import SettingsInvalid
+from chivehold.logs import LogFormat, LogLevel
+
+MAX_SETTINGS_BYTES = 65_536
+MAX_DOTS_A_LINE = 64
+MIB = 1 << 20
+
+_Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[a-z][a-z0-9-]{0,62}$", description="a name of a-z, 0-9 and -, at most 63 long"
+    ),
+]
+_Address = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.-]{1,253}):"
+        r"(0|[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$",
+        description="an address host:port with a port of 0 to 65535",
+    ),
+]
+_Token = Annotated[
+    str, msgspec.Meta(pattern=r"^[!-~]{16,512}$", description="16 to 512 visible ASCII characters")
+]
+_Seconds = Annotated[
+    float, msgspec.Meta(gt=0, le=1e6, description="seconds above 0, at most 1000000")
+]
+_Bytes = Annotated[int, msgspec.Meta(ge=1024, le=1 << 30, description="bytes, 1024 to 1073741824")]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e15, description="a rate a second, 0 or more")]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000, description="a count, 1 to 1000000")]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a share, 0 to 1")]
+
+
+class EntrySettings(NamedTuple):
+    """Settings of one entry."""
+
+    name: str
+    zone: str
+    caller_address: str
+    """``host:port`` for callers' HTTP."""
+    control_address: str
+    """``host:port`` for operators' gRPC."""
+    operator_address: str
+    """``host:port`` for metrics and health over HTTP."""
+    platform_address: str
+    token: str
+    """Shared between entries and sidecars."""
+    heartbeat_s: float = 0.5
+    max_body_bytes: int = 4 * MIB
+    max_header_bytes: int = 16_384
+    max_connections: int = 4096
+    max_answer_bytes: int = 8 * MIB
+    """Bound of a plain service's whole answer."""
+    default_deadline_s: float = 900.0
+    """Longest time a request may name for itself."""
+    key_retention_s: float = 3600.0
+    upstreams_most: int = 256
+    """Upstreams of one pool an entry keeps heartbeats with."""
+    drain_timeout_s: float = 900.0
+    log_format: LogFormat = LogFormat.KEY_VALUE
+    log_level: LogLevel = LogLevel.INFO
+    policy: Policy = Policy()
+
+
+class SidecarSettings(NamedTuple):
+    """Settings of the sidecar beside one upstream."""
+
+    name: str
+    """The declared name of the upstream."""
+    target: str
+    role: Role
+    zone: str
+    data_address: str
+    """``host:port`` for attempts over HTTP."""
+    control_address: str
+    """``host:port`` for entries' gRPC."""
+    operator_address: str
+    """``host:port`` for metrics and health over HTTP."""
+    upstream_address: str
+    """``host:port`` of the engine or service."""
+    places: int
+    token: str
+    link_bytes_per_s: float = 0.0
+    """Rate of the inbound link for KV caches; 0 where there is none."""
+    prefill_tokens_per_s: float = 0.0
+    entry_lease_s: float = 1.5
+    key_retention_s: float = 3600.0
+    patient_floor: float = DEFAULT_PATIENT_FLOOR
+    """Share of places kept for patient work until a declaration says otherwise, 0 to 1."""
+    status_poll_s: float = 0.5
+    drain_timeout_s: float = 900.0
+    max_body_bytes: int = 8 * MIB
+    max_answer_bytes: int = 8 * MIB
+    log_format: LogFormat = LogFormat.KEY_VALUE
+    log_level: LogLevel = LogLevel.INFO
+
+
+class PolicyTable(TypedDict, total=False):
+    """The table ``[policy]``; see ``core.policy.Policy``."""
+
+    decode_choice: DecodeChoiceKind
+    reserve_before_prefill: bool
+    wait_list: bool
+    class_order: bool
+    fair_shares: bool
+    prefix_affinity: bool
+    link_budget: bool
+    shed_late: bool
+    avoid_slow: bool
+    retry_budget: _Share
+    retry_budget_floor: Annotated[
+        int, msgspec.Meta(ge=0, le=10_000, description="a count, 0 to 10000")
+    ]
+    retry_window_s: _Seconds
+    attempts_most: Annotated[int, msgspec.Meta(ge=1, le=10, description="a count, 1 to 10")]
+    urgent_queue_most: _Count
+    patient_queue_most: _Count
+    patient_offers_most: _Count
+    patient_age_limit_s: _Seconds
+
+
+class _EntryRequired(TypedDict):
+    name: _Name
+    zone: _Name
+    caller_address: _Address
+    control_address: _Address
+    operator_address: _Address
+    platform_address: _Address
+    token: _Token
+
+
+class EntryTable(_EntryRequired, total=False):
+    """An entry's settings file."""
+
+    heartbeat_s: _Seconds
+    max_body_bytes: _Bytes
+    max_header_bytes: _Bytes
+    max_connections: _Count
+    max_answer_bytes: _Bytes
+    default_deadline_s: _Seconds
+    key_retention_s: _Seconds
+    upstreams_most: _Count
+    drain_timeout_s: _Seconds
+    log_format: LogFormat
+    log_level: LogLevel
+    policy: PolicyTable
+
+
+class _SidecarRequired(TypedDict):
+    name: _Name
+    target: _Name
+    role: Role
+    zone: _Name
+    data_address: _Address
+    control_address: _Address
+    operator_address: _Address
+    upstream_address: _Address
+    places: _Count
+    token: _Token
+
+
+class SidecarTable(_SidecarRequired, total=False):
+    """A sidecar's settings file."""
+
+    link_bytes_per_s: _Rate
+    prefill_tokens_per_s: _Rate
+    entry_lease_s: _Seconds
+    key_retention_s: _Seconds
+    patient_floor: _Share
+    status_poll_s: _Seconds
+    drain_timeout_s: _Seconds
+    max_body_bytes: _Bytes
+    max_answer_bytes: _Bytes
+    log_format: LogFormat
+    log_level: LogLevel
+
+
+def read_entry_settings(path: Path) -> EntrySettings:
+    """Read an entry's settings.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, defaults filled in.
+
+    Raises:
+        SettingsInvalid: The file cannot be read or is wrong; names every fault.
+    """
+    values = _checked(path, EntryTable)
+    policy = Policy(**values.pop("policy", {}))
+    return EntrySettings(**values, policy=policy)
+
+
+def read_sidecar_settings(path: Path) -> SidecarSettings:
+    """Read a sidecar's settings.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, defaults filled in.
+
+    Raises:
+        SettingsInvalid: The file cannot be read or is wrong; names every fault.
+    """
+    return SidecarSettings(**_checked(path, SidecarTable))
+
+
+def _checked(path: Path, shape: type) -> dict[str, Any]:
+    table = _parsed(path)
+    problems = tuple(f"{path}: {problem}" for problem in _problems(table, shape, ""))
+    if problems:
+        raise SettingsInvalid(str(path), problems)
+    values: dict[str, Any] = msgspec.convert(table, shape)
+    return values
+
+
+def _parsed(path: Path) -> dict[str, Any]:
+    try:
+        with path.open("rb") as file:
+            content = file.read(MAX_SETTINGS_BYTES + 1)
+    except OSError as error:
+        raise SettingsInvalid(str(path), (f"{path}: cannot be read: {error.strerror}",)) from error
+    if len(content) > MAX_SETTINGS_BYTES:
+        problem = f"{path}: expected at most {MAX_SETTINGS_BYTES} bytes"
+        raise SettingsInvalid(str(path), (problem,))
+    if any(line.count(b".") > MAX_DOTS_A_LINE for line in content.splitlines()):
+        # The parser's memory grows with the square of a dotted key's parts.
+        problem = f"{path}: expected at most {MAX_DOTS_A_LINE} dots on a line"
+        raise SettingsInvalid(str(path), (problem,))
+    try:
+        return tomllib.loads(content.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise SettingsInvalid(str(path), (f"{path}: expected TOML: {error}",)) from error
+
+
+def _problems(table: Mapping[str, Any], shape: type, prefix: str) -> Iterator[str]:
+    hints = get_type_hints(shape, include_extras=True)
+    for key in table:
+        if key not in hints:
+            yield f"{prefix}{key}: unknown key{_suggestion(key, hints)}"
+    for key, form in hints.items():
+        if key in table:
+            yield from _value_problems(table[key], form, f"{prefix}{key}")
+        elif key in shape.__required_keys__:  # type: ignore[attr-defined]
+            yield f"{prefix}{key}: missing; expected {_expected(form)}"
+
+
+def _value_problems(value: object, form: Any, key: str) -> Iterator[str]:
+    if is_typeddict(form) and isinstance(value, dict):
+        yield from _problems(value, form, f"{key}.")
+        return
+    try:
+        msgspec.convert(value, form)
+    except msgspec.ValidationError:
+        yield f"{key}: expected {_expected(form)}, found {_shown(key, value)}"
+
+
+def _expected(form: Any) -> str:
+    for extra in get_args(form)[1:]:
+        if isinstance(extra, msgspec.Meta) and extra.description:
+            return extra.description
+    if is_typeddict(form):
+        return "a table"
+    if form is bool:
+        return "true or false"
+    return "one of " + ", ".join(repr(str(member)) for member in form)
+
+
+def _shown(key: str, value: object) -> str:
+    if key == "token":
+        return "something else"
+    return repr(value)[:80]
+
+
+def _suggestion(key: str, known: Mapping[str, Any]) -> str:
+    close = difflib.get_close_matches(key, known, n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,94 @@
+"""Settings files."""
+
+from pathlib import Path
+
+import pytest
+
+from chivehold.core.identity import Role
+from chivehold.core.policy import DecodeChoiceKind
+from chivehold.exceptions import SettingsInvalid
+from chivehold.settings import read_entry_settings, read_sidecar_settings
+
+ENTRY = """
+name = "entry-1"
+zone = "sjo-a"
+caller_address = "127.0.0.1:8080"
+control_address = "127.0.0.1:8081"
+operator_address = "[::1]:8082"
+platform_address = "127.0.0.1:9000"
+token = "0123456789abcdef"
+"""
+SIDECAR = """
+name = "lector-decode-1"
+target = "lector"
+role = "decode"
+zone = "sjo-a"
+data_address = "127.0.0.1:0"
+control_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+upstream_address = "127.0.0.1:9100"
+places = 20
+token = "0123456789abcdef"
+"""
+
+
+class TestSettings:
+    def _write(self, tmp_path: Path, text: str) -> Path:
+        path = tmp_path / "node.toml"
+        path.write_text(text)
+        return path
+
+    def test_reads_entry(self, tmp_path: Path) -> None:
+        """Values of the file and the policy's table replace the defaults."""
+        text = ENTRY + 'heartbeat_s = 1\n[policy]\ndecode_choice = "round_robin"\n'
+        settings = read_entry_settings(self._write(tmp_path, text))
+        assert settings.heartbeat_s == 1.0
+        assert settings.policy.decode_choice is DecodeChoiceKind.ROUND_ROBIN
+        assert settings.drain_timeout_s == 900.0
+
+    def test_reads_sidecar(self, tmp_path: Path) -> None:
+        """Left-out keys take their defaults."""
+        settings = read_sidecar_settings(self._write(tmp_path, SIDECAR))
+        assert (settings.role, settings.entry_lease_s) == (Role.DECODE, 1.5)
+
+    def test_names_all_problems_at_once(self, tmp_path: Path) -> None:
+        """Each fault is named with file, key and what was expected; the token is not shown."""
+        text = ENTRY.replace('zone = "sjo-a"\n', "").replace("0123456789abcdef", "short")
+        text += 'heartbeats_s = 1\nmax_connections = 0\n[policy]\nwait_list = "no"\n'
+        path = self._write(tmp_path, text)
+        with pytest.raises(SettingsInvalid) as caught:
+            read_entry_settings(path)
+        problems = "\n".join(caught.value.problems)
+        assert len(caught.value.problems) == 5
+        assert all(line.startswith(str(path)) for line in caught.value.problems)
+        assert "heartbeats_s: unknown key; did you mean 'heartbeat_s'?" in problems
+        assert "zone: missing" in problems
+        assert "max_connections: expected a count, 1 to 1000000, found 0" in problems
+        assert "policy.wait_list: expected true or false, found 'no'" in problems
+        assert "short" not in problems
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            'caller_address = "127.0.0.1:65536"',
+            "heartbeat_s = nan",
+            "heartbeat_s = inf",
+            "policy = 1",
+            'log_level = "loud"',
+            "max_body_bytes = true",
+            "x = [[[[[[",
+            "a." * 30_000 + "b = 1",
+            "x = " + "[" * 30_000,
+        ],
+    )
+    def test_refuses_hostile_values(self, tmp_path: Path, line: str) -> None:
+        """A value out of range or form, or no TOML at all, is a typed error."""
+        key = line.split(" = ")[0]
+        kept = [row for row in ENTRY.splitlines() if not row.startswith(f"{key} = ")]
+        with pytest.raises(SettingsInvalid):
+            read_entry_settings(self._write(tmp_path, "\n".join([*kept, line])))
+
+    def test_refuses_unreadable_file(self, tmp_path: Path) -> None:
+        """A missing file is a typed error as well."""
+        with pytest.raises(SettingsInvalid, match="cannot be read"):
+            read_sidecar_settings(tmp_path / "none.toml")
