Stand-in engine over HTTP with output that any reader can check, and faults on demand

Cause: the sidecar and the demo need an engine at the interface; answers must be checkable for being whole and the request's own. Ruled out: work that ends when its caller leaves. The engines go on until cancelled, and that is the case the sidecar has to master.

--- /dev/null
+++ b/src/chivehold/fakes/engine.py
@@ -0,0 +1,71 @@
+"""A stand-in engine as a program: ``python -m chivehold.fakes.engine --role decode``."""
+
+import argparse
+from collections.abc import Sequence
+from functools import partial
+
+import trio
+
+from chivehold.core.identity import Role
+from chivehold.fakes.engine_http import EngineApp
+from chivehold.fakes.engine_model import EngineCost
+from chivehold.fakes.engine_runtime import EngineOptions, EngineRuntime
+from chivehold.fakes.server import (
+    MortalServer,
+    StandInAddresses,
+    add_address_arguments,
+    run_program,
+)
+from chivehold.http_client import HttpClient
+from chivehold.http_server import serve_http
+
+
+async def run_engine(
+    options: EngineOptions,
+    address: str = "127.0.0.1:0",
+    control_address: str = "127.0.0.1:0",
+    *,
+    task_status: trio.TaskStatus[StandInAddresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a stand-in engine until cancelled.
+
+    Args:
+        options: What kind of engine.
+        address: ``host:port`` of its interface.
+        control_address: ``host:port`` for faults and history.
+        task_status: Started with the bound addresses.
+    """
+    runtime, client = EngineRuntime(options), HttpClient()
+    server = MortalServer(address)
+    app = EngineApp(runtime, client, server.obey)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(runtime.run)
+        data = await nursery.start(server.serve, app)
+        control = await nursery.start(partial(serve_http, app, control_address))
+        task_status.started(StandInAddresses(data, control))
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run a stand-in engine from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_address_arguments(parser)
+    parser.add_argument("--role", choices=[Role.PREFILL, Role.DECODE], default=Role.DECODE)
+    parser.add_argument("--ignores-fencing", action="store_true")
+    for field, default in EngineCost._field_defaults.items():
+        option = f"--{field.replace('_', '-')}"
+        parser.add_argument(option, type=type(default), default=default)
+    given = parser.parse_args(arguments)
+    cost = EngineCost(**{field: getattr(given, field) for field in EngineCost._fields})
+    options = EngineOptions(
+        name=given.name,
+        role=Role(given.role),
+        cost=cost,
+        checks_fencing=not given.ignores_fencing,
+        seed=given.seed,
+    )
+    serve = partial(run_engine, options, given.address, given.control_address)
+    trio.run(run_program, serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/chivehold/fakes/engine_http.py
@@ -0,0 +1,202 @@
+"""The HTTP interface of a stand-in engine."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from chivehold.core.wire import OrderKind
+from chivehold.fakes.engine_runtime import CallFailed, EngineRuntime
+from chivehold.fakes.faults import FaultOrder
+from chivehold.http_client import HttpClient, LinkError
+from chivehold.http_server import (
+    Receive,
+    Scope,
+    Send,
+    end_response,
+    read_body,
+    respond_error,
+    respond_json,
+    send_part,
+    start_response,
+)
+from chivehold.sidecar.engine_api import (
+    CancelAnswer,
+    CancelCall,
+    DecodeCall,
+    DecodeLine,
+    EngineState,
+    KvCache,
+    OrderCall,
+    PrefillCall,
+    StatusAnswer,
+)
+
+MAX_BODY_BYTES = 16_777_216
+KV_TIMEOUT_S = 1.0
+NDJSON_TYPE = "application/x-ndjson"
+
+Handler = Callable[[bytes, Send], Awaitable[None]]
+
+
+class EngineApp:
+    """ASGI application over an engine.
+
+    Args:
+        runtime: The engine.
+        client: Fetches KV caches from other engines.
+        on_fault: Called after each ``POST /faults``.
+    """
+
+    def __init__(
+        self,
+        runtime: EngineRuntime,
+        client: HttpClient,
+        on_fault: Callable[[FaultOrder], None] = lambda order: None,
+    ) -> None:
+        self._runtime = runtime
+        self._client = client
+        self._on_fault = on_fault
+        self._state = EngineState(
+            role=runtime.options.role, models=[], adapters=[], fencing_number=0
+        )
+        self._operations: set[str] = set()
+        self._handlers: dict[tuple[str, str], Handler] = {
+            ("POST", "/prefill"): self._prefill,
+            ("POST", "/decode"): self._decode,
+            ("POST", "/cancel"): self._cancel,
+            ("POST", "/order"): self._order,
+            ("GET", "/status"): self._status,
+            ("GET", "/state"): self._get_state,
+        }
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        body = await read_body(receive, MAX_BODY_BYTES)
+        method, path = scope["method"], scope["path"]
+        try:
+            if await self._control(method, path, body, send):
+                return
+            await self._runtime.freezer.passed()
+            if path.startswith("/kv/"):
+                await respond_json(send, 200, self._runtime.kv(path.removeprefix("/kv/")))
+                return
+            handler = self._handlers.get((method, path))
+            if handler is None:
+                raise CallFailed(404, "malformed", f"no {method} {path}")
+            await handler(body, send)
+        except msgspec.ValidationError as error:
+            await respond_error(send, 400, "malformed", str(error))
+        except msgspec.DecodeError as error:
+            await respond_error(send, 400, "malformed", str(error))
+        except CallFailed as error:
+            await respond_error(send, error.status, error.reason, error.message)
+
+    async def _control(self, method: str, path: str, body: bytes, send: Send) -> bool:
+        if (method, path) == ("GET", "/history"):
+            await respond_json(send, 200, self._runtime.history.answer())
+            return True
+        if (method, path) != ("POST", "/faults"):
+            return False
+        order = _decoded(body, FaultOrder)
+        self._runtime.order_fault(order)
+        await respond_json(send, 200, order)
+        self._on_fault(order)
+        return True
+
+    async def _prefill(self, body: bytes, send: Send) -> None:
+        answer = await self._runtime.prefill(_decoded(body, PrefillCall))
+        await self._runtime.freezer.passed()
+        await respond_json(send, 200, answer)
+
+    async def _decode(self, body: bytes, send: Send) -> None:
+        call = _decoded(body, DecodeCall)
+        kv = await self._fetch_kv(call["engine_address"], call["handle"])
+        stream = _DecodeStream(send)
+        try:
+            total = await self._runtime.decode(call, kv, stream.tokens)
+        except CallFailed:
+            if stream.started:
+                return
+            raise
+        await stream.end(total)
+
+    async def _fetch_kv(self, peer: str, handle: str) -> KvCache:
+        path = f"/kv/{handle}"
+        try:
+            answer = await self._client.call(
+                peer, "GET", path, step="fetch KV cache", timeout_s=KV_TIMEOUT_S
+            )
+        except LinkError as error:
+            raise CallFailed(502, "transfer_stalled", str(error)) from error
+        if answer.status != 200:
+            raise CallFailed(410, "kv_expired", f"{peer} answered {answer.status}")
+        kv: KvCache = _decoded(answer.body, KvCache)
+        return kv
+
+    async def _cancel(self, body: bytes, send: Send) -> None:
+        held = self._runtime.cancel(_decoded(body, CancelCall)["attempt"])
+        await respond_json(send, 200, CancelAnswer(held=held))
+
+    async def _status(self, body: bytes, send: Send) -> None:
+        now, faults = trio.current_time(), self._runtime.faults
+        published = self._runtime.published
+        answer = StatusAnswer(
+            held=list(self._runtime.held),
+            leaving=faults.leaving,
+            load=published.load(now, faults.load_lag_s),
+            prefix_blocks=published.prefix_blocks(now, faults.load_lag_s),
+        )
+        await respond_json(send, 200, answer)
+
+    async def _get_state(self, body: bytes, send: Send) -> None:
+        await respond_json(send, 200, self._state)
+
+    async def _order(self, body: bytes, send: Send) -> None:
+        order = _decoded(body, OrderCall)
+        stale = order["fencing_number"] < self._state["fencing_number"]
+        detail = f"{order['kind']}={order['argument']} fencing={order['fencing_number']}"
+        if stale and self._runtime.options.checks_fencing:
+            self._runtime.history.add("order_refused", None, detail=detail)
+            raise CallFailed(409, "stale", "the fencing number is stale")
+        self._state["fencing_number"] = order["fencing_number"]
+        if order["operation_id"] not in self._operations:
+            self._operations.add(order["operation_id"])
+            self._runtime.history.add("order", None, detail=detail)
+            self._carry_out(order)
+        await respond_json(send, 200, self._state)
+
+    def _carry_out(self, order: OrderCall) -> None:
+        if order["kind"] is OrderKind.SET_ROLE:
+            self._state["role"] = order["argument"]
+            return
+        loaded = "models" if order["kind"] is OrderKind.LOAD_MODEL else "adapters"
+        names: list[str] = self._state[loaded]  # type: ignore[literal-required]
+        if order["argument"] not in names:
+            names.append(order["argument"])
+
+
+class _DecodeStream:
+    def __init__(self, send: Send) -> None:
+        self._send = send
+        self.started = False
+
+    async def tokens(self, offset: int, tokens: tuple[str, ...]) -> None:
+        """Send a line with tokens."""
+        await self._line(DecodeLine(offset=offset, tokens=list(tokens)))
+
+    async def end(self, total: int) -> None:
+        """Send the last line and close the answer as whole."""
+        await self._line(DecodeLine(total=total))
+        await end_response(self._send)
+
+    async def _line(self, line: DecodeLine) -> None:
+        if not self.started:
+            await start_response(self._send, 200, NDJSON_TYPE)
+            self.started = True
+        await send_part(self._send, msgspec.json.encode(line) + b"\n")
+
+
+def _decoded(body: bytes, shape: Any) -> Any:
+    return msgspec.json.decode(body, type=shape)
--- /dev/null
+++ b/src/chivehold/fakes/engine_runtime.py
@@ -0,0 +1,280 @@
+"""A stand-in engine on the trio clock: the cost model, its waiting callers and its faults."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.identity import AttemptId, Role
+from chivehold.fakes.engine_model import (
+    DecodeDone,
+    DecodeJob,
+    EngineCost,
+    EngineModel,
+    EngineOutput,
+    KvExpired,
+    PrefillDone,
+    PrefillJob,
+)
+from chivehold.fakes.faults import FaultOrder, FaultState, Freezer
+from chivehold.fakes.history import History
+from chivehold.fakes.output import output_tokens, prompt_digest
+from chivehold.fakes.published import PublishedStatus
+from chivehold.sidecar.engine_api import DecodeCall, KvCache, PrefillAnswer, PrefillCall
+
+FROZEN_SPEED = 1e-9
+
+Emit = Callable[[int, tuple[str, ...]], Awaitable[None]]
+"""Called with an offset and the tokens from there on."""
+
+
+class EngineOptions(NamedTuple):
+    """What a stand-in engine is told at its start."""
+
+    name: str = "engine"
+    role: Role = Role.DECODE
+    cost: EngineCost = EngineCost()
+    checks_fencing: bool = True
+    emit_every_s: float = 0.016
+    """A stream sends what it has produced this often."""
+    seed: int = 0
+
+
+class CallFailed(Exception):  # noqa: N818
+    """A call ends without its work done.
+
+    Args:
+        status: The HTTP status to answer with.
+        reason: A value of ``core.wire.Reason``.
+        message: What went wrong.
+    """
+
+    def __init__(self, status: int, reason: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+        self.message = message
+
+
+class _Kv(NamedTuple):
+    digest: str
+    kv_bytes: int
+    expires_at: float
+
+
+class _Waiter:
+    """Waits for the end of an attempt's work; ``output`` is ``None`` after a cancel."""
+
+    def __init__(self) -> None:
+        self.ended = trio.Event()
+        self.output: EngineOutput | None = None
+
+    def end(self, output: EngineOutput | None) -> None:
+        self.output = output
+        self.ended.set()
+
+
+class EngineRuntime:
+    """An engine whose work takes time on the trio clock; ``run`` drives it.
+
+    Work goes on when its caller has left: only a cancel or its end frees what it holds.
+    """
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.faults = FaultState()
+        self.freezer = Freezer()
+        self.history = History()
+        self._model = EngineModel(options.cost)
+        self._random = random.Random(options.seed)
+        self._published = PublishedStatus(options.cost.prefix_cache_blocks)
+        self._prefills: dict[AttemptId, tuple[PrefillJob, _Waiter]] = {}
+        self._decodes: dict[AttemptId, _Waiter] = {}
+        self._kv: dict[str, _Kv] = {}
+        self._handles = 0
+        self._changed = trio.Event()
+
+    @property
+    def held(self) -> tuple[AttemptId, ...]:
+        """Attempts that hold engine memory or wait for it."""
+        return tuple(sorted(self._model.held | self._prefills.keys()))
+
+    @property
+    def published(self) -> PublishedStatus:
+        """Load and cache events as told to others."""
+        return self._published
+
+    async def run(self) -> None:
+        """Advance the model until cancelled."""
+        while True:
+            await self.freezer.passed()
+            now = trio.current_time()
+            for output in self._model.advance(now):
+                self._settle(output, now)
+            self._sample(now)
+            self._changed = trio.Event()
+            due = self._model.next_event()
+            with trio.move_on_at(float("inf") if due is None else due):
+                await self._changed.wait()
+
+    def order_fault(self, order: FaultOrder) -> None:
+        """Put faults in force, or out of force."""
+        now = trio.current_time()
+        self.faults = self.faults.changed(order, now)
+        if "freeze" in order:
+            self.freezer.set_frozen(order["freeze"])
+        if order.get("die", False):
+            self._lose_everything(now)
+        speed = FROZEN_SPEED if self.freezer.frozen else self.faults.speed
+        self._model.set_speed(speed, now)
+        self.history.add("fault", None, detail=repr(order))
+        self._changed.set()
+
+    async def prefill(self, call: PrefillCall) -> PrefillAnswer:
+        """Run a prompt and keep its KV cache.
+
+        Raises:
+            CallFailed: It was cancelled.
+        """
+        attempt = call["attempt"]
+        urgent = call["priority"] == "urgent"
+        blocks = tuple(call["prefix_blocks"])
+        job = PrefillJob(attempt, max(1, call["prompt_tokens"]), blocks, urgent)
+        waiter = _Waiter()
+        self._prefills[attempt] = (job, waiter)
+        self.history.add("prefill_started", attempt, tokens=call["prompt_tokens"])
+        self._model.submit_prefill(job, trio.current_time())
+        self._changed.set()
+        await waiter.ended.wait()
+        if not isinstance(waiter.output, PrefillDone):
+            raise CallFailed(409, "cancelled", "the prefill was cancelled")
+        return self._keep_kv(waiter.output, prompt_digest(call["prompt"]))
+
+    def kv(self, handle: str) -> KvCache:
+        """Return a KV cache that is still alive.
+
+        Raises:
+            CallFailed: It is not.
+        """
+        now = trio.current_time()
+        kept = self._kv.get(handle)
+        if kept is None or kept.expires_at <= now:
+            raise CallFailed(404, "kv_expired", "no such KV cache")
+        return KvCache(
+            digest=kept.digest, kv_bytes=kept.kv_bytes, expires_in_s=kept.expires_at - now
+        )
+
+    async def decode(self, call: DecodeCall, kv: KvCache, emit: Emit) -> int:
+        """Import a KV cache and produce output from it.
+
+        Args:
+            call: What to decode.
+            kv: The KV cache as its engine described it.
+            emit: Called with each part of the output.
+
+        Returns:
+            The total: the offset after the last token.
+
+        Raises:
+            CallFailed: No place was free, the KV cache expired, or it was cancelled.
+        """
+        attempt, first, total = call["attempt"], call["first_offset"], call["max_tokens"]
+        if first >= total:
+            return total
+        now = trio.current_time()
+        stalls = self._random.random() < self.faults.stall_transfers
+        expires_at = now + kv["expires_in_s"]
+        job = DecodeJob(attempt, call["kv_bytes"], expires_at, total - first, stalls)
+        if not self._model.submit_decode(job, now):
+            raise CallFailed(503, "full", "no place is free")
+        self.history.add("decode_started", attempt, detail="stalled" if stalls else "")
+        self._decodes[attempt] = waiter = _Waiter()
+        self._changed.set()
+        await self._emit_output(attempt, kv["digest"], first, waiter, emit)
+        if isinstance(waiter.output, DecodeDone):
+            return total
+        if isinstance(waiter.output, KvExpired):
+            raise CallFailed(410, "kv_expired", "the KV cache expired in transfer")
+        raise CallFailed(409, "cancelled", "the decode was cancelled")
+
+    def cancel(self, attempt: AttemptId) -> bool:
+        """Free what an attempt holds; tell whether it still holds anything."""
+        now = trio.current_time()
+        if now < self.faults.ignore_cancel_until:
+            return attempt in self.held
+        produced = self._model.produced(attempt, now)
+        if self._model.cancel(attempt, now):
+            self.history.add("cancelled", attempt, tokens=produced)
+        self._end(attempt, None)
+        self._changed.set()
+        return False
+
+    def _keep_kv(self, done: PrefillDone, digest: str) -> PrefillAnswer:
+        now = trio.current_time()
+        self._kv = {name: kv for name, kv in self._kv.items() if kv.expires_at > now}
+        self._handles += 1
+        handle = f"{self.options.name}-{self._handles}-{digest}"
+        self._kv[handle] = _Kv(digest, done.kv_bytes, done.expires_at)
+        return PrefillAnswer(
+            handle=handle,
+            kv_bytes=done.kv_bytes,
+            expires_in_s=max(0.0, done.expires_at - now),
+            reused_tokens=done.reused_tokens,
+        )
+
+    async def _emit_output(
+        self, attempt: AttemptId, digest: str, first: int, waiter: _Waiter, emit: Emit
+    ) -> None:
+        sent = 0
+        while True:
+            with trio.move_on_after(self.options.emit_every_s):
+                await waiter.ended.wait()
+            await self.freezer.passed()
+            if waiter.ended.is_set() and not isinstance(waiter.output, DecodeDone):
+                return
+            produced = self._produced(attempt, waiter)
+            if produced > sent:
+                await emit(first + sent, output_tokens(digest, first + sent, first + produced))
+                sent = produced
+            if isinstance(waiter.output, DecodeDone) and sent >= waiter.output.tokens:
+                return
+
+    def _produced(self, attempt: AttemptId, waiter: _Waiter) -> int:
+        if isinstance(waiter.output, DecodeDone):
+            return waiter.output.tokens
+        return self._model.produced(attempt, trio.current_time())
+
+    def _settle(self, output: EngineOutput, now: float) -> None:
+        if isinstance(output, PrefillDone):
+            job, _ = self._prefills[output.attempt]
+            lost = self._random.random() < self.faults.lose_cache_events
+            if not lost:
+                self._published.cache_event(now, job.prefix_blocks)
+            fresh = job.prompt_tokens - output.reused_tokens
+            self.history.add("prefill_ended", output.attempt, tokens=fresh)
+            self._end(output.attempt, output)
+        elif isinstance(output, DecodeDone):
+            self.history.add("decode_ended", output.attempt, tokens=output.tokens)
+            self._end(output.attempt, output)
+        elif isinstance(output, KvExpired):
+            self.history.add("kv_expired", output.attempt)
+            self._end(output.attempt, output)
+
+    def _end(self, attempt: AttemptId, output: EngineOutput | None) -> None:
+        _, prefill = self._prefills.pop(attempt, (None, None))
+        for waiter in (prefill, self._decodes.pop(attempt, None)):
+            if waiter is not None:
+                waiter.end(output)
+
+    def _lose_everything(self, now: float) -> None:
+        self._model.clear(now)
+        self._kv.clear()
+        self._published.clear()
+        self._prefills.clear()
+        self._decodes.clear()
+
+    def _sample(self, now: float) -> None:
+        self._published.load_sample(
+            now, len(self._model.held), self._model.prefill_backlog_tokens, self._model.interval()
+        )
--- /dev/null
+++ b/src/chivehold/fakes/faults.py
@@ -0,0 +1,75 @@
+"""What a stand-in can be told to do wrong over ``POST /faults``."""
+
+from typing import NamedTuple, TypedDict
+
+import trio
+
+
+class FaultOrder(TypedDict, total=False):
+    """Body of ``POST /faults``; what is left out stays as it is."""
+
+    speed: float
+    """1.0 is full speed."""
+    die: bool
+    """Lose everything, cut all connections and refuse new ones."""
+    revive: bool
+    freeze: bool
+    """Answer nothing and make no progress until ``False``."""
+    leaving: bool
+    stall_transfers: float
+    """Share of imports that stop halfway, 0 to 1."""
+    lose_cache_events: float
+    """Share of cache events that are never published, 0 to 1."""
+    load_lag_s: float
+    ignore_cancel_for_s: float
+    """Cancels are not carried out for this long from now."""
+    drop_before: int
+    """Cut the connections of so many further calls before they run."""
+    drop_after: int
+    """Cut the connections of so many further calls after they have run."""
+
+
+class FaultState(NamedTuple):
+    """The faults in force."""
+
+    speed: float = 1.0
+    leaving: bool = False
+    stall_transfers: float = 0.0
+    lose_cache_events: float = 0.0
+    load_lag_s: float = 1.0
+    ignore_cancel_until: float = 0.0
+    drop_before: int = 0
+    drop_after: int = 0
+
+    def changed(self, order: FaultOrder, now: float) -> "FaultState":
+        """Return the state after an order."""
+        fields = {name: value for name, value in order.items() if name in self._fields}
+        state = self._replace(**fields)  # type: ignore[arg-type]
+        if "ignore_cancel_for_s" in order:
+            return state._replace(ignore_cancel_until=now + order["ignore_cancel_for_s"])
+        return state
+
+
+class Freezer:
+    """A gate that stays shut while a stand-in is frozen."""
+
+    def __init__(self) -> None:
+        self._open = trio.Event()
+        self._open.set()
+
+    @property
+    def frozen(self) -> bool:
+        """Whether the gate is shut."""
+        return not self._open.is_set()
+
+    def set_frozen(self, frozen: bool) -> None:
+        """Shut or open the gate."""
+        if frozen and not self.frozen:
+            self._open = trio.Event()
+        if not frozen:
+            self._open.set()
+
+    async def passed(self) -> None:
+        """Return once the gate is open."""
+        while self.frozen:
+            await self._open.wait()
--- /dev/null
+++ b/src/chivehold/fakes/history.py
@@ -0,0 +1,49 @@
+"""What a stand-in has done, for checking of histories."""
+
+import time
+from collections import deque
+from typing import TypedDict
+
+import trio
+
+from chivehold.core.identity import AttemptId
+
+HISTORY_MOST = 200_000
+
+
+class HistoryEvent(TypedDict):
+    """One event at a stand-in."""
+
+    kind: str
+    attempt: AttemptId | None
+    at_s: float
+    """Seconds since the start of the history."""
+    tokens: int
+    detail: str
+
+
+class HistoryAnswer(TypedDict):
+    """Answer of ``GET /history``."""
+
+    started_at_unix_s: float
+    events: list[HistoryEvent]
+
+
+class History:
+    """The latest events, oldest first; made on the trio loop."""
+
+    def __init__(self) -> None:
+        self._started_at = trio.current_time()
+        self._started_at_unix_s = time.time()
+        self._events: deque[HistoryEvent] = deque(maxlen=HISTORY_MOST)
+
+    def add(self, kind: str, attempt: AttemptId | None, tokens: int = 0, detail: str = "") -> None:
+        """Note an event at the present time."""
+        at_s = trio.current_time() - self._started_at
+        self._events.append(
+            HistoryEvent(kind=kind, attempt=attempt, at_s=at_s, tokens=tokens, detail=detail)
+        )
+
+    def answer(self) -> HistoryAnswer:
+        """Return the whole history."""
+        return HistoryAnswer(started_at_unix_s=self._started_at_unix_s, events=list(self._events))
--- /dev/null
+++ b/src/chivehold/fakes/published.py
@@ -0,0 +1,65 @@
+"""What a stand-in engine tells of its load and cache, later than it is true."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from chivehold.sidecar.engine_api import EngineLoad
+
+PUBLISHED_BLOCKS_MOST = 256
+SAMPLES_MOST = 4_096
+
+
+class PublishedStatus:
+    """Load and cache events, each visible to others only after a lag.
+
+    Args:
+        blocks_most: Blocks that the engine caches.
+    """
+
+    def __init__(self, blocks_most: int) -> None:
+        self._blocks_most = blocks_most
+        self._samples: deque[tuple[float, EngineLoad]] = deque(maxlen=SAMPLES_MOST)
+        self._events: deque[tuple[float, tuple[int, ...]]] = deque()
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def load_sample(
+        self, now: float, streams: int, prefill_backlog_tokens: int, token_interval_s: float
+    ) -> None:
+        """Note the load as it is now."""
+        load = EngineLoad(
+            streams=streams,
+            prefill_backlog_tokens=prefill_backlog_tokens,
+            token_interval_s=token_interval_s,
+        )
+        self._samples.append((now, load))
+
+    def cache_event(self, now: float, blocks: tuple[int, ...]) -> None:
+        """Note that these blocks have been cached."""
+        self._events.append((now, blocks))
+
+    def clear(self) -> None:
+        """Forget the cache, as a killed engine does."""
+        self._events.clear()
+        self._blocks.clear()
+
+    def load(self, now: float, lag_s: float) -> EngineLoad:
+        """Return the load as it was ``lag_s`` ago."""
+        while len(self._samples) > 1 and self._samples[1][0] <= now - lag_s:
+            self._samples.popleft()
+        if not self._samples:
+            return EngineLoad(streams=0, prefill_backlog_tokens=0, token_interval_s=0.0)
+        return self._samples[0][1]
+
+    def prefix_blocks(self, now: float, lag_s: float) -> list[int]:
+        """Return cached blocks known from events older than ``lag_s``, most recent first."""
+        while self._events and self._events[0][0] <= now - lag_s:
+            _, blocks = self._events.popleft()
+            self._take(blocks)
+        return list(reversed(self._blocks))[:PUBLISHED_BLOCKS_MOST]
+
+    def _take(self, blocks: Iterable[int]) -> None:
+        for digest in blocks:
+            self._blocks[digest] = None
+            self._blocks.move_to_end(digest)
+        while len(self._blocks) > self._blocks_most:
+            self._blocks.popitem(last=False)
--- /dev/null
+++ b/src/chivehold/fakes/server.py
@@ -0,0 +1,78 @@
+"""Serving of a stand-in that can be told to die and to come back at the same address."""
+
+import argparse
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import trio
+
+from chivehold.fakes.faults import FaultOrder
+from chivehold.http_server import App, ServerLimits, serve_http
+
+DRAIN_TIMEOUT_S = 1.0
+
+
+class StandInAddresses(NamedTuple):
+    """Where a stand-in listens."""
+
+    data: str
+    """``host:port`` of its interface; refuses connections while it is dead."""
+    control: str
+    """``host:port`` for faults and history, also while it is dead."""
+
+
+class MortalServer:
+    """Serves an application at an address, with deaths in between.
+
+    Args:
+        address: ``host:port``; with port 0 the kernel gives one, which is kept.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._alive = trio.Event()
+        self._alive.set()
+        self._scope = trio.CancelScope()
+
+    def obey(self, order: FaultOrder) -> None:
+        """Die or come back, if the order says so."""
+        if order.get("die", False):
+            self._alive = trio.Event()
+            self._scope.cancel()
+        if order.get("revive", False):
+            self._alive.set()
+
+    async def serve(
+        self, app: App, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; started with the bound address."""
+        limits = ServerLimits(drain_timeout_s=DRAIN_TIMEOUT_S)
+        started = False
+        while True:
+            with trio.CancelScope() as self._scope:
+                async with trio.open_nursery() as nursery:
+
+                    async def run(task_status: trio.TaskStatus[str]) -> None:
+                        await serve_http(app, self._address, limits=limits, task_status=task_status)
+
+                    self._address = await nursery.start(run)
+                    if not started:
+                        started = True
+                        task_status.started(self._address)
+            await self._alive.wait()
+
+
+def add_address_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the options that every stand-in has."""
+    parser.add_argument("--address", default="127.0.0.1:0", help="host:port, 0 for any port")
+    parser.add_argument("--control-address", default="127.0.0.1:0", help="host:port for faults")
+    parser.add_argument("--name", default="stand-in")
+    parser.add_argument("--seed", type=int, default=0)
+
+
+async def run_program(serve: Callable[..., Awaitable[object]]) -> None:
+    """Run a stand-in and print its addresses once it listens."""
+    async with trio.open_nursery() as nursery:
+        addresses: StandInAddresses = await nursery.start(serve)
+        print(f"listening {addresses.data}", flush=True)
+        print(f"control {addresses.control}", flush=True)
--- /dev/null
+++ b/tests/fakes/test_engine.py
@@ -0,0 +1,239 @@
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from chivehold.core.identity import AttemptId, RequestId, Role
+from chivehold.fakes.engine import run_engine
+from chivehold.fakes.engine_model import EngineCost
+from chivehold.fakes.engine_runtime import EngineOptions
+from chivehold.fakes.output import expected_tokens
+from chivehold.fakes.server import StandInAddresses
+from chivehold.http_client import HttpClient, LinkError, NothingSent
+
+COST = EngineCost(kv_bytes_per_token=1_000, interval_base_s=0.001, interval_per_stream_s=0.0)
+OPTIONS = EngineOptions(cost=COST, emit_every_s=0.005)
+
+
+class Engine:
+    """Calls one stand-in engine."""
+
+    def __init__(self, addresses: StandInAddresses, client: HttpClient) -> None:
+        self.addresses = addresses
+        self.client = client
+
+    async def call(self, method: str, path: str, body: Any = None, status: int = 200) -> Any:
+        return await self._call(self.addresses.data, method, path, body, status)
+
+    async def fault(self, **order: Any) -> None:
+        await self._call(self.addresses.control, "POST", "/faults", order, 200)
+
+    async def held(self) -> list[Any]:
+        return (await self.call("GET", "/status"))["held"]  # type: ignore[no-any-return]
+
+    async def prefill(self, number: int, prompt: str = "p", tokens: int = 100) -> Any:
+        call = {
+            "attempt": attempt(number),
+            "prompt": prompt,
+            "prompt_tokens": tokens,
+            "prefix_blocks": [1, 2],
+            "priority": "urgent",
+        }
+        return await self.call("POST", "/prefill", call)
+
+    async def decode(self, number: int, kv: Any, first: int = 0, end: int = 20) -> list[Any]:
+        call = {
+            "attempt": attempt(number),
+            "handle": kv["handle"],
+            "engine_address": self.addresses.data,
+            "kv_bytes": kv["kv_bytes"],
+            "prompt_tokens": 100,
+            "first_offset": first,
+            "max_tokens": end,
+            "priority": "urgent",
+        }
+        body = msgspec.json.encode(call)
+        peer = self.addresses.data
+        async with self.client.stream(peer, "POST", "/decode", step="decode", body=body) as stream:
+            if stream.status != 200:
+                raise AssertionError(stream.status)
+            lines = [line async for part in stream for line in part]
+        return [msgspec.json.decode(line) for line in lines]
+
+    async def _call(self, peer: str, method: str, path: str, body: Any, status: int) -> Any:
+        raw = b"" if body is None else msgspec.json.encode(body)
+        answer = await self.client.call(peer, method, path, step="test", timeout_s=3.0, body=raw)
+        assert answer.status == status, answer.body
+        return msgspec.json.decode(answer.body)
+
+
+@asynccontextmanager
+async def engine(options: EngineOptions = OPTIONS) -> AsyncIterator[Engine]:
+    client = HttpClient()
+    async with trio.open_nursery() as nursery:
+        addresses = await nursery.start(partial(run_engine, options))
+        with trio.fail_after(10):
+            yield Engine(addresses, client)
+        nursery.cancel_scope.cancel()
+
+
+async def until(condition: Any, within_s: float = 5.0) -> None:
+    with trio.fail_after(within_s):
+        while not await condition():
+            await trio.sleep(0.01)
+
+
+def attempt(number: int) -> AttemptId:
+    return AttemptId(RequestId("r"), number)
+
+
+def output(lines: list[Any], first: int = 0) -> tuple[str, ...]:
+    """Return the tokens of a stream, checked for gaps and for the total at its end."""
+    tokens: list[str] = []
+    for line in lines[:-1]:
+        assert line["offset"] == first + len(tokens)
+        tokens += line["tokens"]
+    assert lines[-1] == {"total": first + len(tokens)}
+    return tuple(tokens)
+
+
+class TestOutput:
+    async def test_is_the_prompts_own_and_resumes(self) -> None:
+        """Two prompts' outputs are whole and their own; a resumed stream goes on in place."""
+        async with engine() as one:
+            outputs = {}
+            for number, prompt in enumerate(("a", "b")):
+                kv = await one.prefill(number, prompt)
+                outputs[prompt] = output(await one.decode(number, kv))
+            assert outputs == {prompt: expected_tokens(prompt, 20) for prompt in "ab"}
+            kv = await one.prefill(3, "a")
+            rest = output(await one.decode(3, kv, first=7), first=7)
+            assert rest == expected_tokens("a", 20)[7:]
+            assert await one.held() == []
+
+    async def test_expired_kv_is_not_decoded(self) -> None:
+        """A handle older than its lifetime is refused and holds nothing."""
+        async with engine(OPTIONS._replace(cost=COST._replace(kv_lifetime_s=0.0))) as one:
+            kv = await one.prefill(1)
+            with pytest.raises(AssertionError, match="410"):
+                await one.decode(1, kv)
+            assert await one.held() == []
+
+
+class TestMemory:
+    async def test_departed_caller_leaves_it_held_until_cancelled(self) -> None:
+        """Work goes on without its caller; only the cancel frees it, once cancels are heeded."""
+        async with engine() as one:
+            kv = await one.prefill(1)
+            with trio.move_on_after(0.1):
+                await one.decode(1, kv, end=100_000)
+            assert await one.held() == [["r", 1]]
+            await one.fault(ignore_cancel_for_s=0.2)
+            cancel = partial(one.call, "POST", "/cancel", {"attempt": attempt(1)})
+            assert await cancel() == {"held": True}
+
+            async def released() -> bool:
+                return await cancel() == {"held": False}
+
+            await until(released)
+            assert await one.held() == []
+
+    async def test_stalled_transfer_holds_its_place(self) -> None:
+        """A stalled import produces nothing and stays held until cancelled."""
+        async with engine() as one:
+            await one.fault(stall_transfers=1.0)
+            kv = await one.prefill(1)
+            with trio.move_on_after(0.2) as scope:
+                await one.decode(1, kv)
+            assert scope.cancelled_caught
+            assert await one.held() == [["r", 1]]
+
+    async def test_death_cuts_and_loses_everything(self) -> None:
+        """A killed engine breaks its streams, refuses connections and comes back empty."""
+        async with engine() as one, trio.open_nursery() as nursery:
+            kv = await one.prefill(1)
+            broken = trio.Event()
+
+            async def read() -> None:
+                with pytest.raises(LinkError):
+                    await one.decode(1, kv, end=100_000)
+                broken.set()
+
+            nursery.start_soon(read)
+            await until(one.held)
+            await one.fault(die=True)
+            await broken.wait()
+            with pytest.raises(NothingSent):
+                await one.held()
+            await one.fault(revive=True)
+
+            async def back() -> bool:
+                try:
+                    return await one.held() == []
+                except NothingSent:
+                    return False
+
+            await until(back)
+
+    async def test_frozen_engine_answers_nothing_and_goes_on(self) -> None:
+        """A frozen engine makes no progress, and afterwards its streams end whole."""
+        async with engine() as one, trio.open_nursery() as nursery:
+            kv = await one.prefill(1)
+            await one.fault(freeze=True)
+            got: list[Any] = []
+
+            async def read() -> None:
+                got.extend(await one.decode(1, kv))
+
+            nursery.start_soon(read)
+            with trio.move_on_after(0.2):
+                await one.held()
+                raise AssertionError("a frozen engine answered")
+            await one.fault(freeze=False)
+
+            async def ended() -> bool:
+                return bool(got)
+
+            await until(ended)
+            assert output(got) == expected_tokens("p", 20)
+
+
+class TestOrders:
+    @pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+    async def test_stale_number(self, checks: bool, status: int) -> None:
+        """An old fencing number is refused where the engine checks it, and only there."""
+        async with engine(OPTIONS._replace(checks_fencing=checks)) as one:
+            order = {"operation_id": "a", "kind": "load_model", "argument": "m"}
+            await one.call("POST", "/order", {**order, "fencing_number": 7})
+            stale = {**order, "operation_id": "b", "argument": "old", "fencing_number": 6}
+            await one.call("POST", "/order", stale, status)
+            state = await one.call("GET", "/state")
+            assert state["models"] == (["m"] if checks else ["m", "old"])
+
+
+class TestStatus:
+    @pytest.mark.parametrize("lost", [0.0, 1.0])
+    async def test_load_and_cache_events_lag(self, lost: float) -> None:
+        """Cached blocks are told only after the lag, and never when the event is lost."""
+        async with engine(OPTIONS._replace(role=Role.PREFILL)) as one:
+            await one.fault(load_lag_s=0.2, lose_cache_events=lost)
+            await one.prefill(1)
+            assert (await one.call("GET", "/status"))["prefix_blocks"] == []
+            await trio.sleep(0.25)
+            told = (await one.call("GET", "/status"))["prefix_blocks"]
+            assert told == ([] if lost else [2, 1])
+
+
+class TestMalformed:
+    @pytest.mark.parametrize("path", ["/prefill", "/decode", "/cancel", "/order", "/faults"])
+    @pytest.mark.parametrize("body", ["text", {"attempt": 3, "speed": "x"}, [1]])
+    async def test_body_is_refused(self, path: str, body: Any) -> None:
+        """A body of another form is a typed 400 and changes nothing."""
+        async with engine() as one:
+            answer = await one.call("POST", path, body, 400)
+            assert answer["reason"] == "malformed"
+            assert await one.held() == []
