--- /dev/null
+++ b/src/chivehold/platform/declaration_objects.py
@@ -0,0 +1,36 @@
+"""Declarations as objects of the platform."""
+
+import logging
+from collections.abc import Iterable, Iterator
+
+from returns.result import Success
+
+from chivehold.core.declarations import DeclarationReplica, HeldDeclaration
+from chivehold.core.identity import TargetName
+from chivehold.platform.api import Stored
+from chivehold.rpc.convert_declarations import decode_declaration
+
+DECLARATION_KIND = "declaration"
+
+_log = logging.getLogger(__name__)
+
+
+def held_declarations(
+    objects: Iterable[Stored], replica: DeclarationReplica
+) -> Iterator[HeldDeclaration]:
+    """Yield stored objects as held versions.
+
+    An object that cannot be read leaves in force what the replica holds under its name.
+    """
+    for stored in objects:
+        name = TargetName(stored.name)
+        if stored.deleted:
+            yield HeldDeclaration(name, stored.uid, stored.version, None)
+            continue
+        decoded = decode_declaration(stored.name, stored.value)
+        if isinstance(decoded, Success):
+            yield HeldDeclaration(name, stored.uid, stored.version, decoded.unwrap())
+            continue
+        _log.warning("step=read_declaration version=%d %s", stored.version, decoded.failure())
+        if held := replica.held(name):
+            yield held
