Stand-in plain service that counts runs by key and attempt

Cause: that a reservation runs at most once must be read off at the service itself. Ruled out: answers without identity; a late or foreign answer could not be told from the right one.

--- /dev/null
+++ b/src/chivehold/fakes/service_app.py
@@ -0,0 +1,152 @@
+"""A stand-in plain service: it answers any call, and counts how often each one ran."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple, TypedDict
+
+import msgspec
+import trio
+
+from chivehold.core.identity import AttemptId, RequestId
+from chivehold.fakes.faults import FaultOrder, FaultState, Freezer
+from chivehold.fakes.history import History
+from chivehold.fakes.output import prompt_digest
+from chivehold.http_server import (
+    Receive,
+    Scope,
+    Send,
+    header,
+    read_body,
+    respond_error,
+    respond_json,
+)
+
+MAX_BODY_BYTES = 16_777_216
+
+
+class ServiceOptions(NamedTuple):
+    """What a stand-in service is told at its start."""
+
+    name: str = "service"
+    work_s: float = 0.02
+
+
+class ServiceAnswer(TypedDict):
+    """The answer of a call; it identifies the request it belongs to."""
+
+    service: str
+    method: str
+    path: str
+    key: str | None
+    attempt: str | None
+    run: int
+    """1 for the first run of its key, or of its attempt where it has no key."""
+    body_digest: str
+
+
+class ServiceStatus(TypedDict):
+    """Answer of ``GET /status``."""
+
+    load: int
+    """Calls in progress."""
+    leaving: bool
+
+
+class ServiceApp:
+    """ASGI application of a plain service.
+
+    A call that has begun runs to its end, also when its caller has left.
+
+    Args:
+        options: What kind of service.
+        on_fault: Called after each ``POST /faults``.
+    """
+
+    def __init__(
+        self,
+        options: ServiceOptions,
+        on_fault: Callable[[FaultOrder], None] = lambda order: None,
+    ) -> None:
+        self._options = options
+        self._on_fault = on_fault
+        self._faults = FaultState()
+        self._freezer = Freezer()
+        self._history = History()
+        self._runs: Counter[str] = Counter()
+        self._in_progress = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        body = await read_body(receive, MAX_BODY_BYTES)
+        match scope["method"], scope["path"]:
+            case "GET", "/history":
+                await respond_json(send, 200, self._history.answer())
+            case "POST", "/faults":
+                await self._take_faults(body, send)
+            case "GET", "/status":
+                await self._freezer.passed()
+                status = ServiceStatus(load=self._in_progress, leaving=self._faults.leaving)
+                await respond_json(send, 200, status)
+            case _:
+                await self._freezer.passed()
+                await self._run(scope, body, send)
+
+    async def _take_faults(self, body: bytes, send: Send) -> None:
+        try:
+            order = msgspec.json.decode(body, type=FaultOrder)
+        except msgspec.DecodeError as error:
+            await respond_error(send, 400, "malformed", str(error))
+            return
+        self._faults = self._faults.changed(order, trio.current_time())
+        if "freeze" in order:
+            self._freezer.set_frozen(order["freeze"])
+        self._history.add("fault", None, detail=repr(order))
+        await respond_json(send, 200, order)
+        self._on_fault(order)
+
+    async def _run(self, scope: Scope, body: bytes, send: Send) -> None:
+        if self._faults.drop_before > 0:
+            self._faults = self._faults._replace(drop_before=self._faults.drop_before - 1)
+            await _cut(send)
+            return
+        answer = self._answer(scope, body)
+        attempt = _attempt(answer["attempt"])
+        self._history.add("started", attempt, detail=answer["key"] or "")
+        self._in_progress += 1
+        try:
+            await trio.sleep(self._options.work_s / self._faults.speed)
+        finally:
+            self._in_progress -= 1
+        await self._freezer.passed()
+        self._history.add("ended", attempt, detail=answer["key"] or "")
+        if self._faults.drop_after > 0:
+            self._faults = self._faults._replace(drop_after=self._faults.drop_after - 1)
+            await _cut(send)
+            return
+        await respond_json(send, 200, answer)
+
+    def _answer(self, scope: Scope, body: bytes) -> ServiceAnswer:
+        key, attempt = header(scope, "idempotency-key"), header(scope, "chivehold-attempt")
+        identity = key or attempt or ""
+        self._runs[identity] += 1
+        query = scope["query_string"].decode("latin-1")
+        return ServiceAnswer(
+            service=self._options.name,
+            method=scope["method"],
+            path=scope["path"] + (f"?{query}" if query else ""),
+            key=key,
+            attempt=attempt,
+            run=self._runs[identity],
+            body_digest=prompt_digest(body.decode("latin-1")),
+        )
+
+
+async def _cut(send: Send) -> None:
+    """Begin an answer that never ends, so that the connection is cut."""
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"", "more_body": True})
+
+
+def _attempt(text: str | None) -> AttemptId | None:
+    request, _, number = (text or "").rpartition("/")
+    return AttemptId(RequestId(request), int(number)) if number.isdigit() else None
