--- a/src/chivehold/core/slots.py
+++ b/src/chivehold/core/slots.py
@@ -9,6 +9,7 @@
 
 FIRST_HOLDING_S = 2.0
 FOREIGN_HOLDING_S = 0.5
+MIN_HOLDING_S = 0.001
 HOLDING_WEIGHT = 0.1
 
 
@@ -34,7 +35,7 @@
         Half the present holds' mean age bounds it from below, so that an engine which has become
         slow is noticed before its attempts end.
         """
-        known = self.holding_s.or_else(FIRST_HOLDING_S)
+        known = max(MIN_HOLDING_S, self.holding_s.or_else(FIRST_HOLDING_S))
         if not self.count:
             return known
         return max(known, (now - self.since_sum / self.count) / 2)
@@ -123,7 +124,7 @@
     def drain_rate(self, urgency: Urgency, now: float) -> float:
         """Return how many of one urgency's held places become free a second."""
         holds = self._classes[urgency]
-        return holds.count / max(1e-3, holds.mean_holding_s(now))
+        return holds.count / holds.mean_holding_s(now)
 
     def foreign_drain_rate(self) -> float:
         """Return how many places held by earlier runs become free a second."""
