The sidecar runs: attempts over HTTP, control over gRPC, engine work, drain and metrics

Cause: the sidecar's decisions had no sockets, tasks or timers round them. Ruled out: a task per frame; frames that have arrived together go out as one part. Feeding the core from within a command; events queue behind the one in progress. Change: sidecar/app (one run), driver (feeds the core), sessions, data_app (HTTP for entries), control (gRPC), engine_client, service_client, upstream_work, declarations, metrics, __main__. Keys are committed until the last registered one is settled, also while draining, since entries need a key's home to complete an answer that runs elsewhere.

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -7,6 +7,8 @@
 import httpcore
 import trio
 
+from chivehold.exceptions import ChiveholdError
+
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
 
@@ -25,15 +27,9 @@
 DEFAULT_CLIENT_LIMITS = ClientLimits()
 
 
-class LinkError(Exception):
+class LinkError(ChiveholdError):
     """A call to a peer did not end with a whole answer."""
 
-    def __init__(self, step: str, peer: str, detail: str) -> None:
-        super().__init__(f"{step}: {peer}: {detail}")
-        self.step = step
-        self.peer = peer
-        self.detail = detail
-
 
 class NothingSent(LinkError):  # noqa: N818
     """No connection could be had: the peer has certainly read nothing."""
--- /dev/null
+++ b/src/chivehold/sidecar/app.py
@@ -0,0 +1,288 @@
+"""The sidecar's shell: sockets, tasks and timers round its core."""
+
+import uuid
+from collections.abc import Callable
+from functools import partial
+from typing import Any, NamedTuple
+
+import trio
+
+from chivehold.core.identity import Role
+from chivehold.core.policy import Policy
+from chivehold.core.sidecar import SidecarCore
+from chivehold.core.sidecar_messages import (
+    CallEnded,
+    CancelAtEngine,
+    DrainStarted,
+    OrderEngine,
+    ReplyHeartbeat,
+    ReplyImport,
+    ReplyKey,
+    ReplyKeyCommit,
+    ReplyOrder,
+    ReplyRevoke,
+    SendFrame,
+    SendPrefillResult,
+    SidecarCommand,
+    SidecarConfig,
+    StartCall,
+    StartDecode,
+    StartPrefill,
+)
+from chivehold.core.wire import UpstreamState
+from chivehold.http_client import ClientLimits, HttpClient
+from chivehold.http_server import (
+    App,
+    Receive,
+    Scope,
+    Send,
+    ServerLimits,
+    respond,
+    respond_error,
+    serve_http,
+)
+from chivehold.rpc.bridge import serve_rpc
+from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
+from chivehold.settings import SidecarSettings
+from chivehold.sidecar.control import SidecarControl
+from chivehold.sidecar.data_app import DataApp
+from chivehold.sidecar.declarations import KeptDeclarations
+from chivehold.sidecar.driver import CoreDriver
+from chivehold.sidecar.engine_client import EngineClient, EngineTimeouts
+from chivehold.sidecar.metrics import SidecarMetrics
+from chivehold.sidecar.service_client import ServiceClient
+from chivehold.sidecar.sessions import Sessions
+from chivehold.sidecar.upstream_work import EngineWork, ServiceWork
+
+STATUS_TIMEOUT_POLLS = 2.0
+IDLE_POLL_S = 0.05
+LISTENER_DRAIN_S = 1.0
+RELEASE_TIMEOUT_S = 2.0
+MAX_HEADER_BYTES = 131_072
+FIRST_PREFILL_TOKENS_PER_S = 10_000.0
+
+Performer = Callable[[Any], None]
+
+
+class SidecarAddresses(NamedTuple):
+    """Where a sidecar listens, as ``host:port``."""
+
+    data: str
+    control: str
+    operator: str
+
+
+class Sidecar:
+    """One run of a sidecar.
+
+    Args:
+        settings: Its settings.
+        nursery: Runs the work at the upstream.
+        http: Calls the upstream.
+    """
+
+    def __init__(self, settings: SidecarSettings, nursery: trio.Nursery, http: HttpClient) -> None:
+        self._settings = settings
+        self._core = SidecarCore(_config(settings), Policy())
+        self._metrics = SidecarMetrics()
+        self._sessions = Sessions()
+        self._driver = CoreDriver(self._core, self._perform)
+        self._client, self._work, performers = self._upstream(nursery, http)
+        self._performers = {**self._replies(), **performers}
+        self._declarations = KeptDeclarations(
+            settings.target, settings.patient_floor, self._driver.feed
+        )
+        self._control = SidecarControl(
+            self._core, self._driver, self._declarations, self._shell_state
+        )
+
+    @property
+    def data_app(self) -> App:
+        """The ASGI application for entries."""
+        settings = self._settings
+        return DataApp(
+            settings.role, settings.token, settings.max_body_bytes, self._driver, self._sessions
+        )
+
+    @property
+    def control(self) -> SidecarControl:
+        """The gRPC servicer."""
+        return self._control
+
+    @property
+    def has_work(self) -> bool:
+        """Whether an attempt, or anything of one at the upstream, is left."""
+        return bool(len(self._sessions) or len(self._work) or self._core.places.slots.held)
+
+    async def run_timer(self) -> None:
+        """Keep the core's timer until cancelled."""
+        await self._driver.run()
+
+    async def poll_status(self) -> None:
+        """Ask the upstream once what it holds, and tell the core."""
+        self._driver.feed(await self._client.status())
+
+    async def poll_forever(self) -> None:
+        """Ask the upstream again and again until cancelled."""
+        while True:
+            await trio.sleep(self._settings.status_poll_s)
+            await self.poll_status()
+
+    async def drain(self) -> None:
+        """Refuse new work, and return once what is held has ended or the time is up.
+
+        Keys are registered for as long as work is held, and committed until the last one is
+        settled: entries need the home of a key to complete an answer that runs elsewhere.
+        """
+        self._driver.feed(DrainStarted())
+        with trio.move_on_after(self._settings.drain_timeout_s):
+            while self.has_work:
+                await trio.sleep(IDLE_POLL_S)
+            self._control.takes_keys = False
+            while self._core.keys.in_progress:
+                await trio.sleep(IDLE_POLL_S)
+
+    async def release(self) -> None:
+        """Give what was cut off ``RELEASE_TIMEOUT_S`` to be cancelled at the upstream."""
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            while self.has_work:
+                await trio.sleep(IDLE_POLL_S)
+
+    async def operator_app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer metrics and health checks."""
+        report = self._core.report(trio.current_time())
+        match scope["path"]:
+            case "/metrics":
+                body, content_type = self._metrics.render(report, len(self._sessions))
+                await respond(send, 200, body, content_type)
+            case "/healthz":
+                await respond(send, 200, b"ok\n", "text/plain")
+            case "/readyz":
+                ready = report.state is UpstreamState.READY
+                body = f"{report.state}\n".encode()
+                await respond(send, 200 if ready else 503, body, "text/plain")
+            case path:
+                await respond_error(send, 404, "malformed", f"{path} is not served here")
+
+    def _perform(self, command: SidecarCommand) -> None:
+        self._metrics.count(command)
+        self._performers[type(command)](command)
+
+    def _replies(self) -> dict[type, Performer]:
+        answer = self._driver.answer
+        return {
+            SendFrame: lambda command: self._sessions.deliver_frame(command.frame),
+            SendPrefillResult: lambda command: self._sessions.deliver_prefill(command.result),
+            ReplyImport: lambda command: answer(command.reply, command.accepted),
+            ReplyRevoke: lambda command: answer(command.reply, command.result),
+            ReplyHeartbeat: lambda command: answer(command.reply, command.report),
+            ReplyKey: lambda command: answer(command.reply, command.decision),
+            ReplyKeyCommit: lambda command: answer(command.reply, command.committed),
+            ReplyOrder: lambda command: answer(command.reply, command.result),
+        }
+
+    def _upstream(
+        self, nursery: trio.Nursery, http: HttpClient
+    ) -> tuple[EngineClient | ServiceClient, EngineWork | ServiceWork, dict[type, Performer]]:
+        peer, feed = self._settings.upstream_address, self._driver.feed
+        status_s = STATUS_TIMEOUT_POLLS * self._settings.status_poll_s
+        work: EngineWork | ServiceWork
+        if self._settings.role is Role.SERVICE:
+            service = ServiceClient(http, peer, status_s)
+            work = ServiceWork(service, feed, nursery)
+            return service, work, {**_common(work), StartCall: partial(self._start_call, work)}
+        engine = EngineClient(http, peer, EngineTimeouts(status_s=status_s))
+        work = EngineWork(engine, feed, nursery)
+        starts: dict[type, Performer] = {StartPrefill: work.prefill, StartDecode: work.decode}
+        return engine, work, {**_common(work), **starts}
+
+    def _start_call(self, work: ServiceWork, command: StartCall) -> None:
+        session = self._sessions.call(command.attempt)
+        if session is None:
+            self._driver.feed(CallEnded(command.attempt))
+            return
+        work.call(session)
+
+    def _shell_state(self) -> dict[str, Any]:
+        return {
+            "name": self._settings.name,
+            "target": self._settings.target,
+            "zone": self._settings.zone,
+            "upstream_address": self._settings.upstream_address,
+            "sessions": len(self._sessions),
+            "tasks_at_upstream": len(self._work),
+            "takes_keys": self._control.takes_keys,
+            "declarations_revision": self._declarations.revision,
+        }
+
+
+async def run_sidecar(
+    settings: SidecarSettings,
+    *,
+    shutdown: trio.Event | None = None,
+    task_status: trio.TaskStatus[SidecarAddresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a sidecar until ``shutdown`` is set and what it holds has ended, or until cancelled.
+
+    Args:
+        settings: Its settings.
+        shutdown: Begins the graceful shutdown.
+        task_status: Started with the bound addresses, once the upstream was asked what it holds.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    shutdown = trio.Event() if shutdown is None else shutdown
+    stop, stopped = trio.Event(), trio.Event()
+    http = HttpClient(ClientLimits(max_answer_bytes=settings.max_answer_bytes))
+    async with trio.open_nursery() as nursery:
+        sidecar = Sidecar(settings, nursery, http)
+        await sidecar.poll_status()
+        nursery.start_soon(sidecar.run_timer)
+        nursery.start_soon(sidecar.poll_forever)
+
+        async def serve_data(task_status: trio.TaskStatus[str]) -> None:
+            limits = ServerLimits(
+                max_header_bytes=MAX_HEADER_BYTES, drain_timeout_s=LISTENER_DRAIN_S
+            )
+            await serve_http(
+                sidecar.data_app,
+                settings.data_address,
+                limits=limits,
+                shutdown=stop,
+                task_status=task_status,
+            )
+            stopped.set()
+
+        data = await nursery.start(serve_data)
+        operator = await nursery.start(serve_http, sidecar.operator_app, settings.operator_address)
+        adders = [partial(add_SidecarServicer_to_server, sidecar.control)]
+        async with serve_rpc(settings.control_address, adders, settings.token) as control:
+            task_status.started(SidecarAddresses(data, control, operator))
+            await shutdown.wait()
+            await sidecar.drain()
+            stop.set()
+            await stopped.wait()
+            await sidecar.release()
+        nursery.cancel_scope.cancel()
+    await http.aclose()
+
+
+def _common(work: EngineWork | ServiceWork) -> dict[type, Performer]:
+    return {
+        CancelAtEngine: lambda command: work.cancel(command.attempt),
+        OrderEngine: work.order,
+    }
+
+
+def _config(settings: SidecarSettings) -> SidecarConfig:
+    return SidecarConfig(
+        incarnation=f"{settings.name}-{uuid.uuid4().hex[:12]}",
+        role=settings.role,
+        places=settings.places,
+        patient_floor=settings.patient_floor,
+        entry_lease_s=settings.entry_lease_s,
+        link_bytes_per_s=settings.link_bytes_per_s,
+        prefill_tokens_per_s=settings.prefill_tokens_per_s or FIRST_PREFILL_TOKENS_PER_S,
+        key_retention_s=settings.key_retention_s,
+    )
--- /dev/null
+++ b/src/chivehold/sidecar/control.py
@@ -0,0 +1,139 @@
+"""The gRPC interface of a sidecar: heartbeats, revocations, keys, orders, declarations, dump."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+import grpc
+import msgspec
+
+from chivehold.core.sidecar import SidecarCore
+from chivehold.core.sidecar_messages import (
+    DrainStarted,
+    HeartbeatArrived,
+    KeyCommitArrived,
+    KeyRegisterArrived,
+    KeyReleaseArrived,
+    OrderArrived,
+    RevokeArrived,
+)
+from chivehold.core.wire import KeyDecision
+from chivehold.exceptions import Malformed
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcRefused
+from chivehold.rpc.chivehold_pb2_grpc import SidecarServicer
+from chivehold.rpc.convert import (
+    commit_from_proto,
+    decision_to_proto,
+    heartbeat_from_proto,
+    load_report_to_proto,
+    order_from_proto,
+    order_result_to_proto,
+    registration_from_proto,
+    revocation_from_proto,
+    revoke_result_to_proto,
+)
+from chivehold.sidecar.declarations import KeptDeclarations
+from chivehold.sidecar.driver import CoreDriver
+
+MessageT = TypeVar("MessageT")
+ValueT = TypeVar("ValueT")
+
+
+class SidecarControl(SidecarServicer):
+    """Answers what entries and operators ask of a sidecar.
+
+    Args:
+        core: Read for the dump; fed only through the driver.
+        driver: Feeds the core.
+        declarations: The declarations kept here.
+        shell_state: Returns what the shell adds to the dump.
+    """
+
+    def __init__(
+        self,
+        core: SidecarCore,
+        driver: CoreDriver,
+        declarations: KeptDeclarations,
+        shell_state: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        self._core = core
+        self._driver = driver
+        self._declarations = declarations
+        self._shell_state = shell_state
+        self.takes_keys = True
+        """Whether new keys may be registered; those registered may still be committed."""
+
+    async def Heartbeat(  # noqa: N802
+        self, request: pb.HeartbeatRequest, context: Any
+    ) -> pb.HeartbeatResponse:
+        """Renew an entry's lease."""
+        heartbeat = _checked(heartbeat_from_proto, request)
+        report = await self._driver.ask(lambda reply: HeartbeatArrived(reply, heartbeat))
+        return load_report_to_proto(report)
+
+    async def Revoke(  # noqa: N802
+        self, request: pb.RevokeRequest, context: Any
+    ) -> pb.RevokeResponse:
+        """Bar an attempt from starting."""
+        attempt, incarnation = _checked(revocation_from_proto, request)
+        result = await self._driver.ask(lambda reply: RevokeArrived(reply, attempt, incarnation))
+        return revoke_result_to_proto(result)
+
+    async def RegisterKey(  # noqa: N802
+        self, request: pb.RegisterKeyRequest, context: Any
+    ) -> pb.RegisterKeyResponse:
+        """Decide whether a key's request may run."""
+        registration = _checked(registration_from_proto, request)
+        if not self.takes_keys:
+            return decision_to_proto(KeyDecision.UNREACHABLE)
+        decision = await self._driver.ask(lambda reply: KeyRegisterArrived(reply, registration))
+        return decision_to_proto(decision)
+
+    async def CommitKey(  # noqa: N802
+        self, request: pb.CommitKeyRequest, context: Any
+    ) -> pb.CommitKeyResponse:
+        """Commit a key, or give it back."""
+        commit, release = _checked(commit_from_proto, request)
+        if release:
+            self._driver.feed(KeyReleaseArrived(commit))
+            return pb.CommitKeyResponse(committed=False)
+        committed = await self._driver.ask(lambda reply: KeyCommitArrived(reply, commit))
+        return pb.CommitKeyResponse(committed=committed)
+
+    async def Order(self, request: pb.OrderRequest, context: Any) -> pb.OrderResponse:  # noqa: N802
+        """Pass an order on to the engine."""
+        order = _checked(order_from_proto, request)
+        result = await self._driver.ask(lambda reply: OrderArrived(reply, order))
+        return order_result_to_proto(result)
+
+    async def PushDeclarations(  # noqa: N802
+        self, request: pb.PushDeclarationsRequest, context: Any
+    ) -> pb.PushDeclarationsResponse:
+        """Take newer declarations."""
+        return _checked(self._declarations.push, request)
+
+    async def PullDeclarations(  # noqa: N802
+        self, request: pb.PullDeclarationsRequest, context: Any
+    ) -> pb.PullDeclarationsResponse:
+        """Hand on the declarations that are kept here."""
+        return self._declarations.pull(request)
+
+    async def Drain(self, request: pb.DrainRequest, context: Any) -> pb.DrainResponse:  # noqa: N802
+        """Take no new work from now on."""
+        self._driver.feed(DrainStarted())
+        in_progress = len(self._core.dump()["attempts"])
+        state = self._core.availability.state
+        return pb.DrainResponse(state=state, in_progress=in_progress)
+
+    async def Dump(self, request: pb.DumpRequest, context: Any) -> pb.DumpResponse:  # noqa: N802
+        """Return the whole state as one JSON object."""
+        state = {**self._shell_state(), "core": self._core.dump()}
+        return pb.DumpResponse(json=msgspec.json.encode(state).decode())
+
+
+def _checked(convert: Callable[[MessageT], ValueT], message: MessageT) -> ValueT:
+    try:
+        return convert(message)
+    except Malformed as error:
+        detail = f"{error.step}: {error.detail}"
+        raise RpcRefused(grpc.StatusCode.INVALID_ARGUMENT, detail) from error
--- /dev/null
+++ b/src/chivehold/sidecar/upstream_work.py
@@ -0,0 +1,154 @@
+"""Carries the core's commands to the upstream, each in a task of its own."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+
+import trio
+
+from chivehold.core.identity import AttemptId
+from chivehold.core.sidecar_messages import (
+    CallEnded,
+    CancelSettled,
+    EnginePrefilled,
+    OrderEngine,
+    OrderSettled,
+    SidecarEvent,
+    StartDecode,
+    StartPrefill,
+)
+from chivehold.core.wire import OrderResult
+from chivehold.sidecar.engine_client import EngineClient
+from chivehold.sidecar.service_client import ServiceClient
+from chivehold.sidecar.sessions import CallSession
+
+Feed = Callable[[SidecarEvent], None]
+
+
+class _Tasks:
+    """Tasks by attempt, each cancelled by its own scope."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._scopes: dict[AttemptId, trio.CancelScope] = {}
+
+    def __len__(self) -> int:
+        return len(self._scopes)
+
+    def __contains__(self, attempt: AttemptId) -> bool:
+        return attempt in self._scopes
+
+    def start(self, attempt: AttemptId, work: Callable[[], Awaitable[None]]) -> None:
+        """Start an attempt's task."""
+        scope = self._scopes[attempt] = trio.CancelScope()
+        self._nursery.start_soon(self._run, attempt, scope, work)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Cancel an attempt's task, if it has one."""
+        if attempt in self._scopes:
+            self._scopes[attempt].cancel()
+
+    async def _run(
+        self, attempt: AttemptId, scope: trio.CancelScope, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        with scope:
+            try:
+                await work()
+            finally:
+                if self._scopes.get(attempt) is scope:
+                    del self._scopes[attempt]
+
+
+class EngineWork:
+    """Work at an engine.
+
+    Args:
+        engine: The engine.
+        feed: Takes the events that follow.
+        nursery: Runs the tasks.
+    """
+
+    def __init__(self, engine: EngineClient, feed: Feed, nursery: trio.Nursery) -> None:
+        self._engine = engine
+        self._feed = feed
+        self._nursery = nursery
+        self._work = _Tasks(nursery)
+        self._cancels = _Tasks(nursery)
+
+    def __len__(self) -> int:
+        return len(self._work) + len(self._cancels)
+
+    def prefill(self, command: StartPrefill) -> None:
+        """Start a prefill."""
+
+        async def run() -> None:
+            self._feed(EnginePrefilled(await self._engine.prefill(command.order)))
+
+        self._work.start(command.order.attempt, run)
+
+    def decode(self, command: StartDecode) -> None:
+        """Start an import with its decode."""
+
+        async def run() -> None:
+            async with aclosing(self._engine.decode(command.offer, command.order)) as parts:  # type: ignore[type-var]
+                async for events in parts:
+                    for event in events:
+                        self._feed(event)
+
+        self._work.start(command.offer.attempt, run)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Cancel an attempt, unless a cancel of it is under way."""
+        self._work.cancel(attempt)
+        if attempt in self._cancels:
+            return
+
+        async def run() -> None:
+            released = await self._engine.cancel(attempt)
+            self._feed(CancelSettled(attempt, released))
+
+        self._cancels.start(attempt, run)
+
+    def order(self, command: OrderEngine) -> None:
+        """Pass an order on."""
+        self._nursery.start_soon(self._order, command)
+
+    async def _order(self, command: OrderEngine) -> None:
+        result = await self._engine.order(command.order)
+        self._feed(OrderSettled(command.reply, command.order, result))
+
+
+class ServiceWork:
+    """Calls at a plain service.
+
+    Args:
+        service: The service.
+        feed: Takes the events that follow.
+        nursery: Runs the tasks.
+    """
+
+    def __init__(self, service: ServiceClient, feed: Feed, nursery: trio.Nursery) -> None:
+        self._service = service
+        self._feed = feed
+        self._nursery = nursery
+        self._work = _Tasks(nursery)
+
+    def __len__(self) -> int:
+        return len(self._work)
+
+    def call(self, session: CallSession) -> None:
+        """Pass a call on and settle its session."""
+
+        async def run() -> None:
+            session.settle(await self._service.call(session))
+            self._feed(CallEnded(session.offer.attempt))
+
+        self._work.start(session.offer.attempt, run)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Give a call up; nothing of it is held here afterwards."""
+        self._work.cancel(attempt)
+        self._feed(CancelSettled(attempt, released=True))
+
+    def order(self, command: OrderEngine) -> None:
+        """Settle an order, which a plain service cannot take."""
+        self._feed(OrderSettled(command.reply, command.order, OrderResult.FAILED))
--- /dev/null
+++ b/tests/sidecar/rig.py
@@ -0,0 +1,261 @@
+"""Sidecars with stand-in upstreams in one trio loop, and an entry that speaks to them."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+
+from chivehold.core.identity import AttemptId, EntryIncarnation, RequestId, Role, Urgency
+from chivehold.core.wire import (
+    AttemptFrame,
+    AttemptOffer,
+    FrameKind,
+    Heartbeat,
+    ImportOrder,
+    LoadReport,
+    PrefillOrder,
+    PrefillResult,
+)
+from chivehold.fakes.engine import run_engine
+from chivehold.fakes.engine_model import EngineCost
+from chivehold.fakes.engine_runtime import EngineOptions
+from chivehold.fakes.server import StandInAddresses
+from chivehold.http_client import HttpAnswer, HttpClient
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
+from chivehold.rpc.convert import heartbeat_to_proto, load_report_from_proto
+from chivehold.settings import SidecarSettings
+from chivehold.sidecar.app import SidecarAddresses, run_sidecar
+
+TOKEN = "a-token-of-the-tests"
+ENTRY = EntryIncarnation("entry-1")
+COST = EngineCost(kv_bytes_per_token=1_000, interval_base_s=0.002, interval_per_stream_s=0.0)
+MessageT = TypeVar("MessageT")
+
+
+def settings(role: Role, upstream: str, **changes: Any) -> SidecarSettings:
+    loopback = "127.0.0.1:0"
+    return SidecarSettings(
+        name=f"{role}-1",
+        target="lector",
+        role=role,
+        zone="sjo-a",
+        data_address=loopback,
+        control_address=loopback,
+        operator_address=loopback,
+        upstream_address=upstream,
+        places=4,
+        token=TOKEN,
+        status_poll_s=0.1,
+        max_body_bytes=100_000,
+    )._replace(**changes)
+
+
+def attempt(number: int) -> AttemptId:
+    return AttemptId(RequestId(f"request-{number}"), 1)
+
+
+async def until(condition: Callable[[], Awaitable[bool]], within_s: float = 5.0) -> None:
+    with trio.fail_after(within_s):
+        while not await condition():
+            await trio.sleep(0.01)
+
+
+class SidecarPeer:
+    """One sidecar as an entry sees it."""
+
+    def __init__(self, addresses: SidecarAddresses, client: HttpClient, token: str) -> None:
+        self.addresses = addresses
+        self.client = client
+        self.headers = [("authorization", f"Bearer {token}")]
+        self._channel = RpcChannel(addresses.control, token)
+        self._stub = SidecarStub(self._channel.grpc_channel)
+
+    def close(self) -> None:
+        self._channel.close()
+
+    async def rpc(self, method: str, request: Any) -> Any:
+        return await self._channel.call(getattr(self._stub, method), request, 5.0)
+
+    async def heartbeat(self) -> LoadReport:
+        message = heartbeat_to_proto(Heartbeat(ENTRY, "", 0))
+        return load_report_from_proto(await self.rpc("Heartbeat", message))
+
+    async def dump(self) -> Any:
+        return msgspec.json.decode((await self.rpc("Dump", pb.DumpRequest())).json)
+
+    async def post(self, path: str, body: bytes, headers: Any = ()) -> HttpAnswer:
+        return await self.client.call(
+            self.addresses.data,
+            "POST",
+            path,
+            step="test",
+            timeout_s=5.0,
+            body=body,
+            headers=[*self.headers, *headers],
+        )
+
+    async def operator(self, path: str) -> HttpAnswer:
+        peer = self.addresses.operator
+        return await self.client.call(peer, "GET", path, step="test", timeout_s=5.0)
+
+    async def offer(self, number: int, **changes: Any) -> AttemptOffer:
+        report = await self.heartbeat()
+        return AttemptOffer(
+            attempt=attempt(number),
+            entry=ENTRY,
+            incarnation=report.incarnation,
+            target="lector",
+            organisation="bruma",
+            share_weight=1.0,
+            urgency=Urgency.URGENT,
+            waited_s=0.0,
+            start_within_s=5.0,
+            deadline_in_s=10.0,
+            prompt_tokens=100,
+            max_tokens=50,
+        )._replace(**changes)
+
+    async def prefill(self, number: int, prompt: str) -> PrefillResult:
+        report = await self.heartbeat()
+        order = PrefillOrder(
+            attempt=attempt(number),
+            entry=ENTRY,
+            incarnation=report.incarnation,
+            target="lector",
+            organisation="bruma",
+            urgency=Urgency.URGENT,
+            prompt=prompt,
+            prompt_tokens=100,
+            prefix_blocks=(1, 2),
+            start_within_s=5.0,
+            deadline_in_s=10.0,
+        )
+        answer = await self.post("/v1/prefills", msgspec.json.encode(order))
+        return msgspec.json.decode(answer.body, type=PrefillResult)
+
+    async def import_kv(self, kv: PrefillResult) -> bool:
+        order = ImportOrder(
+            kv.attempt, kv.handle, kv.engine_address, kv.kv_bytes, 100, kv.expires_in_s
+        )
+        answer = await self.post("/v1/imports", msgspec.json.encode(order))
+        return msgspec.json.decode(answer.body, type=bool)
+
+    @asynccontextmanager
+    async def frames(self, offer: AttemptOffer) -> AsyncIterator[AsyncIterator[AttemptFrame]]:
+        """Open an attempt's stream; leaving the block closes it as a departing entry does."""
+        body = msgspec.json.encode(offer)
+        async with self.client.stream(
+            self.addresses.data,
+            "POST",
+            "/v1/attempts",
+            step="test",
+            body=body,
+            headers=self.headers,
+        ) as stream:
+            assert stream.status == 200, await stream.read(10_000)
+
+            async def each() -> AsyncIterator[AttemptFrame]:
+                async for lines in stream:
+                    for line in lines:
+                        yield msgspec.json.decode(line, type=AttemptFrame)
+
+            yield each()
+
+
+class Rig:
+    """Both engines of a deployment, each with its sidecar."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.client = HttpClient()
+        self.engines: dict[Role, StandInAddresses] = {}
+        self.sidecars: dict[Role, SidecarPeer] = {}
+        self.shutdown: dict[Role, trio.Event] = {}
+        self.ended: dict[Role, trio.Event] = {}
+        self._kills: dict[Role, trio.CancelScope] = {}
+
+    @property
+    def decode(self) -> SidecarPeer:
+        return self.sidecars[Role.DECODE]
+
+    @property
+    def prefill(self) -> SidecarPeer:
+        return self.sidecars[Role.PREFILL]
+
+    async def start_engine(self, role: Role, cost: EngineCost = COST) -> None:
+        options = EngineOptions(name=role, role=role, cost=cost, emit_every_s=0.005)
+        self.engines[role] = await self.nursery.start(partial(run_engine, options))
+
+    async def start_sidecar(self, role: Role, **changes: Any) -> None:
+        """Start the sidecar of an engine after killing the one before it."""
+        await self.kill_sidecar(role)
+        self._kills[role], self.ended[role] = trio.CancelScope(), trio.Event()
+        self.shutdown[role] = trio.Event()
+
+        async def run(task_status: trio.TaskStatus[SidecarAddresses]) -> None:
+            own = settings(role, self.engines[role].data, **changes)
+            shutdown, ended = self.shutdown[role], self.ended[role]
+            with self._kills[role]:
+                await run_sidecar(own, shutdown=shutdown, task_status=task_status)
+            ended.set()
+
+        addresses = await self.nursery.start(run)
+        self.sidecars[role] = SidecarPeer(addresses, self.client, TOKEN)
+
+    async def kill_sidecar(self, role: Role) -> None:
+        """End a sidecar without any drain."""
+        if role in self.sidecars:
+            self._kills[role].cancel()
+            await self.ended[role].wait()
+            self.sidecars.pop(role).close()
+
+    async def fault(self, role: Role, **order: Any) -> None:
+        await self.engine_call(self.engines[role].control, "POST", "/faults", order)
+
+    async def held(self, role: Role = Role.DECODE) -> list[Any]:
+        status = await self.engine_call(self.engines[role].data, "GET", "/status")
+        return status["held"]  # type: ignore[no-any-return]
+
+    async def engine_call(self, peer: str, method: str, path: str, body: Any = None) -> Any:
+        raw = b"" if body is None else msgspec.json.encode(body)
+        answer = await self.client.call(peer, method, path, step="test", timeout_s=5.0, body=raw)
+        return msgspec.json.decode(answer.body)
+
+    async def tokens(self, number: int, prompt: str, **changes: Any) -> tuple[str, ...]:
+        """Take a request the whole way and return its output, checked for gaps and its end."""
+        offer = await self.decode.offer(number, **changes)
+        tokens: list[str] = []
+        async with self.decode.frames(offer) as frames:
+            async for frame in frames:
+                if frame.kind is FrameKind.GRANTED:
+                    kv = await self.prefill.prefill(number, prompt)
+                    assert await self.decode.import_kv(kv)
+                elif frame.kind is FrameKind.TOKENS:
+                    assert frame.offset == offer.first_offset + len(tokens)
+                    tokens += frame.tokens
+                elif frame.kind is FrameKind.FINISHED:
+                    assert frame.offset == offer.first_offset + len(tokens)
+                    return tuple(tokens)
+                else:
+                    assert frame.kind is FrameKind.QUEUED, frame
+        raise AssertionError("the stream ended without its last frame")
+
+
+@asynccontextmanager
+async def rig() -> AsyncIterator[Rig]:
+    """Start engines and sidecars of a deployment."""
+    async with trio.open_nursery() as nursery:
+        one = Rig(nursery)
+        for role in (Role.PREFILL, Role.DECODE):
+            await one.start_engine(role)
+            await one.start_sidecar(role)
+        with trio.fail_after(15):
+            yield one
+        for sidecar in one.sidecars.values():
+            sidecar.close()
+        nursery.cancel_scope.cancel()
