--- /dev/null
+++ b/src/chivehold/entry/app.py
@@ -0,0 +1,245 @@
+"""One entry as a process: builds its parts, serves, and drains when it is told to end."""
+
+import logging
+import secrets
+import signal
+from functools import partial
+from random import Random
+from typing import Any, NamedTuple
+
+import trio
+
+from chivehold.core.declarations import DeclarationReplica
+from chivehold.core.declared import Upstream
+from chivehold.core.entry import EntryCore
+from chivehold.core.entry_messages import DeclarationsChanged, DrainStarted, LeavingListed
+from chivehold.core.identity import EntryIncarnation, UpstreamName
+from chivehold.core.wire import LoadReport
+from chivehold.entry.attempts import AttemptClient
+from chivehold.entry.caller_headers import HeaderBounds
+from chivehold.entry.callers import CallerApp
+from chivehold.entry.declaration_feed import follow_leaving, follow_platform
+from chivehold.entry.driver import EntryDriver
+from chivehold.entry.heartbeats import Heartbeats, pools
+from chivehold.entry.no_claims import NoClaims
+from chivehold.entry.operator_http import OperatorApp
+from chivehold.entry.operators import EntryNode, OperatorsService
+from chivehold.entry.sidecar_calls import SidecarCalls
+from chivehold.http_client import ClientLimits, HttpClient
+from chivehold.http_server import ServerLimits, serve_http
+from chivehold.logs import log_event
+from chivehold.metrics import EntryMetrics
+from chivehold.platform.client import HttpObjectStore
+from chivehold.rpc.bridge import serve_rpc
+from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
+from chivehold.settings import EntrySettings
+
+INCARNATION_BYTES = 6
+OPERATOR_DRAIN_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class EntryAddresses(NamedTuple):
+    """Where an entry listens, each as ``host:port``."""
+
+    callers: str
+    control: str
+    operator: str
+
+
+class Entry:
+    """The parts of one entry.
+
+    Args:
+        settings: The entry's settings.
+        nursery: Runs the background tasks; cancelled at the end.
+    """
+
+    def __init__(self, settings: EntrySettings, nursery: trio.Nursery) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        self._rng = Random(secrets.randbits(64))
+        random_name = secrets.token_hex(INCARNATION_BYTES)
+        self._incarnation = EntryIncarnation(f"{settings.name}.{random_name}")
+        self._drain_asked = trio.Event()
+        self._has_declarations = False
+        self._announced = -1
+        self._upstreams: dict[UpstreamName, Upstream] = {}
+        self._replica = DeclarationReplica()
+        self._client = HttpClient(ClientLimits(max_answer_bytes=settings.max_answer_bytes))
+        self._store = HttpObjectStore(settings.platform_address, self._client)
+        self._calls = SidecarCalls(self._upstreams.get, settings.token)
+        self._metrics = EntryMetrics()
+        core = EntryCore(self._incarnation, settings.zone, settings.policy, self._rng)
+        self._heartbeats = Heartbeats(
+            self._calls,
+            settings.name,
+            self._incarnation,
+            settings.heartbeat_s,
+            settings.upstreams_most,
+            lambda event: self._driver.feed(event),
+            lambda: self._replica.revision,
+            self._reported,
+            nursery,
+        )
+        self._driver = EntryDriver(
+            core,
+            AttemptClient(self._client, self._upstreams.get, settings.token),
+            self._calls,
+            NoClaims(),
+            self._heartbeats,
+            nursery,
+        )
+        bounds = HeaderBounds(settings.default_deadline_s, settings.key_retention_s)
+        self._callers = CallerApp(
+            self._driver, self._metrics, self._incarnation, bounds, settings.max_body_bytes
+        )
+        self._operators = OperatorsService(
+            self._node(),
+            self._store,
+            self._replica,
+            self._declarations_read,
+            self._driver,
+            self._heartbeats,
+            self._calls,
+            self._rng,
+        )
+
+    async def run(self, task_status: trio.TaskStatus[EntryAddresses]) -> None:
+        """Serve until told to end, then drain."""
+        background = self._nursery
+        background.start_soon(self._driver.run_timer)
+        background.start_soon(
+            follow_platform, self._store, self._replica, self._declarations_read, self._rng
+        )
+        background.start_soon(follow_leaving, self._store, self._list_leaving)
+        await background.start(self._await_signal)
+        add = [partial(add_OperatorsServicer_to_server, self._operators)]
+        async with serve_rpc(self._settings.control_address, add, self._settings.token) as control:
+            await self._serve(control, task_status)
+        await self._client.aclose()
+        self._calls.close()
+
+    async def _serve(self, control: str, task_status: trio.TaskStatus[EntryAddresses]) -> None:
+        settings = self._settings
+        shutdown = trio.Event()
+        limits = ServerLimits(
+            max_header_bytes=settings.max_header_bytes,
+            max_requests=settings.max_connections,
+            drain_timeout_s=settings.drain_timeout_s,
+        )
+        operator_limits = ServerLimits(drain_timeout_s=OPERATOR_DRAIN_S)
+        async with trio.open_nursery() as servers:
+            operator_app = OperatorApp(
+                self._driver,
+                self._metrics,
+                self._incarnation,
+                lambda: self._replica.revision,
+                self._unready,
+            )
+            operator = await servers.start(
+                _serving, operator_app, settings.operator_address, operator_limits, shutdown
+            )
+            callers = await servers.start(
+                _serving, self._callers, settings.caller_address, limits, shutdown
+            )
+            addresses = EntryAddresses(callers, control, operator)
+            log_event(_log, logging.INFO, "entry started", **addresses._asdict())
+            task_status.started(addresses)
+            await self._drain_asked.wait()
+            await self._drain()
+            shutdown.set()
+
+    async def _drain(self) -> None:
+        log_event(_log, logging.INFO, "drain started", in_progress=self._driver.in_progress)
+        self._callers.drain()
+        self._driver.feed(DrainStarted())
+        with trio.move_on_after(self._settings.drain_timeout_s):
+            await self._driver.wait_idle()
+        log_event(_log, logging.INFO, "drain ended", in_progress=self._driver.in_progress)
+
+    async def _await_signal(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            task_status.started()
+            async for _ in signals:
+                self._drain_asked.set()
+
+    def _declarations_read(self) -> None:
+        self._has_declarations = True
+        if self._replica.revision == self._announced:
+            return
+        self._announced = self._replica.revision
+        declarations = self._replica.declarations()
+        self._upstreams.clear()
+        for pool in pools(declarations):
+            self._upstreams.update((upstream.name, upstream) for upstream in pool)
+        addresses = frozenset(one.control_address for one in self._upstreams.values())
+        self._calls.keep_only(addresses)
+        self._driver.feed(DeclarationsChanged(declarations))
+        self._heartbeats.follow(declarations)
+        self._operators.revision_changed()
+
+    def _list_leaving(self, leaving: tuple[UpstreamName, ...]) -> None:
+        self._driver.feed(LeavingListed(leaving))
+
+    def _reported(self, upstream: UpstreamName, report: LoadReport) -> None:
+        pass
+
+    def _unready(self) -> str:
+        if self._drain_asked.is_set():
+            return "draining"
+        return "" if self._has_declarations else "no declarations read yet"
+
+    def _node(self) -> EntryNode:
+        return EntryNode(
+            name=self._settings.name,
+            zone=self._settings.zone,
+            incarnation=self._incarnation,
+            is_draining=self._drain_asked.is_set,
+            start_drain=self._drain_asked.set,
+            control_holder=lambda: "",
+            dump=self._dump,
+        )
+
+    def _dump(self) -> dict[str, Any]:
+        followed = [upstream.name for upstream in self._heartbeats.followed]
+        return {
+            "name": self._settings.name,
+            "ready": not self._unready(),
+            "revision": self._replica.revision,
+            "declarations_digest": self._replica.digest,
+            "heartbeats_with": sorted(followed),
+            "core": self._driver.dump(),
+        }
+
+
+async def run_entry(
+    settings: EntrySettings,
+    task_status: trio.TaskStatus[EntryAddresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry until SIGTERM or SIGINT, or a drain by an operator; no request is cut off.
+
+    Args:
+        settings: The entry's settings.
+        task_status: Started with the bound addresses.
+
+    Raises:
+        OSError: An address cannot be listened on.
+    """
+    async with trio.open_nursery() as nursery:
+        entry = Entry(settings, nursery)
+        await entry.run(task_status)
+        nursery.cancel_scope.cancel()
+
+
+async def _serving(
+    app: Any,
+    address: str,
+    limits: ServerLimits,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[str],
+) -> None:
+    await serve_http(app, address, limits=limits, shutdown=shutdown, task_status=task_status)
--- /dev/null
+++ b/src/chivehold/entry/caller_requests.py
@@ -0,0 +1,219 @@
+"""Callers' requests in the common JSON form, and plain services' calls."""
+
+from typing import Annotated, NamedTuple, TypedDict, TypeVar
+
+import msgspec
+
+from chivehold.core.entry_messages import RequestArrived
+from chivehold.core.identity import KeyId, RequestId, TargetName
+from chivehold.core.wire import CallContent
+from chivehold.entry.caller_headers import CallerHeaders
+from chivehold.entry.prompts import prefix_blocks, prompt_tokens
+from chivehold.exceptions import Malformed
+from chivehold.http_server import Scope
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_MOST = 65_536
+SERVICES_PREFIX = b"/services/"
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+OWN_HEADERS = "chivehold-"
+
+_Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS_MOST)]
+_One = Annotated[int, msgspec.Meta(ge=1, le=1)]
+_Model = Annotated[str, msgspec.Meta(min_length=1, max_length=63)]
+
+BodyT = TypeVar("BodyT")
+
+
+class _CommonRequired(TypedDict):
+    model: _Model
+
+
+class _Common(_CommonRequired, total=False):
+    max_tokens: _Count | None
+    stream: bool
+    n: _One | None
+
+
+class _CompletionRequired(TypedDict):
+    prompt: str
+
+
+class CompletionBody(_CompletionRequired, _Common, total=False):
+    """The body of ``POST /v1/completions``; further keys are left to the engine's defaults."""
+
+
+class _TextPart(TypedDict):
+    type: str
+    text: str
+
+
+class ChatMessage(TypedDict):
+    """One message of a conversation."""
+
+    role: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    content: str | list[_TextPart]
+
+
+class _ChatRequired(TypedDict):
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
+
+
+class ChatBody(_ChatRequired, _Common, total=False):
+    """The body of ``POST /v1/chat/completions``."""
+
+    max_completion_tokens: _Count | None
+
+
+class ModelRequest(NamedTuple):
+    """A caller's request to a model, checked."""
+
+    model: TargetName
+    prompt: str
+    max_tokens: int
+    stream: bool
+    chat: bool
+
+
+_COMPLETION_DECODER = msgspec.json.Decoder(CompletionBody)
+_CHAT_DECODER = msgspec.json.Decoder(ChatBody)
+
+
+def read_completion(body: bytes) -> ModelRequest:
+    """Read the body of ``POST /v1/completions``.
+
+    Raises:
+        Malformed: It is not the agreed JSON.
+    """
+    fields = _decoded(_COMPLETION_DECODER, body)
+    return _model_request(fields, fields["prompt"], fields.get("max_tokens"), chat=False)
+
+
+def read_chat(body: bytes) -> ModelRequest:
+    """Read the body of ``POST /v1/chat/completions``.
+
+    Raises:
+        Malformed: It is not the agreed JSON.
+    """
+    fields = _decoded(_CHAT_DECODER, body)
+    prompt = "".join(f"{one['role']}: {_message_text(one)}\n" for one in fields["messages"])
+    max_tokens = fields.get("max_completion_tokens") or fields.get("max_tokens")
+    return _model_request(fields, prompt, max_tokens, chat=True)
+
+
+def read_call(scope: Scope, body: bytes) -> tuple[TargetName, CallContent]:
+    """Read a call of a plain service from ``/services/{name}/{path}``.
+
+    The headers that belong to the connection or to the entry are left out.
+
+    Raises:
+        Malformed: The path does not have this form.
+    """
+    try:
+        raw_path = bytes(scope["raw_path"]).decode("ascii")
+        query = bytes(scope["query_string"]).decode("ascii")
+    except UnicodeDecodeError as error:
+        raise Malformed("read path", "caller", "expected ASCII") from error
+    name, _, rest = raw_path.removeprefix(SERVICES_PREFIX.decode()).partition("/")
+    path = f"/{rest}?{query}" if query else f"/{rest}"
+    headers = tuple(_forwarded_headers(scope))
+    return TargetName(name), CallContent(str(scope["method"]), path, headers, body)
+
+
+def model_arrival(
+    request: RequestId, headers: CallerHeaders, content: ModelRequest
+) -> RequestArrived:
+    """Return the event of a model request."""
+    return RequestArrived(
+        request=request,
+        target=content.model,
+        organisation=headers.organisation,
+        traffic_class=headers.traffic_class,
+        key=_key(headers, content.model),
+        first_sent_ago_s=headers.first_sent_ago_s,
+        idempotent=headers.idempotent,
+        deadline_in_s=headers.deadline_in_s,
+        prompt=content.prompt,
+        prompt_tokens=prompt_tokens(content.prompt),
+        prefix_blocks=prefix_blocks(content.prompt),
+        max_tokens=content.max_tokens,
+    )
+
+
+def call_arrival(
+    request: RequestId, headers: CallerHeaders, target: TargetName, call: CallContent
+) -> RequestArrived:
+    """Return the event of a plain service's call."""
+    return RequestArrived(
+        request=request,
+        target=target,
+        organisation=headers.organisation,
+        traffic_class=headers.traffic_class,
+        key=_key(headers, target),
+        first_sent_ago_s=headers.first_sent_ago_s,
+        idempotent=headers.idempotent,
+        deadline_in_s=headers.deadline_in_s,
+        call=call,
+    )
+
+
+def _key(headers: CallerHeaders, target: TargetName) -> KeyId | None:
+    return KeyId(headers.organisation, target, headers.key) if headers.key else None
+
+
+def _decoded(decoder: msgspec.json.Decoder[BodyT], body: bytes) -> BodyT:
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise Malformed("read body", "caller", str(error)) from error
+
+
+def _model_request(
+    fields: _Common, prompt: str, max_tokens: int | None, chat: bool
+) -> ModelRequest:
+    return ModelRequest(
+        model=TargetName(fields["model"]),
+        prompt=prompt,
+        max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
+        stream=fields.get("stream", False),
+        chat=chat,
+    )
+
+
+def _message_text(message: ChatMessage) -> str:
+    content = message["content"]
+    if isinstance(content, str):
+        return content
+    return "".join(part["text"] for part in content)
+
+
+def _forwarded_headers(scope: Scope) -> list[tuple[str, str]]:
+    pairs = [
+        (bytes(key).decode("latin-1"), bytes(value).decode("latin-1"))
+        for key, value in scope["headers"]
+    ]
+    named = {
+        token.strip().lower()
+        for key, value in pairs
+        if key == "connection"
+        for token in value.split(",")
+    }
+    return [
+        (key, value)
+        for key, value in pairs
+        if key not in HOP_BY_HOP and key not in named and not key.startswith(OWN_HEADERS)
+    ]
--- /dev/null
+++ b/src/chivehold/entry/callers.py
@@ -0,0 +1,271 @@
+"""The entry towards callers, as an ASGI application."""
+
+import itertools
+import logging
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import msgspec
+import trio
+
+from chivehold.core.entry_messages import Finish, RequestArrived
+from chivehold.core.identity import EntryIncarnation, Outcome, RequestId
+from chivehold.entry.answers import (
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    SSE_DONE,
+    SSE_TYPE,
+    ErrorAnswer,
+    completion_body,
+    error_answer,
+    error_event,
+    finish_answer,
+    finish_reason,
+    stream_event,
+)
+from chivehold.entry.caller_headers import HeaderBounds, read_headers
+from chivehold.entry.caller_requests import (
+    HOP_BY_HOP,
+    ModelRequest,
+    call_arrival,
+    model_arrival,
+    read_call,
+    read_chat,
+    read_completion,
+)
+from chivehold.entry.driver import EntryDriver
+from chivehold.entry.pending import PendingRequest
+from chivehold.exceptions import Malformed
+from chivehold.http_server import (
+    JSON_TYPE,
+    BodyIncomplete,
+    BodyTooLarge,
+    Receive,
+    Scope,
+    Send,
+    end_response,
+    read_body,
+    respond,
+    send_part,
+    start_response,
+    wait_disconnect,
+)
+from chivehold.logs import log_event
+from chivehold.metrics import EntryMetrics
+
+READERS = {"/v1/completions": read_completion, "/v1/chat/completions": read_chat}
+SERVICES_PATH = "/services/"
+DRAIN_RETRY_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class CallerApp:
+    """Answers callers.
+
+    Args:
+        driver: Takes their requests.
+        metrics: Counts them.
+        incarnation: This run of the entry; makes request ids unique.
+        bounds: What callers may ask for at most.
+        max_body_bytes: Longest body taken.
+    """
+
+    def __init__(
+        self,
+        driver: EntryDriver,
+        metrics: EntryMetrics,
+        incarnation: EntryIncarnation,
+        bounds: HeaderBounds,
+        max_body_bytes: int,
+    ) -> None:
+        self._driver = driver
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._bounds = bounds
+        self._max_body_bytes = max_body_bytes
+        self._numbers = itertools.count(1)
+        self._is_draining = False
+
+    def drain(self) -> None:
+        """Refuse new requests from now on and close each connection after its answer."""
+        self._is_draining = True
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        request = RequestId(f"{self._incarnation}-{next(self._numbers)}")
+        try:
+            await self._answer(request, scope, receive, send)
+        except Malformed as error:
+            answer = error_answer(400, Outcome.REJECTED, "malformed", str(error))
+            await self._send_error(send, request, answer)
+        except BodyTooLarge as error:
+            answer = error_answer(413, Outcome.REJECTED, "too large", str(error))
+            await self._send_error(send, request, answer)
+        except BodyIncomplete as error:
+            answer = error_answer(408, Outcome.REJECTED, "body incomplete", str(error))
+            await self._send_error(send, request, answer)
+
+    async def _answer(self, request: RequestId, scope: Scope, receive: Receive, send: Send) -> None:
+        path = scope["path"]
+        if path in READERS:
+            await self._answer_model(request, scope, receive, send)
+        elif path.startswith(SERVICES_PATH):
+            await self._answer_call(request, scope, receive, send)
+        else:
+            answer = error_answer(404, Outcome.REJECTED, "unknown path", "no such path")
+            await self._send_error(send, request, answer)
+
+    async def _answer_model(
+        self, request: RequestId, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if scope["method"] != "POST":
+            answer = error_answer(405, Outcome.REJECTED, "method", "expected POST")
+            await self._send_error(send, request, answer, [("allow", "POST")])
+            return
+        if await self._refused(request, send):
+            return
+        headers = read_headers(scope, self._bounds)
+        body = await read_body(receive, self._max_body_bytes)
+        content = READERS[scope["path"]](body)
+        arrival = model_arrival(request, headers, content)
+        async with self._pending(arrival, receive) as pending:
+            if content.stream:
+                await self._stream(send, content, arrival, pending)
+            else:
+                await self._complete(send, content, arrival, pending)
+
+    async def _answer_call(
+        self, request: RequestId, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if await self._refused(request, send):
+            return
+        headers = read_headers(scope, self._bounds)
+        body = await read_body(receive, self._max_body_bytes)
+        target, call = read_call(scope, body)
+        arrival = call_arrival(request, headers, target, call)
+        async with self._pending(arrival, receive) as pending:
+            finish = await pending.finished()
+            self._count(arrival, finish)
+            if finish.outcome is not Outcome.ANSWERED or finish.call is None:
+                await self._send_error(send, request, finish_answer(finish))
+                return
+            result = finish.call
+            kept = [(key, value) for key, value in result.headers if key.lower() not in HOP_BY_HOP]
+            answered = self._headers(request, Outcome.ANSWERED)
+            await respond(send, result.status, result.body, "", [*kept, *answered])
+
+    async def _refused(self, request: RequestId, send: Send) -> bool:
+        if not self._is_draining:
+            return False
+        self._metrics.ended("", Outcome.NOT_RUN)
+        finish = Finish(request, Outcome.NOT_RUN, "draining", DRAIN_RETRY_S)
+        await self._send_error(send, request, finish_answer(finish))
+        return True
+
+    @asynccontextmanager
+    async def _pending(
+        self, arrival: RequestArrived, receive: Receive
+    ) -> AsyncIterator[PendingRequest]:
+        """Give the request's answer; the block is cancelled when the caller leaves."""
+        pending = self._driver.arrive(arrival)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+                yield pending
+                nursery.cancel_scope.cancel()
+        finally:
+            self._driver.leave(pending)
+
+    async def _stream(
+        self, send: Send, content: ModelRequest, arrival: RequestArrived, pending: PendingRequest
+    ) -> None:
+        request, created = arrival.request, int(time.time())
+        is_started = False
+        async for text in self._timed_texts(arrival, pending):
+            if not is_started:
+                is_started = True
+                await start_response(send, 200, SSE_TYPE, self._stream_headers(request))
+            await send_part(send, stream_event(request, content, text, None, created))
+        finish = await pending.finished()
+        self._count(arrival, finish)
+        answer = finish_answer(finish)
+        if finish.outcome is Outcome.ANSWERED:
+            if not is_started:
+                await start_response(send, 200, SSE_TYPE, self._stream_headers(request))
+            reason = finish_reason(content, pending.received)
+            last = stream_event(request, content, "", reason, created)
+            await send_part(send, last + SSE_DONE)
+            await end_response(send)
+        elif is_started:
+            # Returning without the end of the body breaks the connection off.
+            await send_part(send, error_event(answer))
+        else:
+            await self._send_error(send, request, answer)
+
+    async def _complete(
+        self, send: Send, content: ModelRequest, arrival: RequestArrived, pending: PendingRequest
+    ) -> None:
+        text = "".join([part async for part in self._timed_texts(arrival, pending)])
+        finish = await pending.finished()
+        self._count(arrival, finish)
+        if finish.outcome is not Outcome.ANSWERED:
+            await self._send_error(send, arrival.request, finish_answer(finish))
+            return
+        created = int(time.time())
+        body = completion_body(arrival.request, content, text, pending.received, created)
+        headers = self._headers(arrival.request, Outcome.ANSWERED)
+        await respond(send, 200, msgspec.json.encode(body), JSON_TYPE, headers)
+
+    async def _timed_texts(
+        self, arrival: RequestArrived, pending: PendingRequest
+    ) -> AsyncIterator[str]:
+        last_at = trio.current_time()
+        received = 0
+        async for text in pending.texts():
+            now = trio.current_time()
+            if not received:
+                self._metrics.first_token(arrival.traffic_class, now - last_at)
+            else:
+                interval_s = (now - last_at) / max(1, pending.received - received)
+                self._metrics.next_tokens(arrival.traffic_class, interval_s)
+            last_at, received = now, pending.received
+            yield text
+
+    def _count(self, arrival: RequestArrived, finish: Finish) -> None:
+        self._metrics.ended(arrival.traffic_class, finish.outcome)
+        level = logging.DEBUG if finish.outcome is Outcome.ANSWERED else logging.INFO
+        log_event(
+            _log,
+            level,
+            "request ended",
+            request=arrival.request,
+            peer=arrival.target,
+            outcome=finish.outcome,
+            reason=finish.reason,
+        )
+
+    async def _send_error(
+        self,
+        send: Send,
+        request: RequestId,
+        answer: ErrorAnswer,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        connection = [("connection", "close")] if self._is_draining else []
+        all_headers = [*answer.headers, (REQUEST_HEADER, request), *connection, *(headers or [])]
+        await respond(send, answer.status, answer.body, JSON_TYPE, all_headers)
+
+    def _stream_headers(self, request: RequestId) -> list[tuple[str, str]]:
+        return [("cache-control", "no-cache"), (REQUEST_HEADER, request)]
+
+    def _headers(self, request: RequestId, outcome: Outcome) -> list[tuple[str, Any]]:
+        connection = [("connection", "close")] if self._is_draining else []
+        return [(OUTCOME_HEADER, str(outcome)), (REQUEST_HEADER, request), *connection]
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+    await wait_disconnect(receive)
+    scope.cancel()
--- /dev/null
+++ b/src/chivehold/entry/operator_http.py
@@ -0,0 +1,59 @@
+"""The entry's metrics and health over HTTP, for operators."""
+
+from collections.abc import Callable
+
+from chivehold.core.identity import EntryIncarnation
+from chivehold.entry.driver import EntryDriver
+from chivehold.http_server import Receive, Scope, Send, respond, respond_error, respond_json
+from chivehold.metrics import EntryMetrics
+
+
+class OperatorApp:
+    """Serves ``/metrics``, ``/healthz`` and ``/readyz``.
+
+    Args:
+        driver: Knows the queues.
+        metrics: What is counted.
+        incarnation: This run of the entry.
+        revision: Returns the revision of the declarations in force.
+        unready: Returns why no request should be sent here; empty where one may.
+    """
+
+    def __init__(
+        self,
+        driver: EntryDriver,
+        metrics: EntryMetrics,
+        incarnation: EntryIncarnation,
+        revision: Callable[[], int],
+        unready: Callable[[], str],
+    ) -> None:
+        self._driver = driver
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._revision = revision
+        self._unready = unready
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        match scope["method"], scope["path"]:
+            case "GET", "/metrics":
+                await self._send_metrics(scope, send)
+            case "GET", "/healthz":
+                await respond_json(send, 200, {"incarnation": self._incarnation})
+            case "GET", "/readyz":
+                await self._send_readiness(send)
+            case _:
+                await respond_error(send, 404, "unknown path", "no such path")
+
+    async def _send_metrics(self, scope: Scope, send: Send) -> None:
+        accepted = [value.decode("latin-1") for key, value in scope["headers"] if key == b"accept"]
+        targets = self._driver.dump()["targets"]
+        in_progress = self._driver.in_progress
+        rendered = self._metrics.render(accepted, targets, in_progress, self._revision())
+        await respond(send, 200, rendered.body, rendered.content_type)
+
+    async def _send_readiness(self, send: Send) -> None:
+        if reason := self._unready():
+            await respond_error(send, 503, "not ready", reason)
+            return
+        await respond_json(send, 200, {"revision": self._revision()})
--- /dev/null
+++ b/src/chivehold/entry/operators.py
@@ -0,0 +1,235 @@
+"""The gRPC service ``Operators``, the same on every entry."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any, NamedTuple
+
+import grpc
+import msgspec
+import trio
+from returns.result import Success
+
+from chivehold.core.declarations import DeclarationReplica, DeclaredSpec
+from chivehold.core.declared import Upstream
+from chivehold.core.identity import EntryIncarnation, Role, TargetName, UpstreamName
+from chivehold.entry.driver import EntryDriver
+from chivehold.entry.heartbeats import Heartbeats
+from chivehold.entry.sidecar_calls import SidecarCalls
+from chivehold.platform.api import ObjectStore
+from chivehold.platform.declaration_apply import ApplyRequest, Change, ChangeKind, apply
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcFailed, RpcRefused
+from chivehold.rpc.convert_declarations import declaration_from_proto, held_to_proto
+
+MAX_WATCH_WAIT_S = 30.0
+MAX_WATCHERS = 4
+MAX_OPERATION_ID_LENGTH = 128
+MAX_DECLARATIONS = 1000
+
+_CHANGE_KINDS = {
+    ChangeKind.UNCHANGED: pb.CHANGE_KIND_UNCHANGED,
+    ChangeKind.CREATED: pb.CHANGE_KIND_CREATED,
+    ChangeKind.UPDATED: pb.CHANGE_KIND_UPDATED,
+    ChangeKind.DELETED: pb.CHANGE_KIND_DELETED,
+    ChangeKind.CONFLICT: pb.CHANGE_KIND_CONFLICT,
+    ChangeKind.INVALID: pb.CHANGE_KIND_INVALID,
+    ChangeKind.REFUSED: pb.CHANGE_KIND_REFUSED,
+    ChangeKind.UNSURE: pb.CHANGE_KIND_UNSURE,
+}
+_ROLES = {
+    Role.PREFILL: pb.ROLE_PREFILL,
+    Role.DECODE: pb.ROLE_DECODE,
+    Role.SERVICE: pb.ROLE_SERVICE,
+}
+
+
+class EntryNode(NamedTuple):
+    """What the service tells of its own process."""
+
+    name: str
+    zone: str
+    incarnation: EntryIncarnation
+    is_draining: Callable[[], bool]
+    start_drain: Callable[[], None]
+    control_holder: Callable[[], str]
+    """Returns the entry that holds the control lease, empty where it is not known."""
+    dump: Callable[[], dict[str, Any]]
+
+
+class OperatorsService:
+    """Answers operators; each method is one call of the schema.
+
+    Args:
+        node: This process.
+        store: The platform.
+        replica: The declarations in force here.
+        changed: Told once ``replica`` may have changed by an ``Apply``.
+        driver: Knows the requests in progress.
+        heartbeats: Knows the upstreams.
+        calls: Passes drains and dumps on to sidecars.
+        rng: Draws waiting times.
+    """
+
+    def __init__(
+        self,
+        node: EntryNode,
+        store: ObjectStore,
+        replica: DeclarationReplica,
+        changed: Callable[[], None],
+        driver: EntryDriver,
+        heartbeats: Heartbeats,
+        calls: SidecarCalls,
+        rng: Random,
+    ) -> None:
+        self._node = node
+        self._store = store
+        self._replica = replica
+        self._changed = changed
+        self._driver = driver
+        self._heartbeats = heartbeats
+        self._calls = calls
+        self._rng = rng
+        self._watchers = 0
+        self._newer = trio.Event()
+
+    def revision_changed(self) -> None:
+        """Wake the calls that wait for newer declarations."""
+        self._newer.set()
+        self._newer = trio.Event()
+
+    async def Apply(self, request: pb.ApplyRequest, context: Any) -> pb.ApplyResponse:  # noqa: N802
+        """Declare objects; accepted means written to the platform."""
+        if not 0 < len(request.operation_id) <= MAX_OPERATION_ID_LENGTH:
+            raise _invalid(f"operation_id: expected 1 to {MAX_OPERATION_ID_LENGTH} characters")
+        if len(request.declarations) + len(request.delete_names) > MAX_DECLARATIONS:
+            raise _invalid(f"declarations: expected at most {MAX_DECLARATIONS}")
+        wanted = ApplyRequest(
+            declarations=tuple(_specs(request)),
+            delete_names=tuple(map(TargetName, request.delete_names)),
+            operation_id=request.operation_id,
+            dry_run=request.dry_run,
+            expected_versions=dict(request.expected_versions),
+        )
+        result = await apply(self._store, self._replica, wanted, self._rng)
+        self._changed()
+        changes = map(_change_to_proto, result.changes)
+        return pb.ApplyResponse(changes=changes, revision=result.revision)
+
+    async def Get(self, request: pb.GetRequest, context: Any) -> pb.GetResponse:  # noqa: N802
+        """Read declarations as in force at this entry."""
+        held = [one for one in self._replica.changed_after(0) if one.spec is not None]
+        if request.name:
+            held = [one for one in held if one.name == request.name]
+        messages = map(held_to_proto, held)
+        return pb.GetResponse(declarations=messages, revision=self._replica.revision)
+
+    async def Status(  # noqa: N802
+        self, request: pb.StatusRequest, context: Any
+    ) -> pb.StatusResponse:
+        """Report the nodes that this entry knows with the revision in force at each."""
+        return pb.StatusResponse(
+            nodes=[self._own_status(), *self._upstream_statuses()],
+            revision=self._replica.revision,
+            control_holder=self._node.control_holder(),
+        )
+
+    async def Watch(self, request: pb.WatchRequest, context: Any) -> pb.WatchResponse:  # noqa: N802
+        """Wait for declarations newer than a revision."""
+        if self._watchers >= MAX_WATCHERS:
+            detail = f"{MAX_WATCHERS} calls of Watch wait already"
+            raise RpcRefused(grpc.StatusCode.RESOURCE_EXHAUSTED, detail)
+        self._watchers += 1
+        try:
+            with trio.move_on_after(max(0.0, min(request.wait_s, MAX_WATCH_WAIT_S))):
+                while self._replica.revision <= request.after_revision:
+                    await self._newer.wait()
+        finally:
+            self._watchers -= 1
+        changed = map(held_to_proto, self._replica.changed_after(request.after_revision))
+        return pb.WatchResponse(declarations=changed, revision=self._replica.revision)
+
+    async def Drain(self, request: pb.DrainRequest, context: Any) -> pb.DrainResponse:  # noqa: N802
+        """Start the drain of an upstream, or of this entry."""
+        if request.upstream:
+            with _as_refusal():
+                return await self._calls.drain(UpstreamName(request.upstream))
+        self._node.start_drain()
+        return pb.DrainResponse(state="leaving", in_progress=self._driver.in_progress)
+
+    async def Dump(self, request: pb.DumpRequest, context: Any) -> pb.DumpResponse:  # noqa: N802
+        """Dump the state of this entry, or of a sidecar."""
+        if request.upstream:
+            with _as_refusal():
+                return await self._calls.dump(UpstreamName(request.upstream))
+        return pb.DumpResponse(json=msgspec.json.encode(self._node.dump()).decode())
+
+    def _own_status(self) -> pb.NodeStatus:
+        return pb.NodeStatus(
+            name=self._node.name,
+            kind="entry",
+            incarnation=self._node.incarnation,
+            state="leaving" if self._node.is_draining() else "ready",
+            revision=self._replica.revision,
+            zone=self._node.zone,
+        )
+
+    def _upstream_statuses(self) -> Iterator[pb.NodeStatus]:
+        declarations = self._replica.declarations()
+        for deployment in declarations.deployments:
+            for upstream in (*deployment.prefill, *deployment.decode):
+                yield self._upstream_status(deployment.name, upstream)
+        for service in declarations.services:
+            for upstream in service.upstreams:
+                yield self._upstream_status(service.name, upstream)
+
+    def _upstream_status(self, target: TargetName, upstream: Upstream) -> pb.NodeStatus:
+        status = pb.NodeStatus(
+            name=upstream.name,
+            kind="sidecar",
+            state="down",
+            zone=upstream.zone,
+            target=target,
+            role=_ROLES[upstream.role],
+            places=upstream.places,
+        )
+        report = self._heartbeats.report(upstream.name)
+        if report is not None:
+            status.incarnation = report.incarnation
+            status.state = report.state
+            status.revision = report.revision
+            status.places_free = report.places_free
+            status.waiting = report.waiting_urgent + report.waiting_patient
+        status.heard_ago_s = self._heartbeats.heard_ago_s(upstream.name) or 0.0
+        return status
+
+
+@contextmanager
+def _as_refusal() -> Iterator[None]:
+    """Answer with a peer's error."""
+    try:
+        yield
+    except RpcFailed as error:
+        raise RpcRefused(error.code, str(error)) from error
+
+
+def _specs(request: pb.ApplyRequest) -> Iterator[DeclaredSpec]:
+    for message in request.declarations:
+        found = declaration_from_proto(message)
+        if not isinstance(found, Success):
+            raise _invalid(str(found.failure()))
+        yield found.unwrap()
+
+
+def _change_to_proto(change: Change) -> pb.Change:
+    return pb.Change(
+        name=change.name,
+        kind=_CHANGE_KINDS[change.kind],
+        version=change.version,
+        message=change.message,
+        diff=change.diff,
+    )
+
+
+def _invalid(detail: str) -> RpcRefused:
+    return RpcRefused(grpc.StatusCode.INVALID_ARGUMENT, detail)
--- /dev/null
+++ b/src/chivehold/entry/pending.py
@@ -0,0 +1,59 @@
+"""A caller's request on its way through the entry: what has been relayed, and how it ended."""
+
+from collections.abc import AsyncIterator
+
+import trio
+
+from chivehold.core.entry_messages import Finish
+from chivehold.core.identity import RequestId
+
+
+class PendingRequest:
+    """Passes output tokens and the end of one request to whoever answers its caller."""
+
+    def __init__(self, request: RequestId) -> None:
+        self._request = request
+        self._tokens: list[str] = []
+        self._received = 0
+        self._finish: Finish | None = None
+        self._changed = trio.Event()
+
+    @property
+    def request(self) -> RequestId:
+        """The request's id."""
+        return self._request
+
+    @property
+    def received(self) -> int:
+        """Number of output tokens received."""
+        return self._received
+
+    def relay(self, tokens: tuple[str, ...]) -> None:
+        """Take output tokens; they follow those taken before."""
+        self._tokens.extend(tokens)
+        self._received += len(tokens)
+        self._changed.set()
+
+    def finish(self, finish: Finish) -> None:
+        """Take the request's end."""
+        self._finish = finish
+        self._changed.set()
+
+    async def texts(self) -> AsyncIterator[str]:
+        """Yield all text that has arrived as one piece, until the request ends."""
+        while True:
+            if self._tokens:
+                tokens, self._tokens = self._tokens, []
+                yield "".join(tokens)
+            elif self._finish is not None:
+                return
+            else:
+                self._changed = trio.Event()
+                await self._changed.wait()
+
+    async def finished(self) -> Finish:
+        """Return the request's end, once it is there."""
+        while self._finish is None:
+            self._changed = trio.Event()
+            await self._changed.wait()
+        return self._finish
--- /dev/null
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -0,0 +1,170 @@
+"""What an entry asks of sidecars over gRPC: heartbeats, revocations, keys, drain and dump."""
+
+import grpc
+import trio
+
+from chivehold.core.identity import AttemptId, SidecarIncarnation, UpstreamName
+from chivehold.core.wire import (
+    Heartbeat,
+    KeyCommit,
+    KeyDecision,
+    KeyRegistration,
+    LoadReport,
+    RevokeResult,
+)
+from chivehold.entry.attempts import FindUpstream
+from chivehold.exceptions import Malformed
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcChannel, RpcFailed
+from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
+from chivehold.rpc.convert import (
+    commit_to_proto,
+    decision_from_proto,
+    heartbeat_to_proto,
+    load_report_from_proto,
+    registration_to_proto,
+    revocation_to_proto,
+    revoke_result_from_proto,
+)
+
+CALL_TIMEOUT_S = 0.5
+REVOKE_TIME_S = 1.0
+RETRY_PAUSE_S = 0.05
+KEY_TRIES = 2
+OPERATOR_CALL_TIMEOUT_S = 5.0
+
+
+class SidecarCalls:
+    """Channels to sidecars by address, made when first needed.
+
+    Args:
+        find: Returns the declaration of an upstream.
+        token: The shared token.
+    """
+
+    def __init__(self, find: FindUpstream, token: str) -> None:
+        self._find = find
+        self._token = token
+        self._stubs: dict[str, tuple[RpcChannel, SidecarStub]] = {}
+
+    async def heartbeat(
+        self, upstream: UpstreamName, heartbeat: Heartbeat, timeout_s: float
+    ) -> LoadReport:
+        """Renew this entry's lease and learn the upstream's load.
+
+        Raises:
+            RpcFailed: The sidecar did not answer.
+            Malformed: Its answer has no meaning.
+        """
+        channel, stub = self._peer(upstream)
+        message = heartbeat_to_proto(heartbeat)
+        return load_report_from_proto(await channel.call(stub.Heartbeat, message, timeout_s))
+
+    async def revoke(
+        self, upstream: UpstreamName, attempt: AttemptId, incarnation: SidecarIncarnation
+    ) -> RevokeResult:
+        """Bar an attempt from starting; tries again for ``REVOKE_TIME_S``."""
+        message = revocation_to_proto(attempt, incarnation)
+        stop_at = trio.current_time() + REVOKE_TIME_S
+        while (left_s := stop_at - trio.current_time()) > 0:
+            try:
+                channel, stub = self._peer(upstream)
+                timeout_s = min(left_s, CALL_TIMEOUT_S)
+                answer = await channel.call(stub.Revoke, message, timeout_s)
+                return revoke_result_from_proto(answer)
+            except (RpcFailed, Malformed):
+                await trio.sleep(RETRY_PAUSE_S)
+        return RevokeResult.UNREACHABLE
+
+    async def register_key(self, home: UpstreamName, registration: KeyRegistration) -> KeyDecision:
+        """Ask a key's home whether the request may run."""
+        message = registration_to_proto(registration)
+        for _ in range(KEY_TRIES):
+            try:
+                channel, stub = self._peer(home)
+                answer = await channel.call(stub.RegisterKey, message, CALL_TIMEOUT_S)
+                return decision_from_proto(answer)
+            except (RpcFailed, Malformed):
+                await trio.sleep(RETRY_PAUSE_S)
+        return KeyDecision.UNREACHABLE
+
+    async def commit_key(self, home: UpstreamName, commit: KeyCommit) -> bool | None:
+        """Ask a key's home for leave to complete the answer; ``None`` if it does not answer."""
+        return await self._end_key(home, commit, release=False)
+
+    async def release_key(self, home: UpstreamName, commit: KeyCommit) -> None:
+        """Give a key back unanswered; if this fails, the lease's end does it."""
+        await self._end_key(home, commit, release=True)
+
+    async def drain(self, upstream: UpstreamName) -> pb.DrainResponse:
+        """Start the drain of an upstream.
+
+        Raises:
+            RpcFailed: The sidecar did not answer.
+        """
+        channel, stub = self._peer(upstream)
+        return await channel.call(stub.Drain, pb.DrainRequest(), OPERATOR_CALL_TIMEOUT_S)
+
+    async def dump(self, upstream: UpstreamName) -> pb.DumpResponse:
+        """Return the whole state of an upstream's sidecar.
+
+        Raises:
+            RpcFailed: The sidecar did not answer.
+        """
+        channel, stub = self._peer(upstream)
+        return await channel.call(stub.Dump, pb.DumpRequest(), OPERATOR_CALL_TIMEOUT_S)
+
+    async def push(
+        self, upstream: UpstreamName, request: pb.PushDeclarationsRequest
+    ) -> pb.PushDeclarationsResponse:
+        """Hand newer declarations to a sidecar.
+
+        Raises:
+            RpcFailed: The sidecar did not answer.
+        """
+        channel, stub = self._peer(upstream)
+        return await channel.call(stub.PushDeclarations, request, CALL_TIMEOUT_S)
+
+    async def pull(
+        self, upstream: UpstreamName, after_revision: int
+    ) -> pb.PullDeclarationsResponse:
+        """Fetch declarations that a sidecar has and this entry has not.
+
+        Raises:
+            RpcFailed: The sidecar did not answer.
+        """
+        channel, stub = self._peer(upstream)
+        request = pb.PullDeclarationsRequest(after_revision=after_revision)
+        return await channel.call(stub.PullDeclarations, request, CALL_TIMEOUT_S)
+
+    def keep_only(self, addresses: frozenset[str]) -> None:
+        """Close the channels to all other addresses."""
+        for address in self._stubs.keys() - addresses:
+            channel, _ = self._stubs.pop(address)
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep_only(frozenset())
+
+    async def _end_key(self, home: UpstreamName, commit: KeyCommit, release: bool) -> bool | None:
+        message = commit_to_proto(commit, release)
+        for _ in range(KEY_TRIES):
+            try:
+                channel, stub = self._peer(home)
+                answer = await channel.call(stub.CommitKey, message, CALL_TIMEOUT_S)
+                return bool(answer.committed)
+            except RpcFailed:
+                await trio.sleep(RETRY_PAUSE_S)
+        return None
+
+    def _peer(self, upstream: UpstreamName) -> tuple[RpcChannel, SidecarStub]:
+        declared = self._find(upstream)
+        if declared is None:
+            detail = "not declared"
+            raise RpcFailed("find upstream", upstream, grpc.StatusCode.NOT_FOUND, False, detail)
+        address = declared.control_address
+        if address not in self._stubs:
+            channel = RpcChannel(address, self._token)
+            self._stubs[address] = (channel, SidecarStub(channel.grpc_channel))  # type: ignore[no-untyped-call]
+        return self._stubs[address]
--- /dev/null
+++ b/src/chivehold/metrics.py
@@ -0,0 +1,95 @@
+"""Metrics of an entry, by ``aioprometheus``."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from chivehold.core.identity import Outcome
+from chivehold.core.targets import TargetDump
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0, float("inf"))
+BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.015, 0.02, 0.025, 0.05, 0.1, 0.5, float("inf"))
+
+
+class RenderedMetrics(NamedTuple):
+    """Metrics in the exposition format that the reader asked for."""
+
+    body: bytes
+    content_type: str
+
+
+class EntryMetrics:
+    """What an entry counts and measures."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._requests = Counter(
+            "chivehold_requests_total",
+            "Requests that ended, by class and outcome.",
+            registry=self._registry,
+        )
+        self._first_token = Histogram(
+            "chivehold_first_token_seconds",
+            "Time from a request's arrival to its first output token.",
+            registry=self._registry,
+            buckets=FIRST_TOKEN_BUCKETS_S,
+        )
+        self._between_tokens = Histogram(
+            "chivehold_between_tokens_seconds",
+            "Mean time between the output tokens of one streamed part.",
+            registry=self._registry,
+            buckets=BETWEEN_TOKENS_BUCKETS_S,
+        )
+        self._waiting = Gauge(
+            "chivehold_waiting_requests",
+            "Requests that wait for a place, by target and urgency.",
+            registry=self._registry,
+        )
+        self._in_progress = Gauge(
+            "chivehold_in_progress_requests",
+            "Requests that have not ended.",
+            registry=self._registry,
+        )
+        self._revision = Gauge(
+            "chivehold_declarations_revision",
+            "Revision of the declarations in force.",
+            registry=self._registry,
+        )
+
+    def ended(self, traffic_class: str, outcome: Outcome) -> None:
+        """Count a request's end."""
+        known = "" if outcome is Outcome.REJECTED else traffic_class
+        self._requests.inc({"class": known, "outcome": str(outcome)})
+
+    def first_token(self, traffic_class: str, after_s: float) -> None:
+        """Note the time to the first output token, in seconds."""
+        self._first_token.observe({"class": traffic_class}, float(after_s))
+
+    def next_tokens(self, traffic_class: str, interval_s: float) -> None:
+        """Note the mean time between tokens of one part, in seconds."""
+        self._between_tokens.observe({"class": traffic_class}, float(interval_s))
+
+    def render(
+        self,
+        accepted: Sequence[str],
+        targets: Mapping[str, TargetDump],
+        in_progress: int,
+        revision: int,
+    ) -> RenderedMetrics:
+        """Return all metrics, the gauges as of now.
+
+        Args:
+            accepted: The reader's ``Accept`` headers.
+            targets: The queues by target.
+            in_progress: Requests that have not ended.
+            revision: The revision in force.
+        """
+        for name, target in targets.items():
+            self._waiting.set({"target": name, "urgency": "urgent"}, target["waiting_urgent"])
+            self._waiting.set({"target": name, "urgency": "patient"}, target["waiting_patient"])
+        self._in_progress.set({}, in_progress)
+        self._revision.set({}, revision)
+        body, headers = render(self._registry, list(accepted))
+        return RenderedMetrics(body, headers["Content-Type"])
--- /dev/null
+++ b/tests/entry/deployed.py
@@ -0,0 +1,128 @@
+"""One deployment and one service as processes, with one entry before them."""
+
+from typing import NamedTuple
+
+import httpcore
+import trio
+
+from chivehold.core.declared import Deployment, Service, TrafficClass, Upstream
+from chivehold.core.identity import Role, Urgency
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
+from chivehold.rpc.convert_declarations import declaration_to_proto
+from tests.processes import TOKEN, Programs, Running
+
+ANY_PORT = "127.0.0.1:0"
+CLASSES = (
+    TrafficClass("hook", Urgency.URGENT, 30.0),
+    TrafficClass("review", Urgency.PATIENT, 300.0),
+)
+IN_FORCE_S = 5.0
+POLL_S = 0.02
+
+
+class Deployed(NamedTuple):
+    platform: str
+    entry: Running
+    callers: str
+    control: str
+    operator: str
+    engines: dict[str, str]
+    """Control address of each stand-in."""
+    sidecars: dict[str, Running]
+
+
+def start_sidecar(programs: Programs, name: str, target: str, role: Role, upstream: str):
+    return programs.start_with_settings(
+        "chivehold.sidecar",
+        name,
+        target=target,
+        role=role,
+        data_address=ANY_PORT,
+        control_address=ANY_PORT,
+        operator_address=ANY_PORT,
+        upstream_address=upstream,
+        places=20,
+        link_bytes_per_s=1e9 if role is Role.DECODE else 0.0,
+        prefill_tokens_per_s=10_000.0,
+    )
+
+
+def start_entry(programs: Programs, name: str, platform: str, **settings: object) -> Running:
+    addresses = dict.fromkeys(("caller_address", "control_address", "operator_address"), ANY_PORT)
+    return programs.start_with_settings(
+        "chivehold.entry", name, platform_address=platform, **(addresses | settings)
+    )
+
+
+async def deploy(programs: Programs, **entry_settings: object) -> Deployed:
+    """Start all processes, declare the targets and wait until the entry can use them."""
+    platform = programs.start("chivehold.fakes.platform")
+    stand_ins = {
+        "lector-p1": programs.start("chivehold.fakes.engine", "--role", "prefill"),
+        "lector-d1": programs.start("chivehold.fakes.engine", "--role", "decode"),
+        "forja-1": programs.start("chivehold.fakes.service"),
+    }
+    roles = {"lector-p1": Role.PREFILL, "lector-d1": Role.DECODE, "forja-1": Role.SERVICE}
+    data, engines = {}, {}
+    for name, stand_in in stand_ins.items():
+        (data[name],) = stand_in.addresses()
+        (engines[name],) = stand_in.addresses()
+    sidecars = {
+        name: start_sidecar(programs, name, name.partition("-")[0], role, data[name])
+        for name, role in roles.items()
+    }
+    (platform_address,) = platform.addresses()
+    entry = start_entry(programs, "entry-1", platform_address, **entry_settings)
+    upstreams = {}
+    for name, sidecar in sidecars.items():
+        data_address, control_address, _ = sidecar.addresses()
+        upstreams[name] = Upstream(name, roles[name], "sjo-a", data_address, control_address, 20)
+    callers, control, operator = entry.addresses()
+    lector = Deployment(
+        "lector",
+        "m",
+        (upstreams["lector-p1"],),
+        (upstreams["lector-d1"],),
+        CLASSES,
+        kv_bytes_per_token=1000,
+    )
+    forja = Service("forja", (upstreams["forja-1"],), CLASSES)
+    await declare(control, lector, forja)
+    await wait_ready(control, len(upstreams))
+    return Deployed(platform_address, entry, callers, control, operator, engines, sidecars)
+
+
+async def declare(control: str, *specs: Deployment | Service) -> pb.ApplyResponse:
+    messages = map(declaration_to_proto, specs)
+    request = pb.ApplyRequest(declarations=messages, operation_id="declare-1")
+    response = await operate(control, "Apply", request)
+    assert all(change.kind == pb.CHANGE_KIND_CREATED for change in response.changes), response
+    return response
+
+
+async def operate(control: str, method: str, request):
+    channel = RpcChannel(control, TOKEN)
+    try:
+        return await channel.call(getattr(OperatorsStub(channel.grpc_channel), method), request, 5)
+    finally:
+        channel.close()
+
+
+async def wait_ready(control: str, upstreams: int) -> None:
+    """Wait until an entry has heard from all upstreams."""
+    with trio.fail_after(IN_FORCE_S):
+        while True:
+            status = await operate(control, "Status", pb.StatusRequest())
+            ready = [one for one in status.nodes if one.kind == "sidecar" and one.state == "ready"]
+            if len(ready) == upstreams:
+                return
+            await trio.sleep(POLL_S)
+
+
+async def post(address: str, path: str, body: bytes, headers=(), method: str = "POST"):
+    """Send a request and return the whole response."""
+    host = [("host", address), *headers]
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request(method, f"http://{address}{path}", headers=host, content=body)
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,88 @@
+"""Starts the programs as processes on ports given by the kernel, and ends only its own."""
+
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+READY_S = 15.0
+END_S = 10.0
+TOKEN = "0123456789abcdef"
+
+
+class Running:
+    """One started program; ``lines`` are the addresses that it printed."""
+
+    def __init__(self, module: str, arguments: list[str], log: Path) -> None:
+        self.log = log
+        with log.open("wb") as stderr:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=stderr,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+        self._buffer = b""
+
+    def addresses(self) -> list[str]:
+        """Wait for the line ``listening …`` and return its addresses."""
+        stop_at = time.monotonic() + READY_S
+        stdout = self.process.stdout
+        with selectors.DefaultSelector() as selector:
+            selector.register(stdout, selectors.EVENT_READ)
+            while b"\n" not in self._buffer:
+                left_s = stop_at - time.monotonic()
+                part = os.read(stdout.fileno(), 4096) if selector.select(max(0, left_s)) else b""
+                assert part, f"not ready: {self.log.read_text()[-2000:]}"
+                self._buffer += part
+        line, _, self._buffer = self._buffer.partition(b"\n")
+        return line.decode().split()[1:]
+
+    def resident_mb(self) -> float:
+        """Return the resident memory in megabytes of 1,000,000 bytes."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        kilobytes = next(row.split()[1] for row in status.splitlines() if row.startswith("VmRSS"))
+        return int(kilobytes) * 1024 / 1e6
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    def wait(self, within_s: float = END_S) -> int:
+        return self.process.wait(within_s)
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+class Programs:
+    """All processes of one test."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._running: list[Running] = []
+
+    def start(self, module: str, *arguments: str) -> Running:
+        log = self._directory / f"{len(self._running)}-{module}.log"
+        running = Running(module, list(arguments), log)
+        self._running.append(running)
+        return running
+
+    def start_with_settings(self, module: str, name: str, **settings: object) -> Running:
+        path = self._directory / f"{name}.toml"
+        fields = {"name": name, "zone": "sjo-a", "token": TOKEN} | settings
+        path.write_text("".join(f"{key} = {_toml(value)}\n" for key, value in fields.items()))
+        return self.start(module, "--settings", str(path))
+
+    def end(self) -> None:
+        for running in self._running:
+            running.end()
+
+
+def _toml(value: object) -> str:
+    return f'"{value}"' if isinstance(value, str) else str(value).lower()
