--- a/src/chivehold/entry/caller_requests.py
+++ b/src/chivehold/entry/caller_requests.py
@@ -19,6 +19,7 @@
     (
         "connection",
         "content-length",
+        "date",
         "expect",
         "host",
         "keep-alive",
--- a/src/chivehold/entry/driver.py
+++ b/src/chivehold/entry/driver.py
@@ -103,6 +103,7 @@
         self._nursery = nursery
         self._events: deque[EntryEvent] = deque()
         self._is_feeding = False
+        self._failure: Exception | None = None
         self._timer = trio.CancelScope()
         self._pending: dict[RequestId, PendingRequest] = {}
         self._legs: dict[tuple[AttemptId, UpstreamName], trio.CancelScope] = {}
@@ -147,16 +148,26 @@
         try:
             while self._events:
                 self._feed_one(self._events.popleft())
+        except Exception as error:
+            self._failure = error
+            self._timer.cancel()
+            raise
         finally:
             self._is_feeding = False
         self._timer.deadline = self._wakeup()
 
     async def run_timer(self) -> None:
-        """Feed a ``Tick`` whenever the core asked for one."""
-        while True:
+        """Feed a ``Tick`` whenever the core asked for one.
+
+        Raises:
+            Exception: What the core or a command raised; its state cannot be trusted after it.
+        """
+        while self._failure is None:
             with trio.CancelScope(deadline=self._wakeup()) as self._timer:
                 await trio.sleep_forever()
-            self.feed(Tick())
+            if self._failure is None:
+                self.feed(Tick())
+        raise self._failure
 
     async def wait_idle(self) -> None:
         """Return once no request is left."""
@@ -296,6 +307,8 @@
             await task(command)
         except Exception as error:
             log_event(_log, logging.ERROR, "command failed", error, step=type(command).__name__)
+            if self._failure is not None:
+                return
             if (event := failure_event(command)) is not None:
                 self.feed(event)
         finally:
--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,237 @@
+"""The entry towards callers, with its decisions scripted."""
+
+import json
+import uuid
+from typing import NamedTuple
+
+import pytest
+import trio
+
+from chivehold.core.entry_messages import Finish, RequestArrived
+from chivehold.core.identity import EntryIncarnation, Outcome, RequestId
+from chivehold.entry.caller_headers import HeaderBounds, read_headers
+from chivehold.entry.callers import CallerApp
+from chivehold.entry.pending import PendingRequest
+from chivehold.entry.prompts import BLOCK_BYTES, prefix_blocks, prompt_tokens
+from chivehold.exceptions import Malformed
+from chivehold.metrics import EntryMetrics
+
+MAX_BODY_BYTES = 2_000
+NOW_S = 1_800_000_000.0
+BOUNDS = HeaderBounds(deadline_s=900.0, key_retention_s=3600.0)
+BODY = {"model": "lector", "prompt": "a b"}
+CHAT = {"model": "lector", "messages": [{"role": "user", "content": "hi"}]}
+COMPLETIONS, CHATS = "/v1/completions", "/v1/chat/completions"
+
+
+def uuid7(sent_s: float) -> str:
+    return str(uuid.UUID(int=int(sent_s * 1000) << 80 | 7 << 76 | 2 << 62 | 12345))
+
+
+class ScriptedDriver:
+    """Gives each request the tokens and the end of a script; ``None`` never ends."""
+
+    def __init__(self, tokens: tuple[str, ...] = (), finish: Finish | None = None) -> None:
+        self.arrivals: list[RequestArrived] = []
+        self.left: list[RequestId] = []
+        self._tokens = tokens
+        self._finish = finish
+
+    def arrive(self, arrival: RequestArrived) -> PendingRequest:
+        self.arrivals.append(arrival)
+        pending = PendingRequest(arrival.request)
+        for token in self._tokens:
+            pending.relay((token,))
+        if self._finish is not None:
+            pending.finish(self._finish._replace(request=arrival.request))
+        return pending
+
+    def leave(self, pending: PendingRequest) -> None:
+        self.left.append(pending.request)
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+    @property
+    def error(self) -> dict[str, object]:
+        return json.loads(self.body)["error"]
+
+
+async def ask(driver, path=COMPLETIONS, body=b"", headers=(), method="POST", leaves=False):
+    app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, MAX_BODY_BYTES)
+    content = body if isinstance(body, bytes) else json.dumps(body).encode()
+    inbox = [{"type": "http.request", "body": content, "more_body": False}]
+    sent = []
+
+    async def receive():
+        if inbox:
+            return inbox.pop()
+        if not leaves:
+            await trio.sleep_forever()
+        return {"type": "http.disconnect"}
+
+    async def send(message):
+        sent.append(message)
+
+    raw = [(key.lower().encode(), value.encode("latin-1")) for key, value in headers]
+    scope = {"path": path, "raw_path": path.encode(), "query_string": b"", "method": method}
+    await app(scope | {"headers": raw}, receive, send)
+    if not sent:
+        return None
+    text = {key.decode(): value.decode() for key, value in sent[0]["headers"]}
+    parts = b"".join(message["body"] for message in sent[1:])
+    return Answer(sent[0]["status"], text, parts, not sent[-1].get("more_body", False))
+
+
+def finish(outcome: Outcome, reason: str = "", retry_after_s: float | None = None) -> Finish:
+    return Finish(RequestId(""), outcome, reason, retry_after_s)
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("path", "body", "headers", "status"),
+        [
+            (COMPLETIONS, b"{", (), 400),
+            (COMPLETIONS, b"[" * 1_900, (), 400),
+            (COMPLETIONS, b'{"model": "lector", "prompt": "\xff"}', (), 400),
+            (COMPLETIONS, BODY | {"prompt": 7}, (), 400),
+            (COMPLETIONS, BODY | {"max_tokens": 0}, (), 400),
+            (COMPLETIONS, BODY | {"max_tokens": 10**9}, (), 400),
+            (COMPLETIONS, BODY | {"n": 2}, (), 400),
+            (COMPLETIONS, BODY | {"model": ""}, (), 400),
+            (COMPLETIONS, BODY | {"prompt": "x" * MAX_BODY_BYTES}, (), 413),
+            (CHATS, CHAT | {"messages": []}, (), 400),
+            (CHATS, BODY, (), 400),
+            (COMPLETIONS, BODY, [("Chivehold-Deadline", "-1")], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Deadline", "nan")], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Deadline", "1e999")], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Deadline", "1"), ("Chivehold-Deadline", "2")], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Idempotent", "maybe")], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Class", "a" * 200)], 400),
+            (COMPLETIONS, BODY, [("Chivehold-Organisation", "\xe9\x00")], 400),
+            (COMPLETIONS, BODY, [("Idempotency-Key", str(uuid.UUID(int=4 << 76)))], 400),
+            (COMPLETIONS, BODY, [("Idempotency-Key", uuid7(0))], 400),
+            ("/v1/models", b"", (), 404),
+            ("/services/forja/\u00e9", b"", (), 400),
+        ],
+    )
+    async def test_is_refused_at_once(self, path, body, headers, status) -> None:
+        """Malformed input gets a typed error, and nothing of it reaches the core."""
+        driver = ScriptedDriver()
+        answer = await ask(driver, path, body, headers)
+        assert answer.status == status
+        assert answer.headers["chivehold-outcome"] == answer.error["outcome"] == "rejected"
+        assert driver.arrivals == []
+
+    async def test_caller_that_stops_sending_is_forgotten(self) -> None:
+        """A body that breaks off holds nothing."""
+        driver = ScriptedDriver()
+        app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, MAX_BODY_BYTES)
+        sent = []
+
+        async def receive():
+            return {"type": "http.disconnect"}
+
+        async def send(message):
+            sent.append(message)
+
+        scope = {"path": COMPLETIONS, "method": "POST", "headers": []}
+        await app(scope, receive, send)
+        assert sent[0]["status"] == 408
+        assert driver.arrivals == []
+
+
+class TestHeaders:
+    def _read(self, *headers: tuple[str, str]):
+        raw = [(key.lower().encode(), value.encode()) for key, value in headers]
+        return read_headers({"headers": raw}, BOUNDS, lambda: NOW_S)
+
+    @pytest.mark.parametrize(
+        ("headers", "age_s"),
+        [
+            ([("Idempotency-Key", uuid7(NOW_S - 5))], 5.0),
+            ([("Idempotency-Key", uuid7(NOW_S + 10))], 0.0),
+            ([("Idempotency-Key", "k"), ("Chivehold-First-Sent", f"{NOW_S * 1000 - 7000}")], 7.0),
+        ],
+    )
+    def test_key_tells_its_first_sending(self, headers, age_s) -> None:
+        """The age comes from the key or the header, and is never negative."""
+        assert self._read(*headers).first_sent_ago_s == pytest.approx(age_s)
+
+    @pytest.mark.parametrize("sent_s", [NOW_S - 3601, NOW_S + 61])
+    def test_key_out_of_bounds_is_refused(self, sent_s: float) -> None:
+        """A key that may be forgotten already, or comes from the future, is not taken."""
+        with pytest.raises(Malformed):
+            self._read(("Idempotency-Key", uuid7(sent_s)))
+
+    def test_deadline_is_bounded(self) -> None:
+        """A caller cannot ask for more time than the settings allow."""
+        assert self._read(("Chivehold-Deadline", "1e6")).deadline_in_s == BOUNDS.deadline_s
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ("end", "status", "retry_after"),
+        [
+            (finish(Outcome.NOT_RUN, "queue full", 2.1), 429, "3"),
+            (finish(Outcome.NOT_RUN, "no upstream", 0.2), 503, "1"),
+            (finish(Outcome.UNKNOWN, "deadline"), 504, None),
+            (finish(Outcome.UNKNOWN, "link lost"), 502, None),
+            (finish(Outcome.IN_PROGRESS), 409, None),
+            (finish(Outcome.ALREADY_ANSWERED), 409, None),
+            (finish(Outcome.REJECTED, "unknown target"), 404, None),
+        ],
+    )
+    @pytest.mark.parametrize("stream", [False, True])
+    async def test_outcome_sets_status(self, end, status, retry_after, stream) -> None:
+        """Each outcome has its status; Retry-After is rounded up and exact in the body."""
+        answer = await ask(ScriptedDriver((), end), body=BODY | {"stream": stream})
+        assert (answer.status, answer.is_whole) == (status, True)
+        assert answer.headers["chivehold-outcome"] == end.outcome
+        assert answer.headers.get("retry-after") == retry_after
+        assert answer.error["retry_after_s"] == end.retry_after_s
+
+    async def test_cut_stream_never_looks_whole(self) -> None:
+        """After the first token a failure is an error event, and the body is not closed."""
+        driver = ScriptedDriver((" a", " b"), finish(Outcome.UNKNOWN, "superseded"))
+        answer = await ask(driver, body=BODY | {"stream": True})
+        assert answer.status == 200
+        assert not answer.is_whole
+        assert b"[DONE]" not in answer.body
+        assert b"event: error" in answer.body
+
+    async def test_cut_answer_is_an_error(self) -> None:
+        """Without a stream, part of an answer is not given at all."""
+        driver = ScriptedDriver((" a",), finish(Outcome.UNKNOWN, "superseded"))
+        answer = await ask(driver, body=BODY)
+        assert (answer.status, answer.error["outcome"]) == (502, "unknown")
+
+    async def test_whole_chat(self) -> None:
+        """A whole answer carries all text and why it ended."""
+        driver = ScriptedDriver((" a", " b"), finish(Outcome.ANSWERED))
+        answer = await ask(driver, CHATS, CHAT | {"max_tokens": 2})
+        choice = json.loads(answer.body)["choices"][0]
+        assert choice["message"] == {"role": "assistant", "content": " a b"}
+        assert choice["finish_reason"] == "length"
+        assert driver.arrivals[0].prompt == "user: hi\n"
+
+    @pytest.mark.parametrize("tokens", [(), (" a",)])
+    async def test_caller_gone_is_told(self, tokens) -> None:
+        """The core learns that the caller left, before and after the first token."""
+        driver = ScriptedDriver(tokens)
+        await ask(driver, body=BODY | {"stream": True}, leaves=True)
+        assert driver.left == [driver.arrivals[0].request]
+
+
+class TestPrompts:
+    def test_size_and_blocks(self) -> None:
+        """Only whole blocks have digests, and equal prefixes have equal ones."""
+        first = "a" * BLOCK_BYTES
+        assert prompt_tokens("") == 1
+        assert len(prefix_blocks(first + "b")) == 1
+        assert prefix_blocks(first + "b" * BLOCK_BYTES)[0] == prefix_blocks(first)[0]
+        assert prefix_blocks("b" + first) != prefix_blocks(first)
