--- a/tests/processes.py
+++ b/tests/processes.py
@@ -41,11 +41,11 @@
         line, _, self._buffer = self._buffer.partition(b"\n")
         return line.decode().split()[1:]
 
-    def resident_mb(self) -> float:
-        """Return the resident memory in megabytes of 1,000,000 bytes."""
+    def resident_mib(self) -> float:
+        """Return the resident memory in MiB."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         kilobytes = next(row.split()[1] for row in status.splitlines() if row.startswith("VmRSS"))
-        return int(kilobytes) * 1024 / 1e6
+        return int(kilobytes) / 1024
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
