Leases in the platform whose holder stops before any successor starts

Cause: control duties and the watching of declarations belong to few entries at a time, and a holder may be paused, cut off, or unsure of its own write. Ruled out: instants in the record (compares clocks of two machines); a counter of its own as the fencing number (starts anew when the object is deleted): the number is the store's version of the write that acquired the lease. Conclusion: order of scheduling is not seeded in trio, so a seed fixes faults, not interleavings.

--- /dev/null
+++ b/tests/platform/test_leases.py
@@ -0,0 +1,152 @@
+"""Leases under outages, lost answers, pauses and partitions, on a paused clock."""
+
+from random import Random
+
+import pytest
+import trio
+
+from chivehold.core.control_lease import PAUSE_MARGIN_S, SUCCESSOR_MARGIN_S, TERM_S
+from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
+from chivehold.platform.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
+
+SAMPLE_S = 0.05
+TAKE_OVER_MOST_S = TERM_S + SUCCESSOR_MARGIN_S + 3 * CONTROL_POLL_S
+
+
+class PausableStore:
+    """One entry's way to the store: its calls stand still while it is paused."""
+
+    def __init__(self, store):
+        self.store = store
+        self.running = trio.Event()
+        self.running.set()
+
+    def __getattr__(self, call):
+        async def forward(*arguments):
+            await self.running.wait()
+            result = await getattr(self.store, call)(*arguments)
+            await self.running.wait()
+            return result
+
+        return forward
+
+    def pause(self):
+        if self.running.is_set():
+            self.running = trio.Event()
+
+
+class Entries:
+    """Entries that want the control lease; records who held it, and never two at once."""
+
+    def __init__(self, count, names=CONTROL_LEASES):
+        self.store = MemoryObjectStore()
+        self.ways = [PausableStore(self.store) for _ in range(count)]
+        self.keepers = [
+            LeaseKeeper(way, f"entry-{number}", names, CONTROL_POLL_S, Random(number))
+            for number, way in enumerate(self.ways)
+        ]
+        self.numbers = {}
+
+    def holders(self):
+        held = {n: keeper.current() for n, keeper in enumerate(self.keepers) if keeper.current()}
+        names = [lease.name for lease in held.values()]
+        assert len(names) == len(set(names)), f"held twice: {held}"
+        for lease in held.values():
+            numbers = self.numbers.setdefault(lease.name, [])
+            if lease.fencing_number not in numbers:
+                numbers.append(lease.fencing_number)
+            assert numbers == sorted(numbers)
+        return held
+
+    async def pass_time(self, seconds):
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            self.holders()
+            await trio.sleep(SAMPLE_S)
+        return self.holders()
+
+    async def until(self, condition, most_s=TAKE_OVER_MOST_S):
+        with trio.fail_after(most_s):
+            while not condition(self.holders()):
+                await trio.sleep(SAMPLE_S)
+        return self.holders()
+
+
+@pytest.fixture
+async def entries(autojump_clock, nursery):
+    entries = Entries(3)
+    for keeper in entries.keepers:
+        nursery.start_soon(keeper.run)
+    return entries
+
+
+class TestLeaseKeeper:
+    async def test_paused_holder(self, autojump_clock, entries):
+        """A holder paused past its lease is no holder when it wakes, and another one is."""
+        (former,) = await entries.until(bool)
+        entries.ways[former].pause()
+        (successor,) = await entries.until(lambda held: held and former not in held)
+        entries.ways[former].running.set()
+        assert list(await entries.pass_time(3 * TERM_S)) == [successor]
+        assert len(entries.numbers["control"]) == 2
+
+    async def test_outage(self, autojump_clock, entries):
+        """The lease ends in an outage before its term does, and is taken again after it."""
+        await entries.until(bool)
+        entries.store.set_faults(Faults(outage=True))
+        await entries.until(lambda held: not held, TERM_S - PAUSE_MARGIN_S + SAMPLE_S)
+        await entries.pass_time(60.0)
+        entries.store.set_faults(NO_FAULTS)
+        await entries.until(bool)
+
+    async def test_lost_answers(self, autojump_clock, entries):
+        """A holder whose every second answer is lost keeps its lease."""
+        (holder,) = await entries.until(bool)
+        entries.store.set_faults(Faults(lose_answers=0.5, seed=1))
+        await entries.pass_time(60.0)
+        entries.store.set_faults(NO_FAULTS)
+        assert await entries.until(bool)
+
+    async def test_deleted_object(self, autojump_clock, entries):
+        """The fencing number grows also when the lease's object was deleted."""
+        (former,) = await entries.until(bool)
+        entries.ways[former].pause()
+        (stored,) = (await entries.store.list("lease")).unwrap().objects
+        await trio.sleep(TERM_S)
+        await entries.store.delete("lease", "control", stored.version, "operator")
+        await entries.until(bool)
+        assert len(entries.numbers["control"]) == 2
+
+    @pytest.mark.parametrize("seed", range(8))
+    async def test_never_two_holders(self, autojump_clock, entries, seed):
+        """Two entries never hold one lease at once, whatever pauses and faults come together."""
+        rng = Random(seed)
+        for _ in range(40):
+            way = rng.choice(entries.ways)
+            way.running.set() if rng.random() < 0.6 else way.pause()
+            delay_s = rng.choice((0.0, 0.3, 2.0))
+            loss = rng.choice((0.0, 0.5))
+            outage = rng.random() < 0.2
+            entries.store.set_faults(Faults(outage, delay_s, loss, seed=rng.getrandbits(16)))
+            await entries.pass_time(rng.uniform(0.5, TERM_S))
+        assert len(entries.numbers["control"]) > 1
+
+    async def test_cancelled_holder_gives_back(self, autojump_clock):
+        """A holder that shuts down leaves its lease to the next one at once."""
+        entries = Entries(2)
+        async with trio.open_nursery() as nursery:
+            first, second = entries.keepers
+            async with trio.open_nursery() as leaving:
+                leaving.start_soon(first.run)
+                await entries.until(bool)
+                leaving.cancel_scope.cancel()
+            nursery.start_soon(second.run)
+            await entries.until(lambda held: 1 in held, 2 * SAMPLE_S)
+            nursery.cancel_scope.cancel()
+
+    async def test_several_leases(self, autojump_clock, nursery):
+        """Each of several leases finds a holder, and no entry holds two."""
+        entries = Entries(5, names=("watch-0", "watch-1", "watch-2"))
+        for keeper in entries.keepers:
+            nursery.start_soon(keeper.run)
+        await entries.until(lambda held: len({one.name for one in held.values()}) == 3)
