Declarations reach every node within three seconds, also through outages

Cause: what an operator was told is accepted must be in force everywhere, without a watch by every node. Ruled out: a random share of the entries watching: it needs to know how many there are; each entry watching: 930 waiting watches. Conclusion: shown on in-memory peers; the spread over real processes is not run here.

--- /dev/null
+++ b/tests/platform/test_declaration_sync.py
@@ -0,0 +1,199 @@
+"""Declarations reach every node of a small fleet, on a paused clock."""
+
+from random import Random
+
+import pytest
+import trio
+
+from chivehold.core.declarations import DeclarationReplica
+from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
+from chivehold.platform.declaration_apply import ACCEPTED, ApplyRequest
+from chivehold.platform.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.rpc.convert_declarations import encode_declaration
+from tests.core.declared_examples import service
+
+IN_FORCE_WITHIN_S = 3.0
+HEARTBEAT_S = 0.5
+CALL_S = 0.005
+ENTRIES, SIDECARS, KNOWN, WATCHERS = 6, 24, 8, 2
+
+
+class Fleet:
+    """Entries that each know some sidecars; carries their calls, and checks none goes back."""
+
+    def __init__(self, nursery, seed=1):
+        self.nursery = nursery
+        self.rng = Random(seed)
+        self.store = MemoryObjectStore()
+        self.sidecars = {f"sidecar-{n}": DeclarationReplica() for n in range(SIDECARS)}
+        self.entries = []
+        self.frozen = set()
+        self.published = {}
+
+    def add_entry(self, watches):
+        replica = DeclarationReplica()
+        number = len(self.entries)
+        history = self.published.setdefault(number, [])
+        sync = DeclarationSync(
+            self.store, replica, self, history.append, lambda: watches, Random(number)
+        )
+        self.entries.append((sync, replica))
+        # Neighbouring entries share sidecars, so that the whole is connected.
+        first = number * (SIDECARS // ENTRIES)
+        known = [f"sidecar-{(first + n) % SIDECARS}" for n in range(KNOWN)]
+        self.nursery.start_soon(sync.run)
+        self.nursery.start_soon(self.heartbeats, sync, known)
+        return sync, replica
+
+    async def heartbeats(self, sync, known):
+        while True:
+            await trio.sleep(HEARTBEAT_S * self.rng.uniform(0.9, 1.0))
+            for peer in known:
+                if peer not in self.frozen:
+                    sync.heard(peer, self.sidecars[peer].revision)
+
+    async def pull(self, peer, after_revision):
+        if not await self.reach(peer):
+            return None
+        replica = self.sidecars[peer]
+        changes = replica.changed_after(after_revision)
+        return PeerChanges(after_revision, replica.revision, changes)
+
+    async def push(self, peer, changes):
+        if not await self.reach(peer):
+            return None
+        replica = self.sidecars[peer]
+        replica.merge(changes.changes, changes.after_revision, changes.revision)
+        return replica.revision
+
+    async def reach(self, peer):
+        await trio.sleep(1.0 if peer in self.frozen else CALL_S)
+        return peer not in self.frozen
+
+    async def apply(self, *specs, entry=0, operation_id, delete=()):
+        request = ApplyRequest(specs, delete, operation_id)
+        return await self.entries[entry][0].apply(request)
+
+    def replicas(self):
+        yield from (replica for _, replica in self.entries)
+        yield from (r for name, r in self.sidecars.items() if name not in self.frozen)
+
+    async def everywhere(self, revision):
+        with trio.fail_after(IN_FORCE_WITHIN_S):
+            while any(replica.revision < revision for replica in self.replicas()):
+                await trio.sleep(0.05)
+        assert len({replica.digest for replica in self.replicas()}) == 1
+        for history in self.published.values():
+            revisions = [declarations.revision for declarations in history]
+            assert revisions == sorted(revisions)
+
+
+@pytest.fixture
+async def fleet(nursery):
+    fleet = Fleet(nursery)
+    for number in range(ENTRIES):
+        fleet.add_entry(watches=number < WATCHERS)
+    return fleet
+
+
+class TestDeclarationSync:
+    @pytest.mark.parametrize("entry", range(ENTRIES))
+    async def test_in_force_everywhere(self, autojump_clock, fleet, entry):
+        """A change accepted by any entry, and a deletion, are in force on every node in 3 s."""
+        await trio.sleep(5.0)
+        result = await fleet.apply(service(), entry=entry, operation_id="one")
+        await fleet.everywhere(result.revision)
+        result = await fleet.apply(delete=("forja",), entry=entry, operation_id="two")
+        await fleet.everywhere(result.revision)
+        assert not fleet.sidecars["sidecar-0"].declarations().services
+
+    async def test_writer_dies(self, autojump_clock, fleet):
+        """A change whose entry dies right after the write is in force everywhere all the same."""
+        await trio.sleep(5.0)
+        value = encode_declaration(service())
+        written = await fleet.store.put("declaration", "forja", value, 0, "one")
+        await fleet.everywhere(written.unwrap().version)
+
+    async def test_frozen_sidecars(self, autojump_clock, fleet):
+        """Sidecars that do not answer do not hold up the others, and catch up when they wake."""
+        await trio.sleep(5.0)
+        fleet.frozen = {f"sidecar-{n}" for n in range(0, SIDECARS, 3)}
+        result = await fleet.apply(service(), operation_id="one")
+        await fleet.everywhere(result.revision)
+        fleet.frozen = set()
+        await fleet.everywhere(result.revision)
+
+    async def test_restarted_sidecar(self, autojump_clock, fleet):
+        """A sidecar that restarts between two changes misses neither."""
+        await fleet.apply(service(), operation_id="one")
+        await trio.sleep(5.0)
+        fleet.sidecars["sidecar-7"] = DeclarationReplica()
+        result = await fleet.apply(service("loandesk", 9500), operation_id="two")
+        await fleet.everywhere(result.revision)
+
+    async def test_new_in_outage(self, autojump_clock, fleet):
+        """An entry that starts in an outage takes the newest declarations from its peers."""
+        result = await fleet.apply(service(), operation_id="one")
+        await trio.sleep(5.0)
+        fleet.store.set_faults(Faults(outage=True))
+        sync, replica = fleet.add_entry(watches=False)
+        assert await sync.pull_first(["sidecar-3"])
+        assert replica.declarations().services == (service(),)
+        sync, _ = fleet.add_entry(watches=True)
+        await fleet.everywhere(result.revision)
+        refused = await fleet.apply(service(), delete=("loandesk",), operation_id="two")
+        assert {change.kind for change in refused.changes} == {"refused"}
+
+    async def test_change_missed_in_outage(self, autojump_clock, fleet):
+        """What changed while the watchers were cut off is in force soon after."""
+        await fleet.apply(service(), operation_id="one")
+        await trio.sleep(5.0)
+        (stored,) = (await fleet.store.list("declaration")).unwrap().objects
+        delete = fleet.store.delete("declaration", "forja", stored.version, "two")
+        deleted = (await delete).unwrap()
+        fleet.store.set_faults(Faults(outage=True))
+        await trio.sleep(30.0)
+        fleet.store.set_faults(NO_FAULTS)
+        await fleet.everywhere(deleted.version)
+
+    async def test_burst(self, autojump_clock, fleet):
+        """A hundred changes in a second cost each watcher a few calls, and reach all nodes."""
+        await trio.sleep(5.0)
+        before = fleet.store.counts["watch"]
+        writes = fleet.store.put
+        for number in range(100):
+            await trio.sleep(0.01)
+            value = b"" if number % 2 else b"\xff"
+            await writes("declaration", "hostile", value, fleet.store.revision, f"{number}")
+        result = await fleet.apply(service(), operation_id="one")
+        assert fleet.store.counts["watch"] - before <= WATCHERS * 6
+        await fleet.everywhere(result.revision)
+
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_faults_together(self, autojump_clock, nursery, seed):
+        """Through outages, lost answers, restarts and racing operators nothing goes back."""
+        fleet = Fleet(nursery, seed)
+        rng = fleet.rng
+        for number in range(ENTRIES):
+            fleet.add_entry(watches=number < WATCHERS)
+        accepted = 0
+        for number in range(60):
+            faults = Faults(rng.random() < 0.2, rng.choice((0.0, 0.1)), rng.choice((0.0, 0.3)))
+            fleet.store.set_faults(faults._replace(seed=number))
+            fleet.frozen = set(rng.sample(sorted(fleet.sidecars), rng.choice((0, 0, 4))))
+            fleet.sidecars[rng.choice(sorted(fleet.sidecars))] = DeclarationReplica()
+            name = rng.choice(("forja", "loandesk"))
+            spec = service(name, rng.randrange(9000, 9900, 10))
+            change = {"delete": (name,)} if rng.random() < 0.3 else {}
+            specs = () if change else (spec,)
+            entry = rng.randrange(ENTRIES)
+            result = await fleet.apply(*specs, entry=entry, operation_id=f"{number}", **change)
+            if all(change.kind in ACCEPTED for change in result.changes):
+                accepted = max(accepted, result.revision)
+            await trio.sleep(rng.uniform(0.0, 1.0))
+        fleet.store.set_faults(NO_FAULTS)
+        fleet.frozen = set()
+        await fleet.everywhere(accepted)
+        listed = (await fleet.store.list("declaration")).unwrap().objects
+        in_force = fleet.sidecars["sidecar-0"].declarations().services
+        assert {one.name for one in listed} == {one.name for one in in_force}
