--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -1,7 +1,7 @@
 """Sidecars with stand-in upstreams in one trio loop, and an entry that speaks to them."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 from typing import Any, TypeVar
 
@@ -12,6 +12,7 @@
 from chivehold.core.wire import (
     AttemptFrame,
     AttemptOffer,
+    CallResult,
     FrameKind,
     Heartbeat,
     ImportOrder,
@@ -23,15 +24,18 @@
 from chivehold.fakes.engine_model import EngineCost
 from chivehold.fakes.engine_runtime import EngineOptions
 from chivehold.fakes.server import StandInAddresses
+from chivehold.fakes.service import run_service
+from chivehold.fakes.service_app import ServiceOptions
 from chivehold.http_client import HttpAnswer, HttpClient
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.bridge import RpcChannel, RpcFailed
 from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
 from chivehold.rpc.convert import heartbeat_to_proto, load_report_from_proto
 from chivehold.settings import SidecarSettings
 from chivehold.sidecar.app import SidecarAddresses, run_sidecar
 
 TOKEN = "a-token-of-the-tests"
+HEARTBEAT_S = 0.3
 ENTRY = EntryIncarnation("entry-1")
 COST = EngineCost(kv_bytes_per_token=1_000, interval_base_s=0.002, interval_per_stream_s=0.0)
 MessageT = TypeVar("MessageT")
@@ -145,6 +149,18 @@
         answer = await self.post("/v1/imports", msgspec.json.encode(order))
         return msgspec.json.decode(answer.body, type=bool)
 
+    async def call(self, offer: AttemptOffer, path: str = "/chairs", **head: Any) -> CallResult:
+        """Pass a call on through this sidecar."""
+        call = ("PUT", path, [("idempotency-key", offer.attempt.request)])
+        headers = [
+            ("chivehold-offer", msgspec.json.encode(offer).decode()),
+            ("chivehold-call", msgspec.json.encode(head.get("call", call)).decode()),
+        ]
+        answer = await self.post("/v1/calls", b"body", headers)
+        assert answer.status == 200, answer
+        result = msgspec.json.decode(answer.header("chivehold-result") or "", type=CallResult)
+        return result._replace(body=answer.body)
+
     @asynccontextmanager
     async def frames(self, offer: AttemptOffer) -> AsyncIterator[AsyncIterator[AttemptFrame]]:
         """Open an attempt's stream; leaving the block closes it as a departing entry does."""
@@ -177,6 +193,7 @@
         self.sidecars: dict[Role, SidecarPeer] = {}
         self.shutdown: dict[Role, trio.Event] = {}
         self.ended: dict[Role, trio.Event] = {}
+        self.entry_lives = True
         self._kills: dict[Role, trio.CancelScope] = {}
 
     @property
@@ -187,12 +204,25 @@
     def prefill(self) -> SidecarPeer:
         return self.sidecars[Role.PREFILL]
 
+    async def beat(self) -> None:
+        """Renew the entry's lease everywhere for as long as it lives."""
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            for sidecar in list(self.sidecars.values()):
+                if self.entry_lives:
+                    with suppress(RpcFailed):
+                        await sidecar.heartbeat()
+
     async def start_engine(self, role: Role, cost: EngineCost = COST) -> None:
         options = EngineOptions(name=role, role=role, cost=cost, emit_every_s=0.005)
         self.engines[role] = await self.nursery.start(partial(run_engine, options))
 
+    async def start_service(self, work_s: float) -> None:
+        options = ServiceOptions("desk", work_s)
+        self.engines[Role.SERVICE] = await self.nursery.start(partial(run_service, options))
+
     async def start_sidecar(self, role: Role, **changes: Any) -> None:
-        """Start the sidecar of an engine after killing the one before it."""
+        """Start the sidecar of an upstream after killing the one before it."""
         await self.kill_sidecar(role)
         self._kills[role], self.ended[role] = trio.CancelScope(), trio.Event()
         self.shutdown[role] = trio.Event()
@@ -247,13 +277,19 @@
 
 
 @asynccontextmanager
-async def rig() -> AsyncIterator[Rig]:
-    """Start engines and sidecars of a deployment."""
+async def rig(
+    roles: Sequence[Role] = (Role.PREFILL, Role.DECODE), work_s: float = 0.02
+) -> AsyncIterator[Rig]:
+    """Start upstreams and sidecars of these roles, and an entry's heartbeats."""
     async with trio.open_nursery() as nursery:
         one = Rig(nursery)
-        for role in (Role.PREFILL, Role.DECODE):
-            await one.start_engine(role)
+        for role in roles:
+            if role is Role.SERVICE:
+                await one.start_service(work_s)
+            else:
+                await one.start_engine(role)
             await one.start_sidecar(role)
+        nursery.start_soon(one.beat)
         with trio.fail_after(15):
             yield one
         for sidecar in one.sidecars.values():
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -47,6 +47,10 @@
     return await one.held() == []
 
 
+async def all_free(one: Rig) -> bool:
+    return (await one.decode.heartbeat()).places_free == 4
+
+
 class TestPath:
     async def test_answers_are_whole_and_their_own(self) -> None:
         """Requests at once over both sidecars give each its own whole output."""
@@ -75,17 +79,25 @@
 
 class TestMemory:
     async def test_is_freed_when_the_caller_leaves(self) -> None:
-        """A stream closed midway leaves nothing held, although the engine ignores cancels."""
+        """A closed stream's place is free once its engine lets go of it, and not before."""
         async with rig() as one:
             async with decoding(one, 1):
                 assert await one.held() == [list(attempt(1))]
                 await one.fault(Role.DECODE, ignore_cancel_for_s=0.5)
-            await until(partial(nothing_held, one), RELEASED_WITHIN_S)
-            assert (await one.decode.heartbeat()).places_free == 4
+
+            async def released() -> bool:
+                free = (await one.decode.heartbeat()).places_free
+                held = await one.held()
+                assert free + len(held) <= 4
+                return not held
+
+            await until(released, RELEASED_WITHIN_S)
+            await until(partial(all_free, one), RELEASED_WITHIN_S)
 
     async def test_is_freed_when_the_entry_is_silent(self) -> None:
         """An entry whose lease lapsed loses its attempts, with a frame that says so."""
         async with rig() as one, decoding(one, 1) as frames:
+            one.entry_lives = False
             failed = await skip_to(frames, FrameKind.FAILED)
             assert failed.reason is Reason.LEASE_LAPSED
             await until(partial(nothing_held, one), RELEASED_WITHIN_S)
--- /dev/null
+++ b/tests/sidecar/test_driver.py
@@ -0,0 +1,83 @@
+from collections.abc import Iterator
+
+import pytest
+import trio
+import trio.testing
+
+from chivehold.core.sidecar_messages import (
+    DrainStarted,
+    ReplyImport,
+    SidecarCommand,
+    SidecarEvent,
+    Tick,
+)
+from chivehold.sidecar.driver import CoreDriver
+
+
+class Recorder:
+    """A core that notes its events, wants a tick at 2 s, and answers reply 1 to any."""
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[type, float]] = []
+        self.wakeup: float | None = None
+        self.open = False
+
+    def handle(self, event: SidecarEvent, now: float) -> Iterator[SidecarCommand]:
+        assert not self.open
+        self.open = True
+        self.seen.append((type(event), now))
+        self.wakeup = now + 2.0 if isinstance(event, DrainStarted) else None
+        yield ReplyImport(1, True)
+        self.open = False
+
+    def next_wakeup(self) -> float | None:
+        return self.wakeup
+
+
+class TestCoreDriver:
+    async def test_ticks_when_due(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A tick is fed at the time the core asked for, and only then."""
+        core = Recorder()
+        driver = CoreDriver(core, lambda command: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(driver.run)
+            await trio.sleep(1.0)
+            driver.feed(DrainStarted())
+            await trio.sleep(10.0)
+            nursery.cancel_scope.cancel()
+        start = core.seen[0][1]
+        assert [(kind, at - start) for kind, at in core.seen] == [(DrainStarted, 0), (Tick, 2.0)]
+
+    async def test_events_from_commands_wait_their_turn(self) -> None:
+        """An event fed while a command is carried out comes after the one in progress."""
+        core = Recorder()
+        fed = False
+
+        def perform(command: SidecarCommand) -> None:
+            nonlocal fed
+            if not fed:
+                fed = True
+                driver.feed(Tick())
+
+        driver = CoreDriver(core, perform)
+        driver.feed(DrainStarted())
+        assert [kind for kind, _ in core.seen] == [DrainStarted, Tick]
+
+    async def test_question_gets_its_answer(self) -> None:
+        """A question returns what the core's reply with its number carries."""
+        driver = CoreDriver(Recorder(), lambda command: driver.answer(1, command.accepted))
+        assert await driver.ask(lambda reply: Tick()) is True
+
+    async def test_failed_core_ends_the_run(self) -> None:
+        """An error in the core or a command is raised to its feeder and ends the process."""
+
+        def perform(command: SidecarCommand) -> None:
+            raise ValueError("broken")
+
+        driver = CoreDriver(Recorder(), perform)
+        with pytest.RaisesGroup(ValueError):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(driver.run)
+                await trio.testing.wait_all_tasks_blocked()
+                with pytest.raises(ValueError, match="broken"):
+                    driver.feed(Tick())
