Idle connections end, and hostile paths, headers and bodies are bounded

Cause: found by a probe with raw bytes. The HTTP server tells the application of the connection's end while it sends the last message; the task that waits for that cancelled the sending, so the connection was never marked idle: it stayed open for ever, and a shutdown waited its whole drain time for it. Header blocks of 20 KB passed a bound of 16 KB. `/lookups/../reservations` matched a rule for `/lookups`, by which a caller could have a reservation repeated. HTTP/2 has no broken connection for a cut answer. Ruled out: normalising paths instead of refusing them; the service would see another path than the caller asked for. Change: the last message is shielded from cancellation; headers are counted (431); paths must be canonical (400); HTTP/2 is refused (505); bodies of all requests together are bounded (`max_held_bytes`). Error classes that nobody raises are gone. The sidecar's data listener cancels in the same way; its drain there is bounded by 5 s.

--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -16,6 +16,7 @@
 from chivehold.core.identity import EntryIncarnation, UpstreamName
 from chivehold.core.wire import LoadReport
 from chivehold.entry.attempts import AttemptClient
+from chivehold.entry.bodies import CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds
 from chivehold.entry.callers import CallerApp
 from chivehold.entry.declaration_feed import follow_leaving, follow_platform
@@ -92,9 +93,10 @@
             nursery,
         )
         bounds = HeaderBounds(settings.default_deadline_s, settings.key_retention_s)
-        self._callers = CallerApp(
-            self._driver, self._metrics, self._incarnation, bounds, settings.max_body_bytes
+        limits = CallerLimits(
+            settings.max_body_bytes, settings.max_header_bytes, settings.max_held_bytes
         )
+        self._callers = CallerApp(self._driver, self._metrics, self._incarnation, bounds, limits)
         self._operators = OperatorsService(
             self._node(),
             self._store,
--- /dev/null
+++ b/src/chivehold/entry/bodies.py
@@ -0,0 +1,97 @@
+"""Bounds of callers' bodies, of one and of all that are held at once."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import NamedTuple
+
+import trio
+
+from chivehold.exceptions import BudgetSpent
+from chivehold.http_server import Message, Scope, Send, header
+
+
+class CallerLimits(NamedTuple):
+    """Bounds of what callers send, in bytes."""
+
+    max_body_bytes: int
+    max_header_bytes: int
+    max_held_bytes: int
+    """Bodies of all requests in progress together."""
+
+
+class BodyBudget:
+    """Bounds the bytes of all bodies held at once.
+
+    Args:
+        most: Bytes held at most.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Bytes set aside now."""
+        return self._held
+
+    @contextmanager
+    def reserve(self, size: int) -> Iterator["Reservation"]:
+        """Set bytes aside until the block ends.
+
+        Raises:
+            BudgetSpent: There is no room for so many.
+        """
+        if self._held + size > self._most:
+            detail = f"bodies in progress exceed {self._most} bytes"
+            raise BudgetSpent("read body", "caller", detail)
+        self._held += size
+        reservation = Reservation(self, size)
+        try:
+            yield reservation
+        finally:
+            reservation.shrink_to(0)
+
+    def _give_back(self, size: int) -> None:
+        self._held -= size
+
+
+class Reservation:
+    """Bytes set aside for one body."""
+
+    def __init__(self, budget: BodyBudget, size: int) -> None:
+        self._budget = budget
+        self._size = size
+
+    def shrink_to(self, size: int) -> None:
+        """Give back all but these bytes."""
+        kept = min(size, self._size)
+        self._budget._give_back(self._size - kept)
+        self._size = kept
+
+
+def expected_bytes(scope: Scope, most: int) -> int:
+    """Return the size that a request announces for its body, at most ``most``.
+
+    A body without an announced size may come up to that.
+    """
+    announced = header(scope, "content-length")
+    if announced is not None and announced.isdecimal():
+        return min(int(announced), most)
+    return 0 if header(scope, "transfer-encoding") is None else most
+
+
+def shield_end(send: Send) -> Send:
+    """Return a ``send`` whose last message is not cancelled half done.
+
+    The server tells the application of the connection's end while it sends the last message. Were
+    the sending task cancelled by that, the server would not get to mark the connection as idle,
+    and would keep it open for ever.
+    """
+
+    async def send_shielded(message: Message) -> None:
+        is_last = message["type"] == "http.response.body" and not message.get("more_body", False)
+        with trio.CancelScope(shield=is_last):
+            await send(message)
+
+    return send_shielded
--- a/src/chivehold/entry/caller_requests.py
+++ b/src/chivehold/entry/caller_requests.py
@@ -1,6 +1,9 @@
 """Callers' requests in the common JSON form, and plain services' calls."""
 
+import re
+import string
 from typing import Annotated, NamedTuple, TypedDict, TypeVar
+from urllib.parse import unquote
 
 import msgspec
 
@@ -14,7 +17,7 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_MOST = 65_536
-SERVICES_PREFIX = b"/services/"
+SERVICES_PREFIX = "/services/"
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -32,6 +35,9 @@
     )
 )
 OWN_HEADERS = "chivehold-"
+UNRESERVED = frozenset(string.ascii_letters + string.digits + "-._~")
+
+_ESCAPE = re.compile("%[0-9A-Fa-f]{2}")
 
 _Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS_MOST)]
 _One = Annotated[int, msgspec.Meta(ge=1, le=1)]
@@ -119,7 +125,9 @@
 def read_call(scope: Scope, body: bytes) -> tuple[TargetName, CallContent]:
     """Read a call of a plain service from ``/services/{name}/{path}``.
 
-    The headers that belong to the connection or to the entry are left out.
+    The path must be in the one form that a declaration's rules are compared with: a service that
+    resolves dots, empty segments or needless escapes could otherwise run a call that the rules
+    have taken for another. The headers that belong to the connection or to the entry are left out.
 
     Raises:
         Malformed: The path does not have this form.
@@ -129,7 +137,8 @@
         query = bytes(scope["query_string"]).decode("ascii")
     except UnicodeDecodeError as error:
         raise Malformed("read path", "caller", "expected ASCII") from error
-    name, _, rest = raw_path.removeprefix(SERVICES_PREFIX.decode()).partition("/")
+    name, _, rest = raw_path.removeprefix(SERVICES_PREFIX).partition("/")
+    _check_canonical(rest)
     path = f"/{rest}?{query}" if query else f"/{rest}"
     headers = tuple(_forwarded_headers(scope))
     return TargetName(name), CallContent(str(scope["method"]), path, headers, body)
@@ -195,6 +204,19 @@
     )
 
 
+def _check_canonical(path: str) -> None:
+    *folders, last = path.split("/")
+    if "" in folders or {".", ".."} & {*folders, last}:
+        raise Malformed("read path", "caller", "expected no empty and no dot segments")
+    for escape in _ESCAPE.finditer(path):
+        character = unquote(escape.group(), errors="replace")
+        if character in UNRESERVED or not character.isprintable():
+            detail = f"expected no escape of {character!r}"
+            raise Malformed("read path", "caller", detail)
+    if "%" in _ESCAPE.sub("", path):
+        raise Malformed("read path", "caller", "expected two hexadecimal digits after %")
+
+
 def _message_text(message: ChatMessage) -> str:
     content = message["content"]
     if isinstance(content, str):
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any
 
 import msgspec
 import trio
@@ -25,9 +24,16 @@
     finish_reason,
     stream_event,
 )
+from chivehold.entry.bodies import (
+    BodyBudget,
+    CallerLimits,
+    expected_bytes,
+    shield_end,
+)
 from chivehold.entry.caller_headers import HeaderBounds, read_headers
 from chivehold.entry.caller_requests import (
     HOP_BY_HOP,
+    SERVICES_PREFIX,
     ModelRequest,
     call_arrival,
     model_arrival,
@@ -37,7 +43,7 @@
 )
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.pending import PendingRequest
-from chivehold.exceptions import Malformed
+from chivehold.exceptions import BudgetSpent, Malformed
 from chivehold.http_server import (
     JSON_TYPE,
     BodyIncomplete,
@@ -55,8 +61,9 @@
 from chivehold.logs import log_event
 from chivehold.metrics import EntryMetrics
 
+HTTP_VERSIONS = ("1.0", "1.1")
+BUDGET_RETRY_S = 1.0
 READERS = {"/v1/completions": read_completion, "/v1/chat/completions": read_chat}
-SERVICES_PATH = "/services/"
 DRAIN_RETRY_S = 1.0
 
 _log = logging.getLogger(__name__)
@@ -70,7 +77,7 @@
         metrics: Counts them.
         incarnation: This run of the entry; makes request ids unique.
         bounds: What callers may ask for at most.
-        max_body_bytes: Longest body taken.
+        limits: Bounds of a request and of all that are held.
     """
 
     def __init__(
@@ -79,13 +86,14 @@
         metrics: EntryMetrics,
         incarnation: EntryIncarnation,
         bounds: HeaderBounds,
-        max_body_bytes: int,
+        limits: CallerLimits,
     ) -> None:
         self._driver = driver
         self._metrics = metrics
         self._incarnation = incarnation
         self._bounds = bounds
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
+        self._budget = BodyBudget(limits.max_held_bytes)
         self._numbers = itertools.count(1)
         self._is_draining = False
 
@@ -96,74 +104,92 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         request = RequestId(f"{self._incarnation}-{next(self._numbers)}")
+        shielded = shield_end(send)
         try:
-            await self._answer(request, scope, receive, send)
+            await self._answer(request, scope, receive, shielded)
         except Malformed as error:
             answer = error_answer(400, Outcome.REJECTED, "malformed", str(error))
-            await self._send_error(send, request, answer)
+            await self._send_error(shielded, request, answer)
         except BodyTooLarge as error:
             answer = error_answer(413, Outcome.REJECTED, "too large", str(error))
-            await self._send_error(send, request, answer)
+            await self._send_error(shielded, request, answer)
         except BodyIncomplete as error:
             answer = error_answer(408, Outcome.REJECTED, "body incomplete", str(error))
-            await self._send_error(send, request, answer)
+            await self._send_error(shielded, request, answer)
+        except BudgetSpent as error:
+            detail = error.detail
+            answer = error_answer(503, Outcome.NOT_RUN, "bodies full", detail, BUDGET_RETRY_S)
+            await self._send_error(shielded, request, answer)
 
     async def _answer(self, request: RequestId, scope: Scope, receive: Receive, send: Send) -> None:
-        path = scope["path"]
-        if path in READERS:
+        if error := self._refusal(request, scope):
+            self._metrics.ended("", error.fields["outcome"])
+            await self._send_error(send, request, error)
+        elif scope["path"] in READERS:
             await self._answer_model(request, scope, receive, send)
-        elif path.startswith(SERVICES_PATH):
-            await self._answer_call(request, scope, receive, send)
         else:
-            answer = error_answer(404, Outcome.REJECTED, "unknown path", "no such path")
-            await self._send_error(send, request, answer)
+            await self._answer_call(request, scope, receive, send)
+
+    def _refusal(self, request: RequestId, scope: Scope) -> ErrorAnswer | None:
+        """Return why a request is refused before its body is read."""
+        header_bytes = sum(len(key) + len(value) for key, value in scope["headers"])
+        if scope["http_version"] not in HTTP_VERSIONS:
+            # A cut answer can be told from a whole one by the connection's end, which HTTP/2 lacks.
+            return error_answer(505, Outcome.REJECTED, "HTTP version", "expected HTTP/1.1")
+        if header_bytes > self._limits.max_header_bytes:
+            message = f"headers exceed {self._limits.max_header_bytes} bytes"
+            return error_answer(431, Outcome.REJECTED, "too large", message)
+        if scope["path"] in READERS:
+            if scope["method"] != "POST":
+                return error_answer(405, Outcome.REJECTED, "method", "expected POST")
+        elif not scope["path"].startswith(SERVICES_PREFIX):
+            return error_answer(404, Outcome.REJECTED, "unknown path", "no such path")
+        if self._is_draining:
+            return finish_answer(Finish(request, Outcome.NOT_RUN, "draining", DRAIN_RETRY_S))
+        return None
 
     async def _answer_model(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        if scope["method"] != "POST":
-            answer = error_answer(405, Outcome.REJECTED, "method", "expected POST")
-            await self._send_error(send, request, answer, [("allow", "POST")])
-            return
-        if await self._refused(request, send):
-            return
         headers = read_headers(scope, self._bounds)
-        body = await read_body(receive, self._max_body_bytes)
-        content = READERS[scope["path"]](body)
-        arrival = model_arrival(request, headers, content)
-        async with self._pending(arrival, receive) as pending:
-            if content.stream:
-                await self._stream(send, content, arrival, pending)
-            else:
-                await self._complete(send, content, arrival, pending)
+        async with self._body(scope, receive) as body:
+            content = READERS[scope["path"]](body)
+            arrival = model_arrival(request, headers, content)
+            async with self._pending(arrival, receive) as pending:
+                if content.stream:
+                    await self._stream(send, content, arrival, pending)
+                else:
+                    await self._complete(send, content, arrival, pending)
 
     async def _answer_call(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        if await self._refused(request, send):
-            return
         headers = read_headers(scope, self._bounds)
-        body = await read_body(receive, self._max_body_bytes)
-        target, call = read_call(scope, body)
-        arrival = call_arrival(request, headers, target, call)
-        async with self._pending(arrival, receive) as pending:
-            finish = await pending.finished()
-            self._count(arrival, finish)
-            if finish.outcome is not Outcome.ANSWERED or finish.call is None:
-                await self._send_error(send, request, finish_answer(finish))
-                return
-            result = finish.call
-            kept = [(key, value) for key, value in result.headers if key.lower() not in HOP_BY_HOP]
-            answered = self._headers(request, Outcome.ANSWERED)
-            await respond(send, result.status, result.body, "", [*kept, *answered])
+        async with self._body(scope, receive) as body:
+            target, call = read_call(scope, body)
+            arrival = call_arrival(request, headers, target, call)
+            async with self._pending(arrival, receive) as pending:
+                finish = await pending.finished()
+                self._count(arrival, finish)
+                await self._respond_call(send, finish)
 
-    async def _refused(self, request: RequestId, send: Send) -> bool:
-        if not self._is_draining:
-            return False
-        self._metrics.ended("", Outcome.NOT_RUN)
-        finish = Finish(request, Outcome.NOT_RUN, "draining", DRAIN_RETRY_S)
-        await self._send_error(send, request, finish_answer(finish))
-        return True
+    async def _respond_call(self, send: Send, finish: Finish) -> None:
+        result = finish.call
+        if finish.outcome is not Outcome.ANSWERED or result is None:
+            await self._send_error(send, finish.request, finish_answer(finish))
+            return
+        kept = [(key, value) for key, value in result.headers if key.lower() not in HOP_BY_HOP]
+        answered = self._headers(finish.request, Outcome.ANSWERED)
+        await respond(send, result.status, result.body, "", [*kept, *answered])
+
+    @asynccontextmanager
+    async def _body(self, scope: Scope, receive: Receive) -> AsyncIterator[bytes]:
+        """Read a request's body and count it as held until the block ends."""
+        most = self._limits.max_body_bytes
+        with self._budget.reserve(expected_bytes(scope, most)) as reserved:
+            body = await read_body(receive, most)
+            reserved.shrink_to(len(body))
+            yield body
 
     @asynccontextmanager
     async def _pending(
@@ -252,16 +278,15 @@
         send: Send,
         request: RequestId,
         answer: ErrorAnswer,
-        headers: list[tuple[str, str]] | None = None,
     ) -> None:
         connection = [("connection", "close")] if self._is_draining else []
-        all_headers = [*answer.headers, (REQUEST_HEADER, request), *connection, *(headers or [])]
+        all_headers = [*answer.headers, (REQUEST_HEADER, request), *connection]
         await respond(send, answer.status, answer.body, JSON_TYPE, all_headers)
 
     def _stream_headers(self, request: RequestId) -> list[tuple[str, str]]:
         return [("cache-control", "no-cache"), (REQUEST_HEADER, request)]
 
-    def _headers(self, request: RequestId, outcome: Outcome) -> list[tuple[str, Any]]:
+    def _headers(self, request: RequestId, outcome: Outcome) -> list[tuple[str, str]]:
         connection = [("connection", "close")] if self._is_draining else []
         return [(OUTCOME_HEADER, str(outcome)), (REQUEST_HEADER, request), *connection]
 
--- a/src/chivehold/exceptions.py
+++ b/src/chivehold/exceptions.py
@@ -59,26 +59,10 @@
     """A declaration does not validate; nothing of its file is in force."""
 
 
-class NotSent(ChiveholdError):
-    """The peer certainly received nothing."""
-
-
-class PeerUnreachable(ChiveholdError):
-    """The peer did not answer; it may or may not have acted."""
-
-
 class PeerRefused(ChiveholdError):
     """The peer answered that it will not do it."""
 
 
-class LinkLost(ChiveholdError):
-    """A connection broke after something may have been read."""
-
-
-class AnswerTooLarge(ChiveholdError):
-    """A peer's answer exceeds its bound in bytes."""
-
-
 class Malformed(ChiveholdError):
     """What a peer or a caller sent does not have the agreed form."""
 
@@ -87,9 +71,5 @@
     """The shared token is missing or wrong."""
 
 
-class PlatformUnavailable(ChiveholdError):
-    """The platform's store refused or could not be reached; certainly nothing was written."""
-
-
-class WriteUnsure(ChiveholdError):
-    """The answer to a write was lost; it may have taken effect."""
+class BudgetSpent(ChiveholdError):
+    """The bodies of the requests in progress leave no room for another."""
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -64,7 +64,10 @@
     heartbeat_s: float = 0.5
     max_body_bytes: int = 4 * MIB
     max_header_bytes: int = 16_384
+    max_held_bytes: int = 256 * MIB
+    """Bound of the bodies of all requests in progress together."""
     max_connections: int = 4096
+    """Requests in progress at once."""
     max_answer_bytes: int = 8 * MIB
     """Bound of a plain service's whole answer."""
     default_deadline_s: float = 900.0
@@ -151,6 +154,9 @@
     heartbeat_s: _Seconds
     max_body_bytes: _Bytes
     max_header_bytes: _Bytes
+    max_held_bytes: Annotated[
+        int, msgspec.Meta(ge=1 << 20, le=1 << 40, description="bytes, 1048576 to 1099511627776")
+    ]
     max_connections: _Count
     max_answer_bytes: _Bytes
     default_deadline_s: _Seconds
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -9,14 +9,15 @@
 
 from chivehold.core.entry_messages import Finish, RequestArrived
 from chivehold.core.identity import EntryIncarnation, Outcome, RequestId
+from chivehold.entry.bodies import BodyBudget, CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds, read_headers
 from chivehold.entry.callers import CallerApp
 from chivehold.entry.pending import PendingRequest
 from chivehold.entry.prompts import BLOCK_BYTES, prefix_blocks, prompt_tokens
-from chivehold.exceptions import Malformed
+from chivehold.exceptions import BudgetSpent, Malformed
 from chivehold.metrics import EntryMetrics
 
-MAX_BODY_BYTES = 2_000
+LIMITS = CallerLimits(max_body_bytes=2_000, max_header_bytes=1_000, max_held_bytes=3_000)
 NOW_S = 1_800_000_000.0
 BOUNDS = HeaderBounds(deadline_s=900.0, key_retention_s=3600.0)
 BODY = {"model": "lector", "prompt": "a b"}
@@ -61,8 +62,10 @@
         return json.loads(self.body)["error"]
 
 
-async def ask(driver, path=COMPLETIONS, body=b"", headers=(), method="POST", leaves=False):
-    app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, MAX_BODY_BYTES)
+async def ask(
+    driver, path=COMPLETIONS, body=b"", headers=(), method="POST", leaves=False, version="1.1"
+):
+    app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, LIMITS)
     content = body if isinstance(body, bytes) else json.dumps(body).encode()
     inbox = [{"type": "http.request", "body": content, "more_body": False}]
     sent = []
@@ -79,7 +82,7 @@
 
     raw = [(key.lower().encode(), value.encode("latin-1")) for key, value in headers]
     scope = {"path": path, "raw_path": path.encode(), "query_string": b"", "method": method}
-    await app(scope | {"headers": raw}, receive, send)
+    await app(scope | {"headers": raw, "http_version": version}, receive, send)
     if not sent:
         return None
     text = {key.decode(): value.decode() for key, value in sent[0]["headers"]}
@@ -103,7 +106,7 @@
             (COMPLETIONS, BODY | {"max_tokens": 10**9}, (), 400),
             (COMPLETIONS, BODY | {"n": 2}, (), 400),
             (COMPLETIONS, BODY | {"model": ""}, (), 400),
-            (COMPLETIONS, BODY | {"prompt": "x" * MAX_BODY_BYTES}, (), 413),
+            (COMPLETIONS, BODY | {"prompt": "x" * 2_000}, (), 413),
             (CHATS, CHAT | {"messages": []}, (), 400),
             (CHATS, BODY, (), 400),
             (COMPLETIONS, BODY, [("Chivehold-Deadline", "-1")], 400),
@@ -117,6 +120,12 @@
             (COMPLETIONS, BODY, [("Idempotency-Key", uuid7(0))], 400),
             ("/v1/models", b"", (), 404),
             ("/services/forja/\u00e9", b"", (), 400),
+            ("/services/forja/lookups/../reservations", b"", (), 400),
+            ("/services/forja//reservations", b"", (), 400),
+            ("/services/forja/%72eservations", b"", (), 400),
+            ("/services/forja/a%00b", b"", (), 400),
+            ("/services/forja/%zz", b"", (), 400),
+            (COMPLETIONS, BODY, [("X", "a" * 1_000)], 431),
         ],
     )
     async def test_is_refused_at_once(self, path, body, headers, status) -> None:
@@ -130,7 +139,7 @@
     async def test_caller_that_stops_sending_is_forgotten(self) -> None:
         """A body that breaks off holds nothing."""
         driver = ScriptedDriver()
-        app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, MAX_BODY_BYTES)
+        app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, LIMITS)
         sent = []
 
         async def receive():
@@ -139,11 +148,25 @@
         async def send(message):
             sent.append(message)
 
-        scope = {"path": COMPLETIONS, "method": "POST", "headers": []}
+        scope = {"path": COMPLETIONS, "method": "POST", "headers": [], "http_version": "1.1"}
         await app(scope, receive, send)
         assert sent[0]["status"] == 408
         assert driver.arrivals == []
 
+    async def test_http2_is_refused(self) -> None:
+        """A protocol in which a cut answer could look whole is not spoken."""
+        assert (await ask(ScriptedDriver(), body=BODY, version="2")).status == 505
+
+    async def test_held_bodies_are_bounded(self) -> None:
+        """A body beyond what all may hold is told to come back, and its bytes come free."""
+        budget = BodyBudget(100)
+        with budget.reserve(80) as reserved:
+            with pytest.raises(BudgetSpent), budget.reserve(30):
+                pass
+            reserved.shrink_to(10)
+            assert budget.held == 10
+        assert budget.held == 0
+
 
 class TestHeaders:
     def _read(self, *headers: tuple[str, str]):
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -46,8 +46,15 @@
 
 class TestFaults:
     async def test_drain_cuts_nothing(self, deployed: Deployed) -> None:
-        """SIGTERM: a held stream ends whole, new requests are told to go, the process ends."""
-        async with _stream(deployed, max_tokens=300) as response:
+        """SIGTERM: a held stream ends whole, new requests are told to go, the process ends.
+
+        A connection that a caller keeps open after its answer does not hold the process.
+        """
+        async with (
+            _stream(deployed, max_tokens=20) as kept,
+            _stream(deployed, max_tokens=300) as response,
+        ):
+            await kept.aread()
             parts = response.aiter_stream()
             received = await anext(parts)
             deployed.entry.signal(signal.SIGTERM)
@@ -56,12 +63,12 @@
                     await trio.sleep(0.01)
             refused = await post(deployed.callers, "/v1/completions", _completion())
             received += b"".join([part async for part in parts])
+            assert deployed.entry.wait() == 0
         headers = dict(refused.headers)
         assert (refused.status, headers[b"chivehold-outcome"]) == (503, b"not_run")
         assert headers[b"connection"] == b"close"
         assert int(headers[b"retry-after"]) >= 1
         assert _text(received) == "".join(expected_tokens(PROMPT, 300))
-        assert deployed.entry.wait() == 0
 
     async def test_cut_stream_breaks_off(self, deployed: Deployed) -> None:
         """When the only engine dies mid-stream, the caller's stream breaks, never ends."""
