Claims: a non-idempotent request runs at most once, wherever its owner dies

Cause: a reservation may be retried through another entry while its first owner is dead, frozen or unsure of its own claim. Ruled out: one write a claim (several hundred writes a second in all); reading back the group's operation id to settle a lost answer: another entry may have replaced the claim since, which the id does not show, so the claim's own request and attempt are read back; remembering shards between groups (64 of up to 1 MB). Conclusion: it rests on sidecars that bar an attempt for as long as its owner may still send it.

--- /dev/null
+++ b/src/chivehold/core/claims.py
@@ -0,0 +1,222 @@
+"""Claims of non-idempotent requests: their records, and what a request that finds one is told.
+
+A claim is written before its attempt is sent. So a request that finds no claim under its key is
+the first, and one that finds a claim runs only if that claim's attempt is barred from starting.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+
+from chivehold.core.identity import (
+    AttemptId,
+    EntryIncarnation,
+    KeyId,
+    Outcome,
+    RequestId,
+    SidecarIncarnation,
+    UpstreamName,
+)
+from chivehold.core.wire import RevokeResult
+
+CLAIM_SHARDS = 64
+CLOCK_MARGIN_S = 60.0
+MAX_SHARD_BYTES = 900_000
+KEY_DIGEST_BYTES = 16
+
+
+class ClaimState(StrEnum):
+    """What is known of a claimed request."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Claim(NamedTuple):
+    """A request's claim; times are Unix times in seconds."""
+
+    key: bytes
+    """Digest of organisation, target and key."""
+    request: RequestId
+    entry: EntryIncarnation
+    attempt: int
+    upstream: UpstreamName
+    incarnation: SidecarIncarnation
+    claimed_at_s: float
+    deadline_at_s: float
+    state: ClaimState = ClaimState.CLAIMED
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """The attempt that the claim covers."""
+        return AttemptId(self.request, self.attempt)
+
+
+Claims = Mapping[bytes, Claim]
+"""A shard's claims by the digest of their key."""
+
+
+class Revocation(NamedTuple):
+    """What the sidecar of a claim that was found said when its attempt was revoked."""
+
+    attempt: AttemptId
+    result: RevokeResult
+
+
+class ClaimWanted(NamedTuple):
+    """A request wants to run; ``revocation`` tells of the claim that it found before."""
+
+    claim: Claim
+    revocation: Revocation | None = None
+
+
+class ClaimEnded(NamedTuple):
+    """A request has ended; a set ``attempt`` means only if the claim still covers this one."""
+
+    key: bytes
+    request: RequestId
+    state: ClaimState
+    attempt: int | None = None
+
+
+ClaimChange = ClaimWanted | ClaimEnded
+
+
+class Verdict(NamedTuple):
+    """The answer to a request that wants to run; all unset for a change that needs none.
+
+    Exactly one is set: ``granted``, ``outcome`` to give to the caller, or ``ask``, the claim whose
+    attempt is to be revoked before the request comes again.
+    """
+
+    granted: bool = False
+    outcome: Outcome | None = None
+    ask: Claim | None = None
+
+
+class Group(NamedTuple):
+    """What one write to a shard carries."""
+
+    claims: Claims
+    value: bytes
+    verdicts: tuple[Verdict, ...]
+    """One for each change of the group, true once the value is written."""
+
+
+def key_digest(key: KeyId) -> bytes:
+    """Return a digest of a key within its organisation and target."""
+    encoded = msgspec.msgpack.encode(key)
+    return hashlib.blake2b(encoded, digest_size=KEY_DIGEST_BYTES).digest()
+
+
+def shard_name(digest: bytes, shards: int = CLAIM_SHARDS) -> str:
+    """Return the name of the object that keeps a key's claim; the same at every entry."""
+    return str(int.from_bytes(digest[:4], "big") % shards)
+
+
+def encode_claims(claims: Claims) -> bytes:
+    """Return a shard's value."""
+    return msgspec.msgpack.encode(tuple(claims.values()))
+
+
+def decode_claims(value: bytes) -> Claims:
+    """Return the claims of a shard's value.
+
+    Raises:
+        msgspec.DecodeError: It is malformed.
+    """
+    claims = msgspec.msgpack.decode(value, type=tuple[Claim, ...])
+    return {claim.key: claim for claim in claims}
+
+
+def ended_state(outcome: Outcome) -> ClaimState:
+    """Return what to record of a request that has ended."""
+    match outcome:
+        case Outcome.ANSWERED:
+            return ClaimState.ANSWERED
+        case Outcome.NOT_RUN | Outcome.REJECTED:
+            return ClaimState.NOT_RUN
+        case _:
+            return ClaimState.UNKNOWN
+
+
+def decide(found: Claim | None, wanted: ClaimWanted, now_s: float) -> Verdict:
+    """Tell a request that wants to run what to do about the claim found under its key.
+
+    Args:
+        found: The claim in the platform, if any.
+        wanted: The request's own claim.
+        now_s: Unix time in seconds; it only chooses between two cautious answers.
+    """
+    if found is None or found.state is ClaimState.NOT_RUN:
+        return Verdict(granted=True)
+    if found.state is ClaimState.ANSWERED:
+        return Verdict(outcome=Outcome.ALREADY_ANSWERED)
+    if found.state is ClaimState.UNKNOWN:
+        return Verdict(outcome=Outcome.UNKNOWN)
+    if found.request == wanted.claim.request:
+        return Verdict(granted=True)
+    revocation = wanted.revocation
+    if revocation is None or revocation.attempt != found.attempt_id:
+        return Verdict(ask=found)
+    if revocation.result is RevokeResult.NEVER_STARTED:
+        return Verdict(granted=True)
+    if now_s < found.deadline_at_s:
+        return Verdict(outcome=Outcome.IN_PROGRESS)
+    return Verdict(outcome=Outcome.UNKNOWN)
+
+
+def group(
+    claims: Claims, changes: Sequence[ClaimChange], now_s: float, retention_s: float
+) -> Group:
+    """Apply changes to a shard, in order.
+
+    Args:
+        claims: The shard as read.
+        changes: What waits to be written.
+        now_s: Unix time in seconds.
+        retention_s: The longest time after its first sending that a caller may retry a request;
+            claims are kept for longer than that.
+    """
+    kept = _kept(claims, now_s - retention_s - CLOCK_MARGIN_S)
+    full = _apply(kept, changes, now_s)
+    if len(full.value) <= MAX_SHARD_BYTES:
+        return full
+    ends = _apply(kept, [one for one in changes if isinstance(one, ClaimEnded)], now_s)
+    verdicts = tuple(
+        Verdict(outcome=Outcome.NOT_RUN) if verdict.granted else verdict
+        for verdict in full.verdicts
+    )
+    return ends._replace(verdicts=verdicts)
+
+
+def _kept(claims: Claims, expired_before_s: float) -> dict[bytes, Claim]:
+    return {key: claim for key, claim in claims.items() if claim.claimed_at_s >= expired_before_s}
+
+
+def _apply(claims: Claims, changes: Iterable[ClaimChange], now_s: float) -> Group:
+    new = dict(claims)
+    verdicts: list[Verdict] = []
+    for change in changes:
+        if isinstance(change, ClaimEnded):
+            _end(new, change)
+            verdicts.append(Verdict())
+            continue
+        verdict = decide(new.get(change.claim.key), change, now_s)
+        if verdict.granted:
+            new[change.claim.key] = change.claim
+        verdicts.append(verdict)
+    return Group(new, encode_claims(new), tuple(verdicts))
+
+
+def _end(claims: dict[bytes, Claim], ended: ClaimEnded) -> None:
+    found = claims.get(ended.key)
+    if found is None or found.request != ended.request:
+        return
+    if ended.attempt in (None, found.attempt):
+        claims[ended.key] = found._replace(state=ended.state)
--- a/src/chivehold/core/entry_messages.py
+++ b/src/chivehold/core/entry_messages.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from chivehold.core.declared import Declarations
+from chivehold.core.declared import DEFAULT_URGENT_DEADLINE_S, Declarations
 from chivehold.core.identity import (
     AttemptId,
     KeyId,
@@ -259,6 +259,8 @@
     attempt: AttemptId
     upstream: UpstreamName
     first_sent_ago_s: float
+    deadline_in_s: float = DEFAULT_URGENT_DEADLINE_S
+    """Until then a retry that finds the claim is told ``in_progress``, later ``unknown``."""
 
 
 class EndClaim(NamedTuple):
--- /dev/null
+++ b/tests/platform/test_claims.py
@@ -0,0 +1,297 @@
+"""Non-idempotent calls run at most once, wherever their owner dies and whatever the store does."""
+
+from itertools import count
+from random import Random
+
+import pytest
+import trio
+
+from chivehold.core.entry_messages import EndClaim, MakeClaim
+from chivehold.core.identity import AttemptId, KeyId, Outcome
+from chivehold.core.wire import RevokeResult
+from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
+from chivehold.platform.claims import RETENTION_S, ClaimBook
+
+KEY = KeyId("kinisi", "loandesk", "chair 7")
+DEADLINE_S = 30.0
+OUTAGE = Faults(outage=True)
+OWNER_STEPS = ("before claim", "answer lost", "claimed", "sent", "answered", "ended")
+
+
+class Sidecar:
+    """Starts an attempt once, bars revoked ones, refuses those addressed to another run."""
+
+    def __init__(self):
+        self.incarnation = "run-1"
+        self.started = set()
+        self.barred = set()
+        self.runs = 0
+
+    async def revoke(self, upstream, attempt, incarnation):
+        await trio.sleep(0.001)
+        if incarnation != self.incarnation:
+            return RevokeResult.OTHER_INCARNATION
+        if attempt in self.started:
+            return RevokeResult.STARTED
+        self.barred.add(attempt)
+        return RevokeResult.NEVER_STARTED
+
+    def start(self, attempt, incarnation):
+        if incarnation != self.incarnation or attempt in self.started | self.barred:
+            return False
+        self.started.add(attempt)
+        self.runs += 1
+        return True
+
+    def restart(self):
+        self.incarnation = "run-2"
+        self.started, self.barred = set(), set()
+
+
+class Entry:
+    """An entry that claims, sends and ends a reservation, step by step."""
+
+    def __init__(self, name, store, sidecar, shards=4):
+        self.name = name
+        self.sidecar = sidecar
+        self.numbers = count(1)
+        self.addressed = {}
+        self.book = ClaimBook(
+            store,
+            name,
+            sidecar.revoke,
+            lambda _upstream: sidecar.incarnation,
+            Random(name),
+            unix_time=trio.current_time,
+            shards=shards,
+        )
+
+    async def claim(self, key=KEY, first_sent_ago_s=0.0, request=None):
+        number = next(self.numbers)
+        attempt = AttemptId(request or f"{self.name}/{number}", number)
+        self.addressed[attempt] = self.sidecar.incarnation
+        command = MakeClaim(attempt.request, key, attempt, "loandesk-1", first_sent_ago_s)
+        return attempt, await self.book.make(command)
+
+    def send(self, attempt):
+        return self.sidecar.start(attempt, self.addressed[attempt])
+
+    async def end(self, attempt, outcome=Outcome.ANSWERED):
+        await self.book.end(EndClaim(attempt.request, KEY, outcome))
+
+    async def call(self, key=KEY):
+        """Make the whole call and return its outcome."""
+        attempt, decision = await self.claim(key)
+        if not decision.granted:
+            return decision.outcome
+        outcome = Outcome.ANSWERED if self.send(attempt) else Outcome.NOT_RUN
+        await self.end(attempt, outcome)
+        return outcome
+
+
+class Scene:
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.store = MemoryObjectStore()
+        self.sidecar = Sidecar()
+
+    async def entry(self, name, **settings):
+        entry = Entry(name, self.store, self.sidecar, **settings)
+        await self.nursery.start(entry.book.run)
+        return entry
+
+    async def owner_until(self, step):
+        """Run an entry's call up to a step, then let its process die; return how to wake it."""
+        owner = Entry("owner", self.store, self.sidecar)
+        attempt = AttemptId("owner/1", 1)
+        owner.addressed[attempt] = self.sidecar.incarnation
+        async with trio.open_nursery() as process:
+            await process.start(owner.book.run)
+            if step == "answer lost":
+                # The write takes effect, and the process dies before it can read it back.
+                self.store.set_faults(Faults(lose_answer_next=1))
+                process.start_soon(owner.claim)
+                while not self.store.revision:
+                    await trio.sleep(0.001)
+                process.cancel_scope.cancel()
+            elif step != "before claim":
+                _, decision = await owner.claim()
+                assert decision.granted
+            if step in ("sent", "answered", "ended"):
+                assert owner.send(attempt)
+            if step == "ended":
+                await owner.end(attempt)
+                while owner.book.waiting:
+                    await trio.sleep(0.01)
+                await trio.sleep(0.1)
+            process.cancel_scope.cancel()
+        self.store.set_faults(NO_FAULTS)
+        return lambda: owner.send(attempt)
+
+
+@pytest.fixture
+def scene(nursery):
+    return Scene(nursery)
+
+
+class TestOwnerDies:
+    @pytest.mark.parametrize("restarted", [False, True])
+    @pytest.mark.parametrize("step", OWNER_STEPS)
+    async def test_at_each_step(self, autojump_clock, scene, step, restarted):
+        """A retry through another entry never makes a second run, also if the owner wakes."""
+        wake_owner = await scene.owner_until(step)
+        if restarted:
+            scene.sidecar.restart()
+        other = await scene.entry("other")
+        outcome = await other.call()
+        if step in ("answer lost", "claimed"):
+            assert not wake_owner()
+        assert scene.sidecar.runs <= 1
+        assert outcome is not Outcome.ANSWERED or scene.sidecar.runs == 1
+        unsent = Outcome.IN_PROGRESS if restarted else Outcome.ANSWERED
+        expected = {
+            "before claim": Outcome.ANSWERED,
+            "answer lost": unsent,
+            "claimed": unsent,
+            "ended": Outcome.ALREADY_ANSWERED,
+        }
+        assert outcome is expected.get(step, Outcome.IN_PROGRESS)
+        if outcome is Outcome.IN_PROGRESS:
+            await trio.sleep(DEADLINE_S)
+            assert await other.call() is Outcome.UNKNOWN
+
+    async def test_owner_moves_its_claim(self, autojump_clock, scene):
+        """A request whose first attempt was refused may claim for another attempt."""
+        entry = await scene.entry("owner")
+        for _ in range(2):
+            attempt, decision = await entry.claim(request="moved")
+            assert decision.granted
+        assert entry.send(attempt)
+        other = await scene.entry("other")
+        assert await other.call() is Outcome.IN_PROGRESS
+
+
+class TestClaimBook:
+    async def test_group_commit(self, autojump_clock, scene):
+        """Claims that wait go together in few writes."""
+        scene.store.set_faults(Faults(delay_s=0.01))
+        entry = await scene.entry("owner", shards=1)
+        outcomes = []
+
+        async def call(number):
+            outcomes.append(await entry.call(KeyId("kinisi", "loandesk", str(number))))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(300):
+                nursery.start_soon(call, number)
+        assert outcomes == [Outcome.ANSWERED] * 300
+        assert scene.store.counts["put"] <= 3
+
+    async def test_shared_shard(self, autojump_clock, scene):
+        """Entries that write one shard all the time do not shut each other out."""
+        scene.store.set_faults(Faults(delay_s=0.01))
+        entries = [await scene.entry(f"entry-{n}", shards=1) for n in range(3)]
+        outcomes = []
+
+        async def call(number):
+            await trio.sleep(number * 0.004)
+            entry = entries[number % len(entries)]
+            outcomes.append(await entry.call(KeyId("kinisi", "loandesk", str(number))))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(300):
+                nursery.start_soon(call, number)
+        assert outcomes == [Outcome.ANSWERED] * 300
+
+    async def test_outage(self, autojump_clock, scene):
+        """Without the platform a claim is refused at once, and an end is recorded later."""
+        entry, other = await scene.entry("owner"), await scene.entry("other")
+        attempt, decision = await entry.claim()
+        assert decision.granted and entry.send(attempt)
+        scene.store.set_faults(OUTAGE)
+        await entry.end(attempt)
+        with trio.fail_after(0.1):
+            assert await other.call(KeyId("kinisi", "loandesk", "van")) is Outcome.NOT_RUN
+        await trio.sleep(60.0)
+        assert scene.store.counts["get"] < 100
+        scene.store.set_faults(NO_FAULTS)
+        await trio.sleep(5.0)
+        assert await other.call() is Outcome.ALREADY_ANSWERED
+
+    async def test_unsure(self, autojump_clock, scene):
+        """A claim whose answer is lost is found by its operation id and granted."""
+        scene.store.set_faults(Faults(lose_answer_next=1))
+        entry = await scene.entry("owner")
+        _, decision = await entry.claim()
+        assert decision.granted
+        assert scene.store.counts["put"] == 1
+
+    async def test_unsure_then_outage(self, autojump_clock, scene):
+        """A claim that cannot be read back is not run, and given back once that is possible."""
+        entry, other = await scene.entry("owner"), await scene.entry("other")
+        get = scene.store.get
+        scene.store.set_faults(Faults(lose_answer_next=1))
+
+        async def get_before_write(kind, name):
+            store = scene.store if not scene.store.revision else MemoryObjectStore(OUTAGE)
+            return await MemoryObjectStore.get(store, kind, name)
+
+        scene.store.get = get_before_write
+        assert await entry.call() is Outcome.NOT_RUN
+        scene.store.get = get
+        await trio.sleep(5.0)
+        assert await other.call() is Outcome.ANSWERED
+        assert not scene.sidecar.barred
+
+    async def test_cancelled(self, autojump_clock, scene):
+        """A request that is cancelled while it waits for its claim leaves nothing claimed."""
+        scene.store.set_faults(Faults(delay_s=1.0))
+        entry, other = await scene.entry("owner"), await scene.entry("other")
+        with trio.move_on_after(1.5):
+            await entry.claim()
+        scene.store.set_faults(NO_FAULTS)
+        await trio.sleep(5.0)
+        assert await other.call() is Outcome.ANSWERED
+        assert not scene.sidecar.barred
+
+    async def test_older_than_retention(self, autojump_clock, scene):
+        """A request first sent before all that is kept may have run."""
+        entry = await scene.entry("owner")
+        _, decision = await entry.claim(first_sent_ago_s=RETENTION_S + 1)
+        assert decision.outcome is Outcome.UNKNOWN
+
+    async def test_unreadable_shard(self, autojump_clock, scene):
+        """A shard that cannot be read grants nothing."""
+        entry = await scene.entry("owner", shards=1)
+        await scene.store.put("claims", "0", b"\xc1", 0, "hostile")
+        assert await entry.call() is Outcome.NOT_RUN
+
+    @pytest.mark.parametrize("seed", range(10))
+    async def test_races(self, autojump_clock, scene, seed):
+        """Entries that retry one key at once, with a failing store, run it at most once."""
+        rng = Random(seed)
+        entries = [await scene.entry(f"entry-{n}", shards=1) for n in range(4)]
+        outcomes = []
+
+        async def call(entry):
+            await trio.sleep(rng.uniform(0.0, 3.0))
+            with trio.move_on_after(rng.uniform(0.01, 3.0)):
+                attempt, decision = await entry.claim()
+                await trio.sleep(rng.choice((0.0, 0.02, 1.0)))
+                started = decision.granted and entry.send(attempt)
+                outcomes.append(Outcome.ANSWERED if started else decision.outcome)
+                if started and rng.random() < 0.5:
+                    await entry.end(attempt)
+
+        async with trio.open_nursery() as nursery:
+            for entry in entries * 6:
+                nursery.start_soon(call, entry)
+            for _ in range(12):
+                loss = rng.choice((0.0, 0.3))
+                delay_s = rng.choice((0.0, 0.01, 0.3))
+                faults = Faults(rng.random() < 0.2, delay_s, loss, seed=rng.getrandbits(16))
+                scene.store.set_faults(faults)
+                await trio.sleep(0.25)
+            scene.store.set_faults(NO_FAULTS)
+        assert scene.sidecar.runs <= 1
+        assert outcomes.count(Outcome.ANSWERED) <= 1
