Sidecar logs what became of attempts, and its shutdown does not wait for a dead engine

Cause: the sidecar told nothing but the library's start lines; a drain beside a dead engine lasted the whole drain timeout, since what a dead engine held cannot be confirmed free. Ruled out: a shorter drain timeout; held work of live engines needs it. Change: command_log (warnings for failed attempts, the course of things as debug), start and drain events; while the upstream is down only open sessions keep a draining sidecar.

--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -10,6 +10,8 @@
 from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 
+from chivehold.logs import log_event
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -22,7 +24,9 @@
 UNREAD_BODY_TIMEOUT_S = 1.0
 BUSY_RETRY_S = 1.0
 
-_log = logging.getLogger("chivehold.http")
+_log = logging.getLogger(__name__)
+_library_log = logging.getLogger(f"{__name__}.hypercorn")
+_library_log.setLevel(logging.WARNING)
 
 
 class ServerLimits(NamedTuple):
@@ -104,7 +108,7 @@
     config = _ListenerConfig()
     config.bind = [address]
     config.accesslog = None
-    config.errorlog = _log
+    config.errorlog = _library_log
     config.backlog = limits.backlog
     config.graceful_timeout = limits.drain_timeout_s
     config.h11_max_incomplete_size = limits.max_header_bytes
@@ -242,13 +246,13 @@
                 raise
             await respond_error(exchange.send, 413, "too_large", str(error))
         except BodyIncomplete as error:
-            _log.info("step=read_body path=%s detail=%s", scope["path"], error)
+            log_event(_log, logging.INFO, "body incomplete", path=scope["path"], detail=error)
             if not exchange.started:
                 await respond_error(exchange.send, 408, "timeout", str(error))
-        except Exception:
+        except Exception as error:
+            log_event(_log, logging.ERROR, "request failed", error, path=scope["path"])
             if exchange.started:
-                raise
-            _log.exception("step=answer path=%s", scope["path"])
+                return
             await respond_error(exchange.send, 500, "internal", "internal error")
 
 
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -1,5 +1,6 @@
 """The sidecar's shell: sockets, tasks and timers round its core."""
 
+import logging
 import uuid
 from collections.abc import Callable
 from functools import partial
@@ -41,9 +42,11 @@
     respond_error,
     serve_http,
 )
+from chivehold.logs import log_event
 from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
 from chivehold.settings import SidecarSettings
+from chivehold.sidecar.command_log import log_command
 from chivehold.sidecar.control import SidecarControl
 from chivehold.sidecar.data_app import DataApp
 from chivehold.sidecar.declarations import KeptDeclarations
@@ -61,6 +64,8 @@
 MAX_HEADER_BYTES = 131_072
 FIRST_PREFILL_TOKENS_PER_S = 10_000.0
 
+_log = logging.getLogger(__name__)
+
 Performer = Callable[[Any], None]
 
 
@@ -111,7 +116,9 @@
 
     @property
     def has_work(self) -> bool:
-        """Whether an attempt, or anything of one at the upstream, is left."""
+        """Whether an attempt is left, or anything of one at an upstream that answers."""
+        if self._core.availability.state is UpstreamState.DOWN:
+            return len(self._sessions) > 0
         return bool(len(self._sessions) or len(self._work) or self._core.places.slots.held)
 
     async def run_timer(self) -> None:
@@ -135,12 +142,14 @@
         settled: entries need the home of a key to complete an answer that runs elsewhere.
         """
         self._driver.feed(DrainStarted())
+        log_event(_log, logging.INFO, "drain started", sessions=len(self._sessions))
         with trio.move_on_after(self._settings.drain_timeout_s):
             while self.has_work:
                 await trio.sleep(IDLE_POLL_S)
             self._control.takes_keys = False
             while self._core.keys.in_progress:
                 await trio.sleep(IDLE_POLL_S)
+        log_event(_log, logging.INFO, "drain ended", sessions=len(self._sessions))
 
     async def release(self) -> None:
         """Give what was cut off ``RELEASE_TIMEOUT_S`` to be cancelled at the upstream."""
@@ -166,6 +175,7 @@
 
     def _perform(self, command: SidecarCommand) -> None:
         self._metrics.count(command)
+        log_command(command)
         self._performers[type(command)](command)
 
     def _replies(self) -> dict[type, Performer]:
@@ -258,7 +268,9 @@
         operator = await nursery.start(serve_http, sidecar.operator_app, settings.operator_address)
         adders = [partial(add_SidecarServicer_to_server, sidecar.control)]
         async with serve_rpc(settings.control_address, adders, settings.token) as control:
-            task_status.started(SidecarAddresses(data, control, operator))
+            addresses = SidecarAddresses(data, control, operator)
+            log_event(_log, logging.INFO, "sidecar started", **addresses._asdict())
+            task_status.started(addresses)
             await shutdown.wait()
             await sidecar.drain()
             stop.set()
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -1,5 +1,6 @@
+import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 from typing import Any
 
@@ -47,6 +48,10 @@
     return await one.held() == []
 
 
+async def no_attempts(one: Rig) -> bool:
+    return (await one.decode.dump())["core"]["attempts"] == []
+
+
 async def all_free(one: Rig) -> bool:
     return (await one.decode.heartbeat()).places_free == 4
 
@@ -102,6 +107,26 @@
             assert failed.reason is Reason.LEASE_LAPSED
             await until(partial(nothing_held, one), RELEASED_WITHIN_S)
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    async def test_is_freed_whenever_the_caller_leaves(self, seed: int) -> None:
+        """Callers that leave at any moment, from the offer to the end, leave nothing held."""
+        moments = random.Random(seed)
+        async with rig() as one:
+
+            async def leave_early(number: int, after_s: float) -> None:
+                tokens = ENDLESS if number % 2 else 30
+                with trio.move_on_after(after_s), suppress(AssertionError, LinkBroken):
+                    await one.tokens(number, "p", max_tokens=tokens)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(40):
+                    nursery.start_soon(leave_early, number, moments.uniform(0.0, 0.6))
+            for released in (no_attempts, nothing_held, no_prefill, all_free):
+                await until(partial(released, one), RELEASED_WITHIN_S)
+            peer = one.engines[Role.DECODE].control
+            events = (await one.engine_call(peer, "GET", "/history"))["events"]
+            assert {"cancelled", "decode_ended"} <= {event["kind"] for event in events}
+
     async def test_stalled_transfer_is_freed(self) -> None:
         """A transfer that stops halfway fails its attempt and frees its place."""
         async with rig() as one:
@@ -235,6 +260,15 @@
                 await one.ended[Role.DECODE].wait()
             assert await one.held() == []
 
+    async def test_does_not_wait_for_a_dead_engine(self) -> None:
+        """What a dead engine may hold cannot be freed and keeps nobody."""
+        async with rig() as one, decoding(one, 1) as frames:
+            await one.fault(Role.DECODE, die=True)
+            await skip_to(frames, FrameKind.FAILED)
+            one.shutdown[Role.DECODE].set()
+            with trio.fail_after(3):
+                await one.ended[Role.DECODE].wait()
+
     async def test_is_bounded(self) -> None:
         """What does not end within the drain timeout is cut, and freed at the engine."""
         async with rig() as one:
