Entries claim reservations, share declarations with sidecars and start in an outage

Cause: the entry refused every claim and watched the platform by itself. Change: ClaimBook, DeclarationSync and the watch leases run in the entry; `peer_addresses` names sidecars to fetch declarations from while the platform is out; outcomes of claims are written before a drained entry ends. Before and after: before, a keyed reservation was 503 not_run.

--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -10,33 +10,38 @@
 import trio
 
 from chivehold.core.declarations import DeclarationReplica
-from chivehold.core.declared import Upstream
+from chivehold.core.declared import Declarations, Upstream
 from chivehold.core.entry import EntryCore
 from chivehold.core.entry_messages import DeclarationsChanged, DrainStarted, LeavingListed
 from chivehold.core.identity import EntryIncarnation, UpstreamName
-from chivehold.core.wire import LoadReport
 from chivehold.entry.attempts import AttemptClient
 from chivehold.entry.bodies import CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds
 from chivehold.entry.callers import CallerApp
-from chivehold.entry.declaration_feed import follow_leaving, follow_platform
+from chivehold.entry.declaration_peers import SidecarPeers
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.heartbeats import Heartbeats, pools
-from chivehold.entry.no_claims import NoClaims
 from chivehold.entry.operator_http import OperatorApp
 from chivehold.entry.operators import EntryNode, OperatorsService
 from chivehold.entry.sidecar_calls import SidecarCalls
+from chivehold.entry.vm_list import follow_leaving
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import ServerLimits, serve_http
 from chivehold.logs import log_event
 from chivehold.metrics import EntryMetrics
+from chivehold.platform.claims import ClaimBook
 from chivehold.platform.client import HttpObjectStore
+from chivehold.platform.declaration_sync import DeclarationSync
+from chivehold.platform.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
 from chivehold.settings import EntrySettings
 
 INCARNATION_BYTES = 6
 OPERATOR_DRAIN_S = 1.0
+PEERS_RETRY_S = 1.0
+CLAIMS_DRAIN_S = 3.0
+CLAIM_WRITE_S = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -64,14 +69,23 @@
         random_name = secrets.token_hex(INCARNATION_BYTES)
         self._incarnation = EntryIncarnation(f"{settings.name}.{random_name}")
         self._drain_asked = trio.Event()
-        self._has_declarations = False
-        self._announced = -1
         self._upstreams: dict[UpstreamName, Upstream] = {}
         self._replica = DeclarationReplica()
         self._client = HttpClient(ClientLimits(max_answer_bytes=settings.max_answer_bytes))
         self._store = HttpObjectStore(settings.platform_address, self._client)
         self._calls = SidecarCalls(self._upstreams.get, settings.token)
         self._metrics = EntryMetrics()
+        self._watch_lease = LeaseKeeper(
+            self._store, self._incarnation, WATCH_LEASES, POLL_S, self._rng
+        )
+        self._sync = DeclarationSync(
+            self._store,
+            self._replica,
+            SidecarPeers(self._calls),
+            self._publish,
+            self._watch_lease.is_held,
+            self._rng,
+        )
         core = EntryCore(self._incarnation, settings.zone, settings.policy, self._rng)
         self._heartbeats = Heartbeats(
             self._calls,
@@ -81,14 +95,22 @@
             settings.upstreams_most,
             lambda event: self._driver.feed(event),
             lambda: self._replica.revision,
-            self._reported,
+            self._sync,
             nursery,
         )
+        self._claims = ClaimBook(
+            self._store,
+            self._incarnation,
+            self._calls.revoke,
+            core.incarnations.get,
+            self._rng,
+            settings.key_retention_s,
+        )
         self._driver = EntryDriver(
             core,
             AttemptClient(self._client, self._upstreams.get, settings.token),
             self._calls,
-            NoClaims(),
+            self._claims,
             self._heartbeats,
             nursery,
         )
@@ -98,28 +120,25 @@
         )
         self._callers = CallerApp(self._driver, self._metrics, self._incarnation, bounds, limits)
         self._operators = OperatorsService(
-            self._node(),
-            self._store,
-            self._replica,
-            self._declarations_read,
-            self._driver,
-            self._heartbeats,
-            self._calls,
-            self._rng,
+            self._node(), self._replica, self._sync, self._driver, self._heartbeats, self._calls
         )
 
     async def run(self, task_status: trio.TaskStatus[EntryAddresses]) -> None:
         """Serve until told to end, then drain."""
         background = self._nursery
         background.start_soon(self._driver.run_timer)
-        background.start_soon(
-            follow_platform, self._store, self._replica, self._declarations_read, self._rng
-        )
-        background.start_soon(follow_leaving, self._store, self._list_leaving)
+        background.start_soon(self._watch_lease.run)
+        background.start_soon(self._sync.run)
+        background.start_soon(self._ask_peers)
+        background.start_soon(follow_leaving, self._store, self._list_leaving, self._rng)
+        await background.start(self._claims.run)
         await background.start(self._await_signal)
         add = [partial(add_OperatorsServicer_to_server, self._operators)]
         async with serve_rpc(self._settings.control_address, add, self._settings.token) as control:
             await self._serve(control, task_status)
+
+    async def close(self) -> None:
+        """Close all connections, after the background tasks have ended."""
         await self._client.aclose()
         self._calls.close()
 
@@ -159,8 +178,16 @@
         self._driver.feed(DrainStarted())
         with trio.move_on_after(self._settings.drain_timeout_s):
             await self._driver.wait_idle()
+            await self._write_claims()
         log_event(_log, logging.INFO, "drain ended", in_progress=self._driver.in_progress)
 
+    async def _write_claims(self) -> None:
+        """Wait until the outcomes of claimed requests are written, if the platform takes them."""
+        with trio.move_on_after(CLAIMS_DRAIN_S):
+            while self._claims.waiting:
+                await trio.sleep(CLAIM_WRITE_S)
+            await trio.sleep(CLAIM_WRITE_S)
+
     async def _await_signal(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -169,12 +196,13 @@
             async for _ in signals:
                 self._drain_asked.set()
 
-    def _declarations_read(self) -> None:
-        self._has_declarations = True
-        if self._replica.revision == self._announced:
-            return
-        self._announced = self._replica.revision
-        declarations = self._replica.declarations()
+    async def _ask_peers(self) -> None:
+        """Fetch declarations from the sidecars of the settings, while there are none."""
+        peers = self._settings.peer_addresses
+        while peers and not await self._sync.pull_first(peers):
+            await trio.sleep(PEERS_RETRY_S)
+
+    def _publish(self, declarations: Declarations) -> None:
         self._upstreams.clear()
         for pool in pools(declarations):
             self._upstreams.update((upstream.name, upstream) for upstream in pool)
@@ -182,18 +210,14 @@
         self._calls.keep_only(addresses)
         self._driver.feed(DeclarationsChanged(declarations))
         self._heartbeats.follow(declarations)
-        self._operators.revision_changed()
 
     def _list_leaving(self, leaving: tuple[UpstreamName, ...]) -> None:
         self._driver.feed(LeavingListed(leaving))
 
-    def _reported(self, upstream: UpstreamName, report: LoadReport) -> None:
-        pass
-
     def _unready(self) -> str:
         if self._drain_asked.is_set():
             return "draining"
-        return "" if self._has_declarations else "no declarations read yet"
+        return "" if self._replica.revision else "no declarations known yet"
 
     def _node(self) -> EntryNode:
         return EntryNode(
@@ -212,6 +236,8 @@
             "name": self._settings.name,
             "ready": not self._unready(),
             "revision": self._replica.revision,
+            "watches_platform": self._watch_lease.is_held(),
+            "claims_waiting": self._claims.waiting,
             "declarations_digest": self._replica.digest,
             "heartbeats_with": sorted(followed),
             "core": self._driver.dump(),
@@ -235,6 +261,7 @@
         entry = Entry(settings, nursery)
         await entry.run(task_status)
         nursery.cancel_scope.cancel()
+    await entry.close()
 
 
 async def _serving(
--- /dev/null
+++ b/src/chivehold/entry/declaration_peers.py
@@ -0,0 +1,59 @@
+"""Hands declarations to sidecars and fetches them from there."""
+
+import logging
+
+from returns.result import Failure
+
+from chivehold.core.declarations import HeldDeclaration
+from chivehold.core.identity import UpstreamName
+from chivehold.entry.sidecar_calls import SidecarCalls
+from chivehold.exceptions import Malformed
+from chivehold.logs import log_event
+from chivehold.platform.declaration_sync import PeerChanges
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.convert_declarations import held_from_proto, held_to_proto
+
+_log = logging.getLogger(__name__)
+
+
+class SidecarPeers:
+    """Carries declarations over gRPC; a peer is an upstream's name or a sidecar's address."""
+
+    def __init__(self, calls: SidecarCalls) -> None:
+        self._calls = calls
+
+    async def pull(self, peer: str, after_revision: int) -> PeerChanges | None:
+        """Ask a peer for what changed after a revision; ``None`` where it does not answer."""
+        try:
+            answer = await self._calls.pull(UpstreamName(peer), after_revision)
+            changes = tuple(_held(message, peer) for message in answer.declarations)
+        except (RpcFailed, Malformed) as error:
+            _log_failure(peer, error)
+            return None
+        return PeerChanges(after_revision, answer.revision, changes)
+
+    async def push(self, peer: str, changes: PeerChanges) -> int | None:
+        """Hand changes to a peer; returns its revision then, ``None`` where it does not answer."""
+        request = pb.PushDeclarationsRequest(
+            declarations=map(held_to_proto, changes.changes),
+            revision=changes.revision,
+            after_revision=changes.after_revision,
+        )
+        try:
+            answer = await self._calls.push(UpstreamName(peer), request)
+        except RpcFailed as error:
+            _log_failure(peer, error)
+            return None
+        return answer.revision
+
+
+def _held(message: pb.StoredDeclaration, peer: str) -> HeldDeclaration:
+    found = held_from_proto(message)
+    if isinstance(found, Failure):
+        raise Malformed("decode declaration", peer, str(found.failure()))
+    return found.unwrap()
+
+
+def _log_failure(peer: str, error: Exception) -> None:
+    log_event(_log, logging.INFO, "declarations not exchanged", peer=peer, detail=str(error))
--- a/src/chivehold/entry/heartbeats.py
+++ b/src/chivehold/entry/heartbeats.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from itertools import chain
+from typing import Protocol
 
 import trio
 
@@ -45,6 +46,18 @@
     return sorted(pool, key=lambda upstream: _score(entry, upstream.name), reverse=True)[:most]
 
 
+class RevisionListener(Protocol):
+    """Follows which declarations each sidecar keeps."""
+
+    def heard(self, peer: str, revision: int) -> None:
+        """Take note of a sidecar's revision."""
+        ...
+
+    def forget(self, peer: str) -> None:
+        """Forget a sidecar that does not answer or is not used any more."""
+        ...
+
+
 class Heartbeats:
     """Keeps a heartbeat loop with each upstream in use.
 
@@ -56,7 +69,7 @@
         upstreams_most: Upstreams of one pool in use at once.
         feed: Takes the core's events.
         revision: Returns the revision of the declarations in force here.
-        reported: Told of every report, for the upstream's revision.
+        revisions: Told of the revision that each upstream's sidecar keeps.
         nursery: Runs the loops.
     """
 
@@ -69,7 +82,7 @@
         upstreams_most: int,
         feed: Callable[[EntryEvent], None],
         revision: Callable[[], int],
-        reported: Callable[[UpstreamName, LoadReport], None],
+        revisions: RevisionListener,
         nursery: trio.Nursery,
     ) -> None:
         self._calls = calls
@@ -79,7 +92,7 @@
         self._upstreams_most = upstreams_most
         self._feed = feed
         self._revision = revision
-        self._reported = reported
+        self._revisions = revisions
         self._nursery = nursery
         self._loops: dict[Upstream, trio.CancelScope] = {}
         self._reports: dict[UpstreamName, LoadReport] = {}
@@ -136,6 +149,7 @@
             self._loops.pop(upstream).cancel()
             self._reports.pop(upstream.name, None)
             self._heard_at.pop(upstream.name, None)
+            self._revisions.forget(upstream.name)
         for upstream in wanted - self._loops.keys():
             self._loops[upstream] = trio.CancelScope()
             self._nursery.start_soon(self._run, upstream, self._loops[upstream])
@@ -157,13 +171,14 @@
         except (RpcFailed, Malformed) as error:
             log_event(_log, logging.INFO, "heartbeat lost", peer=upstream, detail=str(error))
             self._feed(UpstreamUnreachable(upstream))
+            self._revisions.forget(upstream)
             return
         self._reports[upstream] = report
         self._heard_at[upstream] = trio.current_time()
         self._heard.set()
         self._heard = trio.Event()
         self._feed(LoadReported(upstream, report))
-        self._reported(upstream, report)
+        self._revisions.heard(upstream, report.revision)
 
     def _offset_s(self, upstream: Upstream) -> float:
         """Return a delay that spreads an entry's heartbeats over a tenth of the interval."""
--- a/src/chivehold/entry/operators.py
+++ b/src/chivehold/entry/operators.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from random import Random
 from typing import Any, NamedTuple
 
 import grpc
 import msgspec
-import trio
 from returns.result import Success
 
 from chivehold.core.declarations import DeclarationReplica, DeclaredSpec
@@ -16,13 +14,12 @@
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.heartbeats import Heartbeats
 from chivehold.entry.sidecar_calls import SidecarCalls
-from chivehold.platform.api import ObjectStore
-from chivehold.platform.declaration_apply import ApplyRequest, Change, ChangeKind, apply
+from chivehold.platform.declaration_apply import ApplyRequest, Change, ChangeKind
+from chivehold.platform.declaration_sync import DeclarationSync
 from chivehold.rpc import chivehold_pb2 as pb
 from chivehold.rpc.bridge import RpcFailed, RpcRefused
 from chivehold.rpc.convert_declarations import declaration_from_proto, held_to_proto
 
-MAX_WATCH_WAIT_S = 30.0
 MAX_WATCHERS = 4
 MAX_OPERATION_ID_LENGTH = 128
 MAX_DECLARATIONS = 1000
@@ -62,41 +59,29 @@
 
     Args:
         node: This process.
-        store: The platform.
         replica: The declarations in force here.
-        changed: Told once ``replica`` may have changed by an ``Apply``.
+        sync: Changes them, and waits for newer ones.
         driver: Knows the requests in progress.
         heartbeats: Knows the upstreams.
         calls: Passes drains and dumps on to sidecars.
-        rng: Draws waiting times.
     """
 
     def __init__(
         self,
         node: EntryNode,
-        store: ObjectStore,
         replica: DeclarationReplica,
-        changed: Callable[[], None],
+        sync: DeclarationSync,
         driver: EntryDriver,
         heartbeats: Heartbeats,
         calls: SidecarCalls,
-        rng: Random,
     ) -> None:
         self._node = node
-        self._store = store
         self._replica = replica
-        self._changed = changed
+        self._sync = sync
         self._driver = driver
         self._heartbeats = heartbeats
         self._calls = calls
-        self._rng = rng
         self._watchers = 0
-        self._newer = trio.Event()
-
-    def revision_changed(self) -> None:
-        """Wake the calls that wait for newer declarations."""
-        self._newer.set()
-        self._newer = trio.Event()
 
     async def Apply(self, request: pb.ApplyRequest, context: Any) -> pb.ApplyResponse:  # noqa: N802
         """Declare objects; accepted means written to the platform."""
@@ -111,8 +96,7 @@
             dry_run=request.dry_run,
             expected_versions=dict(request.expected_versions),
         )
-        result = await apply(self._store, self._replica, wanted, self._rng)
-        self._changed()
+        result = await self._sync.apply(wanted)
         changes = map(_change_to_proto, result.changes)
         return pb.ApplyResponse(changes=changes, revision=result.revision)
 
@@ -141,13 +125,11 @@
             raise RpcRefused(grpc.StatusCode.RESOURCE_EXHAUSTED, detail)
         self._watchers += 1
         try:
-            with trio.move_on_after(max(0.0, min(request.wait_s, MAX_WATCH_WAIT_S))):
-                while self._replica.revision <= request.after_revision:
-                    await self._newer.wait()
+            newer = await self._sync.wait_newer(request.after_revision, max(0.0, request.wait_s))
         finally:
             self._watchers -= 1
-        changed = map(held_to_proto, self._replica.changed_after(request.after_revision))
-        return pb.WatchResponse(declarations=changed, revision=self._replica.revision)
+        changed = map(held_to_proto, newer.changes)
+        return pb.WatchResponse(declarations=changed, revision=newer.revision)
 
     async def Drain(self, request: pb.DrainRequest, context: Any) -> pb.DrainResponse:  # noqa: N802
         """Start the drain of an upstream, or of this entry."""
--- a/src/chivehold/entry/sidecar_calls.py
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -37,6 +37,8 @@
 class SidecarCalls:
     """Channels to sidecars by address, made when first needed.
 
+    A sidecar is named by its upstream, or by its ``host:port`` while that is not declared.
+
     Args:
         find: Returns the declaration of an upstream.
         token: The shared token.
@@ -159,12 +161,18 @@
         return None
 
     def _peer(self, upstream: UpstreamName) -> tuple[RpcChannel, SidecarStub]:
-        declared = self._find(upstream)
-        if declared is None:
-            detail = "not declared"
-            raise RpcFailed("find upstream", upstream, grpc.StatusCode.NOT_FOUND, False, detail)
-        address = declared.control_address
+        address = self._address(upstream)
         if address not in self._stubs:
             channel = RpcChannel(address, self._token)
-            self._stubs[address] = (channel, SidecarStub(channel.grpc_channel))  # type: ignore[no-untyped-call]
+            stub = SidecarStub(channel.grpc_channel)  # type: ignore[no-untyped-call]
+            self._stubs[address] = (channel, stub)
         return self._stubs[address]
+
+    def _address(self, upstream: UpstreamName) -> str:
+        declared = self._find(upstream)
+        if declared is not None:
+            return declared.control_address
+        if ":" in upstream:
+            return upstream
+        detail = "not declared"
+        raise RpcFailed("find upstream", upstream, grpc.StatusCode.NOT_FOUND, False, detail)
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -75,6 +75,8 @@
     key_retention_s: float = 3600.0
     upstreams_most: int = 256
     """Upstreams of one pool an entry keeps heartbeats with."""
+    peer_addresses: tuple[str, ...] = ()
+    """Control addresses of sidecars to fetch declarations from while the platform is out."""
     drain_timeout_s: float = 900.0
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_level: LogLevel = LogLevel.INFO
@@ -162,6 +164,10 @@
     default_deadline_s: _Seconds
     key_retention_s: _Seconds
     upstreams_most: _Count
+    peer_addresses: Annotated[
+        tuple[_Address, ...],
+        msgspec.Meta(max_length=64, description="a list of at most 64 addresses host:port"),
+    ]
     drain_timeout_s: _Seconds
     log_format: LogFormat
     log_level: LogLevel
--- a/tests/entry/deployed.py
+++ b/tests/entry/deployed.py
@@ -31,6 +31,7 @@
     engines: dict[str, str]
     """Control address of each stand-in."""
     sidecars: dict[str, Running]
+    upstreams: dict[str, Upstream]
 
 
 def start_sidecar(programs: Programs, name: str, target: str, role: Role, upstream: str):
@@ -91,7 +92,9 @@
     forja = Service("forja", (upstreams["forja-1"],), CLASSES)
     await declare(control, lector, forja)
     await wait_ready(control, len(upstreams))
-    return Deployed(platform_address, entry, callers, control, operator, engines, sidecars)
+    return Deployed(
+        platform_address, entry, callers, control, operator, engines, sidecars, upstreams
+    )
 
 
 async def declare(control: str, *specs: Deployment | Service) -> pb.ApplyResponse:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import time
 from contextlib import asynccontextmanager
 
 import httpcore
@@ -9,19 +10,23 @@
 import trio
 
 from chivehold.fakes.output import expected_tokens
-from tests.entry.deployed import Deployed, deploy, post
+from chivehold.rpc import chivehold_pb2 as pb
+from tests.entry.deployed import Deployed, deploy, operate, post, start_entry, wait_ready
 from tests.processes import Programs
 
 PROMPT = "Read the whole site and return a short summary. " * 20
 
 
 @pytest.fixture
-async def deployed(tmp_path):
+def programs(tmp_path):
     programs = Programs(tmp_path)
-    try:
-        yield await deploy(programs)
-    finally:
-        programs.end()
+    yield programs
+    programs.end()
+
+
+@pytest.fixture
+async def deployed(programs):
+    return await deploy(programs)
 
 
 def _completion(**fields: object) -> bytes:
@@ -44,6 +49,39 @@
         assert dict(response.headers)[b"chivehold-outcome"] == b"answered"
 
 
+class TestPlatform:
+    async def test_claimed_call_runs_once(self, deployed: Deployed, programs: Programs) -> None:
+        """A reservation's key runs once whichever entry it comes to; without a platform, never."""
+        headers = [("Idempotency-Key", "reservation-1"), ("Chivehold-First-Sent", _now_ms())]
+        first = await post(deployed.callers, "/services/forja/reservations", b"{}", headers)
+        other = start_entry(programs, "entry-2", deployed.platform)
+        callers, control, _ = other.addresses()
+        await wait_ready(control, len(deployed.sidecars))
+        again = await post(callers, "/services/forja/reservations", b"{}", headers)
+        await post(deployed.platform, "/faults", b'{"outage": true}')
+        late = [("Idempotency-Key", "reservation-2"), ("Chivehold-First-Sent", _now_ms())]
+        refused = await post(callers, "/services/forja/reservations", b"{}", late)
+        statuses = [answer.status for answer in (first, again, refused)]
+        assert statuses == [200, 409, 503]
+        assert json.loads(again.content)["error"]["outcome"] == "already_answered"
+        assert (await post(callers, "/v1/completions", _completion())).status == 200
+
+    async def test_declarations_are_everywhere(
+        self, deployed: Deployed, programs: Programs
+    ) -> None:
+        """Every sidecar has them within 3 s; an entry started in an outage has them from there."""
+        with trio.fail_after(3):
+            while len(set(await _revisions(deployed.control))) > 1:
+                await trio.sleep(0.02)
+        await post(deployed.platform, "/faults", b'{"outage": true}')
+        peers = [deployed.upstreams["lector-d1"].control_address]
+        other = start_entry(programs, "entry-2", deployed.platform, peer_addresses=peers)
+        callers, control, _ = other.addresses()
+        await wait_ready(control, len(deployed.sidecars))
+        assert (await post(callers, "/v1/completions", _completion())).status == 200
+        assert len(set(await _revisions(control))) == 1
+
+
 class TestFaults:
     async def test_drain_cuts_nothing(self, deployed: Deployed) -> None:
         """SIGTERM: a held stream ends whole, new requests are told to go, the process ends.
@@ -109,6 +147,14 @@
         yield response
 
 
+async def _revisions(control: str) -> list[int]:
+    return [node.revision for node in (await operate(control, "Status", pb.StatusRequest())).nodes]
+
+
+def _now_ms() -> str:
+    return str(int(time.time() * 1000))
+
+
 def _text(events: bytes) -> str:
     *rows, done = events.decode().strip().split("\n\n")
     assert done == "data: [DONE]"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
 """Starts the programs as processes on ports given by the kernel, and ends only its own."""
 
+import json
 import os
 import selectors
 import signal
@@ -85,4 +86,4 @@
 
 
 def _toml(value: object) -> str:
-    return f'"{value}"' if isinstance(value, str) else str(value).lower()
+    return json.dumps(value)
