Transfers share the link, and grants rather than imports wait for it

A trace showed two reasons: imports ran one after another, so that a prompt of 40,000 tokens held the link for 4.5 s, and a KV cache had to have *arrived* within its 0.8 s, which no long prompt can at such a rate. A third fault showed first: a recheck time equal to the present time, by rounding, let the sidecar's timer fire for ever.

Ruled out: fewer long prompts in the workload (hides the case); a faster link (then it is no bottleneck); urgent imports before patient ones (a transfer in progress is not interrupted).

Change: transfers share the link equally, in the engine model and in the sidecar's plan (`SharedLink`); a KV cache being read does not expire; an import starts when ordered, and grants are held back by what is on the link, by urgency; rechecks are at least 20 ms apart.

Refusals that come after up to a second remain, and are next.

--- a/examples/measure/nodes.py
+++ b/examples/measure/nodes.py
@@ -70,11 +70,11 @@
         self.prefill_work_s: dict[AttemptId, float] = {}
         self.delivered: set[AttemptId] = set()
 
-    def to_entry(self, entry: EntryIncarnation, event: to_entry.EntryEvent) -> None:
+    def tell_entry(self, entry: EntryIncarnation, event: to_entry.EntryEvent) -> None:
         """Deliver an event to an entry, if it still runs."""
         self.clock.after(NETWORK_S, self._deliver_entry, entry, event)
 
-    def to_sidecar(self, upstream: str, event: to_sidecar.SidecarEvent) -> None:
+    def tell_sidecar(self, upstream: str, event: to_sidecar.SidecarEvent) -> None:
         """Deliver an event to a sidecar."""
         self.clock.after(NETWORK_S, self.sidecars[upstream].feed, event)
 
@@ -230,10 +230,10 @@
     def _send_frame(self, command: to_sidecar.SendFrame) -> None:
         if command.frame.kind is FrameKind.TOKENS:
             self._network.delivered.add(command.frame.attempt)
-        self._network.to_entry(command.entry, to_entry.FrameReceived(command.frame))
+        self._network.tell_entry(command.entry, to_entry.FrameReceived(command.frame))
 
     def _send_prefill_result(self, command: to_sidecar.SendPrefillResult) -> None:
-        self._network.to_entry(command.entry, to_entry.PrefillSettled(command.result))
+        self._network.tell_entry(command.entry, to_entry.PrefillSettled(command.result))
 
     def _start_prefill(self, command: to_sidecar.StartPrefill) -> None:
         order = command.order
@@ -369,11 +369,11 @@
         )
 
     def _send_offer(self, command: to_entry.SendOffer) -> None:
-        self._network.to_sidecar(command.upstream, to_sidecar.OfferArrived(command.offer))
+        self._network.tell_sidecar(command.upstream, to_sidecar.OfferArrived(command.offer))
 
     def _send_prefill(self, command: to_entry.SendPrefill) -> None:
         self._prefill_at[command.order.attempt] = command.upstream
-        self._network.to_sidecar(command.upstream, to_sidecar.PrefillArrived(command.order))
+        self._network.tell_sidecar(command.upstream, to_sidecar.PrefillArrived(command.order))
 
     def _send_import(self, command: to_entry.SendImport) -> None:
         order: ImportOrder = command.order
@@ -382,7 +382,7 @@
             NETWORK_S,
             self._network.sidecars[command.upstream].ask,
             lambda reply: to_sidecar.ImportArrived(reply, order),
-            lambda accepted: self._network.to_entry(
+            lambda accepted: self._network.tell_entry(
                 self.incarnation, to_entry.ImportSettled(order.attempt, bool(accepted))
             ),
         )
@@ -392,16 +392,16 @@
             NETWORK_S,
             self._network.sidecars[command.upstream].ask,
             lambda reply: to_sidecar.RevokeArrived(reply, command.attempt, f"{command.upstream}.1"),
-            lambda result: self._network.to_entry(
+            lambda result: self._network.tell_entry(
                 self.incarnation, to_entry.RevokeSettled(command.attempt, RevokeResult(str(result)))
             ),
         )
 
     def _close(self, command: to_entry.CloseAttempt) -> None:
-        self._network.to_sidecar(command.upstream, to_sidecar.StreamClosed(command.attempt))
+        self._network.tell_sidecar(command.upstream, to_sidecar.StreamClosed(command.attempt))
         prefill = self._prefill_at.pop(command.attempt, None)
         if prefill is not None:
-            self._network.to_sidecar(prefill, to_sidecar.PrefillClosed(command.attempt))
+            self._network.tell_sidecar(prefill, to_sidecar.PrefillClosed(command.attempt))
 
     def _relay(self, command: to_entry.Relay) -> None:
         self._network.callers.relayed(command.request, len(command.tokens))
--- /dev/null
+++ b/src/chivehold/core/shared_link.py
@@ -0,0 +1,106 @@
+"""A link whose transfers in progress share its rate equally."""
+
+import heapq
+from collections.abc import Hashable, Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+KeyT = TypeVar("KeyT", bound=Hashable)
+
+DONE_BYTES = 1.0
+
+
+class _Transfer(NamedTuple):
+    ends_at_share: float
+    sequence: int
+
+
+class SharedLink(Generic[KeyT]):
+    """Follows transfers under processor sharing.
+
+    Every transfer in progress gets the same share, so one counter of bytes per transfer tells how
+    far each is: a transfer of ``n`` bytes ends when the counter has grown by ``n`` since its start.
+
+    Args:
+        bytes_per_s: The link's rate; 0 or below for a link that takes no time.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._share = 0.0
+        self._share_at = 0.0
+        self._transfers: dict[KeyT, _Transfer] = {}
+        self._heap: list[tuple[float, int, KeyT]] = []
+        self._sequence = 0
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._transfers
+
+    def __len__(self) -> int:
+        return len(self._transfers)
+
+    def __iter__(self) -> Iterator[KeyT]:
+        return iter(tuple(self._transfers))
+
+    def start(self, key: KeyT, size: float, now: float) -> None:
+        """Start a transfer of ``size`` bytes."""
+        self._move(now)
+        self._sequence += 1
+        ends_at = self._share + (max(0.0, size) if self._bytes_per_s > 0 else 0.0)
+        self._transfers[key] = _Transfer(ends_at, self._sequence)
+        heapq.heappush(self._heap, (ends_at, self._sequence, key))
+
+    def stop(self, key: KeyT, now: float) -> bool:
+        """Take a transfer off the link; tell whether it was on it."""
+        self._move(now)
+        return self._transfers.pop(key, None) is not None
+
+    def left_bytes(self, now: float) -> float:
+        """Return the bytes that the transfers in progress still have to move."""
+        self._move(now)
+        return sum(self._left(transfer) for transfer in self._transfers.values())
+
+    def time_s(self, size: float, now: float) -> float:
+        """Return how long a further transfer of ``size`` bytes would take, in seconds.
+
+        While it runs each other transfer moves at most as many bytes as it does.
+        """
+        if self._bytes_per_s <= 0:
+            return 0.0
+        self._move(now)
+        others = sum(min(size, self._left(transfer)) for transfer in self._transfers.values())
+        return (size + others) / self._bytes_per_s
+
+    def next_end(self) -> float | None:
+        """Return when the next transfer ends, in seconds, or ``None``."""
+        while self._heap:
+            ends_at, sequence, key = self._heap[0]
+            transfer = self._transfers.get(key)
+            if transfer is not None and transfer.sequence == sequence:
+                return self._share_at + self._seconds(ends_at - self._share)
+            heapq.heappop(self._heap)
+        return None
+
+    def ended(self, now: float) -> Iterator[KeyT]:
+        """Remove and yield the transfers that have ended, the first first."""
+        while (due := self.next_end()) is not None and due <= now + 1e-9:
+            self._move(max(due, self._share_at))
+            ends_at, _, key = heapq.heappop(self._heap)
+            self._share = max(self._share, ends_at)
+            del self._transfers[key]
+            yield key
+        self._move(now)
+
+    def _left(self, transfer: _Transfer) -> float:
+        return max(0.0, transfer.ends_at_share - self._share)
+
+    def _seconds(self, share: float) -> float:
+        if share <= DONE_BYTES or self._bytes_per_s <= 0:
+            return 0.0
+        return share * len(self._transfers) / self._bytes_per_s
+
+    def _move(self, now: float) -> None:
+        if now <= self._share_at:
+            return
+        if self._transfers:
+            self._share += (now - self._share_at) * self._bytes_per_s / len(self._transfers)
+        self._share_at = now
--- a/src/chivehold/core/sidecar_dump.py
+++ b/src/chivehold/core/sidecar_dump.py
@@ -55,7 +55,6 @@
     """The plan of the inbound link."""
 
     reserved_bytes: int
-    pending_bytes: int
     backlog_s: float
 
 
@@ -133,7 +132,6 @@
         prefills=_prefills(core),
         link=LinkDump(
             reserved_bytes=core.places.link.reserved_bytes,
-            pending_bytes=core.places.link.pending_bytes,
             backlog_s=report.link_backlog_s,
         ),
         keys=KeysDump(in_progress=core.keys.in_progress, committed=core.keys.committed),
--- a/src/chivehold/core/sidecar_messages.py
+++ b/src/chivehold/core/sidecar_messages.py
@@ -45,8 +45,6 @@
     """A granted place without an import order for this long is freed."""
     transfer_stall_s: float = 0.6
     """An import without its first token for this long beyond its expected time has stalled."""
-    kv_lifetime_s: float = 0.8
-    """How long a prefill's KV cache survives at its engine."""
 
 
 class OfferArrived(NamedTuple):
--- a/src/chivehold/core/waitlist.py
+++ b/src/chivehold/core/waitlist.py
@@ -75,12 +75,10 @@
             born = now - offer.waited_s
             heapq.heappush(self._patient_by_age, (born, self._sequence, offer.attempt))
 
-    def next(self, slots: SlotLedger, now: float) -> AttemptOffer | None:
-        """Return the offer to grant next where a place is free, or ``None``."""
-        if not self._offers:
-            return None
-        attempt = self._next_attempt(slots, now)
-        return None if attempt is None else self._offers[attempt].offer
+    def in_turn(self, slots: SlotLedger, now: float) -> Iterator[AttemptOffer]:
+        """Yield the offer to grant next where a place is free, then the one to fall back on."""
+        for attempt in self._in_turn(slots, now):
+            yield self._offers[attempt].offer
 
     def take(self, attempt: AttemptId) -> AttemptOffer:
         """Remove an offer that is granted."""
@@ -111,22 +109,21 @@
         """Return the bytes of KV caches that waiting offers of one urgency will import."""
         return self._kv_bytes[urgency]
 
-    def _next_attempt(self, slots: SlotLedger, now: float) -> AttemptId | None:
+    def _in_turn(self, slots: SlotLedger, now: float) -> Iterator[AttemptId]:
         urgent = self._queues[Urgency.URGENT].peek()
-        if not self._policy.class_order:
-            return urgent
-        patient = self._queues[Urgency.PATIENT].peek()
-        if patient is None:
-            return urgent
-        aged = self._aged(now)
-        if urgent is None:
-            return aged or patient
-        missing = slots.floor_places - slots.held_by(Urgency.PATIENT)
-        if missing <= 0:
-            return urgent
-        if aged is not None:
-            return aged
-        return patient if slots.free <= missing else urgent
+        patient = self._queues[Urgency.PATIENT].peek() if self._policy.class_order else None
+        if patient is not None:
+            aged = self._aged(now)
+            if urgent is None:
+                yield aged or patient
+                return
+            missing = slots.floor_places - slots.held_by(Urgency.PATIENT)
+            if missing > 0 and aged is not None:
+                yield aged
+            elif missing >= slots.free:
+                yield patient
+        if urgent is not None:
+            yield urgent
 
     def _aged(self, now: float) -> AttemptId | None:
         by_age = self._patient_by_age
--- /dev/null
+++ b/tests/core/test_link.py
@@ -0,0 +1,49 @@
+import pytest
+
+from chivehold.core.identity import AttemptId, RequestId, Urgency
+from chivehold.core.link import ImportLink
+
+RATE = 1_000.0
+
+
+def attempt(number: int) -> AttemptId:
+    return AttemptId(RequestId("r"), number)
+
+
+def busy_link(planned: bool = True) -> ImportLink:
+    """A link with one patient transfer of two seconds in progress."""
+    link = ImportLink(RATE, planned)
+    link.reserve(attempt(1), 2_000, Urgency.PATIENT, 0.0)
+    link.start(attempt(1), 2_000, 0.0)
+    return link
+
+
+class TestImportLink:
+    def test_long_transfer_does_not_hold_back_a_short_urgent_one(self) -> None:
+        """An urgent KV cache that arrives soon beside a long transfer is granted."""
+        assert busy_link().excess_s(100, Urgency.URGENT, 0.0) == 0.0
+
+    def test_patient_grants_wait_for_each_other(self) -> None:
+        """A second patient KV cache is held back while the first crowds the link."""
+        assert busy_link().excess_s(100, Urgency.PATIENT, 0.0) == pytest.approx(1.6)
+
+    @pytest.mark.parametrize("planned", [True, False])
+    def test_crowded_link_holds_urgent_grants_back(self, planned: bool) -> None:
+        """Urgent grants stop when what is on the link makes the next one late."""
+        link = busy_link(planned)
+        for number in range(2, 6):
+            link.reserve(attempt(number), 150, Urgency.URGENT, 0.0)
+            link.start(attempt(number), 150, 0.0)
+        assert (link.excess_s(150, Urgency.URGENT, 0.0) > 0) is planned
+
+    def test_idle_link_takes_any_size(self) -> None:
+        """A KV cache of any size is granted when nothing else is on the link."""
+        link = ImportLink(RATE, True)
+        assert link.excess_s(1e9, Urgency.PATIENT, 0.0) == 0.0
+
+    def test_recheck_is_later_than_now(self) -> None:
+        """A grant that is held back is looked at again at a later time, not at once."""
+        link = busy_link()
+        for now in (0.0, 0.3, 1.5999999999):
+            due = link.recheck_at(100, Urgency.PATIENT, now)
+            assert due is None or due > now + 1e-3
