--- /dev/null
+++ b/tests/entry/test_heartbeats.py
@@ -0,0 +1,133 @@
+"""Which upstreams an entry keeps heartbeats with."""
+
+from collections import Counter
+
+import pytest
+import trio
+
+from chivehold.core.declared import Declarations, Service, Upstream
+from chivehold.core.entry_messages import LoadReported, UpstreamUnreachable
+from chivehold.core.identity import Role
+from chivehold.core.wire import LoadReport, UpstreamState
+from chivehold.entry.heartbeats import Heartbeats, subset
+from chivehold.exceptions import Malformed
+
+INTERVAL_S = 0.5
+REPORT = LoadReport(
+    "s.1", 9.0, Role.SERVICE, UpstreamState.READY, 7, 20, 20, 0, 0, 0, 0, 0, 0, 0, 0
+)
+
+
+def _pool(size: int) -> tuple[Upstream, ...]:
+    return tuple(
+        Upstream(f"u{n}", Role.SERVICE, "sjo-a", f"a:{n}", f"c:{n}", 20) for n in range(size)
+    )
+
+
+def _declared(size: int) -> Declarations:
+    return Declarations(1, (), (Service("forja", _pool(size), ()),))
+
+
+class Sidecars:
+    """Counts heartbeats; those in ``down`` do not answer."""
+
+    def __init__(self) -> None:
+        self.beats = Counter()
+        self.down = set()
+        self.heartbeats = []
+
+    async def heartbeat(self, upstream, heartbeat, timeout_s) -> LoadReport:
+        self.beats[upstream] += 1
+        self.heartbeats.append(heartbeat)
+        if upstream in self.down:
+            raise Malformed("heartbeat", upstream)
+        return REPORT
+
+
+class Revisions:
+    def __init__(self) -> None:
+        self.known = {}
+
+    def heard(self, peer: str, revision: int) -> None:
+        self.known[peer] = revision
+
+    def forget(self, peer: str) -> None:
+        self.known.pop(peer, None)
+
+
+class TestHeartbeats:
+    @pytest.fixture
+    def parts(self, nursery):
+        sidecars, revisions, events = Sidecars(), Revisions(), []
+        beats = Heartbeats(
+            sidecars,
+            "entry-1",
+            "entry-1.x",
+            INTERVAL_S,
+            3,
+            events.append,
+            lambda: 7,
+            revisions,
+            nursery,
+        )
+        return beats, sidecars, revisions, events
+
+    async def test_subset_is_kept_in_time(self, parts, autojump_clock) -> None:
+        """Each upstream of the subset is asked once an interval, the others never."""
+        beats, sidecars, revisions, events = parts
+        beats.follow(_declared(10))
+        await trio.sleep(10 * INTERVAL_S + 0.1)
+        chosen = {upstream.name for upstream in subset("entry-1", _pool(10), 3)}
+        assert sidecars.beats.keys() == revisions.known.keys() == chosen
+        assert set(sidecars.beats.values()) <= {10, 11}
+        assert all(isinstance(event, LoadReported) for event in events)
+        assert sidecars.heartbeats[-1].incarnation == "s.1"
+
+    async def test_unreachable_is_told(self, parts, autojump_clock) -> None:
+        """A heartbeat without an answer is an event, and the next one is tried in time."""
+        beats, sidecars, revisions, events = parts
+        sidecars.down.add("u0")
+        beats.follow(_declared(1))
+        await trio.sleep(INTERVAL_S + 0.1)
+        assert events == [UpstreamUnreachable("u0")] * 2
+        assert revisions.known == {}
+
+    async def test_home_is_held_outside_the_subset(self, parts, autojump_clock) -> None:
+        """A key's home has this entry's lease for as long as a request needs it."""
+        beats, sidecars, _, _ = parts
+        beats.follow(_declared(10))
+        home = next(u.name for u in _pool(10) if u not in subset("entry-1", _pool(10), 3))
+        beats.hold(home)
+        beats.hold(home)
+        await beats.wait_heard(home)
+        beats.release(home)
+        await trio.sleep(3 * INTERVAL_S)
+        assert sidecars.beats[home] >= 3
+        beats.release(home)
+        beaten = sidecars.beats[home]
+        await trio.sleep(3 * INTERVAL_S)
+        assert sidecars.beats[home] <= beaten + 1
+
+    async def test_removed_upstream_is_left_alone(self, parts, autojump_clock) -> None:
+        """Nothing is sent to an upstream that is not declared any more."""
+        beats, sidecars, revisions, _ = parts
+        beats.follow(_declared(2))
+        await trio.sleep(INTERVAL_S)
+        beats.follow(_declared(1))
+        sidecars.beats.clear()
+        await trio.sleep(3 * INTERVAL_S)
+        assert sidecars.beats.keys() == revisions.known.keys() == {"u0"}
+
+
+class TestSubset:
+    def test_entries_spread_over_a_pool(self) -> None:
+        """40 entries with 16 of 100 upstreams each leave none unused, and none far above."""
+        used = Counter(u.name for n in range(40) for u in subset(f"entry-{n}", _pool(100), 16))
+        assert len(used) == 100
+        assert max(used.values()) <= 3 * 40 * 16 / 100
+
+    def test_few_move_when_a_pool_changes(self) -> None:
+        """A removed upstream is replaced, the others stay."""
+        before = subset("entry-1", _pool(100), 16)
+        rest = [upstream for upstream in _pool(100) if upstream != before[0]]
+        assert set(before[1:]) <= set(subset("entry-1", rest, 16))
--- /dev/null
+++ b/tests/test_facade.py
@@ -0,0 +1,21 @@
+"""The package's public names."""
+
+import subprocess
+import sys
+
+import chivehold
+
+
+class TestFacade:
+    def test_every_name_loads(self) -> None:
+        """Each public name is there, under its own name."""
+        for name in chivehold.__all__:
+            assert getattr(chivehold, name).__name__ == name
+
+    def test_core_alone_loads_no_shell(self) -> None:
+        """Importing the core brings in neither trio nor gRPC."""
+        program = (
+            "import sys, chivehold; chivehold.EntryCore, chivehold.SidecarCore;"
+            "sys.exit(not {'trio', 'grpc', 'httpcore'}.isdisjoint(sys.modules))"
+        )
+        assert subprocess.run([sys.executable, "-c", program], check=False).returncode == 0
