A cancel that overtakes its decode on another connection no longer leaves a place held

Cause: the sidecar closes the decode's connection and cancels on another one; the engine may read the cancel first, confirm that nothing is held, and then start the decode that was already sent. Only the next status poll found it. Ruled out: waiting for the decode's answer before the cancel; a stalled import never answers. Change: a decode given up before the engine had answered anything is cancelled a second time 0.1 s after the first confirmation, before its place is counted free. Before and after: new test test_cancel_that_overtakes_its_decode_is_repeated (status polls off by 60 s): with the second cancel off 3 of 3 runs fail, with it 3 of 3 pass.

--- a/src/chivehold/sidecar/upstream_work.py
+++ b/src/chivehold/sidecar/upstream_work.py
@@ -21,6 +21,8 @@
 from chivehold.sidecar.service_client import ServiceClient
 from chivehold.sidecar.sessions import CallSession
 
+CANCEL_AGAIN_S = 0.1
+
 Feed = Callable[[SidecarEvent], None]
 
 
@@ -61,6 +63,9 @@
 class EngineWork:
     """Work at an engine.
 
+    A cancel can overtake the decode that it is meant for, on another connection. A decode that was
+    given up before the engine had answered anything is therefore cancelled a second time.
+
     Args:
         engine: The engine.
         feed: Takes the events that follow.
@@ -73,6 +78,7 @@
         self._nursery = nursery
         self._work = _Tasks(nursery)
         self._cancels = _Tasks(nursery)
+        self._unanswered: set[AttemptId] = set()
 
     def __len__(self) -> int:
         return len(self._work) + len(self._cancels)
@@ -91,10 +97,13 @@
         async def run() -> None:
             async with aclosing(self._engine.decode(command.offer, command.order)) as parts:  # type: ignore[type-var]
                 async for events in parts:
+                    self._unanswered.discard(attempt)
                     for event in events:
                         self._feed(event)
 
-        self._work.start(command.offer.attempt, run)
+        attempt = command.offer.attempt
+        self._unanswered.add(attempt)
+        self._work.start(attempt, run)
 
     def cancel(self, attempt: AttemptId) -> None:
         """Cancel an attempt, unless a cancel of it is under way."""
@@ -104,6 +113,11 @@
 
         async def run() -> None:
             released = await self._engine.cancel(attempt)
+            if released and attempt in self._unanswered:
+                await trio.sleep(CANCEL_AGAIN_S)
+                released = await self._engine.cancel(attempt)
+            if released:
+                self._unanswered.discard(attempt)
             self._feed(CancelSettled(attempt, released))
 
         self._cancels.start(attempt, run)
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from chivehold.core.identity import Role
 from chivehold.core.wire import (
@@ -138,6 +139,21 @@
             assert failed.reason is Reason.TRANSFER_STALLED
             await until(partial(nothing_held, one), RELEASED_WITHIN_S)
 
+    async def test_cancel_that_overtakes_its_decode_is_repeated(self) -> None:
+        """A decode that reaches the engine after its cancel does not stay held."""
+        async with rig() as one:
+            await one.start_sidecar(Role.DECODE, status_poll_s=60.0)
+            async with one.decode.frames(await one.decode.offer(1, max_tokens=ENDLESS)) as frames:
+                await skip_to(frames, FrameKind.GRANTED)
+                kv = await one.prefill.prefill(1, "p")
+                await one.fault(Role.DECODE, freeze=True)
+                assert await one.decode.import_kv(kv)
+                await trio.testing.wait_all_tasks_blocked(0.05)
+            await until(partial(no_attempts, one))
+            await one.fault(Role.DECODE, freeze=False)
+            await until(partial(all_free, one), RELEASED_WITHIN_S)
+            assert await one.held() == []
+
     async def test_departed_prefill_is_cancelled(self) -> None:
         """A prefill whose entry closed the connection ends at the engine."""
         async with rig() as one:
