An entry that stood still while it claimed does not run the request when it wakes

Cause: sidecars remember a barred attempt for 960 s; an owner frozen for longer inside its claim could have sent an attempt whose bar was forgotten. Ruled out: comparing the claim's Unix time: the process's monotonic clock also runs while it is frozen and needs no agreement with others. Change: a grant older than 30 s by the monotonic clock is given up and answered not run. Conclusion: a freeze longer than 960 s between the grant and the sending is not covered here.

--- a/src/chivehold/platform/claims.py
+++ b/src/chivehold/platform/claims.py
@@ -46,6 +46,7 @@
 COMMIT_TIMEOUT_S = 2.0
 COMMIT_TRIES = 16
 ASKS_MOST = 3
+GRANT_AGE_MOST_S = 30.0
 ENDS_MOST = 4_096
 ENDS_RETRY_S = 2.0
 _REFUSED = Verdict(outcome=Outcome.NOT_RUN)
@@ -185,11 +186,17 @@
         if incarnation is None:
             return ClaimDecision(False, Outcome.NOT_RUN)
         claim = self._claim(command, incarnation)
+        asked_at = trio.current_time()
         try:
-            return await self._decide(claim)
+            decision = await self._decide(claim)
         except trio.Cancelled:
             self._give_up(claim)
             raise
+        if decision.granted and trio.current_time() > asked_at + GRANT_AGE_MOST_S:
+            # This process stood still meanwhile: others may have settled the claim long ago.
+            self._give_up(claim)
+            return ClaimDecision(False, Outcome.NOT_RUN)
+        return decision
 
     async def end(self, command: EndClaim) -> None:
         """Let a request's outcome be recorded with a later write; never waits."""
--- a/tests/platform/test_claims.py
+++ b/tests/platform/test_claims.py
@@ -253,6 +253,21 @@
         assert await other.call() is Outcome.ANSWERED
         assert not scene.sidecar.barred
 
+    async def test_frozen_meanwhile(self, autojump_clock, scene):
+        """An entry that stands still while it claims does not run the request when it wakes."""
+        owner, other = await scene.entry("owner"), await scene.entry("other")
+        await other.claim()
+        revoke = scene.sidecar.revoke
+
+        async def freeze(*asked):
+            result = await revoke(*asked)
+            autojump_clock.jump(1_000.0)
+            return result
+
+        owner.book._revoke = freeze
+        assert await owner.call() is Outcome.NOT_RUN
+        assert scene.sidecar.runs == 0
+
     async def test_older_than_retention(self, autojump_clock, scene):
         """A request first sent before all that is kept may have run."""
         entry = await scene.entry("owner")
