A listener's answer to too many requests can be the application's own

Cause: the plain 503 of a busy listener does not carry what the entry's errors carry. Ruled out: an exact bound of request heads in the listener (tried and reverted): it came before the entry's own typed refusal of oversized headers. The library bounds heads that come in parts; one that comes in one piece may have 64 KiB, which the docstring now says. Change: serve_http(overflow=...).

--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -33,6 +33,8 @@
     """Bounds of a listener."""
 
     max_header_bytes: int = 16_384
+    """Bound of a request's head that comes in parts; one that comes in one piece may have 64 KiB,
+    so that an application which needs an exact bound checks it itself."""
     max_requests: int = 4_096
     """Requests in progress at once; more are answered with 503."""
     keep_alive_s: float = 5.0
@@ -90,6 +92,7 @@
     *,
     limits: ServerLimits = DEFAULT_SERVER_LIMITS,
     shutdown: trio.Event | None = None,
+    overflow: App | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until cancelled, or drain once ``shutdown`` is set.
@@ -100,6 +103,8 @@
         limits: Bounds of this listener.
         shutdown: When set, the listener closes and requests in progress get
             ``limits.drain_timeout_s`` to end.
+        overflow: Answers the requests above ``limits.max_requests``; a plain 503 where there is
+            none.
         task_status: Started with the bound ``host:port``.
 
     Raises:
@@ -119,7 +124,7 @@
     async with trio.open_nursery() as nursery:
 
         async def run(task_status: trio.TaskStatus[list[str]]) -> None:
-            guarded = _GuardedApp(app, limits)
+            guarded = _GuardedApp(app, limits, overflow or _answer_busy)
             await serve(guarded, config, shutdown_trigger=trigger, task_status=task_status)
 
         (bound,) = await nursery.start(run)
@@ -211,12 +216,18 @@
     await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
+async def _answer_busy(scope: Scope, receive: Receive, send: Send) -> None:
+    retry = ("retry-after", str(int(BUSY_RETRY_S)))
+    await respond_error(send, 503, "full", "too many requests in progress", [retry])
+
+
 class _GuardedApp:
     """Answers what an application did not, and bounds the requests in progress."""
 
-    def __init__(self, app: App, limits: ServerLimits) -> None:
+    def __init__(self, app: App, limits: ServerLimits, overflow: App) -> None:
         self._app = app
         self._limits = limits
+        self._overflow = overflow
         self._in_progress = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -234,13 +245,11 @@
             self._in_progress -= 1
 
     async def _answer(self, scope: Scope, exchange: "_Exchange") -> None:
+        app = self._app
         if self._in_progress > self._limits.max_requests:
-            retry = ("retry-after", str(int(BUSY_RETRY_S)))
-            message = f"more than {self._limits.max_requests} requests in progress"
-            await respond_error(exchange.send, 503, "full", message, [retry])
-            return
+            app = self._overflow
         try:
-            await self._app(scope, exchange.receive, exchange.send)
+            await app(scope, exchange.receive, exchange.send)
         except BodyTooLarge as error:
             if exchange.started:
                 raise
