Tests of the sidecar's ledgers: fair shares, floor, revocation, keys, orders, due times

Cause: the ledgers were covered only by random histories. Ruled out: nothing. Change: one short test file a module; the due times agree with a plain mapping (hypothesis).

--- /dev/null
+++ b/tests/core/test_attempts.py
@@ -0,0 +1,59 @@
+import pytest
+
+from chivehold.core import attempts as module
+from chivehold.core.attempts import ATTEMPT_RETENTION_S, AttemptLedger, Phase
+from chivehold.core.wire import Reason, RevokeResult
+from tests.core.sidecar_driver import ENTRY, attempt
+
+A = attempt("a")
+
+
+def ledger_in(phase: Phase | None, closed: bool) -> AttemptLedger:
+    ledger = AttemptLedger()
+    if phase is not None:
+        ledger.open(A, ENTRY)
+        ledger.advance(A, phase)
+    if closed:
+        ledger.close(A, 0.0)
+    return ledger
+
+
+class TestAttemptLedger:
+    @pytest.mark.parametrize(
+        ("phase", "closed", "result"),
+        [
+            (None, False, RevokeResult.NEVER_STARTED),
+            (Phase.WAITING, False, RevokeResult.NEVER_STARTED),
+            (Phase.RESERVED, True, RevokeResult.NEVER_STARTED),
+            (Phase.RUNNING, False, RevokeResult.STARTED),
+            (Phase.RUNNING, True, RevokeResult.STARTED),
+        ],
+    )
+    def test_bars_what_has_not_started(
+        self, phase: Phase | None, closed: bool, result: RevokeResult
+    ) -> None:
+        """A revocation tells the truth, again and again, and what it bars is never opened."""
+        ledger = ledger_in(phase, closed)
+        assert [ledger.revoke(A, at) for at in (0.0, 1.0)] == [result, result]
+        barred = result is RevokeResult.NEVER_STARTED
+        assert ledger.refusal(A) is (Reason.REVOKED if barred else Reason.DUPLICATE)
+
+    def test_forgets_in_time(self) -> None:
+        """What has been remembered for the retention time is dropped."""
+        ledger = AttemptLedger()
+        ledger.revoke(A, 0.0)
+        ledger.revoke(attempt("b"), ATTEMPT_RETENTION_S)
+        assert ledger.remembered == 1
+
+    def test_is_unsure_where_it_had_to_forget(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Beyond its bounds the ledger never claims that an attempt did not start."""
+        monkeypatch.setattr(module, "STARTED_MOST", 1)
+        monkeypatch.setattr(module, "BARRED_MOST", 1)
+        ledger = ledger_in(Phase.RUNNING, closed=True)
+        assert ledger.revoke(attempt("b"), 0.0) is RevokeResult.NEVER_STARTED
+        assert ledger.revoke(attempt("c"), 0.0) is RevokeResult.STARTED
+        ledger.open(attempt("d"), ENTRY)
+        ledger.advance(attempt("d"), Phase.RUNNING)
+        ledger.close(attempt("d"), 1.0)
+        assert ledger.revoke(A, ATTEMPT_RETENTION_S) is RevokeResult.STARTED
+        assert ledger.revoke(A, 1.0 + ATTEMPT_RETENTION_S) is RevokeResult.NEVER_STARTED
--- /dev/null
+++ b/tests/core/test_deadlines.py
@@ -0,0 +1,29 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivehold.core.deadlines import Deadlines
+
+TIMES = st.integers(0, 20).map(float)
+STEPS = st.lists(st.tuples(st.sampled_from("abc"), st.none() | TIMES), max_size=30)
+
+
+class TestDeadlines:
+    @settings(derandomize=True)
+    @given(STEPS, TIMES)
+    def test_agrees_with_a_plain_mapping(
+        self, steps: list[tuple[str, float | None]], now: float
+    ) -> None:
+        """However keys are moved and dropped, what is due is exact and comes once, in order."""
+        deadlines: Deadlines[str] = Deadlines()
+        model: dict[str, float] = {}
+        for key, at in steps:
+            if at is None:
+                deadlines.discard(key)
+                model.pop(key, None)
+            else:
+                deadlines.set(key, at)
+                model[key] = at
+            assert deadlines.next_due() == min(model.values(), default=None)
+        due = [model[key] for key in deadlines.expire(now)]
+        assert due == sorted(at for at in model.values() if at <= now)
+        assert len(deadlines) == len(model) - len(due)
--- /dev/null
+++ b/tests/core/test_waitlist.py
@@ -0,0 +1,82 @@
+import pytest
+
+from chivehold.core.identity import Urgency
+from chivehold.core.policy import Policy
+from chivehold.core.slots import SlotLedger
+from chivehold.core.waitlist import WaitList
+from tests.core.sidecar_driver import attempt, offer
+
+URGENT, PATIENT = Urgency.URGENT, Urgency.PATIENT
+AGE_S = Policy().patient_age_limit_s
+
+
+def slots_with(urgent: int, patient: int, places: int = 10) -> SlotLedger:
+    slots = SlotLedger(places, 0.2)
+    for number in range(urgent):
+        slots.hold(attempt(f"held-u{number}"), URGENT, 0.0)
+    for number in range(patient):
+        slots.hold(attempt(f"held-p{number}"), PATIENT, 0.0)
+    return slots
+
+
+def waiting(policy: Policy, *names: str, waited_s: float = 0.0) -> WaitList:
+    """Offers by name: `p` patient or `u` urgent, then the organisation's letter, then a number."""
+    waitlist = WaitList(policy)
+    for name in names:
+        urgency = PATIENT if name[0] == "p" else URGENT
+        aged_s = waited_s if urgency is PATIENT else 0.0
+        waitlist.add(offer(name, urgency=urgency, organisation=name[1], waited_s=aged_s), 0.0)
+    return waitlist
+
+
+def grants(waitlist: WaitList, slots: SlotLedger) -> list[str]:
+    order = []
+    while slots.free and (chosen := waitlist.next(slots, 0.0)) is not None:
+        waitlist.take(chosen.attempt)
+        slots.hold(chosen.attempt, chosen.urgency, 0.0)
+        order.append(chosen.attempt.request)
+    return order
+
+
+class TestWaitList:
+    @pytest.mark.parametrize(
+        ("held", "aged", "expected"),
+        [
+            ((7, 2), False, "ua0"),
+            ((7, 0), False, "ua0"),
+            ((8, 1), False, "pa0"),
+            ((8, 0), False, "pa0"),
+            ((9, 0), False, "pa0"),
+            ((0, 9), False, "ua0"),
+            ((3, 1), True, "pa0"),
+            ((3, 2), True, "ua0"),
+        ],
+    )
+    def test_keeps_the_patient_floor(
+        self, held: tuple[int, int], aged: bool, expected: str
+    ) -> None:
+        """Urgent goes first but for the floor's places, which aged patient work takes at once."""
+        waitlist = waiting(Policy(), "ua0", "pa0", waited_s=AGE_S if aged else 0.0)
+        chosen = waitlist.next(slots_with(*held), 0.0)
+        assert chosen is not None
+        assert chosen.attempt == attempt(expected)
+
+    @pytest.mark.parametrize(
+        ("policy", "expected"),
+        [
+            (Policy(), ["ua3", "pa0", "pb2", "pa1"]),
+            (Policy(fair_shares=False), ["ua3", "pa0", "pa1", "pb2"]),
+            (Policy(class_order=False), ["pa0", "pb2", "pa1", "ua3"]),
+            (Policy(class_order=False, fair_shares=False), ["pa0", "pa1", "pb2", "ua3"]),
+        ],
+    )
+    def test_orders_by_policy(self, policy: Policy, expected: list[str]) -> None:
+        """Classes and fair shares apply as the policy says; without both, first come is first."""
+        waitlist = waiting(policy, "pa0", "pa1", "pb2", "ua3")
+        assert grants(waitlist, slots_with(0, 0)) == expected
+
+    def test_serves_the_oldest_patient_offer_first_once_aged(self) -> None:
+        """An aged offer of a busy organisation is not overtaken by newer ones of others."""
+        waitlist = waiting(Policy(), "pa0", "pb1")
+        waitlist.add(offer("pa9", urgency=PATIENT, organisation="a", waited_s=AGE_S + 1.0), 0.0)
+        assert grants(waitlist, slots_with(0, 0)) == ["pa9", "pa0", "pb1"]
