Departed callers are counted, and a streamed part costs a little less

Cause: a profile of 20 streams of 500 tokens; callers that left showed in no metric. Ruled out: batching tokens in the entry: they come one at a time, 20 ms apart. Change: a cancel scope only for an answer's last message; time between tokens noted once a request. Before and after (one run each, `entry` process's CPU): 226 us a part before, 214 us after. `pytest tests/entry`: 121 passed in 14.24 s. Conclusion: most of the rest is the libraries' (trio, httpcore, hypercorn).

--- a/src/chivehold/entry/bodies.py
+++ b/src/chivehold/entry/bodies.py
@@ -90,8 +90,10 @@
     """
 
     async def send_shielded(message: Message) -> None:
-        is_last = message["type"] == "http.response.body" and not message.get("more_body", False)
-        with trio.CancelScope(shield=is_last):
+        if message["type"] != "http.response.body" or message.get("more_body", False):
+            await send(message)
+            return
+        with trio.CancelScope(shield=True):
             await send(message)
 
     return send_shielded
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -203,6 +203,8 @@
                 yield pending
                 nursery.cancel_scope.cancel()
         finally:
+            if not pending.is_finished:
+                self._metrics.departed()
             self._driver.leave(pending)
 
     async def _stream(
@@ -248,17 +250,18 @@
     async def _timed_texts(
         self, arrival: RequestArrived, pending: PendingRequest
     ) -> AsyncIterator[str]:
-        last_at = trio.current_time()
-        received = 0
+        arrived_at = trio.current_time()
+        first_at, first_count = 0.0, 0
         async for text in pending.texts():
-            now = trio.current_time()
-            if not received:
-                self._metrics.first_token(arrival.traffic_class, now - last_at)
-            else:
-                interval_s = (now - last_at) / max(1, pending.received - received)
-                self._metrics.next_tokens(arrival.traffic_class, interval_s)
-            last_at, received = now, pending.received
+            if not first_at:
+                first_at = trio.current_time()
+                self._metrics.first_token(arrival.traffic_class, first_at - arrived_at)
+                first_count = pending.received
             yield text
+        if first_at and pending.received > first_count:
+            streamed_s = pending.last_at - first_at
+            interval_s = streamed_s / (pending.received - first_count)
+            self._metrics.between_tokens(arrival.traffic_class, interval_s)
 
     def _count(self, arrival: RequestArrived, finish: Finish) -> None:
         self._metrics.ended(arrival.traffic_class, finish.outcome)
--- a/src/chivehold/entry/pending.py
+++ b/src/chivehold/entry/pending.py
@@ -15,6 +15,7 @@
         self._request = request
         self._tokens: list[str] = []
         self._received = 0
+        self._last_at = 0.0
         self._finish: Finish | None = None
         self._changed = trio.Event()
 
@@ -28,10 +29,21 @@
         """Number of output tokens received."""
         return self._received
 
+    @property
+    def last_at(self) -> float:
+        """Monotonic time of the latest output token, in seconds; 0 before the first."""
+        return self._last_at
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the request has ended."""
+        return self._finish is not None
+
     def relay(self, tokens: tuple[str, ...]) -> None:
         """Take output tokens; they follow those taken before."""
         self._tokens.extend(tokens)
         self._received += len(tokens)
+        self._last_at = trio.current_time()
         self._changed.set()
 
     def finish(self, finish: Finish) -> None:
--- a/src/chivehold/metrics.py
+++ b/src/chivehold/metrics.py
@@ -30,6 +30,11 @@
             "Requests that ended, by class and outcome.",
             registry=self._registry,
         )
+        self._departed = Counter(
+            "chivehold_departed_callers_total",
+            "Callers that left before their requests ended.",
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "chivehold_first_token_seconds",
             "Time from a request's arrival to its first output token.",
@@ -38,7 +43,7 @@
         )
         self._between_tokens = Histogram(
             "chivehold_between_tokens_seconds",
-            "Mean time between the output tokens of one streamed part.",
+            "Mean time between the output tokens of a request.",
             registry=self._registry,
             buckets=BETWEEN_TOKENS_BUCKETS_S,
         )
@@ -63,12 +68,16 @@
         known = "" if outcome is Outcome.REJECTED else traffic_class
         self._requests.inc({"class": known, "outcome": str(outcome)})
 
+    def departed(self) -> None:
+        """Count a caller that left before its request ended."""
+        self._departed.inc({})
+
     def first_token(self, traffic_class: str, after_s: float) -> None:
         """Note the time to the first output token, in seconds."""
         self._first_token.observe({"class": traffic_class}, float(after_s))
 
-    def next_tokens(self, traffic_class: str, interval_s: float) -> None:
-        """Note the mean time between tokens of one part, in seconds."""
+    def between_tokens(self, traffic_class: str, interval_s: float) -> None:
+        """Note the mean time between a request's output tokens, in seconds."""
         self._between_tokens.observe({"class": traffic_class}, float(interval_s))
 
     def render(
