Ended claims take less than half the bytes, and an outcome is final

Ruled out: longer keys' digests cut shorter (a collision would refuse a reservation). Change: an ended claim keeps key, times and outcome only; one that did not run is removed; a recorded outcome is not replaced by a later one. The full-shard test fills with 10,000 longer claims, as 12,000 of them exceed the bound before it starts.

--- a/src/chivehold/core/claims.py
+++ b/src/chivehold/core/claims.py
@@ -34,6 +34,7 @@
     CLAIMED = "claimed"
     ANSWERED = "answered"
     NOT_RUN = "not_run"
+    """Only on its way: a claim that did not run is removed."""
     UNKNOWN = "unknown"
 
 
@@ -218,5 +219,21 @@
     found = claims.get(ended.key)
     if found is None or found.request != ended.request:
         return
-    if ended.attempt in (None, found.attempt):
-        claims[ended.key] = found._replace(state=ended.state)
+    if found.state is not ClaimState.CLAIMED or ended.attempt not in (None, found.attempt):
+        return
+    if ended.state is ClaimState.NOT_RUN:
+        del claims[ended.key]
+        return
+    claims[ended.key] = _compact(found, ended.state)
+
+
+def _compact(claim: Claim, state: ClaimState) -> Claim:
+    """Keep what a later request under the key is told, without what only a running one needs."""
+    return claim._replace(
+        request=RequestId(""),
+        entry=EntryIncarnation(""),
+        attempt=0,
+        upstream=UpstreamName(""),
+        incarnation=SidecarIncarnation(""),
+        state=state,
+    )
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -25,8 +25,9 @@
 GRANTED = Verdict(granted=True)
 
 
-def claim(request="r1", attempt=1, state=ClaimState.CLAIMED, key=b"k", at=0.0):
-    return Claim(key, request, "entry", attempt, "forja-1", "run", at, at + 30.0, state)
+def claim(request="r1", attempt=1, state=ClaimState.CLAIMED, key=b"k"):
+    run = "forja-1.0123456789ab"
+    return Claim(key, request, "entry.0123456789ab", attempt, "forja-1", run, 0.0, 30.0, state)
 
 
 def told(outcome):
@@ -73,6 +74,24 @@
         assert made.verdicts == (GRANTED, Verdict(), Verdict(), Verdict(ask=claim()))
         assert decode_claims(made.value) == {b"k": claim()}
 
+    @pytest.mark.parametrize("state", [ClaimState.ANSWERED, ClaimState.UNKNOWN])
+    def test_ended(self, state):
+        """An outcome is kept in less than half the bytes, and is final."""
+        ended = ClaimEnded(b"k", "r1", state)
+        made = group({b"k": claim()}, [ended], 0.0, RETENTION_S)
+        assert 2 * len(made.value) < len(encode_claims({b"k": claim()}))
+        late = [
+            ClaimEnded(b"k", "r1", ClaimState.NOT_RUN),
+            ClaimEnded(b"k", "", ClaimState.NOT_RUN),
+        ]
+        assert group(made.claims, late, 0.0, RETENTION_S).claims == made.claims
+        assert decide(made.claims[b"k"], ClaimWanted(claim("r2")), 0.0).outcome is not None
+
+    def test_not_run(self):
+        """A claim whose request did not run is removed."""
+        ended = ClaimEnded(b"k", "r1", ClaimState.NOT_RUN, 1)
+        assert group({b"k": claim()}, [ended], 0.0, RETENTION_S).claims == {}
+
     def test_expiry(self):
         """A claim outlives the longest caller retry, and a margin, and no more."""
         claims = {b"k": claim()}
@@ -82,7 +101,7 @@
 
     def test_full(self):
         """A shard takes no more claims than fit its bound, and forgets none for a new one."""
-        claims = {b"%d" % n: claim(f"r{n}", key=b"%d" % n) for n in range(12_000)}
+        claims = {b"%d" % n: claim(f"r{n}", key=b"%d" % n) for n in range(10_000)}
         assert len(encode_claims(claims)) <= MAX_SHARD_BYTES
         wanted = [ClaimWanted(claim(f"{n}" * 40, key=b"new%d" % n)) for n in range(4_000)]
         end = ClaimEnded(b"1", "r1", ClaimState.ANSWERED)
