A dead entry's waiting offers are dropped before its places are freed

Cause: when a lease lapsed, the entry's attempts ended one by one; the first place freed was granted to the next waiting offer of the same dead entry, which failed at once. Found by the new test TestLeases.test_free_all_of_an_entry_when_they_lapse. Ruled out: a harmless order; on a service the grant starts the call, so a departed caller's call ran. Change: waiting attempts of all lapsed entries end first. With it come tests of each rule over the whole core and of prefill queue and admission.

--- a/src/chivehold/core/attempts.py
+++ b/src/chivehold/core/attempts.py
@@ -94,9 +94,9 @@
         """Return an attempt in progress, or ``None``."""
         return self._live.get(attempt)
 
-    def of_entry(self, entry: EntryIncarnation) -> tuple[AttemptId, ...]:
+    def of_entry(self, entry: EntryIncarnation) -> tuple[LiveAttempt, ...]:
         """Return an entry's attempts in progress."""
-        return tuple(self._of_entry.get(entry, ()))
+        return tuple(self._live[attempt] for attempt in self._of_entry.get(entry, ()))
 
     def refusal(self, attempt: AttemptId) -> Reason | None:
         """Return why an attempt may not be opened, or ``None``."""
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from chivehold.core.attempts import AttemptLedger
+from chivehold.core.attempts import AttemptLedger, Phase
 from chivehold.core.availability import Availability
 from chivehold.core.cancellations import Cancellations
 from chivehold.core.identity import AttemptId, EntryIncarnation, Role, SidecarIncarnation, Urgency
@@ -188,16 +188,21 @@
         return min((time for time in times if time is not None), default=None)
 
     def _expire(self, now: float) -> Iterator[SidecarCommand]:
-        for entry in list(self.leases.expire(now)):
-            yield from self._lapse(entry, now)
+        lapsed = list(self.leases.expire(now))
+        if lapsed:
+            yield from self._lapse(lapsed, now)
         yield from self.cancellations.repeat(now)
         yield from self.places.expire(now)
         yield from self.prefills.expire(now)
 
-    def _lapse(self, entry: EntryIncarnation, now: float) -> Iterator[SidecarCommand]:
-        self.keys.lapse(entry)
-        for attempt in self.attempts.of_entry(entry):
-            yield from self._fail(attempt, Reason.LEASE_LAPSED, now)
+    def _lapse(self, entries: list[EntryIncarnation], now: float) -> Iterator[SidecarCommand]:
+        """End all that the entries have here, waiting offers first, so that none is granted."""
+        attempts = [live for entry in entries for live in self.attempts.of_entry(entry)]
+        attempts.sort(key=lambda live: live.phase is not Phase.WAITING)
+        for live in attempts:
+            yield from self._fail(live.attempt, Reason.LEASE_LAPSED, now)
+        for entry in entries:
+            self.keys.lapse(entry)
 
     def _fail(self, attempt: AttemptId, reason: Reason, now: float) -> Iterator[SidecarCommand]:
         yield from self.places.fail(attempt, reason, now)
--- /dev/null
+++ b/tests/core/test_prefill_queue.py
@@ -0,0 +1,128 @@
+import pytest
+
+from chivehold.core.identity import Role, Urgency
+from chivehold.core.policy import Policy
+from chivehold.core.prefill_queue import PrefillQueue
+from chivehold.core.sidecar_messages import (
+    CancelAtEngine,
+    CancelSettled,
+    DrainStarted,
+    EnginePrefilled,
+    PrefillClosed,
+    ReplyRevoke,
+    RevokeArrived,
+    SidecarCommand,
+    StartPrefill,
+)
+from chivehold.core.wire import PrefillKind, PrefillResult, Reason, RevokeResult
+from tests.core.sidecar_driver import Driver, attempt, only, prefill, results
+
+
+def driver_with(*names: str, **config: object) -> Driver:
+    driver = Driver(role=Role.PREFILL, **config)
+    for name in names:
+        driver.prefill(name)
+    return driver
+
+
+def done(name: str) -> EnginePrefilled:
+    return EnginePrefilled(PrefillResult(PrefillKind.DONE, attempt(name), "h"))
+
+
+def started(commands: list[SidecarCommand]) -> list[str]:
+    return [command.order.attempt.request for command in only(commands, StartPrefill)]
+
+
+class TestPrefillQueue:
+    @pytest.mark.parametrize(
+        ("policy", "expected"),
+        [
+            (Policy(), ["u2", "u3", "p0", "p1"]),
+            (Policy(class_order=False), ["p0", "p1", "u2", "u3"]),
+        ],
+    )
+    def test_runs_urgent_before_patient(self, policy: Policy, expected: list[str]) -> None:
+        """Urgent prompts go first unless the policy says first come, first served."""
+        queue = PrefillQueue(policy, 0.1, 1_000.0)
+        for name in ("p0", "p1", "u2", "u3"):
+            urgency = Urgency.PATIENT if name[0] == "p" else Urgency.URGENT
+            queue.add(prefill(name, urgency=urgency))
+        orders = [queue.start_next(0.0) for _ in expected]
+        assert [order.attempt.request for order in orders if order] == expected
+
+    def test_keeps_a_share_for_patient_prompts(self) -> None:
+        """While both wait, patient prompts get their floor's share of the tokens."""
+        queue = PrefillQueue(Policy(), 0.2, 1_000.0)
+        for number in range(40):
+            queue.add(prefill(f"u{number}"))
+            queue.add(prefill(f"p{number}", urgency=Urgency.PATIENT))
+        orders = [queue.start_next(0.0) for _ in range(40)]
+        patient = [order for order in orders if order and order.urgency is Urgency.PATIENT]
+        assert abs(len(patient) - 8) <= 1
+
+    def test_learns_the_rate_without_cached_tokens(self) -> None:
+        """The rate counts only tokens that were run, and backlog leaves out cached ones."""
+        queue = PrefillQueue(Policy(), 0.1, 1_000.0)
+        queue.add(prefill("a"))
+        queue.start_next(0.0)
+        running = queue.ended(attempt("a"))
+        assert running is not None
+        reused = PrefillResult(PrefillKind.DONE, attempt("a"), reused_tokens=500)
+        queue.measure(running, reused, 0.25)
+        assert queue.tokens_per_s == pytest.approx(2_000.0)
+        queue.set_cached((7,))
+        queue.add(prefill("b", prefix_blocks=(7, 8)))
+        assert queue.backlog_s(1.0) == pytest.approx((1_000 - 64) / 2_000)
+
+
+class TestPrefillAdmission:
+    def test_keeps_queued_prompts_here(self) -> None:
+        """One prompt is at the engine; the next follows its result."""
+        driver = driver_with("a", "b")
+        assert started(driver.sent) == ["a"]
+        sent = driver.feed(done("a"), 1.0)
+        assert (results(sent), started(sent)) == ([("a", None)], ["b"])
+
+    def test_drops_a_closed_prompt(self) -> None:
+        """A queued prompt of a departed entry is not run; a running one is cancelled."""
+        driver = driver_with("a", "b", "c")
+        assert driver.feed(PrefillClosed(attempt("b"))) == []
+        assert driver.feed(PrefillClosed(attempt("a"))) == [CancelAtEngine(attempt("a"))]
+        assert started(driver.feed(CancelSettled(attempt("a"), True))) == ["c"]
+        assert results(driver.sent) == []
+
+    def test_bars_a_queued_prompt_only(self) -> None:
+        """A revoked prompt never runs if it was queued; one that runs is cancelled."""
+        driver = driver_with("a", "b")
+        sent = [driver.feed(RevokeArrived(1, attempt(name), "s1")) for name in ("b", "a")]
+        assert [only(commands, ReplyRevoke)[0].result for commands in sent] == [
+            RevokeResult.NEVER_STARTED,
+            RevokeResult.STARTED,
+        ]
+        assert CancelAtEngine(attempt("a")) in sent[1]
+        assert driver.feed(CancelSettled(attempt("a"), True)) == []
+
+    @pytest.mark.parametrize(("start_within_s", "at_once"), [(0.9, Reason.TOO_LATE), (1.5, None)])
+    def test_refuses_what_starts_too_late(
+        self, start_within_s: float, at_once: Reason | None
+    ) -> None:
+        """A backlog beyond the prompt's time refuses it at once, a slow engine when it is up."""
+        driver = driver_with("a", entry_lease_s=99.0)
+        sent = driver.prefill("b", start_within_s=start_within_s)
+        assert results(sent) == ([("b", at_once)] if at_once else [])
+        late = driver.tick_until(2.0)
+        assert results(late) == ([] if at_once else [("b", Reason.TOO_LATE)])
+
+    def test_lapsed_lease_drops_queued_and_cancels_running(self) -> None:
+        """A dead entry's prompts are not run, and the one at the engine is cancelled."""
+        driver = driver_with("a", "b")
+        sent = driver.tick_until(1.5)
+        assert results(sent) == [("a", Reason.LEASE_LAPSED), ("b", Reason.LEASE_LAPSED)]
+        assert only(sent, CancelAtEngine) == [CancelAtEngine(attempt("a"))]
+
+    def test_leaving_refuses_queued_and_finishes_running(self) -> None:
+        """Once it leaves, the engine finishes the prompt it runs and gets no other."""
+        driver = driver_with("a", "b")
+        assert results(driver.feed(DrainStarted())) == [("b", Reason.LEAVING)]
+        assert results(driver.prefill("c")) == [("c", Reason.LEAVING)]
+        assert results(driver.feed(done("a"))) == [("a", None)]
--- /dev/null
+++ b/tests/core/test_sidecar.py
@@ -0,0 +1,315 @@
+import json
+from typing import Any
+
+import pytest
+
+from chivehold.core.cancellations import CANCEL_REPEAT_S
+from chivehold.core.identity import (
+    EntryIncarnation,
+    KeyId,
+    Organisation,
+    RequestId,
+    Role,
+    TargetName,
+    Urgency,
+)
+from chivehold.core.policy import Policy
+from chivehold.core.sidecar_messages import (
+    CallEnded,
+    CancelAtEngine,
+    CancelSettled,
+    DeclarationRevision,
+    DrainStarted,
+    EngineFailed,
+    EngineFinished,
+    EngineStatus,
+    EngineTokens,
+    HeartbeatArrived,
+    KeyCommitArrived,
+    KeyRegisterArrived,
+    ReplyHeartbeat,
+    ReplyImport,
+    ReplyKey,
+    ReplyKeyCommit,
+    ReplyRevoke,
+    RevokeArrived,
+    SendFrame,
+    SidecarEvent,
+    StartCall,
+    StartDecode,
+    StreamClosed,
+)
+from chivehold.core.wire import (
+    Heartbeat,
+    KeyCommit,
+    KeyDecision,
+    KeyRegistration,
+    LoadReport,
+    Reason,
+    RevokeResult,
+    UpstreamState,
+)
+from tests.core.sidecar_driver import ENTRY, Driver, attempt, granted, only, outcome
+
+A = attempt("a")
+CANCEL_A = CancelAtEngine(A)
+
+
+def beat(driver: Driver, at: float | None = None) -> LoadReport:
+    event = HeartbeatArrived(1, Heartbeat(ENTRY, "s1", 0))  # type: ignore[arg-type]
+    return only(driver.feed(event, at), ReplyHeartbeat)[0].report
+
+
+def full(**config: Any) -> Driver:
+    """A decode engine whose two places run `a` and `b`."""
+    driver = Driver(**config)
+    driver.run("a")
+    driver.run("b")
+    return driver
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("changes", "reason"),
+        [
+            ({"incarnation": "s0"}, "wrong_incarnation"),
+            ({"deadline_in_s": 0.0}, "deadline"),
+            ({"start_within_s": 0.1}, "too_late"),
+            ({"deadline_in_s": 0.1}, "deadline"),
+        ],
+    )
+    def test_are_given_at_once(self, changes: dict[str, Any], reason: str) -> None:
+        """What cannot be granted in time is refused at once, with a time to come back."""
+        driver = full()
+        assert driver.offer("c", **changes) == f"refused:{reason}"
+        assert (only(driver.sent, SendFrame)[-1].frame.retry_after_s or 0) > 0
+        assert driver.offer("c") == "refused:duplicate"
+
+    def test_name_a_duplicate_and_a_revoked_attempt(self) -> None:
+        """An attempt is offered once, and not after it was revoked."""
+        driver = full()
+        driver.feed(RevokeArrived(1, attempt("c"), "s1"))
+        assert (driver.offer("a"), driver.offer("c")) == ("refused:duplicate", "refused:revoked")
+
+    @pytest.mark.parametrize(
+        ("policy", "waiting_most", "expected"),
+        [
+            (Policy(), 1, ["queued", "refused:full"]),
+            (Policy(wait_list=False), 9, ["refused:full", "refused:full"]),
+        ],
+    )
+    def test_bound_the_wait_list(
+        self, policy: Policy, waiting_most: int, expected: list[str]
+    ) -> None:
+        """A full list refuses, and without a list whatever finds no place is refused."""
+        driver = full(policy=policy, waiting_most=waiting_most)
+        assert [driver.offer("c"), driver.offer("d")] == expected
+
+    @pytest.mark.parametrize(
+        ("changes", "reason"),
+        [({"start_within_s": 1.2}, "too_late"), ({"deadline_in_s": 1.2}, "deadline")],
+    )
+    def test_come_when_an_offer_has_waited_too_long(
+        self, changes: dict[str, Any], reason: str
+    ) -> None:
+        """A waiting offer is refused at the moment its time is up."""
+        driver = full(policy=Policy(shed_late=False))
+        assert driver.offer("c", **changes) == "queued"
+        assert outcome(driver.tick_until(1.19), "c") == ""
+        assert outcome(driver.tick_until(1.2), "c") == f"refused:{reason}"
+
+    @pytest.mark.parametrize(
+        ("events", "reason"),
+        [
+            ([DrainStarted()], "leaving"),
+            ([EngineStatus(True, True, ())], "leaving"),
+            ([EngineStatus(False, False, ())] * 2, "engine_failed"),
+        ],
+    )
+    def test_follow_the_upstream(self, events: list[SidecarEvent], reason: str) -> None:
+        """An upstream that leaves or is down refuses what waits and what comes."""
+        driver = full()
+        driver.offer("c")
+        sent = [command for event in events for command in driver.feed(event)]
+        assert outcome(sent, "c") == f"refused:{reason}"
+        assert driver.offer("d") == f"refused:{reason}"
+        if reason == "leaving":
+            assert outcome(sent, "a") == ""
+            assert outcome(driver.feed(EngineFinished(A, 3)), "a") == "finished"
+            assert beat(driver).state is UpstreamState.LEAVING
+        else:
+            assert outcome(sent, "a") == "failed:engine_failed"
+            assert CANCEL_A in sent
+            assert beat(driver).state is UpstreamState.DOWN
+
+
+class TestPlaces:
+    @pytest.mark.parametrize(
+        "ending",
+        [
+            [EngineFinished(A, 1)],
+            [StreamClosed(A), CancelSettled(A, False), CancelSettled(A, True)],
+            [EngineFailed(A, Reason.ENGINE_FAILED), CancelSettled(A, True)],
+            [RevokeArrived(1, A, "s1"), CancelSettled(A, True)],
+        ],
+    )
+    def test_are_held_until_the_engine_confirms(self, ending: list[SidecarEvent]) -> None:
+        """A place is granted anew only once the engine holds nothing for the former attempt."""
+        driver = full()
+        driver.offer("c")
+        sent = [driver.feed(event) for event in ending]
+        assert [granted(commands) for commands in sent[:-1]] == [[]] * (len(sent) - 1)
+        assert granted(sent[-1]) == ["c"]
+
+    def test_are_cancelled_again_until_confirmed(self) -> None:
+        """An unconfirmed cancel is repeated at a bounded rate, and only until confirmed."""
+        driver = full(entry_lease_s=99.0)
+        assert CANCEL_A in driver.feed(StreamClosed(A))
+        assert driver.tick_until(4 * CANCEL_REPEAT_S).count(CANCEL_A) == 4
+        driver.feed(CancelSettled(A, True))
+        assert CANCEL_A not in driver.tick_until(8 * CANCEL_REPEAT_S)
+
+    def test_are_not_granted_while_an_earlier_run_holds_them(self) -> None:
+        """After a restart nothing is granted before the engine has told and released its holds."""
+        driver = Driver(ready=False)
+        assert driver.offer("c") == "queued"
+        old = attempt("old"), attempt("older")
+        assert [*only(driver.feed(EngineStatus(True, False, old)), CancelAtEngine)] == [
+            CancelAtEngine(name) for name in old
+        ]
+        assert granted(driver.feed(CancelSettled(old[0], True))) == ["c"]
+
+    def test_cancel_what_no_live_attempt_covers(self) -> None:
+        """An attempt that the engine holds and this sidecar does not run is cancelled."""
+        driver = full()
+        stray = attempt("stray")
+        sent = driver.feed(EngineStatus(True, False, (A, attempt("b"), stray)))
+        assert sent == [CancelAtEngine(stray)]
+
+    def test_of_a_service_start_with_the_grant(self) -> None:
+        """A plain service's call starts with its grant and frees its place at its end."""
+        driver = Driver(role=Role.SERVICE, places=1)
+        driver.offer("a")
+        assert driver.sent[-1] == StartCall(A)
+        assert driver.offer("b") == "queued"
+        assert granted(driver.feed(CallEnded(A))) == ["b"]
+
+
+class TestImports:
+    def test_start_a_granted_attempt_once(self) -> None:
+        """Only the first import of a granted attempt is taken."""
+        driver = Driver()
+        driver.offer("a")
+        first, again, unknown = (driver.import_kv(name) for name in ("a", "a", "x"))
+        assert [only(sent, ReplyImport)[0].accepted for sent in (first, again, unknown)] == [
+            True,
+            False,
+            False,
+        ]
+        assert [len(only(sent, StartDecode)) for sent in (first, again, unknown)] == [1, 0, 0]
+
+    @pytest.mark.parametrize(
+        ("imported", "at", "reason", "cancelled"),
+        [(False, 10.0, "cancelled", False), (True, 0.6, "transfer_stalled", True)],
+    )
+    def test_are_not_waited_for_without_end(
+        self, imported: bool, at: float, reason: str, cancelled: bool
+    ) -> None:
+        """A place is freed when no import comes, or no token follows it."""
+        driver = Driver(entry_lease_s=99.0)
+        driver.offer("a")
+        if imported:
+            driver.import_kv("a")
+        assert outcome(driver.tick_until(at - 0.01), "a") == ""
+        sent = driver.tick_until(at)
+        assert outcome(sent, "a") == f"failed:{reason}"
+        assert (CANCEL_A in sent) == cancelled
+        assert not only(driver.import_kv("a"), StartDecode)
+
+    def test_that_have_brought_a_token_do_not_stall(self) -> None:
+        """After its first token an attempt may take its time."""
+        driver = Driver(entry_lease_s=99.0)
+        driver.run("a")
+        driver.feed(EngineTokens(A, 0, ("x",)), 0.5)
+        assert driver.tick_until(50.0) == []
+
+
+class TestRevocation:
+    @pytest.mark.parametrize(
+        ("steps", "incarnation", "result"),
+        [
+            (0, "s1", RevokeResult.NEVER_STARTED),
+            (1, "s1", RevokeResult.NEVER_STARTED),
+            (2, "s1", RevokeResult.STARTED),
+            (2, "s0", RevokeResult.OTHER_INCARNATION),
+        ],
+    )
+    def test_bars_what_has_not_started(
+        self, steps: int, incarnation: str, result: RevokeResult
+    ) -> None:
+        """An attempt unseen or granted is barred; one that runs is cancelled."""
+        driver = Driver()
+        for step in (driver.offer, driver.import_kv)[:steps]:
+            step("a")
+        sent = driver.feed(RevokeArrived(1, A, incarnation))
+        assert only(sent, ReplyRevoke) == [ReplyRevoke(1, result)]
+        assert (CANCEL_A in sent) == (result is RevokeResult.STARTED)
+        if result is RevokeResult.NEVER_STARTED:
+            assert driver.offer("a") == "refused:revoked"
+            assert not only(driver.import_kv("a"), StartDecode)
+
+
+class TestLeases:
+    def test_free_all_of_an_entry_when_they_lapse(self) -> None:
+        """A dead entry's attempts end at once, waiting, granted and running."""
+        driver = Driver(places=3)
+        driver.run("a")
+        driver.feed(EngineTokens(A, 0, ("x",)))
+        for name in ("b", "c", "d"):
+            driver.offer(name)
+        driver.offer("e", entry=EntryIncarnation("e2"))
+        beat(driver, 0.5)
+        assert outcome(driver.tick_until(1.5), "e") == "refused:lease_lapsed"
+        assert outcome(driver.sent, "a") == "tokens"
+        sent = driver.tick_until(2.0)
+        ended = [outcome(sent, name) for name in ("a", "b", "c", "d")]
+        assert ended == ["failed:lease_lapsed"] * 3 + ["refused:lease_lapsed"]
+        assert only(sent, CancelAtEngine) == [CANCEL_A]
+
+    def test_of_a_frozen_entry_cost_it_its_keys(self) -> None:
+        """An entry that wakes after its lease is refused its commit, though it comes first."""
+        driver = Driver()
+        key = KeyId(Organisation("bruma"), TargetName("lector"), "k")
+        registration = KeyRegistration(key, RequestId("r"), ENTRY, 0.0)
+        decisions = [
+            only(driver.feed(KeyRegisterArrived(1, registration), at), ReplyKey)[0].decision
+            for at in (0.1, 9.0)
+        ]
+        assert decisions == [KeyDecision.UNKNOWN, KeyDecision.FRESH]
+        commit = KeyCommitArrived(1, KeyCommit(key, RequestId("r"), ENTRY))
+        assert driver.feed(commit, 10.5) == [ReplyKeyCommit(1, False)]
+
+
+class TestReport:
+    def test_states_what_the_ledger_has(self) -> None:
+        """A heartbeat is answered with places, waiting offers, waits and the token interval."""
+        driver = full(places=2)
+        driver.feed(DeclarationRevision(7, 0.5))
+        driver.offer("c")
+        driver.offer("d", urgency=Urgency.PATIENT)
+        driver.feed(EngineTokens(A, 0, ("x",)), 0.1)
+        driver.feed(EngineTokens(A, 1, ("x", "y")), 0.14)
+        report = beat(driver, 0.2)
+        assert (report.places, report.places_free) == (2, 0)
+        assert (report.waiting_urgent, report.waiting_patient, report.revision) == (1, 1, 7)
+        assert report.token_interval_s == pytest.approx(0.02)
+        assert report.wait_urgent_s > 0
+
+    def test_dump_is_json(self) -> None:
+        """The dump holds the whole state in types that JSON knows."""
+        driver = full()
+        driver.offer("c")
+        driver.feed(StreamClosed(A))
+        dump = json.loads(json.dumps(driver.core.dump()))
+        assert [hold["cancelling"] for hold in dump["holds"]] == [True, False]
+        assert [waiting["attempt"] for waiting in dump["waiting"]] == ["c/1"]
