The entry's core keeps its promises under random histories of faults

The state machine found: a prefill that ended while its attempt was being revoked was closed a second time; without reservation an offer went to an engine listed as leaving since the prefill began. By reading: a key's release could overtake its registration and leave the key in progress while the entry lives; an attempt revoked for certain before its prefill was offered again without bound. Ruled out: dropping prefill results while revoking (whether it ran would be lost). Change: both mended; the release is sent again after a late FRESH; slow engines are probed now and then, since one without work cannot report its recovery.

--- a/src/chivehold/core/estimates.py
+++ b/src/chivehold/core/estimates.py
@@ -4,6 +4,7 @@
 
 from chivehold.core.identity import Urgency
 from chivehold.core.requests import Request
+from chivehold.core.routing import prefill_work_s
 from chivehold.core.shedding import least_wait_s
 from chivehold.core.state import EntryState
 
@@ -12,6 +13,7 @@
 PREFILL_WAIT_MOST_S = 5.0
 """A place granted is not kept idle for longer than this."""
 NO_UPSTREAM_RETRY_S = 1.0
+PATIENT_PREFILL_AHEAD_S = 0.5
 
 
 class Obstacle(NamedTuple):
@@ -78,6 +80,24 @@
         """Tell whether the request needs no prefill engine or one is usable."""
         return request.target.is_service or bool(self._state.prefill_candidates(request))
 
+    def patient_prefill_s(self, request: Request) -> float | None:
+        """Return a patient request's prefill work in seconds, or ``None`` where it is not its turn.
+
+        A place is not reserved long before the prefill can start: the prefill engines' backlog,
+        with that of the offers already out, is to be within ``PATIENT_PREFILL_AHEAD_S``.
+        """
+        if request.target.is_service:
+            return 0.0
+        candidates = self._state.prefill_candidates(request)
+        if not candidates:
+            return None
+        if self._state.policy.prefill_pacing:
+            offered_s = request.target.admission.offered_prefill_s / len(candidates)
+            backlogs_s = [one.report.prefill_backlog_s + one.outstanding_s for one in candidates]
+            if min(backlogs_s) + offered_s > PATIENT_PREFILL_AHEAD_S:
+                return None
+        return prefill_work_s(candidates[0], request.prompt_tokens)
+
     def obstacle(self, request: Request) -> Obstacle | None:
         """Return what speaks against taking a request now, if anything does."""
         if request.urgency is Urgency.PATIENT:
@@ -87,7 +107,7 @@
         candidates = self._state.pool_candidates(request)
         wait_s = least_wait_s(candidates, request.urgency)
         if wait_s is None or not self.can_prefill(request):
-            return Obstacle("no upstream", NO_UPSTREAM_RETRY_S)
+            return Obstacle("no upstream", request.retry_hint_s or NO_UPSTREAM_RETRY_S)
         late_s = wait_s - self.start_within_s(request)
         if late_s > 0.0 and self._state.policy.shed_late and not request.may_have_run:
             return Obstacle("too late", late_s)
--- a/src/chivehold/core/inference.py
+++ b/src/chivehold/core/inference.py
@@ -52,13 +52,16 @@
 
     def prefill_settled(self, result: PrefillResult) -> Iterator[EntryCommand]:
         """Take the end of a prefill."""
-        request = self._state.current(result.attempt, Phase.PREFILLING)
+        request = self._state.current(result.attempt, Phase.PREFILLING, Phase.REVOKING)
         if request is None or request.attempt is None:
             return
         attempt = request.attempt
         upstream, attempt.prefill_upstream = attempt.prefill_upstream, None
         if upstream is None:
             return
+        if request.phase is Phase.REVOKING:
+            request.runs += result.kind is not PrefillKind.REFUSED
+            return
         match result.kind:
             case PrefillKind.DONE:
                 yield from self._prefilled(request, attempt, result)
@@ -94,7 +97,7 @@
         if attempt.is_open:
             yield from self._sender.import_kv(request, attempt, result)
         else:
-            yield from self._sender.offer(request, attempt)
+            yield from self._placement.offer_prefilled(request, attempt)
 
     def _prefill_refused(
         self, request: Request, attempt: Attempt, result: PrefillResult
--- a/src/chivehold/core/intake.py
+++ b/src/chivehold/core/intake.py
@@ -60,9 +60,13 @@
 
     def key_settled(self, name: RequestId, decision: KeyDecision) -> Iterator[EntryCommand]:
         """Place a request whose key is fresh, else end it with what the home knows."""
+        late_release = self._state.late_releases.pop(name, None)
+        if late_release is not None and decision is KeyDecision.FRESH:
+            yield late_release
         request = self._state.waiting_for(name, Phase.REGISTERING)
-        if request is None:
+        if request is None or request.registered:
             return
+        request.registered = True
         if decision is KeyDecision.FRESH:
             yield from self._placement.place(request)
         elif decision is KeyDecision.UNREACHABLE:
--- a/src/chivehold/core/lifecycle.py
+++ b/src/chivehold/core/lifecycle.py
@@ -81,7 +81,9 @@
         if attempt is None:
             return
         request.attempt = None
-        request.runs += ran
+        if ran:
+            request.runs += 1
+            request.refused_by.add(attempt.upstream)
         request.target.admission.returned(request.id)
         if attempt.prefill_upstream is not None:
             yield CloseAttempt(attempt.prefill_upstream, attempt.id)
@@ -131,7 +133,10 @@
         self._state.timers.ended()
         commit = self._key_commit(request)
         if request.home_asked and request.home is not None and commit is not None:
-            yield ReleaseKey(request.home, commit)
+            release = ReleaseKey(request.home, commit)
+            if request.phase is Phase.REGISTERING and not request.registered:
+                self._state.late_releases[request.id] = release
+            yield release
         if request.claimed and request.arrival.key is not None:
             yield EndClaim(request.id, request.arrival.key, outcome)
 
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -57,10 +57,11 @@
                 return
             request = self._state.requests[queued.request]
             upstream = self._choose(request, patient=True)
-            if upstream is None or not self._estimates.can_prefill(request):
+            prefill_s = self._estimates.patient_prefill_s(request)
+            if upstream is None or prefill_s is None:
                 target.admission.queue.put_back(queued)
                 return
-            target.admission.offered(request.id)
+            target.admission.offered(request.id, prefill_s)
             yield from self._begin(request, upstream)
 
     def claim_settled(self, name: RequestId, decision: ClaimDecision) -> Iterator[EntryCommand]:
@@ -91,11 +92,9 @@
             yield from self._lifecycle.fail(request, f"refused: {reason}")
         elif attempt.prefill is not None:
             yield from self.retry(request, f"refused after prefill: {reason}")
-        elif self._may_ask_another(request, reason):
-            yield from self._place_again(request)
         else:
             wait_s = retry_after_s or 0.0
-            yield from self._lifecycle.fail(request, f"refused: {reason}", wait_s)
+            yield from self._go_elsewhere(request, f"refused: {reason}", reason, wait_s)
 
     def link_lost(self, attempt_id: AttemptId, sent: bool) -> Iterator[EntryCommand]:
         """Go elsewhere if nothing was sent; else bar the attempt and wait for the answer."""
@@ -120,12 +119,12 @@
         if result is RevokeResult.NEVER_STARTED:
             yield from self._never_started(request)
             return
-        ran = request.attempt_may_have_run
-        yield from self._lifecycle.close_attempt(request)
-        if ran:
+        if request.attempt_may_have_run:
+            yield from self._lifecycle.close_attempt(request)
             yield from self.retry(request, f"link lost: {result}")
         else:
-            yield from self._place_again(request)
+            yield from self._lifecycle.close_attempt(request)
+            yield from self._go_elsewhere(request, "link lost")
 
     def retry(self, request: Request, reason: str, wait_s: float = 0.0) -> Iterator[EntryCommand]:
         """Try again after an attempt that may have run, within budget and deadline.
@@ -155,10 +154,16 @@
         yield from self._lifecycle.end_attempt(request, ran=prefilled)
         if prefilled:
             yield from self.retry(request, "link lost after prefill")
-        elif self._may_ask_another(request, None):
+        else:
+            yield from self._go_elsewhere(request, "link lost")
+
+    def _go_elsewhere(
+        self, request: Request, reason: str, refusal: Reason | None = None, wait_s: float = 0.0
+    ) -> Iterator[EntryCommand]:
+        if self._may_ask_another(request, refusal):
             yield from self._place_again(request)
         else:
-            yield from self._lifecycle.fail(request, "link lost")
+            yield from self._lifecycle.fail(request, reason, wait_s)
 
     def _place_again(self, request: Request) -> Iterator[EntryCommand]:
         if request.urgency is Urgency.URGENT:
@@ -220,6 +225,21 @@
         yield from self._lifecycle.close_attempt(request)
         yield from self.turned_away(request, "no prefill engine")
 
+    def offer_prefilled(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
+        """Ask for a place after the prefill, at the engine that is best by now.
+
+        A claim names the attempt's engine, so a claimed attempt does not change it.
+        """
+        upstream = attempt.upstream if request.claimed else self._choose(request, patient=False)
+        view = self._state.upstreams.get(upstream) if upstream is not None else None
+        if view is None or view.report is None or not view.is_usable(self._state.now):
+            yield from self._lifecycle.close_attempt(request)
+            yield from self.retry(request, "no upstream")
+            return
+        attempt.upstream = view.declared.name
+        attempt.incarnation = view.report.incarnation
+        yield from self._sender.offer(request, attempt)
+
     def turned_away(
         self, request: Request, reason: str, wait_s: float = 0.0
     ) -> Iterator[EntryCommand]:
@@ -257,6 +277,7 @@
         retry_after_s: float | None,
     ) -> None:
         request.refused_by.add(upstream)
+        request.retry_hint_s = max(request.retry_hint_s, retry_after_s or 0.0)
         view = self._state.upstreams.get(upstream)
         if view is None:
             return
--- a/src/chivehold/core/relay.py
+++ b/src/chivehold/core/relay.py
@@ -73,7 +73,7 @@
         self._early.clear()
 
     def _keep_early(self, offset: int, tokens: tuple[str, ...]) -> None:
-        if len(self._early) < EARLY_FRAMES_MOST:
+        if tokens and len(self._early) < EARLY_FRAMES_MOST:
             self._early[offset] = max(tokens, self._early.get(offset, ()), key=len)
 
     def _append(self, offset: int, tokens: tuple[str, ...]) -> Iterator[TokenRun]:
--- a/src/chivehold/core/requests.py
+++ b/src/chivehold/core/requests.py
@@ -105,9 +105,13 @@
         """Attempts that may have run."""
         self.refusals = 0
         self.refused_by: set[UpstreamName] = set()
+        self.retry_hint_s = 0.0
+        """The longest time that a refusing sidecar named."""
         self.home: UpstreamName | None = None
         self.home_asked = False
         """The key's home may hold a record of this request."""
+        self.registered = False
+        """The key's home has answered the registration, or could not."""
         self.commits = 0
         self.claimed = False
         """The platform may hold a claim of this request."""
--- a/src/chivehold/core/routing.py
+++ b/src/chivehold/core/routing.py
@@ -16,6 +16,8 @@
 """Cost of a full upstream against an idle one, which spreads load before queues build up."""
 NEAR_TIE_S = 0.003
 SLOW_FACTOR = 3.0
+PROBE_SHARE = 0.005
+"""Choices that disregard slowness, since an engine without work cannot report that it recovered."""
 DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
 
 
@@ -90,7 +92,8 @@
         self, candidates: Sequence[Candidate], prefix_blocks: Sequence[int], prompt_tokens: int
     ) -> UpstreamName | None:
         """Return the upstream that is expected to grant a place first."""
-        usable = self._fast_enough(candidates) if self._avoid_slow else candidates
+        avoid_slow = self._avoid_slow and self._random.random() >= PROBE_SHARE
+        usable = self._fast_enough(candidates) if avoid_slow else candidates
         if not usable:
             return None
         scored = [(self._score_s(one), one.upstream) for one in usable]
--- a/src/chivehold/core/shedding.py
+++ b/src/chivehold/core/shedding.py
@@ -31,17 +31,16 @@
     if ahead <= 0:
         return 0.0
     beyond_report = min(ahead, candidate.outstanding)
-    return reported + beyond_report * _time_per_place_s(candidate, waiting)
+    return reported + beyond_report * _time_per_place_s(candidate, waiting, reported)
 
 
-def _time_per_place_s(candidate: Candidate, waiting: int) -> float:
+def _time_per_place_s(candidate: Candidate, waiting: int, wait_s: float) -> float:
     """Estimate the time between two places becoming free, in seconds."""
-    report = candidate.report
-    if waiting and report.wait_urgent_s:
-        return report.wait_urgent_s / (waiting + 1)
+    if waiting and wait_s:
+        return wait_s / (waiting + 1)
     if not candidate.outstanding:
         return 0.0
-    return candidate.outstanding_s / candidate.outstanding / max(1, report.places)
+    return candidate.outstanding_s / candidate.outstanding / max(1, candidate.report.places)
 
 
 def least_wait_s(candidates: Sequence[Candidate], urgency: Urgency) -> float | None:
--- a/src/chivehold/core/state.py
+++ b/src/chivehold/core/state.py
@@ -3,7 +3,15 @@
 from collections.abc import Container, Sequence
 from random import Random
 
-from chivehold.core.identity import AttemptId, EntryIncarnation, RequestId, TargetName, UpstreamName
+from chivehold.core.entry_messages import ReleaseKey
+from chivehold.core.identity import (
+    AttemptId,
+    EntryIncarnation,
+    RequestId,
+    TargetName,
+    UpstreamName,
+    Urgency,
+)
 from chivehold.core.policy import Policy
 from chivehold.core.protocols import Candidate
 from chivehold.core.requests import Phase, Request
@@ -34,6 +42,8 @@
         self.now = 0.0
         self.draining = False
         self.requests: dict[RequestId, Request] = {}
+        self.late_releases: dict[RequestId, ReleaseKey] = {}
+        """Sent again when the registration they may have overtaken is settled."""
         self.targets: dict[TargetName, Target] = {}
         self.upstreams = Upstreams()
         self.budget = RetryBudget(
@@ -56,17 +66,30 @@
 
     def pool_candidates(self, request: Request, patient: bool = False) -> list[Candidate]:
         """Return the upstreams that may take the request's next attempt."""
-        return self.upstreams.candidates(
-            request.target.pool, self.now, request.refused_by, patient=patient
-        )
+        pool = request.target.pool
+        found = self.upstreams.candidates(pool, self.now, request.refused_by, patient=patient)
+        if found or not request.runs:
+            return found
+        return self.upstreams.candidates(pool, self.now, patient=patient)
 
     def prefill_candidates(self, request: Request) -> Sequence[Candidate]:
         """Return the prefill engines that may run the request's prompt."""
         refused_by = request.attempt.prefill_refused_by if request.attempt else ()
-        return self.upstreams.candidates(request.target.prefill, self.now, refused_by)
+        found = self.upstreams.candidates(request.target.prefill, self.now, refused_by)
+        if request.urgency is Urgency.PATIENT:
+            return found
+        return [_as_urgent_sees(one) for one in found]
 
     def _cached(self, upstream: UpstreamName) -> Container[int]:
         view = self.upstreams.get(upstream)
         if view is None or not self.policy.prefix_affinity:
             return NO_BLOCKS
         return view.blocks
+
+
+def _as_urgent_sees(candidate: Candidate) -> Candidate:
+    """Leave out the prefill work that an urgent prompt goes before."""
+    report = candidate.report
+    return candidate._replace(
+        report=report._replace(prefill_backlog_s=report.prefill_urgent_backlog_s)
+    )
