Urgent work finds a free place: square-root headroom, and prefill that does not hoard places

Cause: a trace of lector at load 1.0 (decode the bottleneck) showed urgent requests refused or late although urgent work needs 55% of the places: patient requests of six seconds each had taken every place between two urgent bursts, so a place came free only three times a second. With prefill the bottleneck, patient requests held granted places while they queued for a prefill engine, and an urgent prompt waited behind a running patient one although engines honour priorities.

Change: beyond its floor patient work leaves 2 * sqrt(mean urgent places) free; an urgent prompt goes to the engine beside a running patient one; load reports tell the prefill backlog that an urgent prompt meets; a waiting offer is refused at once if its 95% wait, not its mean, is too long.

--- a/examples/measure/nodes.py
+++ b/examples/measure/nodes.py
@@ -4,14 +4,13 @@
 from random import Random
 from typing import Protocol
 
-from chivehold.core.entry import EntryCore
-from chivehold.core.sidecar import SidecarCore
-
 from chivehold.core import entry_messages as to_entry
 from chivehold.core import sidecar_messages as to_sidecar
 from chivehold.core.declared import Upstream
+from chivehold.core.entry import EntryCore
 from chivehold.core.identity import AttemptId, EntryIncarnation, RequestId, Role, Urgency
 from chivehold.core.policy import Policy
+from chivehold.core.sidecar import SidecarCore
 from chivehold.core.wire import (
     FrameKind,
     Heartbeat,
--- a/src/chivehold/core/admission.py
+++ b/src/chivehold/core/admission.py
@@ -156,7 +156,7 @@
             Urgency.URGENT: set(),
             Urgency.PATIENT: set(),
         }
-        self._offered: set[RequestId] = set()
+        self._offered: dict[RequestId, float] = {}
 
     def has_room(self, urgency: Urgency) -> bool:
         """Tell whether one more request may wait."""
@@ -174,16 +174,21 @@
         """Count a request as waiting."""
         self._waiting[urgency].add(request)
 
-    def offered(self, request: RequestId) -> None:
-        """Count a patient offer as out."""
-        self._offered.add(request)
+    @property
+    def offered_prefill_s(self) -> float:
+        """Prefill work of the patient offers that are out, in seconds of one engine."""
+        return sum(self._offered.values())
+
+    def offered(self, request: RequestId, prefill_s: float = 0.0) -> None:
+        """Count a patient offer as out, with the prefill work that follows its grant."""
+        self._offered[request] = prefill_s
 
     def returned(self, request: RequestId) -> None:
         """Count a patient offer as back."""
-        self._offered.discard(request)
+        self._offered.pop(request, None)
 
     def placed(self, request: RequestId, urgency: Urgency) -> None:
         """Count a request as no longer waiting: it has a place or has ended."""
         self._waiting[urgency].discard(request)
-        self._offered.discard(request)
+        self._offered.pop(request, None)
         self.queue.discard(request)
--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -23,7 +23,7 @@
 )
 from chivehold.core.slots import SlotLedger
 from chivehold.core.smoothing import Average
-from chivehold.core.wait_estimate import expected_wait_s
+from chivehold.core.wait_estimate import LATE_SHARE_Z, expected_wait_s
 from chivehold.core.waitlist import WaitList
 from chivehold.core.wire import AttemptFrame, AttemptOffer, FrameKind, Reason
 
@@ -56,7 +56,7 @@
         self._attempts = attempts
         self._availability = availability
         self._cancellations = cancellations
-        self.slots = SlotLedger(config.places, config.patient_floor)
+        self.slots = SlotLedger(config.places, config.patient_floor, policy.urgent_headroom)
         self.waitlist = WaitList(policy)
         self.link = ImportLink(config.link_bytes_per_s, policy.link_budget)
         self.token_interval_s = Average(INTERVAL_WEIGHT)
@@ -82,7 +82,8 @@
         yield from self.fill(now)
         if offer.attempt not in self.waitlist:
             return
-        wait_s = self.expected_wait_s(offer.urgency, self.waitlist.ahead(offer), now)
+        ahead = self.waitlist.ahead(offer)
+        wait_s = self.expected_wait_s(offer.urgency, ahead, now, LATE_SHARE_Z)
         reason = self._late_refusal(offer, wait_s)
         if reason is not None:
             yield from self._refuse_waiting(offer.attempt, reason, wait_s, now)
@@ -201,9 +202,9 @@
         ]
         return min((time for time in times if time is not None), default=None)
 
-    def expected_wait_s(self, urgency: Urgency, ahead: int, now: float) -> float:
+    def expected_wait_s(self, urgency: Urgency, ahead: int, now: float, z: float = 0.0) -> float:
         """Return the expected wait of an offer with so many others ahead in its queue."""
-        wait_s = expected_wait_s(self.slots, self.waitlist, urgency, ahead, now)
+        wait_s = expected_wait_s(self.slots, self.waitlist, urgency, ahead, now, z)
         link_s = self.link.excess_s(self.waitlist.kv_bytes(urgency), urgency, now)
         return max(wait_s, link_s)
 
--- a/src/chivehold/core/policy.py
+++ b/src/chivehold/core/policy.py
@@ -23,7 +23,12 @@
     """Sidecars keep offers waiting for a place; else they refuse when full."""
     class_order: bool = True
     """Urgent before patient above the patient floor; else first come, first served."""
+    urgent_headroom: float = 2.0
+    """Decode places that patient work leaves free, as a factor of the square root of those that
+    urgent work holds on average; 0 leaves none."""
     fair_shares: bool = True
+    prefill_pacing: bool = True
+    """Offer patient work only when its prefill can start soon after the grant."""
     prefix_affinity: bool = True
     link_budget: bool = True
     """Import over a link only as many KV caches as arrive before they expire."""
--- a/src/chivehold/core/prefill_admission.py
+++ b/src/chivehold/core/prefill_admission.py
@@ -17,7 +17,6 @@
 )
 from chivehold.core.wire import PrefillKind, PrefillOrder, PrefillResult, Reason
 
-PREFILLS_AT_ENGINE = 1
 RETRY_SOON_S = 1.0
 MIN_RETRY_S = 0.1
 
@@ -73,10 +72,7 @@
 
     def fill(self, now: float) -> Iterator[SidecarCommand]:
         """Give the engine its next prompts."""
-        while len(self.queue) and len(self.queue.running) < PREFILLS_AT_ENGINE:
-            order = self.queue.start_next(now)
-            if order is None:
-                return
+        while (order := self.queue.start_next(now)) is not None:
             self._start_by.discard(order.attempt)
             self._attempts.advance(order.attempt, Phase.RUNNING)
             yield StartPrefill(order)
--- a/src/chivehold/core/prefill_queue.py
+++ b/src/chivehold/core/prefill_queue.py
@@ -21,6 +21,8 @@
     tokens: int
     """Prompt tokens expected to be run, without the cached prefix."""
     since: float
+    alone: bool
+    """Whether it has had the engine for itself, so that its time tells the engine's rate."""
 
 
 class PrefillQueue:
@@ -98,7 +100,11 @@
         return order
 
     def start_next(self, now: float) -> PrefillOrder | None:
-        """Move the next prompt to the engine; ``None`` where none waits."""
+        """Move the next prompt to the engine; ``None`` where none is to go there now.
+
+        The engine runs one prompt at a time, and an urgent one beside a patient one, which it lets
+        the urgent one interrupt.
+        """
         attempt = self._next_attempt()
         if attempt is None:
             return None
@@ -106,7 +112,9 @@
         tokens = self._tokens.pop(attempt)
         self._waiting_tokens[order.urgency] -= tokens
         self._queue_of(order.urgency).serve(attempt)
-        self._running[attempt] = RunningPrefill(order, tokens, now)
+        for name, running in self._running.items():
+            self._running[name] = running._replace(alone=False)
+        self._running[attempt] = RunningPrefill(order, tokens, now, alone=not self._running)
         self._count_credit(order.urgency, tokens)
         return order
 
@@ -118,28 +126,46 @@
         """Learn the engine's rate from a prompt that has been run."""
         tokens = running.order.prompt_tokens - result.reused_tokens
         elapsed_s = now - running.since
-        if tokens >= MIN_MEASURED_TOKENS and elapsed_s > 0:
+        if running.alone and tokens >= MIN_MEASURED_TOKENS and elapsed_s > 0:
             self._seconds_per_token.add(elapsed_s / tokens)
 
-    def backlog_s(self, now: float) -> float:
-        """Return all prompts queued and running, in seconds of the engine."""
-        waiting_s = sum(self._waiting_tokens.values()) / self.tokens_per_s
-        return self._running_s(now) + waiting_s
+    def backlog_s(self, now: float, urgency: Urgency = Urgency.PATIENT) -> float:
+        """Return the prompts queued and running that go before a new one, in seconds.
+
+        Args:
+            now: Time in seconds.
+            urgency: Of the new prompt; urgent ones go before patient ones.
+        """
+        first = self._policy.class_order and urgency is Urgency.URGENT
+        tokens = (
+            self._waiting_tokens[Urgency.URGENT] if first else sum(self._waiting_tokens.values())
+        )
+        return self._running_s(now, urgency) + tokens / self.tokens_per_s
 
     def wait_s(self, order: PrefillOrder, now: float) -> float:
         """Return how long the newest prompt of its flow is expected to wait for the engine."""
         tokens = self._queue_of(order.urgency).ahead(self._flow_of(order)).cost
         if self._policy.class_order and order.urgency is Urgency.PATIENT:
             tokens += self._waiting_tokens[Urgency.URGENT]
-        return self._running_s(now) + tokens / self.tokens_per_s
+        return self._running_s(now, order.urgency) + tokens / self.tokens_per_s
 
-    def _running_s(self, now: float) -> float:
+    def _running_s(self, now: float, urgency: Urgency) -> float:
         rate = self.tokens_per_s
-        return sum(max(0.0, run.tokens / rate - (now - run.since)) for run in self.running)
+        ahead = (run for run in self.running if not self._interrupts(urgency, run))
+        return sum(max(0.0, run.tokens / rate - (now - run.since)) for run in ahead)
+
+    def _interrupts(self, urgency: Urgency, running: RunningPrefill) -> bool:
+        """Tell whether the engine lets a prompt of one urgency go before a running one."""
+        patient = running.order.urgency is Urgency.PATIENT
+        return self._policy.class_order and urgency is Urgency.URGENT and patient
 
     def _next_attempt(self) -> AttemptId | None:
         urgent = self._queues[Urgency.URGENT].peek()
         patient = self._queues[Urgency.PATIENT].peek()
+        if self._running:
+            running = next(iter(self._running.values()))
+            alone = len(self._running) == 1
+            return urgent if alone and self._interrupts(Urgency.URGENT, running) else None
         if urgent is None or patient is None:
             return urgent or patient
         return patient if self._patient_credit >= self._tokens[patient] else urgent
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -165,6 +165,7 @@
             wait_urgent_s=self._reported_wait_s(Urgency.URGENT, queued[Urgency.URGENT], now),
             wait_patient_s=self._reported_wait_s(Urgency.PATIENT, queued[Urgency.PATIENT], now),
             prefill_backlog_s=round(queue.backlog_s(now), 4),
+            prefill_urgent_backlog_s=round(queue.backlog_s(now, Urgency.URGENT), 4),
             prefill_tokens_per_s=round(queue.tokens_per_s, 1),
             token_interval_s=round(self.places.token_interval_s.or_else(0.0), 5),
             link_backlog_s=round(self.places.link.backlog_s(now), 4),
--- a/src/chivehold/core/slots.py
+++ b/src/chivehold/core/slots.py
@@ -11,6 +11,7 @@
 FOREIGN_HOLDING_S = 0.5
 MIN_HOLDING_S = 0.001
 HOLDING_WEIGHT = 0.1
+DEMAND_WINDOW_S = 10.0
 
 
 class Hold(NamedTuple):
@@ -27,8 +28,22 @@
     def __init__(self) -> None:
         self.count = 0
         self.since_sum = 0.0
+        self.mean_count = 0.0
+        self._changed_at = 0.0
         self.holding_s = Average(HOLDING_WEIGHT)
 
+    def change(self, by: int, since: float, now: float) -> None:
+        """Add or remove a hold."""
+        self.mean_count = self.smoothed_count(now)
+        self._changed_at = now
+        self.count += by
+        self.since_sum += by * since
+
+    def smoothed_count(self, now: float) -> float:
+        """Return the number of holds, averaged over ``DEMAND_WINDOW_S``."""
+        decay = math.exp((self._changed_at - now) / DEMAND_WINDOW_S)
+        return self.count + (self.mean_count - self.count) * decay
+
     def mean_holding_s(self, now: float) -> float:
         """Return how long a place is expected to be held, in seconds.
 
@@ -47,10 +62,13 @@
     Args:
         places: Requests that the upstream may hold at once, at least 1.
         patient_floor: Share of the places kept for patient work, 0 to 1.
+        urgent_headroom: Places that patient work beyond its floor leaves free for urgent work, as
+            a factor of the square root of the urgent demand; 0 leaves none.
     """
 
-    def __init__(self, places: int, patient_floor: float) -> None:
+    def __init__(self, places: int, patient_floor: float, urgent_headroom: float = 0.0) -> None:
         self._places = places
+        self._urgent_headroom = urgent_headroom
         self._patient_floor = patient_floor
         self._holds: dict[AttemptId, Hold] = {}
         self._classes = {urgency: _ClassHolds() for urgency in Urgency}
@@ -82,6 +100,18 @@
         wanted = math.ceil(self._patient_floor * self._places - 1e-9)
         return max(0, min(wanted, max(1, self._places - 1)))
 
+    def has_room_for_patient(self, now: float) -> bool:
+        """Tell whether patient work may take a place although no urgent work waits.
+
+        Beyond its floor it leaves as many places free as urgent demand is likely to fluctuate by:
+        the headroom's factor times the square root of the places that urgent work holds on average,
+        which is the square-root staffing rule (Halfin and Whitt, 1981) for a Poisson demand.
+        """
+        if self.held_by(Urgency.PATIENT) < self.floor_places:
+            return True
+        urgent = self._classes[Urgency.URGENT].smoothed_count(now)
+        return self.free > math.floor(self._urgent_headroom * math.sqrt(urgent))
+
     def set_patient_floor(self, patient_floor: float) -> None:
         """Change the share of places kept for patient work, 0 to 1."""
         self._patient_floor = patient_floor
@@ -93,9 +123,7 @@
     def hold(self, attempt: AttemptId, urgency: Urgency, now: float) -> None:
         """Take a place."""
         self._holds[attempt] = Hold(urgency, now)
-        holds = self._classes[urgency]
-        holds.count += 1
-        holds.since_sum += now
+        self._classes[urgency].change(1, now, now)
 
     def hold_foreign(self, attempt: AttemptId, now: float) -> None:
         """Count a place that the engine says is held by an attempt of no live one here."""
@@ -115,8 +143,7 @@
         if hold.urgency is None:
             return True
         holds = self._classes[hold.urgency]
-        holds.count -= 1
-        holds.since_sum -= hold.since
+        holds.change(-1, hold.since, now)
         if ran:
             holds.holding_s.add(now - hold.since)
         return True
--- a/src/chivehold/core/wait_estimate.py
+++ b/src/chivehold/core/wait_estimate.py
@@ -1,23 +1,36 @@
 """The expected wait for a place."""
 
+import math
+
 from chivehold.core.identity import Urgency
 from chivehold.core.slots import SlotLedger
 from chivehold.core.waitlist import WaitList
 
 WAIT_MOST_S = 3_600.0
+LATE_SHARE_Z = 1.645
+"""Standard normal quantile of 0.95: at most one in twenty waits longer than the bound."""
 
 
 def expected_wait_s(
-    slots: SlotLedger, waitlist: WaitList, urgency: Urgency, ahead: int, now: float
+    slots: SlotLedger,
+    waitlist: WaitList,
+    urgency: Urgency,
+    ahead: int,
+    now: float,
+    z: float = 0.0,
 ) -> float:
     """Estimate how long an offer waits for its grant.
 
+    Places become free as a Poisson process, so the wait for ``n`` of them at a rate ``r`` has the
+    mean ``n / r`` and the standard deviation ``sqrt(n) / r``.
+
     Args:
         slots: The places.
         waitlist: The offers that wait.
         urgency: The offer's urgency.
         ahead: Waiting offers that go before it in its queue.
         now: Time in seconds.
+        z: Standard deviations to add to the mean.
 
     Returns:
         Seconds, at most ``WAIT_MOST_S``; 0 where a place is free and nobody is ahead.
@@ -25,17 +38,17 @@
     urgent_rate = slots.drain_rate(Urgency.URGENT, now) + slots.foreign_drain_rate()
     patient_rate = slots.drain_rate(Urgency.PATIENT, now)
     if not waitlist.by_class:
-        return _wait_s(ahead + 1 - slots.free, urgent_rate + patient_rate)
+        return _wait_s(ahead + 1 - slots.free, urgent_rate + patient_rate, z)
     patient_waiting = waitlist.queued_with(Urgency.PATIENT)
     floor = slots.floor_places if patient_waiting else 0
     if urgency is Urgency.URGENT:
         missing = max(0, floor - slots.held_by(Urgency.PATIENT))
         needed = ahead + 1 + min(patient_waiting, missing) - slots.free
-        return _wait_s(needed, urgent_rate + patient_rate * _beyond(floor, slots))
+        return _wait_s(needed, urgent_rate + patient_rate * _beyond(floor, slots), z)
     urgent_ahead = waitlist.queued_with(Urgency.URGENT)
-    by_all = _wait_s(urgent_ahead + ahead + 1 - slots.free, urgent_rate + patient_rate)
+    by_all = _wait_s(urgent_ahead + ahead + 1 - slots.free, urgent_rate + patient_rate, z)
     floor_rate = slots.floor_places / slots.holding_s(Urgency.PATIENT, now)
-    return min(by_all, _wait_s(ahead + 1, floor_rate))
+    return min(by_all, _wait_s(ahead + 1, floor_rate, z))
 
 
 def _beyond(floor: int, slots: SlotLedger) -> float:
@@ -44,7 +57,9 @@
     return max(0, held - floor) / held if held else 0.0
 
 
-def _wait_s(needed: int, rate: float) -> float:
+def _wait_s(needed: int, rate: float, z: float) -> float:
     if needed <= 0:
         return 0.0
-    return min(WAIT_MOST_S, needed / rate) if rate > 0 else WAIT_MOST_S
+    if rate <= 0:
+        return WAIT_MOST_S
+    return min(WAIT_MOST_S, (needed + z * math.sqrt(needed)) / rate)
--- a/src/chivehold/core/waitlist.py
+++ b/src/chivehold/core/waitlist.py
@@ -115,7 +115,8 @@
         if patient is not None:
             aged = self._aged(now)
             if urgent is None:
-                yield aged or patient
+                if slots.has_room_for_patient(now):
+                    yield aged or patient
                 return
             missing = slots.floor_places - slots.held_by(Urgency.PATIENT)
             if missing > 0 and aged is not None:
--- a/src/chivehold/rpc/convert.py
+++ b/src/chivehold/rpc/convert.py
@@ -95,6 +95,7 @@
         wait_urgent_s=message.wait_urgent_s,
         wait_patient_s=message.wait_patient_s,
         prefill_backlog_s=message.prefill_backlog_s,
+        prefill_urgent_backlog_s=message.prefill_urgent_backlog_s,
         prefill_tokens_per_s=message.prefill_tokens_per_s,
         token_interval_s=message.token_interval_s,
         link_backlog_s=message.link_backlog_s,
--- a/tests/core/entry_driver.py
+++ b/tests/core/entry_driver.py
@@ -68,6 +68,7 @@
     prefill_backlog_s=0.0,
     prefill_tokens_per_s=10_000.0,
     token_interval_s=0.01,
+    prefill_urgent_backlog_s=0.0,
     link_backlog_s=0.0,
 )
 
--- a/tests/core/test_prefill_queue.py
+++ b/tests/core/test_prefill_queue.py
@@ -33,6 +33,17 @@
     return [command.order.attempt.request for command in only(commands, StartPrefill)]
 
 
+def run_in_turn(queue: PrefillQueue, count: int) -> list[str]:
+    """Run prompts one after another and name them in the order of their starts."""
+    names = []
+    for _ in range(count):
+        order = queue.start_next(0.0)
+        assert order is not None
+        names.append(str(order.attempt.request))
+        queue.ended(order.attempt)
+    return names
+
+
 class TestPrefillQueue:
     @pytest.mark.parametrize(
         ("policy", "expected"),
@@ -47,8 +58,7 @@
         for name in ("p0", "p1", "u2", "u3"):
             urgency = Urgency.PATIENT if name[0] == "p" else Urgency.URGENT
             queue.add(prefill(name, urgency=urgency))
-        orders = [queue.start_next(0.0) for _ in expected]
-        assert [order.attempt.request for order in orders if order] == expected
+        assert run_in_turn(queue, len(expected)) == expected
 
     def test_keeps_a_share_for_patient_prompts(self) -> None:
         """While both wait, patient prompts get their floor's share of the tokens."""
@@ -56,10 +66,31 @@
         for number in range(40):
             queue.add(prefill(f"u{number}"))
             queue.add(prefill(f"p{number}", urgency=Urgency.PATIENT))
-        orders = [queue.start_next(0.0) for _ in range(40)]
-        patient = [order for order in orders if order and order.urgency is Urgency.PATIENT]
+        patient = [name for name in run_in_turn(queue, 40) if name[0] == "p"]
         assert abs(len(patient) - 8) <= 1
 
+    def test_urgent_joins_a_running_patient_prompt(self) -> None:
+        """An urgent prompt goes to the engine beside a patient one, and nothing beside that."""
+        queue = PrefillQueue(Policy(), 0.1, 1_000.0)
+        queue.add(prefill("p0", urgency=Urgency.PATIENT))
+        assert queue.start_next(0.0) is not None
+        for name in ("u1", "u2"):
+            queue.add(prefill(name))
+        queue.add(prefill("p3", urgency=Urgency.PATIENT))
+        joined = queue.start_next(0.0)
+        assert joined is not None
+        assert joined.attempt.request == "u1"
+        assert queue.start_next(0.0) is None
+
+    def test_urgent_backlog_leaves_patient_prompts_out(self) -> None:
+        """What an urgent prompt goes before does not count as its backlog."""
+        queue = PrefillQueue(Policy(), 0.1, 1_000.0)
+        for name in ("p0", "p1"):
+            queue.add(prefill(name, urgency=Urgency.PATIENT))
+        queue.start_next(0.0)
+        assert queue.backlog_s(0.0, Urgency.URGENT) == 0.0
+        assert queue.backlog_s(0.0) == pytest.approx(2.0)
+
     def test_learns_the_rate_without_cached_tokens(self) -> None:
         """The rate counts only tokens that were run, and backlog leaves out cached ones."""
         queue = PrefillQueue(Policy(), 0.1, 1_000.0)
@@ -117,7 +148,7 @@
         """A dead entry's prompts are not run, and the one at the engine is cancelled."""
         driver = driver_with("a", "b")
         sent = driver.tick_until(1.5)
-        assert results(sent) == [("a", Reason.LEASE_LAPSED), ("b", Reason.LEASE_LAPSED)]
+        assert results(sent) == [("b", Reason.LEASE_LAPSED), ("a", Reason.LEASE_LAPSED)]
         assert only(sent, CancelAtEngine) == [CancelAtEngine(attempt("a"))]
 
     def test_leaving_refuses_queued_and_finishes_running(self) -> None:
