Requests leave a frozen or silent sidecar after its lease, not at their deadline

Cause: a sidecar that froze, or a link that went silent without breaking, held its streams until their deadlines, though the sidecar had dropped them with the entry's lease. Ruled out: a timeout between frames: a queued offer is silent for long, rightly. Change: an upstream without an answered heartbeat for 2 s loses its attempts; each is settled as perhaps sent, so that the core revokes and goes on elsewhere. Tests on the paused clock, and one over processes that stops a sidecar in the middle of a stream.

--- a/src/chivehold/entry/__main__.py
+++ b/src/chivehold/entry/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import trio
@@ -11,15 +12,15 @@
 from chivehold.logs import set_up_logging
 from chivehold.settings import EntrySettings, read_entry_settings
 
-EXIT_SETTINGS_INVALID = 2
+EXIT_SETTINGS_INVALID = 1
 
 
-def main() -> int:
+def main(arguments: Sequence[str] | None = None) -> int:
     """Run an entry until it is told to end, and return the exit code."""
     parser = argparse.ArgumentParser(description="An entry of chivehold.")
     parser.add_argument("--settings", type=Path, required=True, help="TOML file")
     try:
-        settings = read_entry_settings(parser.parse_args().settings)
+        settings = read_entry_settings(parser.parse_args(arguments).settings)
     except SettingsInvalid as error:
         print("\n".join(error.problems), file=sys.stderr)
         return EXIT_SETTINGS_INVALID
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -94,6 +94,7 @@
             settings.heartbeat_s,
             settings.upstreams_most,
             lambda event: self._driver.feed(event),
+            lambda upstream: self._driver.lose(upstream),
             lambda: self._replica.revision,
             self._sync,
             nursery,
--- a/src/chivehold/entry/driver.py
+++ b/src/chivehold/entry/driver.py
@@ -4,7 +4,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import trio
 
@@ -74,6 +74,13 @@
         ...
 
 
+class _Leg(NamedTuple):
+    """What runs at one upstream for an attempt."""
+
+    scope: trio.CancelScope
+    command: EntryCommand
+
+
 class EntryDriver:
     """Owns the core and every task that a command starts.
 
@@ -106,7 +113,7 @@
         self._failure: Exception | None = None
         self._timer = trio.CancelScope()
         self._pending: dict[RequestId, PendingRequest] = {}
-        self._legs: dict[tuple[AttemptId, UpstreamName], trio.CancelScope] = {}
+        self._legs: dict[tuple[AttemptId, UpstreamName], _Leg] = {}
         self._addressed: dict[RequestId, dict[AttemptId, SidecarIncarnation]] = {}
         self._homes: dict[RequestId, UpstreamName] = {}
         self._tasks = 0
@@ -139,6 +146,18 @@
             self.feed(CallerGone(pending.request))
             self._forget(pending.request)
 
+    def lose(self, upstream: UpstreamName) -> None:
+        """Give up what runs at an upstream that has not been heard from for longer than its lease.
+
+        Its sidecar has dropped all of it by now, or is gone; a link that is merely silent would
+        hold the requests until their deadlines.
+        """
+        lost = [leg for (_, peer), leg in self._legs.items() if peer == upstream]
+        for leg in lost:
+            leg.scope.cancel()
+            if (event := failure_event(leg.command)) is not None:
+                self.feed(event)
+
     def feed(self, event: EntryEvent) -> None:
         """Feed an event, after those that are being fed, and start what the commands ask for."""
         self._events.append(event)
@@ -230,8 +249,8 @@
         self._start_leg(command.order.attempt, command.upstream, self._prefill_leg, command)
 
     def _close_attempt(self, command: CloseAttempt) -> None:
-        if scope := self._legs.get((command.attempt, command.upstream)):
-            scope.cancel()
+        if leg := self._legs.get((command.attempt, command.upstream)):
+            leg.scope.cancel()
 
     async def _offer_leg(self, command: SendOffer) -> None:
         async for event in self._attempts.offer(command.upstream, command.offer):
@@ -282,25 +301,20 @@
         task: Callable[[Any], Any],
         command: EntryCommand,
     ) -> None:
-        scope = trio.CancelScope()
-        self._legs[attempt, upstream] = scope
+        leg = _Leg(trio.CancelScope(), command)
+        self._legs[attempt, upstream] = leg
         self._tasks += 1
-        self._nursery.start_soon(self._run_leg, scope, attempt, upstream, task, command)
+        self._nursery.start_soon(self._run_leg, leg, (attempt, upstream), task)
 
     async def _run_leg(
-        self,
-        scope: trio.CancelScope,
-        attempt: AttemptId,
-        upstream: UpstreamName,
-        task: Callable[[Any], Any],
-        command: EntryCommand,
+        self, leg: _Leg, key: tuple[AttemptId, UpstreamName], task: Callable[[Any], Any]
     ) -> None:
         try:
-            with scope:
-                await self._run(task, command)
+            with leg.scope:
+                await self._run(task, leg.command)
         finally:
-            if self._legs.get((attempt, upstream)) is scope:
-                del self._legs[attempt, upstream]
+            if self._legs.get(key) is leg:
+                del self._legs[key]
 
     async def _run(self, task: Callable[[Any], Any], command: EntryCommand) -> None:
         try:
--- a/src/chivehold/entry/heartbeats.py
+++ b/src/chivehold/entry/heartbeats.py
@@ -20,6 +20,8 @@
 
 SCORE_BYTES = 8
 FIRST_HEARTBEAT_S = 1.0
+LOST_AFTER_S = 2.0
+"""Longer than a sidecar's lease for an entry that is not heard from."""
 
 _log = logging.getLogger(__name__)
 
@@ -68,6 +70,7 @@
         interval_s: Time between two heartbeats, also their timeout.
         upstreams_most: Upstreams of one pool in use at once.
         feed: Takes the core's events.
+        lost: Told of an upstream whose lease must have lapsed, after each heartbeat without answer.
         revision: Returns the revision of the declarations in force here.
         revisions: Told of the revision that each upstream's sidecar keeps.
         nursery: Runs the loops.
@@ -81,6 +84,7 @@
         interval_s: float,
         upstreams_most: int,
         feed: Callable[[EntryEvent], None],
+        lost: Callable[[UpstreamName], None],
         revision: Callable[[], int],
         revisions: RevisionListener,
         nursery: trio.Nursery,
@@ -91,6 +95,7 @@
         self._interval_s = interval_s
         self._upstreams_most = upstreams_most
         self._feed = feed
+        self._lost = lost
         self._revision = revision
         self._revisions = revisions
         self._nursery = nursery
@@ -172,6 +177,8 @@
             log_event(_log, logging.INFO, "heartbeat lost", peer=upstream, detail=str(error))
             self._feed(UpstreamUnreachable(upstream))
             self._revisions.forget(upstream)
+            if (self.heard_ago_s(upstream) or 0.0) > LOST_AFTER_S:
+                self._lost(upstream)
             return
         self._reports[upstream] = report
         self._heard_at[upstream] = trio.current_time()
--- a/tests/entry/deployed.py
+++ b/tests/entry/deployed.py
@@ -34,6 +34,12 @@
     upstreams: dict[str, Upstream]
 
 
+def start_stand_in(programs: Programs, role: Role) -> Running:
+    if role is Role.SERVICE:
+        return programs.start("chivehold.fakes.service")
+    return programs.start("chivehold.fakes.engine", "--role", role)
+
+
 def start_sidecar(programs: Programs, name: str, target: str, role: Role, upstream: str):
     return programs.start_with_settings(
         "chivehold.sidecar",
@@ -57,15 +63,12 @@
     )
 
 
-async def deploy(programs: Programs, **entry_settings: object) -> Deployed:
+async def deploy(programs: Programs, decoders: int = 1) -> Deployed:
     """Start all processes, declare the targets and wait until the entry can use them."""
     platform = programs.start("chivehold.fakes.platform")
-    stand_ins = {
-        "lector-p1": programs.start("chivehold.fakes.engine", "--role", "prefill"),
-        "lector-d1": programs.start("chivehold.fakes.engine", "--role", "decode"),
-        "forja-1": programs.start("chivehold.fakes.service"),
-    }
-    roles = {"lector-p1": Role.PREFILL, "lector-d1": Role.DECODE, "forja-1": Role.SERVICE}
+    roles = {"lector-p1": Role.PREFILL, "forja-1": Role.SERVICE}
+    roles |= {f"lector-d{number}": Role.DECODE for number in range(1, decoders + 1)}
+    stand_ins = {name: start_stand_in(programs, role) for name, role in roles.items()}
     data, engines = {}, {}
     for name, stand_in in stand_ins.items():
         (data[name],) = stand_in.addresses()
@@ -75,7 +78,11 @@
         for name, role in roles.items()
     }
     (platform_address,) = platform.addresses()
-    entry = start_entry(programs, "entry-1", platform_address, **entry_settings)
+    entry = start_entry(
+        programs,
+        "entry-1",
+        platform_address,
+    )
     upstreams = {}
     for name, sidecar in sidecars.items():
         data_address, control_address, _ = sidecar.addresses()
@@ -85,7 +92,7 @@
         "lector",
         "m",
         (upstreams["lector-p1"],),
-        (upstreams["lector-d1"],),
+        tuple(up for up in upstreams.values() if up.role is Role.DECODE),
         CLASSES,
         kv_bytes_per_token=1000,
     )
--- a/tests/entry/test_driver.py
+++ b/tests/entry/test_driver.py
@@ -138,6 +138,17 @@
             await driver.wait_idle()
         assert core.events == []
 
+    @pytest.mark.parametrize(("command", "settled_by"), SETTLED_BY[:3])
+    async def test_lost_upstream_settles_its_attempts(self, nursery, command, settled_by) -> None:
+        """What runs at an upstream that is lost is settled at once, as perhaps sent."""
+        core = ScriptedCore(command)
+        driver, _ = _driver(core, trio.sleep_forever, nursery)
+        driver.arrive(ARRIVAL)
+        driver.lose("other")
+        assert core.events == []
+        driver.lose("u")
+        assert [type(event) for event in core.events] == [settled_by]
+
     async def test_tick_comes_when_due(self, autojump_clock, nursery) -> None:
         """The core is woken at the time it asked for."""
         core = ScriptedCore(wakeup=trio.current_time() + 7.0)
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -14,7 +14,8 @@
 
 INTERVAL_S = 0.5
 REPORT = LoadReport(
-    "s.1", 9.0, Role.SERVICE, UpstreamState.READY, 7, 20, 20, 0, 0, 0, 0, 0, 0, 0, 0
+    **dict.fromkeys(LoadReport._fields, 0)
+    | {"incarnation": "s.1", "role": Role.SERVICE, "state": UpstreamState.READY, "revision": 7}
 )
 
 
@@ -59,6 +60,7 @@
     @pytest.fixture
     def parts(self, nursery):
         sidecars, revisions, events = Sidecars(), Revisions(), []
+        sidecars.lost = []
         beats = Heartbeats(
             sidecars,
             "entry-1",
@@ -66,6 +68,7 @@
             INTERVAL_S,
             3,
             events.append,
+            sidecars.lost.append,
             lambda: 7,
             revisions,
             nursery,
@@ -92,6 +95,17 @@
         assert events == [UpstreamUnreachable("u0")] * 2
         assert revisions.known == {}
 
+    async def test_lost_after_its_lease(self, parts, autojump_clock) -> None:
+        """Only an upstream silent for longer than its lease is given up, and not before."""
+        beats, sidecars, _, _ = parts
+        beats.follow(_declared(1))
+        await trio.sleep(0.1)
+        sidecars.down.add("u0")
+        await trio.sleep(1.9)
+        assert sidecars.lost == []
+        await trio.sleep(2 * INTERVAL_S)
+        assert set(sidecars.lost) == {"u0"}
+
     async def test_home_is_held_outside_the_subset(self, parts, autojump_clock) -> None:
         """A key's home has this entry's lease for as long as a request needs it."""
         beats, sidecars, _, _ = parts
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from chivehold.fakes.output import expected_tokens
+from chivehold.fakes.output import expected_tokens, output_tokens, prompt_digest
 from chivehold.rpc import chivehold_pb2 as pb
 from tests.entry.deployed import Deployed, deploy, operate, post, start_entry, wait_ready
 from tests.processes import Programs
@@ -120,12 +120,24 @@
         assert b"event: error" in received
         assert b"[DONE]" not in received
 
+    async def test_frozen_sidecar_is_left(self, programs: Programs) -> None:
+        """A stream whose sidecar freezes goes on at another engine, without gap or repeat."""
+        deployed = await deploy(programs, decoders=2)
+        async with _stream(deployed, max_tokens=100) as response:
+            parts = response.aiter_stream()
+            received = await anext(parts)
+            (busy,) = [name for name in ("lector-d1", "lector-d2") if await _held(deployed, name)]
+            deployed.sidecars[busy].signal(signal.SIGSTOP)
+            with trio.fail_after(8):
+                received += b"".join([part async for part in parts])
+        assert _text(received) in _resumed_texts(100)
+
     async def test_departed_caller_holds_nothing(self, deployed: Deployed) -> None:
         """A caller that leaves mid-stream frees the engine's place within 2 s."""
         async with _stream(deployed, max_tokens=20_000) as response:
             await anext(response.aiter_stream())
         with trio.fail_after(2):
-            while await _held(deployed.engines["lector-d1"]):
+            while await _held(deployed, "lector-d1"):
                 await trio.sleep(0.02)
 
     async def test_idle_memory(self, deployed: Deployed) -> None:
@@ -155,11 +167,22 @@
     return str(int(time.time() * 1000))
 
 
+def _resumed_texts(count: int) -> list[str]:
+    """Return every whole output that was resumed once: the engine goes on from all before."""
+    return [_resumed(expected_tokens(PROMPT, at), count) for at in range(1, count)]
+
+
+def _resumed(before: tuple[str, ...], count: int) -> str:
+    digest = prompt_digest(PROMPT + "".join(before))
+    return "".join((*before, *output_tokens(digest, len(before), count)))
+
+
 def _text(events: bytes) -> str:
     *rows, done = events.decode().strip().split("\n\n")
     assert done == "data: [DONE]"
     return "".join(json.loads(row.removeprefix("data: "))["choices"][0]["text"] for row in rows)
 
 
-async def _held(engine: str) -> list[object]:
-    return json.loads((await post(engine, "/status", b"", method="GET")).content)["held"]
+async def _held(deployed: Deployed, engine: str) -> list[object]:
+    status = await post(deployed.engines[engine], "/status", b"", method="GET")
+    return json.loads(status.content)["held"]
