Histories of concurrent runs can be recorded and checked

Ruled out: a general linearizability checker. Each promise is a property of single keys, requests, upstreams or nodes, which a pass over the history decides. Change: chivehold.history has typed operations and events of the three views (callers, upstreams, nodes), a recorder, and eleven pure checkers, each given bad histories that it must reject and good ones that it must accept.

--- /dev/null
+++ b/tests/history/test_checks.py
@@ -0,0 +1,273 @@
+"""Each checker rejects bad histories and accepts good ones."""
+
+import json
+
+import pytest
+
+from chivehold.core.identity import AttemptId, Outcome
+from chivehold.fakes.output import expected_tokens, output_tokens, prompt_digest
+from chivehold.history.answers import (
+    check_not_run,
+    check_one_answer,
+    check_refusals_are_typed,
+    check_run_once,
+    check_whole_answer,
+)
+from chivehold.history.checks import CHECKERS, check_all
+from chivehold.history.events import (
+    Absence,
+    Accepted,
+    Call,
+    End,
+    Held,
+    History,
+    LeaveBegan,
+    RevisionSeen,
+    Shutdown,
+    Violation,
+    Work,
+    WorkKind,
+)
+from chivehold.history.nodes import check_in_force, check_monotonic, check_shutdown
+from chivehold.history.recorder import Recorder
+from chivehold.history.upstreams import check_leaving, check_memory_released, check_nothing_held
+
+PROMPT = "Read the site."
+OWN = expected_tokens(PROMPT, 6)
+RESUMED = (*OWN[:3], *output_tokens(prompt_digest(PROMPT + "".join(OWN[:3])), 3, 6))
+ATTEMPT = AttemptId("e1-1", 1)
+AGAIN = AttemptId("e1-1", 2)
+CALL = Call("lector", 10.0, "entry-1", request="e1-1", completed_at_s=20.0)
+SHUTDOWN = Shutdown("entry-1", 15.0, 25.0, 0, is_entry=True)
+
+
+def model(tokens, end=End.WHOLE, **fields):
+    call = CALL._replace(prompt=PROMPT, max_tokens=6, end=end, text="".join(tokens))
+    return History((call._replace(**fields),))
+
+
+def keyed(*ends, targets=("lector", "lector")):
+    calls = (
+        CALL._replace(key="k", end=end, target=one) for end, one in zip(ends, targets, strict=True)
+    )
+    return History(tuple(calls))
+
+
+def told(outcome, *work):
+    return History((CALL._replace(end=End.ERROR, outcome=outcome),), work)
+
+
+def reservation(*work, **fields):
+    return History((CALL._replace(idempotent=False, **fields),), work)
+
+
+def started(kind=WorkKind.CALL_STARTED, at_s=11.0, attempt=ATTEMPT, key="", upstream="d1"):
+    return Work(upstream, kind, at_s, attempt, key)
+
+
+def decode(ended_at_s, kind=WorkKind.CANCELLED, **fields):
+    return started(WorkKind.DECODE_STARTED, **fields), started(kind, ended_at_s)
+
+
+def departed(*work, end=End.LEFT, **fields):
+    return History((CALL._replace(end=end),), work, **fields)
+
+
+def service(**answer):
+    text = json.dumps({"path": "/a", "body_digest": "x", "key": "k"} | answer)
+    call = CALL._replace(end=End.WHOLE, path="/a", body_digest="x", key="k", text=text)
+    return History((call,))
+
+
+def stopped(end, outcome=None, shutdown=SHUTDOWN, **fields):
+    call = CALL._replace(end=end, outcome=outcome, **fields)
+    return History((call,), shutdowns=(shutdown,))
+
+
+def seen(*samples, accepted=()):
+    rows = (RevisionSeen("d1", run, revision, at_s) for run, revision, at_s in samples)
+    return History(seen=tuple(rows), accepted=tuple(Accepted(*one) for one in accepted))
+
+
+LOST = Work("d1", WorkKind.LOST, 21.0)
+PREFILL = started(WorkKind.PREFILL_STARTED)
+GOOD = {
+    check_one_answer: [
+        keyed(End.WHOLE, End.ERROR),
+        keyed(End.WHOLE, End.BROKEN),
+        keyed(End.WHOLE, End.WHOLE, targets=("lector", "casewriter")),
+    ],
+    check_whole_answer: [
+        model(OWN),
+        model(RESUMED),
+        model(OWN[:4], End.BROKEN),
+        model(RESUMED[:5], End.LEFT),
+        model((), End.ERROR),
+        service(),
+    ],
+    check_not_run: [
+        told(Outcome.NOT_RUN),
+        told(Outcome.NOT_RUN, started(attempt=AttemptId("e1-2", 1))),
+        told(Outcome.UNKNOWN, started()),
+    ],
+    check_run_once: [
+        reservation(started(key="k"), key="k"),
+        reservation(started(), started(WorkKind.CALL_ENDED)),
+        History((CALL,), (started(), started(attempt=AGAIN))),
+    ],
+    check_refusals_are_typed: [
+        told(Outcome.UNKNOWN),
+        model(OWN, outcome=Outcome.ANSWERED),
+        model((), End.BROKEN),
+    ],
+    check_memory_released: [
+        departed(*decode(21.9)),
+        departed(*decode(30.0), end=End.WHOLE),
+        departed(started(WorkKind.DECODE_STARTED), LOST),
+        departed(*decode(26.5), absences=(Absence("d1", 19.0, 25.0),)),
+        departed(PREFILL, started(WorkKind.PREFILL_ENDED, 12.0)),
+    ],
+    check_nothing_held: [History(held=(Held("d1", ()),))],
+    check_leaving: [
+        History(work=(started(at_s=12.9),), leaving=(LeaveBegan("d1", 10.0),)),
+        History(work=(started(at_s=99.0, upstream="d2"),), leaving=(LeaveBegan("d1", 10.0),)),
+        History(work=decode(99.0), leaving=(LeaveBegan("d1", 10.0),)),
+    ],
+    check_shutdown: [
+        stopped(End.WHOLE),
+        stopped(End.LEFT),
+        stopped(End.ERROR, Outcome.NOT_RUN, invoked_at_s=16.0),
+        stopped(End.ERROR, Outcome.NOT_RUN, invoked_at_s=14.9),
+        stopped(End.BROKEN, entry="entry-2"),
+        stopped(End.BROKEN, completed_at_s=14.0),
+    ],
+    check_in_force: [
+        seen(("i1", 4, 0.0), ("i1", 4, 12.9), ("i1", 5, 13.0), accepted=[(5, 10.0)]),
+        seen(("i1", 0, 12.0), ("i1", 5, 14.9), accepted=[(5, 10.0)]),
+    ],
+    check_monotonic: [
+        seen(("i1", 4, 0.0), ("i1", 4, 1.0), ("i1", 5, 2.0)),
+        seen(("i1", 4, 0.0), ("i2", 0, 1.0), ("i2", 4, 2.0)),
+    ],
+}
+BAD = {
+    check_one_answer: [keyed(End.WHOLE, End.WHOLE)],
+    check_whole_answer: [
+        model(OWN[:5]),
+        model((*OWN, OWN[5])),
+        model((*OWN[:3], *OWN[4:], OWN[5])),
+        model((*OWN[:3], OWN[2], *OWN[3:5])),
+        model((*OWN[:2], OWN[3], OWN[2], *OWN[4:])),
+        model(expected_tokens("another's", 6)),
+        model((*OWN[:2], OWN[3]), End.BROKEN),
+        service(path="/b"),
+        service(body_digest="y"),
+        service(key="j"),
+        model((), prompt=None, path="/a"),
+    ],
+    check_not_run: [
+        told(Outcome.NOT_RUN, started()),
+        told(Outcome.NOT_RUN, started(WorkKind.PREFILL_STARTED, attempt=AGAIN)),
+        told(Outcome.NOT_RUN, started(WorkKind.DECODE_STARTED, 99.0)),
+    ],
+    check_run_once: [
+        reservation(started(), started(attempt=AGAIN, upstream="d2")),
+        reservation(
+            started(key="k"), started(key="k", attempt=AttemptId("e2-1", 1)), key="k", request=""
+        ),
+    ],
+    check_refusals_are_typed: [
+        told(None),
+        told(Outcome.ANSWERED),
+        model(OWN, outcome=Outcome.NOT_RUN),
+    ],
+    check_memory_released: [
+        departed(*decode(22.1)),
+        departed(*decode(22.1), end=End.BROKEN),
+        departed(started(WorkKind.DECODE_STARTED)),
+        departed(PREFILL),
+        departed(*decode(30.0, at_s=23.0)),
+        departed(*decode(27.1), absences=(Absence("d1", 19.0, 25.0),)),
+        departed(*decode(22.1), absences=(Absence("d2", 19.0, 25.0),)),
+        departed(started(WorkKind.DECODE_STARTED), LOST._replace(upstream="d2")),
+    ],
+    check_nothing_held: [History(held=(Held("d1", (ATTEMPT,)),))],
+    check_leaving: [
+        History(work=(started(kind, 13.1),), leaving=(LeaveBegan("d1", 10.0),))
+        for kind in (WorkKind.PREFILL_STARTED, WorkKind.DECODE_STARTED, WorkKind.CALL_STARTED)
+    ],
+    check_shutdown: [
+        stopped(End.BROKEN),
+        stopped(End.ERROR, Outcome.UNKNOWN),
+        stopped(End.ERROR, Outcome.NOT_RUN),
+        stopped(End.NOT_SENT),
+        stopped(None, completed_at_s=None),
+        stopped(End.BROKEN, invoked_at_s=16.0),
+        stopped(End.BROKEN, entry="entry-2", shutdown=SHUTDOWN._replace(is_entry=False)),
+        History(shutdowns=(SHUTDOWN._replace(ended_at_s=None, exit_code=None),)),
+        History(shutdowns=(SHUTDOWN._replace(exit_code=-15),)),
+    ],
+    check_in_force: [
+        seen(("i1", 4, 0.0), ("i1", 4, 13.1), accepted=[(5, 10.0)]),
+        seen(("i1", 0, 12.0), ("i1", 0, 15.1), accepted=[(5, 10.0)]),
+    ],
+    check_monotonic: [
+        seen(("i1", 5, 0.0), ("i1", 4, 1.0)),
+        seen(("i1", 5, 0.0), ("i1", 0, 1.0)),
+        seen(("i1", 5, 0.0), ("i2", 4, 1.0)),
+        seen(("i1", 5, 0.0), ("i2", 0, 1.0), ("i2", 5, 2.0), ("i2", 4, 3.0)),
+    ],
+}
+
+
+def cases(histories):
+    return [
+        pytest.param(checker, history, id=f"{checker.__name__}-{number}")
+        for checker, given in histories.items()
+        for number, history in enumerate(given)
+    ]
+
+
+class TestCheckers:
+    @pytest.mark.parametrize(("checker", "history"), cases(GOOD))
+    def test_good_history_is_accepted(self, checker, history) -> None:
+        """A history in which the promise holds has no violation."""
+        assert checker(history) == ()
+
+    @pytest.mark.parametrize(("checker", "history"), cases(BAD))
+    def test_bad_history_is_rejected(self, checker, history) -> None:
+        """A history in which the promise is broken has a violation, in the whole check too."""
+        found = checker(history)
+        assert found
+        assert set(found) <= set(check_all(history))
+
+    def test_every_checker_has_histories(self) -> None:
+        """No checker goes without good and bad histories."""
+        assert set(CHECKERS) == set(GOOD) == set(BAD)
+
+
+class TestRecorder:
+    def test_events_of_a_stand_in(self) -> None:
+        """Events of stand-ins are placed in common time; unknown kinds are left out."""
+        recorder = Recorder()
+        rows = [
+            ("order", 1.0, "x"),
+            ("decode_started", 2.0, "stalled"),
+            ("fault", 3.0, "{'die': True}"),
+            ("fault", 4.0, "{'leaving': True}"),
+        ]
+        events = [
+            {"kind": kind, "attempt": ATTEMPT, "at_s": at_s, "tokens": 0, "detail": detail}
+            for kind, at_s, detail in rows
+        ]
+        recorder.upstream("d1", {"started_at_unix_s": 100.0, "events": events})
+        call = recorder.invoke(CALL)
+        assert recorder.open_calls == 1
+        recorder.update(call, end=End.LEFT, completed_at_s=103.0)
+        history = recorder.history()
+        assert [(work.kind, work.at_s) for work in history.work] == [
+            (WorkKind.DECODE_STARTED, 102.0),
+            (WorkKind.LOST, 103.0),
+        ]
+        assert (recorder.open_calls, history.calls[0].end) == (0, End.LEFT)
+        assert all(isinstance(one, Violation) for one in check_all(history))
