--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -207,11 +207,6 @@
         for pool in pools.values():
             await pool.aclose()
 
-    async def forget(self, peer: str) -> None:
-        """Close the connections to a peer that is not needed any more."""
-        if pool := self._pools.pop(peer, None):
-            await pool.aclose()
-
     def _pool(self, peer: str) -> httpcore.AsyncConnectionPool:
         if peer not in self._pools:
             self._pools[peer] = httpcore.AsyncConnectionPool(
--- a/src/chivehold/sidecar/data_app.py
+++ b/src/chivehold/sidecar/data_app.py
@@ -1,9 +1,9 @@
 """The HTTP interface of a sidecar for entries: attempts, prefills, imports and calls."""
 
 import hmac
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple, TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 import trio
@@ -45,7 +45,7 @@
 )
 from chivehold.sidecar.driver import CoreDriver
 from chivehold.sidecar.service_client import call_problem
-from chivehold.sidecar.sessions import AttemptStream, CallSession, Pending, Sessions
+from chivehold.sidecar.sessions import AttemptStream, CallSession, Sessions
 
 NDJSON_TYPE = "application/x-ndjson"
 BODY_TYPE = "application/octet-stream"
@@ -173,7 +173,7 @@
         try:
             self._driver.feed(OfferArrived(offer))
             async with _cancelled_when_left(exchange.receive):
-                await _respond_call(exchange.send, await _result(session))
+                await _respond_call(exchange.send, await session.wait())
         finally:
             self._sessions.close(offer.attempt)
             if not session.ended:
@@ -192,10 +192,6 @@
     await end_response(send)
 
 
-async def _result(session: Pending[CallResult]) -> CallResult:
-    return await session.wait()
-
-
 async def _respond_call(send: Send, result: CallResult) -> None:
     head = msgspec.json.encode(result._replace(body=b"")).decode()
     await respond(send, 200, result.body, BODY_TYPE, [("chivehold-result", head)])
@@ -206,7 +202,7 @@
 
 
 @asynccontextmanager
-async def _cancelled_when_left(receive: Receive) -> Any:
+async def _cancelled_when_left(receive: Receive) -> AsyncIterator[None]:
     """Cancel the block when the caller leaves."""
     async with trio.open_nursery() as nursery:
 
