A reserved long transfer no longer holds back short urgent ones

Cause: a trace of lector at load 0.8 with prefill the bottleneck showed urgent offers queued for up to 0.95 s at a sidecar with free places: a patient KV cache of 6.4 GB, granted but not yet ordered, counted in full in the estimate of an urgent transfer of 0.05 GB.

Ruled out: places hoarded by patient work (the sidecar had free places); a slow prefill engine.

Change: under processor sharing a further transfer moves at most as many bytes as the urgent one does while that runs, so reservations count by that.

--- a/src/chivehold/core/link.py
+++ b/src/chivehold/core/link.py
@@ -58,8 +58,9 @@
                 return 0.0
             backlog_s = self.backlog_s(now) + self._seconds(self._reserved_bytes + kv_bytes)
             return max(0.0, backlog_s - PATIENT_BACKLOG_MOST_S)
-        soon = self._reserved_bytes * self._soon_share()
-        needed_s = self._transfers.time_s(kv_bytes, now) + self._seconds(soon)
+        reserved = sum(min(kv_bytes, size) for size, _ in self._reserved.values())
+        soon_s = self._seconds(reserved * self._soon_share())
+        needed_s = self._transfers.time_s(kv_bytes, now) + soon_s
         alone_s = self._seconds(kv_bytes)
         return max(0.0, needed_s - max(URGENT_TRANSFER_MOST_S, 2 * alone_s))
 
--- a/tests/core/test_link.py
+++ b/tests/core/test_link.py
@@ -36,6 +36,12 @@
             link.start(attempt(number), 150, 0.0)
         assert (link.excess_s(150, Urgency.URGENT, 0.0) > 0) is planned
 
+    def test_reserved_long_transfer_does_not_hold_back_a_short_one(self) -> None:
+        """What is reserved counts by what it can move while the short transfer runs."""
+        link = ImportLink(RATE, True)
+        link.reserve(attempt(1), 50_000, Urgency.PATIENT, 0.0)
+        assert link.excess_s(100, Urgency.URGENT, 0.0) == 0.0
+
     def test_idle_link_takes_any_size(self) -> None:
         """A KV cache of any size is granted when nothing else is on the link."""
         link = ImportLink(RATE, True)
