A caller that left early can be followed to its prefill in a history

Cause: a caller that leaves before the answer's head never learns its request's name, so nothing tied its departure to what the engines held. Ruled out: asking the entry for names, which a killed entry cannot tell. Change: a stand-in engine's history names the prompt of each prefill by its digest; the recorder names departed calls by it where the prompt is one call's alone.

--- a/src/chivehold/fakes/engine_runtime.py
+++ b/src/chivehold/fakes/engine_runtime.py
@@ -143,13 +143,14 @@
         job = PrefillJob(attempt, max(1, call["prompt_tokens"]), blocks, urgent)
         waiter = _Waiter()
         self._prefills[attempt] = (job, waiter)
-        self.history.add("prefill_started", attempt, tokens=call["prompt_tokens"])
+        digest = prompt_digest(call["prompt"])
+        self.history.add("prefill_started", attempt, call["prompt_tokens"], digest)
         self._model.submit_prefill(job, trio.current_time())
         self._changed.set()
         await waiter.ended.wait()
         if not isinstance(waiter.output, PrefillDone):
             raise CallFailed(409, "cancelled", "the prefill was cancelled")
-        return self._keep_kv(waiter.output, prompt_digest(call["prompt"]))
+        return self._keep_kv(waiter.output, digest)
 
     def kv(self, handle: str) -> KvCache:
         """Return a KV cache that is still alive.
--- a/src/chivehold/history/events.py
+++ b/src/chivehold/history/events.py
@@ -81,6 +81,8 @@
     attempt: AttemptId | None = None
     key: str = ""
     """The idempotency key as a plain service saw it."""
+    prompt_digest: str = ""
+    """Of the prompt that a prefill engine was given."""
 
 
 class Absence(NamedTuple):
--- a/src/chivehold/history/recorder.py
+++ b/src/chivehold/history/recorder.py
@@ -1,10 +1,12 @@
 """Collects a history while a run goes on."""
 
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from chivehold.core.identity import AttemptId, UpstreamName
 from chivehold.fakes.history import HistoryAnswer, HistoryEvent
+from chivehold.fakes.output import prompt_digest
 from chivehold.history.events import (
     Absence,
     Accepted,
@@ -87,10 +89,15 @@
         self._held.append(Held(upstream, tuple(attempts)))
 
     def history(self) -> History:
-        """Return what has been recorded, each upstream's work in order of time."""
+        """Return what has been recorded, in order of time.
+
+        A caller that left before the answer's head never learned its request's name. The call gets
+        it from the prefill of its prompt, where no other call has the same prompt.
+        """
+        work = tuple(sorted(self._work, key=lambda work: work.at_s))
         return History(
-            calls=tuple(self._calls),
-            work=tuple(sorted(self._work, key=lambda work: work.at_s)),
+            calls=tuple(_named(self._calls, work)),
+            work=work,
             absences=tuple(self._absences),
             leaving=tuple(self._leaving),
             shutdowns=tuple(self._shutdowns),
@@ -100,6 +107,17 @@
         )
 
 
+def _named(calls: Sequence[Call], work: Sequence[Work]) -> Iterator[Call]:
+    requests = {one.prompt_digest: one.attempt.request for one in work if one.attempt}
+    digests = [prompt_digest(call.prompt or "") for call in calls]
+    shared = Counter(digests)
+    for call, digest in zip(calls, digests, strict=True):
+        if not call.request and call.prompt and shared[digest] == 1 and digest in requests:
+            yield call._replace(request=requests[digest])
+        else:
+            yield call
+
+
 def _work(
     name: UpstreamName, started_at_s: float, events: Iterable[HistoryEvent]
 ) -> Iterator[Work]:
@@ -108,6 +126,7 @@
         if event["kind"] in _KINDS:
             kind = WorkKind(event["kind"])
             key = event["detail"] if kind in _CALL_KINDS else ""
-            yield Work(name, kind, at_s, event["attempt"], key)
+            digest = event["detail"] if kind is WorkKind.PREFILL_STARTED else ""
+            yield Work(name, kind, at_s, event["attempt"], key, digest)
         elif event["kind"] == "fault" and DEATH_DETAIL in event["detail"]:
             yield Work(name, WorkKind.LOST, at_s)
--- a/tests/history/test_checks.py
+++ b/tests/history/test_checks.py
@@ -271,3 +271,14 @@
         ]
         assert (recorder.open_calls, history.calls[0].end) == (0, End.LEFT)
         assert all(isinstance(one, Violation) for one in check_all(history))
+
+    @pytest.mark.parametrize(("callers", "found"), [(1, "e1-1"), (2, "")])
+    def test_departed_call_is_named(self, callers, found) -> None:
+        """A call without a name gets that of its prompt's prefill, if the prompt is its alone."""
+        recorder = Recorder()
+        for _ in range(callers):
+            recorder.invoke(CALL._replace(request="", prompt=PROMPT, end=End.LEFT))
+        prefill = {"kind": "prefill_started", "attempt": ATTEMPT, "at_s": 0.0, "tokens": 4}
+        events = [prefill | {"detail": prompt_digest(PROMPT)}]
+        recorder.upstream("p1", {"started_at_unix_s": 100.0, "events": events})
+        assert [call.request for call in recorder.history().calls] == [found] * callers
