Operators' commands, and declarations as TOML files checked whole

Cause: pyproject names chivehold.cli, which did not exist; declarations could only be sent by hand. Ruled out: running daemons through cleo: they would load what only commands need. Change: chivehold entry, sidecar, apply, get, diff, status, watch, drain, dump, check-settings; TOML checks of settings.py moved to toml_tables.py, with lists of tables; a daemon with invalid settings now ends with 1 (2 is wrong usage), as documented in the help texts.

--- /dev/null
+++ b/src/chivehold/cli.py
@@ -0,0 +1,45 @@
+"""The program ``chivehold``: daemons and operators' commands.
+
+Exit codes: 0 done, 1 refused, invalid or in conflict, 2 wrong usage, 3 unavailable or unsure.
+"""
+
+import sys
+from collections.abc import Sequence
+
+HELP_OPTIONS = frozenset(("-h", "--help"))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command that the arguments name, and return the exit code.
+
+    A daemon is started without the libraries of the commands, which it never needs.
+    """
+    given = sys.argv[1:] if arguments is None else list(arguments)
+    if HELP_OPTIONS.isdisjoint(given):
+        if given[:1] == ["entry"]:
+            return _run_entry(given[1:])
+        if given[:1] == ["sidecar"]:
+            return _run_sidecar(given[1:])
+    return _run_command(given)
+
+
+def _run_entry(arguments: Sequence[str]) -> int:
+    from chivehold.entry.__main__ import main as run
+
+    return run(arguments)
+
+
+def _run_sidecar(arguments: Sequence[str]) -> int:
+    from chivehold.sidecar.__main__ import main as run
+
+    return run(arguments)
+
+
+def _run_command(arguments: Sequence[str]) -> int:
+    from chivehold.commands.application import run_command
+
+    return run_command(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chivehold/commands/application.py
@@ -0,0 +1,65 @@
+"""The cleo application, and what each kind of failure prints and exits with."""
+
+import sys
+from collections.abc import Sequence
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+from chivehold.commands.change import ApplyCommand, DiffCommand
+from chivehold.commands.check import CheckSettingsCommand
+from chivehold.commands.daemons import EntryCommand, SidecarCommand
+from chivehold.commands.exits import ExitCode, exit_of_status
+from chivehold.commands.nodes import DrainCommand, DumpCommand
+from chivehold.commands.read import GetCommand, StatusCommand, WatchCommand
+from chivehold.exceptions import DeclarationInvalid
+from chivehold.rpc.bridge import RpcFailed
+
+COMMANDS = (
+    ApplyCommand,
+    CheckSettingsCommand,
+    DiffCommand,
+    DrainCommand,
+    DumpCommand,
+    EntryCommand,
+    GetCommand,
+    SidecarCommand,
+    StatusCommand,
+    WatchCommand,
+)
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Run one command.
+
+    Args:
+        arguments: The command line without the program's name.
+
+    Returns:
+        The exit code.
+    """
+    application = Application("chivehold", _version())
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    for command in COMMANDS:
+        application.add(command())
+    try:
+        return application.run(ArgvInput(["chivehold", *arguments]))
+    except CleoError as error:
+        return _fail(ExitCode.USAGE, str(error))
+    except DeclarationInvalid as error:
+        return _fail(ExitCode.REFUSED, *error.problems)
+    except RpcFailed as error:
+        return _fail(exit_of_status(error.code), str(error))
+
+
+def _fail(code: ExitCode, *lines: str) -> int:
+    print("\n".join(lines), file=sys.stderr)
+    return code
+
+
+def _version() -> str:
+    from importlib.metadata import version
+
+    return version("chivehold")
--- /dev/null
+++ b/src/chivehold/commands/change.py
@@ -0,0 +1,144 @@
+"""``apply`` and ``diff``: declare what the files say, or show what that would change."""
+
+import time
+import uuid
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.exceptions import CleoUserError
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from chivehold.commands.base import OperatorCommand, value_option
+from chivehold.commands.exits import ExitCode, exit_of_changes
+from chivehold.commands.output import enum_word, table
+from chivehold.declaration_files import read_declarations
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.convert_declarations import declaration_to_proto
+
+WAIT_POLL_S = 0.1
+WAIT_S = 10.0
+CHANGE_HEADER = ("NAME", "CHANGE", "VERSION", "MESSAGE")
+
+
+class _ChangeCommand(OperatorCommand):
+    arguments: ClassVar[list[Argument]] = [
+        argument("files", "Declaration files in TOML", optional=True, multiple=True)
+    ]
+
+    def send(self, operation_id: str, dry_run: bool, delete_names: Iterable[str] = ()) -> int:
+        """Read the files, have the entry apply them and show the result."""
+        specs = read_declarations([Path(file) for file in self.argument("files")])
+        request = pb.ApplyRequest(
+            declarations=map(declaration_to_proto, specs),
+            delete_names=delete_names,
+            operation_id=operation_id,
+            dry_run=dry_run,
+        )
+        response: pb.ApplyResponse = self.ask_entry("Apply", request)
+        self.show(response, _changes_text(response, dry_run))
+        code = exit_of_changes(response.changes)
+        if code is ExitCode.OK and not dry_run:
+            return self.after(response.revision)
+        return code
+
+    def after(self, revision: int) -> int:
+        """Return the exit code once everything has been accepted at a revision."""
+        return ExitCode.OK
+
+
+class ApplyCommand(_ChangeCommand):
+    """Declares what the files say; harmless when repeated."""
+
+    name = "apply"
+    description = "Declares what the files say; repeating it changes nothing"
+    options: ClassVar[list[Option]] = [
+        *OperatorCommand.options,
+        option("dry-run", description="Validate and show the diff, write nothing"),
+        value_option("operation-id", "Give the id of an unsure apply to repeat it"),
+        option("delete", description="Delete a declaration", flag=False, multiple=True),
+        option("wait", description="Wait until every node that is up has it"),
+        value_option("wait-s", "Longest wait in seconds", str(WAIT_S)),
+    ]
+    examples = (
+        "chivehold apply bruma.toml kinisi.toml",
+        "chivehold apply --dry-run bruma.toml",
+        "chivehold apply --wait --delete casewriter loandesk.toml",
+    )
+
+    def handle(self) -> int:
+        """Run the command."""
+        deletes = self.option("delete") or []
+        if not self.argument("files") and not deletes:
+            raise CleoUserError("expected a declaration file or --delete")
+        self._wait_s = _seconds(self.option("wait-s"))
+        operation_id = self.option("operation-id") or str(uuid.uuid4())
+        try:
+            code = self.send(operation_id, bool(self.option("dry-run")), deletes)
+        except RpcFailed:
+            self.emit_error(f"operation id: {operation_id}")
+            raise
+        if code == ExitCode.UNSURE:
+            self.emit_error(f"operation id: {operation_id}")
+        return code
+
+    def after(self, revision: int) -> int:
+        """Wait for the nodes, where asked to, and tell which have the revision."""
+        if not self.option("wait"):
+            return ExitCode.OK
+        stop_at = time.monotonic() + self._wait_s
+        while True:
+            status: pb.StatusResponse = self.ask_entry("Status", pb.StatusRequest())
+            late = [node.name for node in status.nodes if _is_behind(node, revision)]
+            if not late or time.monotonic() >= stop_at:
+                break
+            time.sleep(WAIT_POLL_S)
+        in_force = [node.name for node in status.nodes if node.revision >= revision]
+        self.emit_error(f"revision {revision} in force at {len(in_force)}: {' '.join(in_force)}")
+        if late:
+            self.emit_error(f"not yet at {len(late)}: {' '.join(late)}")
+        return ExitCode.UNSURE if late else ExitCode.OK
+
+
+class DiffCommand(_ChangeCommand):
+    """Shows what applying the files would change."""
+
+    name = "diff"
+    description = "Shows what applying the files would change"
+    arguments: ClassVar[list[Argument]] = [
+        argument("files", "Declaration files in TOML", multiple=True)
+    ]
+    examples = ("chivehold diff bruma.toml", "chivehold diff --output json bruma.toml")
+
+    def handle(self) -> int:
+        """Run the command."""
+        return self.send(str(uuid.uuid4()), dry_run=True)
+
+
+def _changes_text(response: pb.ApplyResponse, dry_run: bool) -> str:
+    diffs = [line for change in response.changes for line in change.diff]
+    rows = list(_change_rows(response.changes))
+    lines = [*diffs, table(CHANGE_HEADER, rows)]
+    if not dry_run:
+        lines.append(f"revision {response.revision}")
+    return "\n".join(lines)
+
+
+def _change_rows(changes: Iterable[pb.Change]) -> Iterator[tuple[object, ...]]:
+    for change in changes:
+        kind = enum_word(pb.ChangeKind.Name(change.kind), "CHANGE_KIND_")
+        yield change.name, kind, change.version or "-", change.message
+
+
+def _is_behind(node: pb.NodeStatus, revision: int) -> bool:
+    return node.state != "down" and node.revision < revision
+
+
+def _seconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise CleoUserError(f"--wait-s: expected seconds, found {text!r}") from None
--- /dev/null
+++ b/src/chivehold/commands/check.py
@@ -0,0 +1,88 @@
+"""``check-settings``: files of settings and of declarations, checked without any process."""
+
+import tomllib
+from collections.abc import Callable, Iterator, Sequence
+from enum import StrEnum
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from chivehold.commands.base import PlainCommand
+from chivehold.commands.exits import ExitCode
+from chivehold.declaration_files import MAX_DECLARATION_BYTES, read_declarations
+from chivehold.exceptions import DeclarationInvalid, SettingsInvalid
+from chivehold.settings import read_entry_settings, read_sidecar_settings
+
+
+class FileKind(StrEnum):
+    """What a file describes."""
+
+    ENTRY = "entry settings"
+    SIDECAR = "sidecar settings"
+    DECLARATIONS = "declarations"
+
+
+_SIDECAR_KEYS = ("upstream_address", "data_address", "target", "role")
+
+
+class CheckSettingsCommand(PlainCommand):
+    """Checks settings and declaration files, and names every fault."""
+
+    name = "check-settings"
+    description = "Checks settings and declaration files, and names every fault"
+    arguments: ClassVar[list[Argument]] = [
+        argument("files", "Settings of entries or sidecars, declarations", multiple=True)
+    ]
+    examples = ("chivehold check-settings entry-1.toml lector-d1.toml bruma.toml",)
+
+    def handle(self) -> int:
+        """Run the command."""
+        kinds = {Path(file): file_kind(Path(file)) for file in self.argument("files")}
+        problems = list(_problems(kinds))
+        for problem in problems:
+            self.emit_error(problem)
+        if problems:
+            return ExitCode.REFUSED
+        for path, kind in kinds.items():
+            self.emit(f"{path}: {kind}, valid")
+        return ExitCode.OK
+
+
+def file_kind(path: Path) -> FileKind:
+    """Tell by its keys what a file describes; a file that cannot be read counts as an entry's."""
+    try:
+        with path.open("rb") as file:
+            table = tomllib.loads(file.read(MAX_DECLARATION_BYTES).decode())
+    except (OSError, ValueError, RecursionError):
+        return FileKind.ENTRY
+    if "deployments" in table or "services" in table:
+        return FileKind.DECLARATIONS
+    return FileKind.SIDECAR if any(key in table for key in _SIDECAR_KEYS) else FileKind.ENTRY
+
+
+def _problems(kinds: dict[Path, FileKind]) -> Iterator[str]:
+    for path, kind in kinds.items():
+        if kind is FileKind.ENTRY:
+            yield from _settings_problems(read_entry_settings, path)
+        elif kind is FileKind.SIDECAR:
+            yield from _settings_problems(read_sidecar_settings, path)
+    declared = [path for path, kind in kinds.items() if kind is FileKind.DECLARATIONS]
+    yield from _declaration_problems(declared)
+
+
+def _settings_problems(read: Callable[[Path], object], path: Path) -> Sequence[str]:
+    try:
+        read(path)
+    except SettingsInvalid as error:
+        return error.problems
+    return ()
+
+
+def _declaration_problems(paths: Sequence[Path]) -> Sequence[str]:
+    try:
+        read_declarations(paths)
+    except DeclarationInvalid as error:
+        return error.problems
+    return ()
--- /dev/null
+++ b/src/chivehold/commands/daemons.py
@@ -0,0 +1,32 @@
+"""``entry`` and ``sidecar``: help texts; ``chivehold.cli`` runs them without this package."""
+
+from typing import ClassVar
+
+from cleo.exceptions import CleoUserError
+from cleo.io.inputs.option import Option
+
+from chivehold.commands.base import PlainCommand, value_option
+
+
+class _DaemonCommand(PlainCommand):
+    options: ClassVar[list[Option]] = [value_option("settings", "The settings file in TOML")]
+
+    def handle(self) -> int:
+        """Refuse: a daemon's arguments come first on the command line."""
+        raise CleoUserError(f"expected: chivehold {self.name} --settings FILE")
+
+
+class EntryCommand(_DaemonCommand):
+    """Runs an entry until SIGTERM or SIGINT, or a drain."""
+
+    name = "entry"
+    description = "Runs an entry until SIGTERM or SIGINT; no request is cut off"
+    examples = ("chivehold entry --settings entry-1.toml",)
+
+
+class SidecarCommand(_DaemonCommand):
+    """Runs the sidecar beside one upstream until SIGTERM or SIGINT."""
+
+    name = "sidecar"
+    description = "Runs the sidecar beside one upstream until SIGTERM or SIGINT"
+    examples = ("chivehold sidecar --settings lector-d1.toml",)
--- /dev/null
+++ b/src/chivehold/commands/operator_client.py
@@ -0,0 +1,47 @@
+"""Calls of the service ``Operators`` at one entry, from a program without a loop of its own."""
+
+from typing import Any
+
+import trio
+
+from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
+
+CALL_TIMEOUT_S = 15.0
+
+
+class OperatorClient:
+    """Calls one entry; each call runs a loop of its own.
+
+    Args:
+        address: ``host:port`` of the entry's control listener.
+        token: The shared token.
+    """
+
+    def __init__(self, address: str, token: str) -> None:
+        self._address = address
+        self._token = token
+
+    def call(self, method: str, request: Any, timeout_s: float = CALL_TIMEOUT_S) -> Any:
+        """Call a method of the schema.
+
+        Args:
+            method: As ``Status``.
+            request: Its message.
+            timeout_s: Time in seconds after which the call fails.
+
+        Returns:
+            The response message.
+
+        Raises:
+            RpcFailed: The entry refused, failed, or did not answer in time.
+        """
+        return trio.run(self._call, method, request, timeout_s)
+
+    async def _call(self, method: str, request: Any, timeout_s: float) -> Any:
+        channel = RpcChannel(self._address, self._token)
+        try:
+            stub = OperatorsStub(channel.grpc_channel)  # type: ignore[no-untyped-call]
+            return await channel.call(getattr(stub, method), request, timeout_s)
+        finally:
+            channel.close()
--- /dev/null
+++ b/src/chivehold/commands/output.py
@@ -0,0 +1,35 @@
+"""Output of the commands: aligned tables for people, JSON for programs."""
+
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from google.protobuf.json_format import MessageToDict
+
+COLUMN_GAP = "  "
+INDENT = 2
+
+
+def table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return rows as text whose columns are aligned."""
+    lines = [tuple(header), *(tuple(map(str, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(_aligned(line, widths) for line in lines)
+
+
+def message_json(message: Any) -> str:
+    """Return a message of the schema as indented JSON, with the schema's field names."""
+    fields = MessageToDict(
+        message, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+    )
+    return json.dumps(fields, indent=INDENT, ensure_ascii=False)
+
+
+def enum_word(name: str, prefix: str) -> str:
+    """Return the last part of an enum member's name, as ``created``."""
+    return name.removeprefix(prefix).lower()
+
+
+def _aligned(line: Sequence[str], widths: Sequence[int]) -> str:
+    cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+    return COLUMN_GAP.join(cells).rstrip()
--- /dev/null
+++ b/src/chivehold/declaration_files.py
@@ -0,0 +1,213 @@
+"""Declarations as TOML files, to be kept in version control.
+
+A file holds any number of ``[[deployments]]`` and ``[[services]]``. All files given together are
+checked as a whole: the form of every key first, then what the values must agree on.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from chivehold.core.declarations import DeclaredSpec
+from chivehold.core.declared import (
+    CallRule,
+    Deployment,
+    Service,
+    Share,
+    TrafficClass,
+    Upstream,
+    Weigh,
+)
+from chivehold.core.identity import Role, TargetName, Urgency
+from chivehold.core.validation import EXPECTED_NAME, NAME_PATTERN, Problem, validate
+from chivehold.exceptions import DeclarationInvalid
+from chivehold.toml_tables import read_table
+
+MAX_DECLARATION_BYTES = 8_000_000
+
+_Name = Annotated[str, msgspec.Meta(pattern=f"^{NAME_PATTERN.pattern}$", description=EXPECTED_NAME)]
+_Text = Annotated[str, msgspec.Meta(max_length=256, description="text, at most 256 characters")]
+_Number = Annotated[float, msgspec.Meta(ge=0, le=1e9, description="a number, 0 to 1000000000")]
+_Count = Annotated[
+    int, msgspec.Meta(ge=0, lt=1 << 32, description="a whole number, 0 to 4294967295")
+]
+_Texts = Annotated[list[_Text], msgspec.Meta(description="a list of texts")]
+
+
+class _UpstreamRequired(TypedDict):
+    name: _Name
+    zone: _Name
+    data_address: _Text
+    control_address: _Text
+    places: _Count
+
+
+class UpstreamTable(_UpstreamRequired, total=False):
+    """One engine or service VM; its role follows from the list it stands in."""
+
+    ignores_fencing: bool
+
+
+class _ClassRequired(TypedDict):
+    name: _Name
+    urgency: Urgency
+    deadline_s: _Number
+
+
+class ClassTable(_ClassRequired, total=False):
+    """A traffic class."""
+
+    first_token_target_s: _Number
+    between_tokens_target_s: _Number
+
+
+class ShareTable(TypedDict):
+    """The weight of one organisation's share."""
+
+    organisation: _Text
+    weight: _Number
+
+
+class RuleTable(TypedDict):
+    """Which calls of a service may be repeated."""
+
+    method: _Text
+    path_prefix: _Text
+    idempotent: bool
+
+
+class _DeploymentRequired(TypedDict):
+    name: _Name
+    model: _Text
+    prefill: list[UpstreamTable]
+    decode: list[UpstreamTable]
+    classes: list[ClassTable]
+
+
+class DeploymentTable(_DeploymentRequired, total=False):
+    """A model deployment."""
+
+    weigh: Weigh
+    patient_floor: _Number
+    shares: list[ShareTable]
+    default_class: _Text
+    kv_bytes_per_token: _Count
+    adapters: _Texts
+
+
+class _ServiceRequired(TypedDict):
+    name: _Name
+    upstreams: list[UpstreamTable]
+    classes: list[ClassTable]
+
+
+class ServiceTable(_ServiceRequired, total=False):
+    """A plain service."""
+
+    rules: list[RuleTable]
+    shares: list[ShareTable]
+    default_class: _Text
+
+
+class DeclarationTable(TypedDict, total=False):
+    """A declaration file."""
+
+    deployments: list[DeploymentTable]
+    services: list[ServiceTable]
+
+
+class _Located(NamedTuple):
+    path: Path
+    spec: DeclaredSpec
+
+
+def read_declarations(paths: Sequence[Path]) -> tuple[DeclaredSpec, ...]:
+    """Read and check declaration files that are to be in force together.
+
+    Args:
+        paths: The TOML files.
+
+    Returns:
+        Every declaration, in the order of the files.
+
+    Raises:
+        DeclarationInvalid: A file cannot be read or is wrong; names every fault.
+    """
+    tables = [(path, read_table(path, DeclarationTable, MAX_DECLARATION_BYTES)) for path in paths]
+    problems = tuple(_form_problems(table for _, table in tables))
+    if problems:
+        raise DeclarationInvalid(_joined(paths), problems)
+    located = [_Located(path, spec) for path, table in tables for spec in _specs(table.unwrap())]
+    checked = validate([one.spec for one in located])
+    if isinstance(checked, Failure):
+        raise DeclarationInvalid(_joined(paths), tuple(_located(checked.failure(), located)))
+    return tuple(one.spec for one in located)
+
+
+def _joined(paths: Sequence[Path]) -> str:
+    return " ".join(map(str, paths))
+
+
+def _form_problems(
+    tables: Iterable[Result[dict[str, Any], tuple[str, ...]]],
+) -> Iterator[str]:
+    for table in tables:
+        if not isinstance(table, Success):
+            yield from table.failure()
+
+
+def _located(problems: Iterable[Problem], located: Sequence[_Located]) -> Iterator[str]:
+    paths: dict[str, list[Path]] = {}
+    for one in located:
+        paths.setdefault(one.spec.name, []).append(one.path)
+    for problem in problems:
+        for path in dict.fromkeys(paths[problem.declaration]):
+            yield f"{path}: {problem}"
+
+
+def _specs(table: Mapping[str, Any]) -> Iterator[DeclaredSpec]:
+    yield from map(_deployment, table.get("deployments", ()))
+    yield from map(_service, table.get("services", ()))
+
+
+def _deployment(table: Mapping[str, Any]) -> Deployment:
+    fields = {
+        **table,
+        **_traffic(table),
+        "name": TargetName(table["name"]),
+        "prefill": _upstreams(table["prefill"], Role.PREFILL),
+        "decode": _upstreams(table["decode"], Role.DECODE),
+        "adapters": tuple(table.get("adapters", ())),
+    }
+    return Deployment(**fields)
+
+
+def _service(table: Mapping[str, Any]) -> Service:
+    fields = {
+        **table,
+        **_traffic(table),
+        "name": TargetName(table["name"]),
+        "upstreams": _upstreams(table["upstreams"], Role.SERVICE),
+        "rules": tuple(CallRule(**rule) for rule in table.get("rules", ())),
+    }
+    return Service(**fields)
+
+
+def _traffic(table: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        "classes": tuple(TrafficClass(**row) for row in table["classes"]),
+        "shares": tuple(Share(**row) for row in table.get("shares", ())),
+    }
+
+
+def _upstreams(tables: Iterable[Mapping[str, Any]], role: Role) -> tuple[Upstream, ...]:
+    return tuple(_upstream(table, role) for table in tables)
+
+
+def _upstream(table: Mapping[str, Any], role: Role) -> Upstream:
+    fields = {key: value for key, value in table.items() if key != "ignores_fencing"}
+    honours_fencing = not table.get("ignores_fencing", False)
+    return Upstream(role=role, honours_fencing=honours_fencing, **fields)
--- a/src/chivehold/exceptions.py
+++ b/src/chivehold/exceptions.py
@@ -56,7 +56,16 @@
 
 
 class DeclarationInvalid(ChiveholdError):
-    """A declaration does not validate; nothing of its file is in force."""
+    """Declaration files do not validate; ``problems`` names every fault found in them."""
+
+    def __init__(self, path: str, problems: Sequence[str]) -> None:
+        super().__init__("read declarations", path, "; ".join(problems))
+        self._problems = tuple(problems)
+
+    @property
+    def problems(self) -> tuple[str, ...]:
+        """One line a fault, each with file, key and what was expected."""
+        return self._problems
 
 
 class PeerRefused(ChiveholdError):
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -3,22 +3,20 @@
 Every fault of a file is reported at once: a value of the wrong form, a missing key, an unknown one.
 """
 
-import difflib
-import tomllib
-from collections.abc import Iterator, Mapping
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple, TypedDict, get_args, get_type_hints, is_typeddict
+from typing import Annotated, Any, NamedTuple, TypedDict
 
 import msgspec
+from returns.result import Failure
 
 from chivehold.core.declared import DEFAULT_PATIENT_FLOOR
 from chivehold.core.identity import Role
 from chivehold.core.policy import DecodeChoiceKind, Policy
 from chivehold.exceptions import SettingsInvalid
 from chivehold.logs import LogFormat, LogLevel
+from chivehold.toml_tables import read_table
 
 MAX_SETTINGS_BYTES = 65_536
-MAX_DOTS_A_LINE = 64
 MIB = 1 << 20
 
 _Name = Annotated[
@@ -236,72 +234,7 @@
 
 
 def _checked(path: Path, shape: type) -> dict[str, Any]:
-    table = _parsed(path)
-    problems = tuple(f"{path}: {problem}" for problem in _problems(table, shape, ""))
-    if problems:
-        raise SettingsInvalid(str(path), problems)
-    values: dict[str, Any] = msgspec.convert(table, shape)
-    return values
-
-
-def _parsed(path: Path) -> dict[str, Any]:
-    try:
-        with path.open("rb") as file:
-            content = file.read(MAX_SETTINGS_BYTES + 1)
-    except OSError as error:
-        raise SettingsInvalid(str(path), (f"{path}: cannot be read: {error.strerror}",)) from error
-    if len(content) > MAX_SETTINGS_BYTES:
-        problem = f"{path}: expected at most {MAX_SETTINGS_BYTES} bytes"
-        raise SettingsInvalid(str(path), (problem,))
-    if any(line.count(b".") > MAX_DOTS_A_LINE for line in content.splitlines()):
-        # The parser's memory grows with the square of a dotted key's parts.
-        problem = f"{path}: expected at most {MAX_DOTS_A_LINE} dots on a line"
-        raise SettingsInvalid(str(path), (problem,))
-    try:
-        return tomllib.loads(content.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise SettingsInvalid(str(path), (f"{path}: expected TOML: {error}",)) from error
-
-
-def _problems(table: Mapping[str, Any], shape: type, prefix: str) -> Iterator[str]:
-    hints = get_type_hints(shape, include_extras=True)
-    for key in table:
-        if key not in hints:
-            yield f"{prefix}{key}: unknown key{_suggestion(key, hints)}"
-    for key, form in hints.items():
-        if key in table:
-            yield from _value_problems(table[key], form, f"{prefix}{key}")
-        elif key in shape.__required_keys__:  # type: ignore[attr-defined]
-            yield f"{prefix}{key}: missing; expected {_expected(form)}"
-
-
-def _value_problems(value: object, form: Any, key: str) -> Iterator[str]:
-    if is_typeddict(form) and isinstance(value, dict):
-        yield from _problems(value, form, f"{key}.")
-        return
-    try:
-        msgspec.convert(value, form)
-    except msgspec.ValidationError:
-        yield f"{key}: expected {_expected(form)}, found {_shown(key, value)}"
-
-
-def _expected(form: Any) -> str:
-    for extra in get_args(form)[1:]:
-        if isinstance(extra, msgspec.Meta) and extra.description:
-            return extra.description
-    if is_typeddict(form):
-        return "a table"
-    if form is bool:
-        return "true or false"
-    return "one of " + ", ".join(repr(str(member)) for member in form)
-
-
-def _shown(key: str, value: object) -> str:
-    if key == "token":
-        return "something else"
-    return repr(value)[:80]
-
-
-def _suggestion(key: str, known: Mapping[str, Any]) -> str:
-    close = difflib.get_close_matches(key, known, n=1)
-    return f"; did you mean {close[0]!r}?" if close else ""
+    table = read_table(path, shape, MAX_SETTINGS_BYTES)
+    if isinstance(table, Failure):
+        raise SettingsInvalid(str(path), table.failure())
+    return table.unwrap()
--- a/src/chivehold/sidecar/__main__.py
+++ b/src/chivehold/sidecar/__main__.py
@@ -13,7 +13,7 @@
 from chivehold.settings import SidecarSettings, read_sidecar_settings
 from chivehold.sidecar.app import run_sidecar
 
-EXIT_SETTINGS = 2
+EXIT_SETTINGS_INVALID = 1
 
 
 async def run_until_signal(settings: SidecarSettings) -> None:
@@ -45,7 +45,7 @@
         settings = read_sidecar_settings(given.settings)
     except SettingsInvalid as error:
         print("\n".join(error.problems), file=sys.stderr)
-        return EXIT_SETTINGS
+        return EXIT_SETTINGS_INVALID
     set_up_logging(settings.log_format, settings.log_level, settings.name)
     trio.run(run_until_signal, settings)
     return 0
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -65,17 +65,17 @@
     """All processes of one test."""
 
     def __init__(self, directory: Path) -> None:
-        self._directory = directory
+        self.directory = directory
         self._running: list[Running] = []
 
     def start(self, module: str, *arguments: str) -> Running:
-        log = self._directory / f"{len(self._running)}-{module}.log"
+        log = self.directory / f"{len(self._running)}-{module}.log"
         running = Running(module, list(arguments), log)
         self._running.append(running)
         return running
 
     def start_with_settings(self, module: str, name: str, **settings: object) -> Running:
-        path = self._directory / f"{name}.toml"
+        path = self.directory / f"{name}.toml"
         fields = {"name": name, "zone": "sjo-a", "token": TOKEN} | settings
         path.write_text("".join(f"{key} = {_toml(value)}\n" for key, value in fields.items()))
         return self.start(module, "--settings", str(path))
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,121 @@
+"""The command line against an entry that runs as a process."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from chivehold.cli import main
+from tests.processes import TOKEN, Programs
+from tests.test_declaration_files import SERVICE
+
+ANY_PORT = "127.0.0.1:0"
+FIELDS = {"name": "node-1", "zone": "sjo-a", "token": TOKEN}
+
+
+@pytest.fixture(scope="module")
+def control(tmp_path_factory):
+    """The control address of an entry with an empty platform."""
+    programs = Programs(tmp_path_factory.mktemp("programs"))
+    (platform,) = programs.start("chivehold.fakes.platform").addresses()
+    settings = _settings(programs, "entry.toml", platform_address=platform)
+    entry = programs.start("chivehold.cli", "entry", "--settings", str(settings))
+    yield entry.addresses()[1]
+    assert entry.resident_mib() <= 64
+    programs.end()
+
+
+def _settings(programs: Programs, name: str, **more: str) -> Path:
+    addresses = dict.fromkeys(("caller_address", "control_address", "operator_address"), ANY_PORT)
+    path = programs.directory / name
+    fields = FIELDS | addresses | more
+    path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in fields.items()))
+    return path
+
+
+@pytest.fixture
+def chivehold(control, capfd, monkeypatch):
+    """Runs a command against the entry and returns its exit code, output and errors."""
+    monkeypatch.setenv("CHIVEHOLD_ENTRY", control)
+    monkeypatch.setenv("CHIVEHOLD_TOKEN", TOKEN)
+
+    def run(*arguments: object):
+        code = main(list(map(str, arguments)))
+        return code, *capfd.readouterr()
+
+    return run
+
+
+class TestOperatorCommands:
+    def test_apply_to_delete(self, chivehold, tmp_path: Path) -> None:
+        """A declaration is shown, applied once, read back, seen by a watch and deleted."""
+        path = tmp_path / "forja.toml"
+        path.write_text(SERVICE)
+        code, shown, _ = chivehold("diff", path)
+        assert (code, '+  "name": "forja",' in shown) == (0, True)
+        assert chivehold("get", "forja")[0] == 1
+        code, applied, waited = chivehold("apply", "--wait", "--operation-id", "op-1", path)
+        assert (code, "created" in applied, "in force at 1: node-1" in waited) == (0, True, True)
+        code, again, _ = chivehold("apply", "--output", "json", path)
+        assert json.loads(again)["changes"][0]["kind"] == "CHANGE_KIND_UNCHANGED"
+        assert '"zone": "sjo-a"' in chivehold("get", "forja")[1]
+        assert "forja-1" in chivehold("status")[1]
+        assert chivehold("watch", "--after", 0, "--once")[0] == 0
+        assert json.loads(chivehold("dump")[1])["name"] == "node-1"
+        code, deleted, _ = chivehold("apply", "--delete", "forja")
+        assert (code, "deleted" in deleted) == (0, True)
+        assert chivehold("get", "forja")[0] == 1
+
+    def test_invalid_declaration_names_file(self, chivehold, tmp_path: Path) -> None:
+        """What does not validate is refused with file and key, before any call."""
+        path = tmp_path / "forja.toml"
+        path.write_text(SERVICE.replace("places = 20", "places = 0"))
+        code, _, errors = chivehold("apply", path)
+        assert (code, errors.startswith(f"{path}: forja: upstreams[0].places:")) == (1, True)
+
+    @pytest.mark.parametrize(
+        ("arguments", "code"),
+        [
+            (("get", "--entry", "127.0.0.1:1"), 3),
+            (("get", "--token", "wrong-token-of-length"), 1),
+            (("get", "--output", "yaml"), 2),
+            (("get", "--unknown"), 2),
+            (("nothing",), 2),
+            (("apply",), 2),
+            (("diff",), 2),
+            (("drain", "no-such-upstream"), 1),
+            (("apply", "--help"), 0),
+        ],
+    )
+    def test_exit_codes(self, chivehold, arguments: tuple[str, ...], code: int) -> None:
+        """Each kind of failure has its exit code and says something."""
+        found, output, errors = chivehold(*arguments)
+        assert found == code, errors
+        assert output or errors
+
+
+class TestCheckSettings:
+    def test_checks_each_kind_of_file(self, chivehold, tmp_path: Path) -> None:
+        """Settings and declarations are told apart, and every fault of all files is named."""
+        declared, wrong = tmp_path / "forja.toml", tmp_path / "sidecar.toml"
+        declared.write_text(SERVICE)
+        wrong.write_text('target = "forja"\nrole = "guard"\n')
+        code, output, _ = chivehold("check-settings", declared)
+        assert (code, output) == (0, f"{declared}: declarations, valid\n")
+        code, _, errors = chivehold("check-settings", declared, wrong)
+        assert code == 1
+        assert f"{wrong}: role: expected one of 'prefill', 'decode', 'service'" in errors
+
+
+class TestDaemonCommands:
+    def test_daemon_loads_no_command_library(self) -> None:
+        """A daemon never loads what only the commands need."""
+        script = (
+            "import sys; from chivehold.cli import main; main(['entry', '--settings', '/none']);"
+            "sys.exit('cleo' in sys.modules or 'chivehold.commands' in sys.modules)"
+        )
+        ended = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
+        assert ended.returncode == 0, ended.stderr
+        assert ended.stderr == "/none: cannot be read: No such file or directory\n"
