Tests of the entry's core: admission, keys, claims, calls, deadlines, dump

Cause: only histories covered these rules, and they do not say which rule broke. Ruled out: tests through the shells, which would need sockets for pure decisions. Change: tests only. Conclusion: each rule of the entry has a test that names it.

--- /dev/null
+++ b/tests/core/test_calls.py
@@ -0,0 +1,70 @@
+import pytest
+
+from chivehold.core.entry_messages import (
+    AttemptLinkLost,
+    CallSettled,
+    Revoke,
+    RevokeSettled,
+    SendCall,
+)
+from chivehold.core.identity import AttemptId, Outcome, RequestId
+from chivehold.core.wire import CallContent, CallResult, Reason, RevokeResult
+from tests.core.entry_driver import CALL, READ, Driver, service
+
+FIRST = AttemptId(RequestId("r"), 1)
+BUILD = CallContent("POST", "/builds/7", (), b"")
+
+
+class TestCall:
+    def test_gives_the_whole_answer(self) -> None:
+        """The service's own answer reaches the caller."""
+        driver = Driver()
+        (send,) = driver.feed(service())
+        assert (send.call, send.offer.attempt) == (CALL, FIRST)
+        (finish,) = driver.feed(CallSettled(CallResult(FIRST, 404, body=b"no such slot")))
+        assert (finish.outcome, finish.call.status) == (Outcome.ANSWERED, 404)
+
+    @pytest.mark.parametrize(
+        ("call", "idempotent", "again"),
+        [
+            (READ, None, True),
+            (CALL, None, False),
+            (BUILD, None, True),
+            (CALL, True, True),
+            (READ, False, False),
+        ],
+        ids=["by method", "by method not", "by rule", "by caller", "by caller not"],
+    )
+    @pytest.mark.parametrize("how", ["failed", "link lost"])
+    def test_is_repeated_only_if_idempotent(
+        self, call: CallContent, idempotent: bool | None, again: bool, how: str
+    ) -> None:
+        """A call that may have run goes out again only where it may be repeated."""
+        driver = Driver()
+        driver.feed(service(call=call, idempotent=idempotent))
+        if how == "failed":
+            commands = driver.feed(CallSettled(CallResult(FIRST, reason=Reason.ENGINE_FAILED)))
+        else:
+            driver.feed(AttemptLinkLost(FIRST, sent=True))
+            commands = driver.feed(RevokeSettled(FIRST, RevokeResult.OTHER_INCARNATION))
+        last = commands[-1]
+        assert isinstance(last, SendCall) is again
+        assert again or last.outcome is Outcome.UNKNOWN
+
+    @pytest.mark.parametrize("how", ["refused", "not sent", "revoked"])
+    def test_goes_elsewhere_if_it_never_started(self, how: str) -> None:
+        """A non-idempotent call that certainly did not start may go to another VM."""
+        driver = Driver()
+        (first,) = driver.feed(service())
+        match how:
+            case "refused":
+                result = CallResult(FIRST, reason=Reason.LEAVING, started=False)
+                (second,) = driver.feed(CallSettled(result))
+            case "not sent":
+                (second,) = driver.feed(AttemptLinkLost(FIRST, sent=False))
+            case "revoked":
+                (revoke,) = driver.feed(AttemptLinkLost(FIRST, sent=True))
+                assert revoke == Revoke(first.upstream, FIRST)
+                (second,) = driver.feed(RevokeSettled(FIRST, RevokeResult.NEVER_STARTED))
+        assert {first.upstream, second.upstream} == {"s1", "s2"}
+        assert second.offer.attempt.number == 2
--- /dev/null
+++ b/tests/core/test_entry.py
@@ -0,0 +1,283 @@
+import json
+
+import pytest
+
+from chivehold.core.entry_messages import (
+    CallerGone,
+    CallSettled,
+    ClaimDecision,
+    ClaimSettled,
+    CloseAttempt,
+    CommitKey,
+    DeclarationsChanged,
+    DrainStarted,
+    EndClaim,
+    EntryCommand,
+    Finish,
+    KeyCommitSettled,
+    KeySettled,
+    LeavingListed,
+    MakeClaim,
+    Relay,
+    ReleaseKey,
+    SendCall,
+    SendOffer,
+    Tick,
+    UpstreamUnreachable,
+)
+from chivehold.core.homes import home_of
+from chivehold.core.identity import AttemptId, Outcome, RequestId, TargetName, UpstreamName
+from chivehold.core.policy import Policy
+from chivehold.core.upstreams import REPORT_STALE_S
+from chivehold.core.wire import CallResult, FrameKind, KeyDecision, UpstreamState
+from tests.core.entry_driver import (
+    DECLARATIONS,
+    FORJA,
+    READ,
+    Driver,
+    frame,
+    key,
+    model,
+    prefilled,
+    service,
+)
+
+R = RequestId("r")
+FIRST = AttemptId(R, 1)
+KEYED_CALL = {"key": key(FORJA)}
+
+
+def kinds(commands: list[EntryCommand]) -> list[type]:
+    return [type(command) for command in commands]
+
+
+class TestAdmission:
+    @pytest.mark.parametrize(
+        "arrival",
+        [
+            model(target=TargetName("other")),
+            model(traffic_class="other"),
+            model(target=FORJA),
+            service(target=TargetName("lector")),
+        ],
+        ids=["target", "class", "model of a service", "call of a model"],
+    )
+    def test_rejects_what_is_not_declared(self, arrival: object) -> None:
+        """What can never run is rejected, not told to come back."""
+        (finish,) = Driver().feed(arrival)
+        assert finish.outcome is Outcome.REJECTED
+
+    @pytest.mark.parametrize(("traffic_class", "most"), [("hook", 3), ("review", 5)])
+    def test_queues_are_bounded(self, traffic_class: str, most: int) -> None:
+        """Beyond the bound a request is refused at once with a time to come back."""
+        driver = Driver(Policy(urgent_queue_most=3, patient_queue_most=5))
+        commands = [
+            driver.feed(model(f"r{number}", traffic_class))[-1:] for number in range(most + 1)
+        ]
+        (finish,) = commands[-1]
+        assert finish.outcome is Outcome.NOT_RUN
+        assert finish.retry_after_s > 0
+        assert not any(isinstance(one, Finish) for found in commands[:-1] for one in found)
+
+    @pytest.mark.parametrize(
+        ("wait_s", "shed", "sent"), [(0.9, True, True), (1.5, True, False), (1.5, False, True)]
+    )
+    def test_sheds_what_would_be_late(self, wait_s: float, shed: bool, sent: bool) -> None:
+        """An urgent request that would miss its first token is refused before it is sent."""
+        driver = Driver(Policy(shed_late=shed))
+        for name in ("d1", "d2"):
+            driver.report(name, places_free=0, wait_urgent_s=wait_s)
+        (command,) = driver.feed(model())
+        assert isinstance(command, SendOffer) is sent
+        if not sent:
+            assert command.outcome is Outcome.NOT_RUN
+            assert command.retry_after_s >= 0.5
+
+    def test_at_most_so_many_patient_offers(self) -> None:
+        """Patient requests stay in the entry's queue, where their order can still change."""
+        driver = Driver(Policy(patient_offers_most=2))
+        sent = [driver.feed(model(f"r{number}", "review")) for number in range(4)]
+        assert [len(commands) for commands in sent] == [1, 1, 0, 0]
+        follow = driver.feed(frame(FrameKind.GRANTED, AttemptId(RequestId("r0"), 1)))
+        assert follow[-1].offer.attempt.request == "r2"
+
+    def test_patient_waits_for_an_upstream(self) -> None:
+        """Without any usable engine urgent requests are refused, patient ones kept."""
+        driver = Driver(ready=("p1",))
+        (finish,) = driver.feed(model("u"))
+        assert (finish.outcome, finish.reason) == (Outcome.NOT_RUN, "no upstream")
+        assert driver.feed(model("p", "review")) == []
+        assert kinds(driver.report("d2")) == [SendOffer]
+
+    def test_drain_refuses_new_work_only(self) -> None:
+        """A draining entry finishes what it holds."""
+        driver = Driver()
+        driver.feed(service())
+        driver.feed(DrainStarted())
+        (refusal,) = driver.feed(service("late"))
+        (answer,) = driver.feed(CallSettled(CallResult(FIRST, 200)))
+        assert (refusal.outcome, answer.outcome) == (Outcome.NOT_RUN, Outcome.ANSWERED)
+        assert driver.core.in_progress == 0
+
+
+class TestUpstreams:
+    @pytest.mark.parametrize("how", ["listed", "leaving", "down", "unreachable", "stale"])
+    def test_no_new_work(self, how: str) -> None:
+        """Nothing is sent to an upstream that leaves, is down, or has not been heard of."""
+        driver = Driver()
+        match how:
+            case "listed":
+                driver.feed(LeavingListed((UpstreamName("s1"),)))
+            case "leaving" | "down":
+                driver.report("s1", state=UpstreamState(how))
+            case "unreachable":
+                driver.feed(UpstreamUnreachable(UpstreamName("s1")))
+            case "stale":
+                driver.now = REPORT_STALE_S + 0.1
+                driver.report("s2")
+        sent = [driver.feed(service(f"r{number}"))[0].upstream for number in range(20)]
+        assert set(sent) == {"s2"}
+
+    def test_a_removed_target_ends_what_is_queued(self) -> None:
+        """Queued requests of a target that is no longer declared end not run."""
+        driver = Driver(ready=())
+        driver.feed(model(traffic_class="review"))
+        newer = DECLARATIONS._replace(revision=2, deployments=())
+        (finish,) = driver.feed(DeclarationsChanged(newer))
+        assert finish.outcome is Outcome.NOT_RUN
+        assert driver.feed(DeclarationsChanged(DECLARATIONS)) == []
+        assert driver.feed(model())[0].outcome is Outcome.REJECTED
+
+    def test_incarnations_are_those_last_reported(self) -> None:
+        """The shell reads the newest run of each sidecar."""
+        driver = Driver(ready=("d1",))
+        assert dict(driver.core.incarnations) == {"d1": "i1"}
+
+
+class TestKeys:
+    def keyed(self, decision: KeyDecision) -> tuple[Driver, list[EntryCommand]]:
+        driver = Driver()
+        (register,) = driver.feed(model(key=key(), first_sent_ago_s=2.0))
+        assert register.home == home_of(key(), (UpstreamName("d1"), UpstreamName("d2")))
+        assert register.registration.first_sent_ago_s == 2.0
+        return driver, driver.feed(KeySettled(R, decision))
+
+    @pytest.mark.parametrize(
+        ("decision", "outcome"),
+        [
+            (KeyDecision.IN_PROGRESS, Outcome.IN_PROGRESS),
+            (KeyDecision.ALREADY_ANSWERED, Outcome.ALREADY_ANSWERED),
+            (KeyDecision.UNKNOWN, Outcome.UNKNOWN),
+            (KeyDecision.UNREACHABLE, Outcome.NOT_RUN),
+        ],
+    )
+    def test_anything_but_fresh_ends_it(self, decision: KeyDecision, outcome: Outcome) -> None:
+        """The home's word is the request's outcome."""
+        _, commands = self.keyed(decision)
+        assert commands[-1].outcome is outcome
+
+    @pytest.mark.parametrize(
+        ("settled", "outcome"),
+        [
+            ([True], Outcome.ANSWERED),
+            ([False], Outcome.UNKNOWN),
+            ([None, True], Outcome.ANSWERED),
+            ([None, None], Outcome.UNKNOWN),
+        ],
+    )
+    def test_last_part_needs_the_commit(self, settled: list[bool | None], outcome: Outcome) -> None:
+        """The last tokens go out only after the home has committed the answer."""
+        driver, _ = self.keyed(KeyDecision.FRESH)
+        driver.feed(frame(FrameKind.GRANTED, FIRST))
+        driver.feed(prefilled(FIRST))
+        assert driver.feed(frame(FrameKind.TOKENS, FIRST, 0, "x")) == []
+        assert kinds(driver.feed(frame(FrameKind.TOKENS, FIRST, 1, "y"))) == [Relay]
+        commands = driver.feed(frame(FrameKind.FINISHED, FIRST, 2))
+        for committed in settled:
+            assert kinds(commands) == [CommitKey]
+            commands = driver.feed(KeyCommitSettled(R, committed))
+        assert commands[-1].outcome is outcome
+        assert any(isinstance(one, Relay) for one in commands) is (outcome is Outcome.ANSWERED)
+
+    def test_a_release_that_overtook_its_registration_is_sent_again(self) -> None:
+        """A caller that leaves at once does not leave its key in progress."""
+        driver = Driver()
+        driver.feed(model(key=key()))
+        assert kinds(driver.feed(CallerGone(R))) == [ReleaseKey]
+        assert kinds(driver.feed(KeySettled(R, KeyDecision.FRESH))) == [ReleaseKey]
+
+
+class TestClaims:
+    def test_names_the_attempt_before_it_is_sent(self) -> None:
+        """A keyed reservation is claimed, sent, answered and recorded as answered."""
+        driver = Driver()
+        (claim,) = driver.feed(service(**KEYED_CALL))
+        (send,) = driver.feed(ClaimSettled(R, ClaimDecision(True)))
+        assert (claim.attempt, claim.upstream) == (send.offer.attempt, send.upstream)
+        end, finish = driver.feed(CallSettled(CallResult(FIRST, 200)))
+        assert (end, finish.outcome) == (EndClaim(R, key(FORJA), Outcome.ANSWERED), end.outcome)
+
+    @pytest.mark.parametrize("outcome", [Outcome.ALREADY_ANSWERED, Outcome.NOT_RUN])
+    def test_declined_is_never_sent(self, outcome: Outcome) -> None:
+        """What the claim found is the outcome; another's claim is not ended."""
+        driver = Driver()
+        driver.feed(service(**KEYED_CALL))
+        (finish,) = driver.feed(ClaimSettled(R, ClaimDecision(False, outcome)))
+        assert finish.outcome is outcome
+
+    def test_another_vm_needs_another_claim(self) -> None:
+        """When the claimed VM begins to leave, the claim is moved before anything is sent."""
+        driver = Driver()
+        (claim,) = driver.feed(service(**KEYED_CALL))
+        driver.feed(LeavingListed((claim.upstream,)))
+        (second,) = driver.feed(ClaimSettled(R, ClaimDecision(True)))
+        assert isinstance(second, MakeClaim)
+        assert (second.attempt.number, second.upstream != claim.upstream) == (2, True)
+        assert kinds(driver.feed(ClaimSettled(R, ClaimDecision(True)))) == [SendCall]
+
+
+class TestEnds:
+    @pytest.mark.parametrize(
+        ("steps", "outcome", "closed"),
+        [
+            ([], Outcome.NOT_RUN, 1),
+            ([frame(FrameKind.GRANTED, FIRST)], Outcome.UNKNOWN, 2),
+            ([frame(FrameKind.GRANTED, FIRST), prefilled(FIRST)], Outcome.UNKNOWN, 1),
+        ],
+        ids=["waiting", "in prefill", "decoding"],
+    )
+    @pytest.mark.parametrize("how", ["deadline", "caller gone"])
+    def test_closes_what_is_out(self, steps: list, outcome: Outcome, closed: int, how: str) -> None:
+        """At the deadline, or when the caller leaves, every stream and prefill is closed."""
+        driver = Driver()
+        driver.feed(model())
+        for step in steps:
+            driver.feed(step)
+        if how == "deadline":
+            assert driver.core.next_wakeup() == 30.0
+            driver.now = 30.0
+            commands = driver.feed(Tick())
+            assert commands.pop().outcome is outcome
+        else:
+            commands = driver.feed(CallerGone(R))
+        assert kinds(commands) == [CloseAttempt] * closed
+        assert driver.core.in_progress == 0
+        assert driver.core.next_wakeup() is None
+
+    def test_a_sent_call_past_its_deadline_is_unknown(self) -> None:
+        """Nobody knows whether it ran."""
+        driver = Driver()
+        driver.feed(service(call=READ, deadline_in_s=2.0))
+        driver.now = 2.0
+        assert driver.feed(Tick())[-1].outcome is Outcome.UNKNOWN
+
+
+class TestDump:
+    def test_is_json(self) -> None:
+        """The whole state can be shown while a request is in progress."""
+        driver = Driver()
+        driver.feed(model())
+        state = json.loads(json.dumps(driver.core.dump()))
+        assert state["requests"]["r"]["phase"] == "offered"
+        assert state["targets"]["lector"]["waiting_urgent"] == 1
+        assert state["upstreams"]["d1"]["incarnation"] == "i1"
