The wait for a place leaves room for the transfer that follows it

Cause: with the link the bottleneck, one urgent answer in ten came after its target: the decode sidecar granted within the time that the entry had left after prefill, and the transfer of up to 0.7 s came on top.

Ruled out: a longer fixed allowance at the entry, which does not know the link's rate or load.

Change: the sidecar takes the expected transfer beside those in progress from the time within which it has to grant, and refuses at once where that does not fit.

--- a/src/chivehold/core/link.py
+++ b/src/chivehold/core/link.py
@@ -64,6 +64,10 @@
         alone_s = self._seconds(kv_bytes)
         return max(0.0, needed_s - max(URGENT_TRANSFER_MOST_S, 2 * alone_s))
 
+    def transfer_s(self, kv_bytes: int, now: float) -> float:
+        """Return how long a transfer is expected to take beside those in progress, in seconds."""
+        return self._transfers.time_s(kv_bytes, now) if self._planned else 0.0
+
     def recheck_at(self, kv_bytes: int, urgency: Urgency, now: float) -> float | None:
         """Return when a grant that does not fit now may fit by time alone, or ``None``."""
         excess_s = self.excess_s(kv_bytes, urgency, now)
--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -84,11 +84,13 @@
             return
         ahead = self.waitlist.ahead(offer)
         wait_s = self.expected_wait_s(offer.urgency, ahead, now, LATE_SHARE_Z)
-        reason = self._late_refusal(offer, wait_s)
+        transfer_s = self._transfer_s(offer, now)
+        reason = self._late_refusal(offer, wait_s + transfer_s)
         if reason is not None:
             yield from self._refuse_waiting(offer.attempt, reason, wait_s, now)
             return
-        self._start_by.set(offer.attempt, now + min(offer.start_within_s, offer.deadline_in_s))
+        within_s = min(offer.start_within_s - transfer_s, offer.deadline_in_s)
+        self._start_by.set(offer.attempt, now + max(0.0, within_s))
         yield SendFrame(offer.entry, AttemptFrame(FrameKind.QUEUED, offer.attempt))
 
     def fill(self, now: float) -> Iterator[SidecarCommand]:
@@ -208,6 +210,12 @@
         link_s = self.link.excess_s(self.waitlist.kv_bytes(urgency), urgency, now)
         return max(wait_s, link_s)
 
+    def _transfer_s(self, offer: AttemptOffer, now: float) -> float:
+        """Return the expected transfer time that an urgent offer's wait has to leave room for."""
+        if offer.urgency is Urgency.PATIENT:
+            return 0.0
+        return self.link.transfer_s(offer.kv_bytes, now)
+
     def _standing_refusal(self, offer: AttemptOffer) -> Reason | None:
         if offer.incarnation != self._config.incarnation:
             return Reason.WRONG_INCARNATION
--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,41 @@
+import pytest
+
+from chivehold.core.entry_messages import SendOffer
+from chivehold.core.identity import RequestId
+from chivehold.core.policy import Policy
+from tests.core.entry_driver import Driver, model
+
+
+def patient_offers(driver: Driver, count: int, prompt_tokens: int = 1_000) -> int:
+    """Send patient requests and count those offered to a decode engine at once."""
+    commands = []
+    for number in range(count):
+        request = model(f"r{number}", "review", prompt_tokens=prompt_tokens)
+        commands += driver.feed(request)
+    return sum(isinstance(command, SendOffer) for command in commands)
+
+
+class TestPrefillPacing:
+    @pytest.mark.parametrize(("pacing", "offered"), [(True, 11), (False, 30)])
+    def test_offers_follow_the_prefill_backlog(self, pacing: bool, offered: int) -> None:
+        """Patient offers go out while their prefills can start within half a second."""
+        driver = Driver(Policy(prefill_pacing=pacing))
+        assert patient_offers(driver, 30) == offered
+
+    def test_offers_go_on_when_the_backlog_has_gone(self) -> None:
+        """A report of an idle prefill engine lets the next patient offers out."""
+        driver = Driver()
+        driver.report("p1", prefill_backlog_s=0.6)
+        driver.report("p2", prefill_backlog_s=0.6)
+        assert patient_offers(driver, 3) == 0
+        commands = driver.report("p1")
+        assert sum(isinstance(command, SendOffer) for command in commands) == 3
+
+    def test_urgent_offers_do_not_wait_for_patient_prefills(self) -> None:
+        """An urgent request is offered although patient prompts fill the prefill engines."""
+        driver = Driver()
+        for name in ("p1", "p2"):
+            driver.report(name, prefill_backlog_s=5.0, prefill_urgent_backlog_s=0.0)
+        commands = driver.feed(model("u"))
+        assert [type(command) for command in commands] == [SendOffer]
+        assert commands[0].offer.attempt.request == RequestId("u")
