Histories also check that no key and no claim is left open

Cause: a key left in progress blocks its callers' retries while the entry lives. Ruled out: checking it at the request's end (a registration may settle later). Change: tests only: at the end of a history every fresh key was committed or released, and every granted claim was ended once.

--- a/tests/core/test_entry_histories.py
+++ b/tests/core/test_entry_histories.py
@@ -112,6 +112,8 @@
         self.committed = False
         self.claims: list[tuple[AttemptId, UpstreamName]] = []
         self.claim_granted = False
+        self.claim_ended = False
+        self.holds_key = False
 
     @property
     def ended(self) -> bool:
@@ -172,10 +174,13 @@
                 SendOffer: self.sent, SendCall: self.sent, SendPrefill: self.prefill_sent,
                 SendImport: self.import_sent, CloseAttempt: self.closed, Relay: self.relayed,
                 Finish: self.finished, MakeClaim: self.claim_made, Revoke: self.revoked,
+                EndClaim: self.claim_ended,
             }  # fmt: skip
             if isinstance(command, RegisterKey | CommitKey):
                 self.asked.append(command)
-            elif not isinstance(command, ReleaseKey | EndClaim):
+            elif isinstance(command, ReleaseKey):
+                self.callers[command.commit.request].holds_key = False
+            else:
                 checks[type(command)](command)
 
     def may_start(self, attempt: AttemptId, is_prefill: bool) -> Caller:
@@ -271,6 +276,12 @@
         caller.claim_granted = False
         self.asked.append(command)
 
+    def claim_ended(self, command: EndClaim) -> None:
+        caller = self.callers[command.request]
+        assert caller.claims
+        assert not caller.claim_ended
+        caller.claim_ended = True
+
     def revoked(self, command: Revoke) -> None:
         self.worlds[command.attempt].revoking = True
 
@@ -322,11 +333,14 @@
         match command:
             case RegisterKey():
                 decision = KeyDecision.FRESH if good else list(KeyDecision)[other % 5]
+                self.callers[command.registration.request].holds_key = decision is KeyDecision.FRESH
                 self.feed(KeySettled(command.registration.request, decision))
             case CommitKey():
                 name = command.commit.request
+                committed = good or (None, False)[other % 2]
                 self.callers[name].committed |= good
-                self.feed(KeyCommitSettled(name, good or (None, False)[other % 2]))
+                self.callers[name].holds_key &= committed is None
+                self.feed(KeyCommitSettled(name, committed))
             case MakeClaim():
                 outcome = None if good else (Outcome.NOT_RUN, Outcome.IN_PROGRESS)[other % 2]
                 self.callers[command.request].claim_granted = good
@@ -480,6 +494,11 @@
         self.feed(Tick())
         assert all(caller.ended for caller in self.callers.values())
         assert self.driver.core.in_progress == 0
+        while self.asked:
+            self.settle(0, True)
+        for caller in self.callers.values():
+            assert not caller.holds_key, "the key stays in progress"
+            assert caller.claim_ended or not caller.claim_granted, "the claim stays open"
         json.dumps(self.driver.core.dump())
 
 
