Patient work goes back to its queue after a failure, and failing engines are left alone

A trace showed three faults: a request broken off by the dead engine was offered to the same engine again, which reports itself ready until the second failed poll; a dead prefill engine failed at once, looked idle and so drew every prompt; and twenty streams that break at once spent the retry budget, so the rest were given up although patient work is paced by its queue.

Ruled out: a larger retry budget (it is there against storms, and urgent work met its aim with it); faster polls of the engine's status (they shorten the fault, and do not end it).

Change: work that breaks off makes an upstream suspect for 1 s, doubled up to 8 s until it produces again; urgent work uses a suspect one only where there is no other, patient work waits. Patient model requests are not charged to the budget and may run up to ten times; a failed prefill is tried at another engine by the same rule.

--- a/src/chivehold/core/inference.py
+++ b/src/chivehold/core/inference.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 
 from chivehold.core.entry_messages import EntryCommand, Relay
-from chivehold.core.identity import AttemptId
+from chivehold.core.identity import AttemptId, UpstreamName
 from chivehold.core.lifecycle import Lifecycle
 from chivehold.core.placement import Placement
 from chivehold.core.requests import Attempt, Phase, Request
 from chivehold.core.sending import Sender
 from chivehold.core.state import EntryState
-from chivehold.core.wire import AttemptFrame, FrameKind, PrefillKind, PrefillResult
+from chivehold.core.wire import AttemptFrame, FrameKind, PrefillKind, PrefillResult, Reason
 
 PREFILL_REFUSALS_MOST = 3
 OFFER_PHASES = (Phase.OFFERED, Phase.PREFILLING, Phase.DECODING)
@@ -44,6 +44,7 @@
             case FrameKind.REFUSED if request.phase is Phase.OFFERED:
                 yield from self._placement.refused(request, frame.reason, frame.retry_after_s)
             case FrameKind.TOKENS if request.phase is Phase.DECODING:
+                self._produced(request.attempt.upstream)
                 yield from self._tokens(request, frame)
             case FrameKind.FINISHED if request.phase is Phase.DECODING:
                 yield from self._finished(request, frame.offset)
@@ -60,15 +61,17 @@
         if upstream is None:
             return
         if request.phase is Phase.REVOKING:
-            request.runs += result.kind is not PrefillKind.REFUSED
+            attempt.prefill = None if result.kind is PrefillKind.REFUSED else result
             return
         match result.kind:
             case PrefillKind.DONE:
+                self._produced(upstream)
                 yield from self._prefilled(request, attempt, result)
             case PrefillKind.REFUSED:
                 attempt.prefill_refused_by.add(upstream)
                 yield from self._prefill_refused(request, attempt, result)
             case PrefillKind.FAILED:
+                self._broke_off(upstream)
                 attempt.prefill_refused_by.add(upstream)
                 yield from self._prefill_failed(request, attempt)
 
@@ -111,13 +114,21 @@
 
     def _prefill_failed(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
         request.runs += 1
-        policy = self._state.policy
-        allowed = request.idempotent and request.runs < policy.attempts_most
-        if allowed and self._state.budget.take(self._state.now):
+        if self._placement.may_run_again(request):
             yield from self._placement.prefill(request, attempt)
             return
         yield from self._lifecycle.fail(request, "prefill failed")
 
+    def _produced(self, upstream: UpstreamName) -> None:
+        view = self._state.upstreams.get(upstream)
+        if view is not None:
+            view.produced()
+
+    def _broke_off(self, upstream: UpstreamName) -> None:
+        view = self._state.upstreams.get(upstream)
+        if view is not None:
+            view.broke_off(self._state.now)
+
     def _tokens(self, request: Request, frame: AttemptFrame) -> Iterator[EntryCommand]:
         for run in request.relay.take(frame.offset, frame.tokens):
             yield Relay(request.id, run.offset, run.tokens)
@@ -137,6 +148,8 @@
         if not request.attempt_may_have_run:
             yield from self._placement.refused(request, frame.reason, frame.retry_after_s)
             return
+        if frame.reason is Reason.ENGINE_FAILED and request.attempt is not None:
+            self._broke_off(request.attempt.upstream)
         yield from self._lifecycle.end_attempt(request, ran=True)
         yield from self._placement.retry(request, f"broken off: {frame.reason}")
 
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -137,14 +137,25 @@
         if request.has_all_tokens:
             yield from self._lifecycle.complete(request)
             return
-        policy = self._state.policy
-        allowed = request.idempotent and request.runs < policy.attempts_most
-        if not allowed or not self._state.budget.take(self._state.now):
+        if not self.may_run_again(request):
             yield from self._lifecycle.fail(request, reason, wait_s)
             return
         request.relay.restart()
         yield from self._place_again(request)
 
+    def may_run_again(self, request: Request) -> bool:
+        """Tell whether a request that may have run is to run again.
+
+        Patient work goes back to its queue, which paces it, so it is not charged to the budget; its
+        own bound keeps a request that fails every engine from going round for ever.
+        """
+        policy = self._state.policy
+        if not request.idempotent:
+            return False
+        if request.urgency is Urgency.PATIENT and not request.target.is_service:
+            return request.runs < policy.patient_attempts_most
+        return request.runs < policy.attempts_most and self._state.budget.take(self._state.now)
+
     def _never_started(self, request: Request) -> Iterator[EntryCommand]:
         attempt = request.attempt
         if attempt is None:
