A claim is ended behind its writing, and what ran while revoking counts

Cause: EndClaim of a caller that left could overtake the MakeClaim still being written and leave the claim open; a claim granted earlier was forgotten when the next one was declined; a prefill done while its attempt was being revoked let a non-idempotent request be offered again (it had counted, but the guard stood only on the retry path). Ruled out: ending twice, before and after. Change: EndClaim waits for ClaimSettled; MakeClaim carries the time to the deadline; a prefill that ran is kept with its attempt while revoking. Before and after: `pytest tests/core/test_inference.py -k revocation`: one of two failed before (SendOffer instead of unknown), both pass after; test_entry, test_calls and test_entry_histories pass. Conclusion: each of the three has its test.

--- a/src/chivehold/core/lifecycle.py
+++ b/src/chivehold/core/lifecycle.py
@@ -138,7 +138,11 @@
                 self._state.late_releases[request.id] = release
             yield release
         if request.claimed and request.arrival.key is not None:
-            yield EndClaim(request.id, request.arrival.key, outcome)
+            end = EndClaim(request.id, request.arrival.key, outcome)
+            if request.claim_pending:
+                self._state.late_ends[request.id] = end
+            else:
+                yield end
 
     def _key_commit(self, request: Request) -> KeyCommit | None:
         key = request.arrival.key
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -66,11 +66,16 @@
 
     def claim_settled(self, name: RequestId, decision: ClaimDecision) -> Iterator[EntryCommand]:
         """Send a claimed attempt, or give the answer that the claim found."""
+        late_end = self._state.late_ends.pop(name, None)
+        if late_end is not None:
+            yield late_end
         request = self._state.waiting_for(name, Phase.CLAIMING)
         if request is None or request.attempt is None:
             return
+        request.claim_pending = False
+        request.claim_granted |= decision.granted
+        request.claimed = request.claim_granted
         if not decision.granted:
-            request.claimed = False
             yield from self._claim_declined(request, decision)
             return
         view = self._state.upstreams.get(request.attempt.upstream)
@@ -207,16 +212,20 @@
         number = AttemptId(request.id, request.attempts)
         incarnation = self._state.upstreams.incarnations[upstream]
         attempt = request.attempt = Attempt(number, upstream, incarnation)
-        if request.stalled is not None and request.stalled.has_live_prefill(self._state.now):
-            attempt.take_prefill_of(request.stalled)
-        request.stalled = None
         key = request.arrival.key
         if not request.needs_claim or key is None:
             yield from self._send(request, attempt)
             return
         request.phase = Phase.CLAIMING
-        request.claimed = True
-        yield MakeClaim(request.id, key, number, upstream, request.arrival.first_sent_ago_s)
+        request.claimed = request.claim_pending = True
+        yield MakeClaim(
+            request=request.id,
+            key=key,
+            attempt=number,
+            upstream=upstream,
+            first_sent_ago_s=request.arrival.first_sent_ago_s,
+            deadline_in_s=self._estimates.left_s(request),
+        )
 
     def _send(self, request: Request, attempt: Attempt) -> Iterator[EntryCommand]:
         if request.target.is_service:
--- a/src/chivehold/core/state.py
+++ b/src/chivehold/core/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Container, Sequence
 from random import Random
 
-from chivehold.core.entry_messages import ReleaseKey
+from chivehold.core.entry_messages import EndClaim, ReleaseKey
 from chivehold.core.identity import (
     AttemptId,
     EntryIncarnation,
@@ -44,6 +44,8 @@
         self.requests: dict[RequestId, Request] = {}
         self.late_releases: dict[RequestId, ReleaseKey] = {}
         """Sent again when the registration they may have overtaken is settled."""
+        self.late_ends: dict[RequestId, EndClaim] = {}
+        """Sent when the claim they end is settled, so that they do not overtake it."""
         self.targets: dict[TargetName, Target] = {}
         self.upstreams = Upstreams()
         self.budget = RetryBudget(
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -235,6 +235,25 @@
         assert (second.attempt.number, second.upstream != claim.upstream) == (2, True)
         assert kinds(driver.feed(ClaimSettled(R, ClaimDecision(True)))) == [SendCall]
 
+    @pytest.mark.parametrize("granted", [True, False])
+    def test_is_ended_once_its_writing_is_settled(self, granted: bool) -> None:
+        """A claim whose caller left while it was written is ended behind it, not before it."""
+        driver = Driver()
+        (claim,) = driver.feed(service(deadline_in_s=7.0, **KEYED_CALL))
+        assert claim.deadline_in_s == 7.0
+        assert driver.feed(CallerGone(R)) == []
+        decision = ClaimDecision(granted, None if granted else Outcome.NOT_RUN)
+        assert driver.feed(ClaimSettled(R, decision)) == [EndClaim(R, key(FORJA), Outcome.NOT_RUN)]
+
+    def test_an_earlier_claim_is_ended_when_the_next_is_declined(self) -> None:
+        """The claim of a VM that began to leave is not left open when the platform fails."""
+        driver = Driver()
+        (claim,) = driver.feed(service(**KEYED_CALL))
+        driver.feed(LeavingListed((claim.upstream,)))
+        driver.feed(ClaimSettled(R, ClaimDecision(True)))
+        commands = driver.feed(ClaimSettled(R, ClaimDecision(False, Outcome.NOT_RUN)))
+        assert kinds(commands) == [EndClaim, Finish]
+
 
 class TestEnds:
     @pytest.mark.parametrize(
--- a/tests/core/test_inference.py
+++ b/tests/core/test_inference.py
@@ -106,6 +106,22 @@
         (finish,) = driver.feed(frame(FrameKind.FAILED, FIRST))
         assert finish.outcome is Outcome.UNKNOWN
 
+    @pytest.mark.parametrize(
+        ("kind", "ended"), [(PrefillKind.DONE, Finish), (PrefillKind.REFUSED, SendOffer)]
+    )
+    def test_a_prefill_that_ends_during_a_revocation_counts(
+        self, kind: PrefillKind, ended: type
+    ) -> None:
+        """Only if it was refused has nothing run, and the request may go elsewhere."""
+        driver = Driver()
+        driver.feed(model(idempotent=False))
+        driver.feed(frame(FrameKind.GRANTED, FIRST))
+        driver.feed(AttemptLinkLost(FIRST, sent=True))
+        assert driver.feed(PrefillSettled(PrefillResult(kind, FIRST))) == []
+        (last,) = driver.feed(RevokeSettled(FIRST, RevokeResult.NEVER_STARTED))
+        assert isinstance(last, ended)
+        assert ended is SendOffer or last.outcome is Outcome.UNKNOWN
+
     def test_within_the_retry_budget(self) -> None:
         """When every engine fails, further attempts stay within the budget."""
         driver = Driver(Policy(retry_budget=0.1, retry_budget_floor=0))
