--- a/examples/measure/nodes.py
+++ b/examples/measure/nodes.py
@@ -62,12 +62,15 @@
         self.entries: dict[EntryIncarnation, EntryNode] = {}
         self.sidecars: dict[str, SidecarNode] = {}
         self.kv_expires_at: dict[str, float] = {}
+        self.prefilled_by: dict[str, AttemptId] = {}
         self.output_tokens: dict[RequestId, int] = {}
         self.stall_share = 0.0
         self.report_delay_s = 0.0
         self.cache_events = True
         self.prefill_work_s: dict[AttemptId, float] = {}
-        self.delivered: set[AttemptId] = set()
+        self.prefill_of: dict[AttemptId, AttemptId] = {}
+        self.used: set[AttemptId] = set()
+        """Attempts whose prefill led to output."""
 
     def tell_entry(self, entry: EntryIncarnation, event: to_entry.EntryEvent) -> None:
         """Deliver an event to an entry, if it still runs."""
@@ -187,6 +190,7 @@
             self._prefill_entry.pop(output.attempt, None)
             handle = f"{output.attempt.request}/{output.attempt.number}@{self._clock.now}"
             self._network.kv_expires_at[handle] = output.expires_at
+            self._network.prefilled_by[handle] = output.attempt
             self._network.prefill_work_s[output.attempt] = (
                 self._network.prefill_work_s.get(output.attempt, 0.0) + output.work_s
             )
@@ -228,7 +232,8 @@
 
     def _send_frame(self, command: to_sidecar.SendFrame) -> None:
         if command.frame.kind is FrameKind.TOKENS:
-            self._network.delivered.add(command.frame.attempt)
+            attempt = command.frame.attempt
+            self._network.used.add(self._network.prefill_of.get(attempt, attempt))
         self._network.tell_entry(command.entry, to_entry.FrameReceived(command.frame))
 
     def _send_prefill_result(self, command: to_sidecar.SendPrefillResult) -> None:
@@ -253,11 +258,12 @@
 
     def _start_decode(self, command: to_sidecar.StartDecode) -> None:
         attempt = command.offer.attempt
+        self._network.prefill_of[attempt] = self._network.prefilled_by[command.order.handle]
         total = self._network.output_tokens[attempt.request]
         job = DecodeJob(
             attempt=attempt,
             kv_bytes=command.order.kv_bytes,
-            kv_expires_at=self._network.kv_expires_at.pop(command.order.handle, 0.0),
+            kv_expires_at=self._network.kv_expires_at.get(command.order.handle, 0.0),
             tokens=max(1, total - command.offer.first_offset),
             stalls=self._network.random.random() < self._network.stall_share,
         )
--- a/examples/measure/run.py
+++ b/examples/measure/run.py
@@ -194,7 +194,7 @@
         return sum(
             seconds
             for attempt, seconds in self.network.prefill_work_s.items()
-            if attempt.request in received and attempt in self.network.delivered
+            if attempt.request in received and attempt in self.network.used
         )
 
     def _comes_back(self, row: _Row) -> bool:
--- a/src/chivehold/core/inference.py
+++ b/src/chivehold/core/inference.py
@@ -86,10 +86,10 @@
         request.target.drain[request.urgency].saw_grant(self._state.now)
         if attempt.prefill is None:
             yield from self._placement.prefill(request, attempt)
-        elif self._has_expired(attempt, attempt.prefill):
-            yield from self._import_failed(request, "KV cache expired")
-        else:
+        elif attempt.has_live_prefill(self._state.now):
             yield from self._sender.import_kv(request, attempt, attempt.prefill)
+        else:
+            yield from self._import_failed(request, "KV cache expired")
         yield from self._placement.dispatch(request.target)
 
     def _prefilled(
@@ -150,8 +150,7 @@
             return
         if frame.reason is Reason.ENGINE_FAILED and request.attempt is not None:
             self._broke_off(request.attempt.upstream)
+        if frame.reason is Reason.TRANSFER_STALLED and not request.relay.relayed:
+            request.stalled = request.attempt
         yield from self._lifecycle.end_attempt(request, ran=True)
         yield from self._placement.retry(request, f"broken off: {frame.reason}")
-
-    def _has_expired(self, attempt: Attempt, prefill: PrefillResult) -> bool:
-        return self._state.now - attempt.prefill_ended_at >= prefill.expires_in_s
--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -30,6 +30,7 @@
 RETRY_SOON_S = 1.0
 MIN_RETRY_S = 0.1
 INTERVAL_WEIGHT = 0.05
+STALL_INTERVALS = 10
 
 
 class PlaceAdmission:
@@ -70,6 +71,12 @@
     def _is_decode(self) -> bool:
         return self._config.role is Role.DECODE
 
+    @property
+    def _stall_allowance_s(self) -> float:
+        """Time for the first token after a transfer, with room for an engine that is slow."""
+        interval_s = self.token_interval_s.or_else(0.0)
+        return max(self._config.transfer_stall_s, STALL_INTERVALS * interval_s)
+
     def offer(self, offer: AttemptOffer, now: float) -> Iterator[SidecarCommand]:
         """Grant an offer, let it wait, or refuse it at once."""
         reason = self._standing_refusal(offer)
@@ -188,7 +195,7 @@
         for attempt in list(self._import_by.expire(now)):
             yield from self.fail(attempt, Reason.CANCELLED, now)
         for attempt in list(self.link.ended(now)):
-            self._first_token_by.set(attempt, now + self._config.transfer_stall_s)
+            self._first_token_by.set(attempt, now + self._stall_allowance_s)
         for attempt in list(self._first_token_by.expire(now)):
             yield from self.fail(attempt, Reason.TRANSFER_STALLED, now)
         yield from self.fill(now)
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -212,6 +212,9 @@
         number = AttemptId(request.id, request.attempts)
         incarnation = self._state.upstreams.incarnations[upstream]
         attempt = request.attempt = Attempt(number, upstream, incarnation)
+        if request.stalled is not None and request.stalled.has_live_prefill(self._state.now):
+            attempt.take_prefill_of(request.stalled)
+        request.stalled = None
         key = request.arrival.key
         if not request.needs_claim or key is None:
             yield from self._send(request, attempt)
--- a/src/chivehold/core/policy.py
+++ b/src/chivehold/core/policy.py
@@ -41,6 +41,9 @@
     """Further attempts allowed at any rate, per ``retry_window_s``."""
     retry_window_s: float = 10.0
     attempts_most: int = 3
+    """Attempts of an urgent request that may have run."""
+    patient_attempts_most: int = 10
+    """Attempts of a patient model request that may have run; they are not charged to the budget."""
     urgent_queue_most: int = 256
     """Urgent requests an entry keeps waiting per target."""
     patient_queue_most: int = 2048
--- a/src/chivehold/core/requests.py
+++ b/src/chivehold/core/requests.py
@@ -58,6 +58,16 @@
         self.prefill_ended_at = 0.0
         self.prefill_refused_by: set[UpstreamName] = set()
 
+    def has_live_prefill(self, now: float) -> bool:
+        """Tell whether the attempt's KV cache is still at the engine that made it."""
+        prefill = self.prefill
+        return prefill is not None and now - self.prefill_ended_at < prefill.expires_in_s
+
+    def take_prefill_of(self, former: "Attempt") -> None:
+        """Go on from the prefill of an attempt whose transfer failed."""
+        self.prefill = former.prefill
+        self.prefill_ended_at = former.prefill_ended_at
+
 
 class RequestDump(TypedDict):
     """One request in progress."""
@@ -115,6 +125,8 @@
         self.commits = 0
         self.claimed = False
         """The platform may hold a claim of this request."""
+        self.stalled: Attempt | None = None
+        """An attempt whose transfer stalled; its KV cache may still be used."""
         self.claim_granted = False
         self.claim_pending = False
         """A claim is being written."""
--- a/src/chivehold/core/sidecar_messages.py
+++ b/src/chivehold/core/sidecar_messages.py
@@ -43,7 +43,7 @@
     """Offers the wait list holds."""
     import_wait_s: float = 10.0
     """A granted place without an import order for this long is freed."""
-    transfer_stall_s: float = 0.6
+    transfer_stall_s: float = 0.25
     """An import without its first token for this long beyond its expected time has stalled."""
 
 
--- a/src/chivehold/core/upstreams.py
+++ b/src/chivehold/core/upstreams.py
@@ -13,6 +13,8 @@
 REPORT_TRAVEL_S = 0.05
 """What was sent later than this before a report's arrival is not covered by it."""
 SENT_BLOCKS_MOST = 2_000
+SUSPECT_S = 1.0
+SUSPECT_MOST_S = 8.0
 NO_BLOCKS: frozenset[int] = frozenset()
 
 
@@ -66,6 +68,9 @@
         self.reachable = True
         self.listed_leaving = False
         self.refused_leaving = False
+        self.suspect_until = 0.0
+        """Before this time others are preferred: work broke off here, and no report tells of it."""
+        self._failures = 0
         self.patient_from = 0.0
         """No patient offer before this time, by its own refusal."""
         self.in_flight = 0
@@ -90,6 +95,18 @@
         if not self._uncovered:
             self._uncovered_s = 0.0
 
+    def broke_off(self, now: float) -> None:
+        """Note that the engine broke work off; each further time counts for twice as long."""
+        if now < self.suspect_until:
+            return
+        self.suspect_until = now + min(SUSPECT_MOST_S, SUSPECT_S * 2**self._failures)
+        self._failures += 1
+
+    def produced(self) -> None:
+        """Note that the engine produced something."""
+        self._failures = 0
+        self.suspect_until = 0.0
+
     def sent(self, work_s: float, now: float) -> None:
         """Count work sent there, in seconds of the upstream's time."""
         self._uncovered.append((now, work_s))
@@ -222,16 +239,22 @@
             names: The pool.
             now: Monotonic time in seconds.
             excluded: Upstreams not to ask again.
-            patient: Leave out those that lately refused patient work.
+            patient: Leave out those that lately refused patient work or are suspect.
+
+        Returns:
+            Those that are not suspect; for urgent work suspect ones where there are no others.
         """
         views = [self._views[name] for name in names if name in self._views]
-        return [
-            view.candidate(now)
+        usable = [
+            view
             for view in views
             if view.is_usable(now)
             and view.declared.name not in excluded
             and not (patient and view.patient_from > now)
         ]
+        sound = [view for view in usable if view.suspect_until <= now]
+        chosen = sound if sound or patient else usable
+        return [view.candidate(now) for view in chosen]
 
     def dump(self, now: float) -> dict[str, UpstreamDump]:
         """Return every upstream's state for an operator."""
--- a/src/chivehold/core/wire.py
+++ b/src/chivehold/core/wire.py
@@ -60,6 +60,7 @@
     deadline_in_s: float
     prompt_tokens: int = 0
     max_tokens: int = 0
+    """Output tokens to produce, the first of them at ``first_offset``."""
     first_offset: int = 0
     """Offset of the first output token to produce; above 0 when a cut stream is resumed."""
     kv_bytes: int = 0
--- a/src/chivehold/fakes/engine_runtime.py
+++ b/src/chivehold/fakes/engine_runtime.py
@@ -180,13 +180,13 @@
         Raises:
             CallFailed: No place was free, the KV cache expired, or it was cancelled.
         """
-        attempt, first, total = call["attempt"], call["first_offset"], call["max_tokens"]
-        if first >= total:
-            return total
+        attempt, first, count = call["attempt"], call["first_offset"], call["max_tokens"]
+        if count <= 0:
+            return first
         now = trio.current_time()
         stalls = self._random.random() < self.faults.stall_transfers
         expires_at = now + kv["expires_in_s"]
-        job = DecodeJob(attempt, call["kv_bytes"], expires_at, total - first, stalls)
+        job = DecodeJob(attempt, call["kv_bytes"], expires_at, count, stalls)
         if not self._model.submit_decode(job, now):
             raise CallFailed(503, "full", "no place is free")
         self.history.add("decode_started", attempt, detail="stalled" if stalls else "")
@@ -194,7 +194,7 @@
         self._changed.set()
         await self._emit_output(attempt, kv["digest"], first, waiter, emit)
         if isinstance(waiter.output, DecodeDone):
-            return total
+            return first + count
         if isinstance(waiter.output, KvExpired):
             raise CallFailed(410, "kv_expired", "the KV cache expired in transfer")
         raise CallFailed(409, "cancelled", "the decode was cancelled")
--- a/src/chivehold/sidecar/engine_api.py
+++ b/src/chivehold/sidecar/engine_api.py
@@ -36,6 +36,7 @@
     prompt_tokens: int
     first_offset: int
     max_tokens: int
+    """Output tokens to produce, the first of them at ``first_offset``."""
     priority: Literal["urgent", "patient"]
 
 
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -210,7 +210,7 @@
 
     @pytest.mark.parametrize(
         ("imported", "at", "reason", "cancelled"),
-        [(False, 10.0, "cancelled", False), (True, 0.6, "transfer_stalled", True)],
+        [(False, 10.0, "cancelled", False), (True, 0.25, "transfer_stalled", True)],
     )
     def test_are_not_waited_for_without_end(
         self, imported: bool, at: float, reason: str, cancelled: bool
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,18 @@
+"""Processes for one test."""
+
+import pytest
+
+from tests.entry.deployed import deploy
+from tests.processes import Programs
+
+
+@pytest.fixture
+def programs(tmp_path):
+    programs = Programs(tmp_path)
+    yield programs
+    programs.end()
+
+
+@pytest.fixture
+async def deployed(programs):
+    return await deploy(programs)
--- a/tests/entry/deployed.py
+++ b/tests/entry/deployed.py
@@ -1,5 +1,7 @@
 """One deployment and one service as processes, with one entry before them."""
 
+import json
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import httpcore
@@ -20,6 +22,7 @@
 )
 IN_FORCE_S = 5.0
 POLL_S = 0.02
+PROMPT = "Read the whole site and return a short summary. " * 20
 
 
 class Deployed(NamedTuple):
@@ -136,3 +139,25 @@
     host = [("host", address), *headers]
     async with httpcore.AsyncConnectionPool() as pool:
         return await pool.request(method, f"http://{address}{path}", headers=host, content=body)
+
+
+def completion(**fields: object) -> bytes:
+    return json.dumps({"model": "lector", "prompt": PROMPT, "max_tokens": 40, **fields}).encode()
+
+
+@asynccontextmanager
+async def stream(deployed: Deployed, max_tokens: int):
+    body = completion(stream=True, max_tokens=max_tokens)
+    url = f"http://{deployed.callers}/v1/completions"
+    headers = [("host", deployed.callers)]
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        pool.stream("POST", url, headers=headers, content=body) as response,
+    ):
+        yield response
+
+
+def answer_text(events: bytes) -> str:
+    *rows, done = events.decode().strip().split("\n\n")
+    assert done == "data: [DONE]"
+    return "".join(json.loads(row.removeprefix("data: "))["choices"][0]["text"] for row in rows)
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -45,7 +45,7 @@
         }
         return await self.call("POST", "/prefill", call)
 
-    async def decode(self, number: int, kv: Any, first: int = 0, end: int = 20) -> list[Any]:
+    async def decode(self, number: int, kv: Any, first: int = 0, count: int = 20) -> list[Any]:
         call = {
             "attempt": attempt(number),
             "handle": kv["handle"],
@@ -53,7 +53,7 @@
             "kv_bytes": kv["kv_bytes"],
             "prompt_tokens": 100,
             "first_offset": first,
-            "max_tokens": end,
+            "max_tokens": count,
             "priority": "urgent",
         }
         body = msgspec.json.encode(call)
@@ -111,7 +111,7 @@
                 outputs[prompt] = output(await one.decode(number, kv))
             assert outputs == {prompt: expected_tokens(prompt, 20) for prompt in "ab"}
             kv = await one.prefill(3, "a")
-            rest = output(await one.decode(3, kv, first=7), first=7)
+            rest = output(await one.decode(3, kv, first=7, count=13), first=7)
             assert rest == expected_tokens("a", 20)[7:]
             assert await one.held() == []
 
@@ -130,7 +130,7 @@
         async with engine() as one:
             kv = await one.prefill(1)
             with trio.move_on_after(0.1):
-                await one.decode(1, kv, end=100_000)
+                await one.decode(1, kv, count=100_000)
             assert await one.held() == [["r", 1]]
             await one.fault(ignore_cancel_for_s=0.2)
             cancel = partial(one.call, "POST", "/cancel", {"attempt": attempt(1)})
@@ -160,7 +160,7 @@
 
             async def read() -> None:
                 with pytest.raises(LinkError):
-                    await one.decode(1, kv, end=100_000)
+                    await one.decode(1, kv, count=100_000)
                 broken.set()
 
             nursery.start_soon(read)
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -75,7 +75,7 @@
     async def test_cut_stream_is_resumed_in_place(self) -> None:
         """A further attempt with a first offset goes on without gap or repeat."""
         async with rig() as one:
-            rest = await one.tokens(1, "p", first_offset=20)
+            rest = await one.tokens(1, "p", first_offset=20, max_tokens=30)
             assert rest == expected_tokens("p", 50)[20:]
 
 
