make demo runs both deployments of the examples under load and faults

Ruled out: one platform for both sites: the customers are separate, and each entry would know the other's upstreams. SidecarCore._on_revoke cancels a started attempt also when the revocation comes from another entry that only asks about the claim. Not mended here.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,9 @@
 test: setup
 	$(PY) -m pytest
 
+demo: setup
+	$(PY) -m examples.demo
+
 check: setup
 	$(VENV)/bin/black --check -q src tests examples
 	$(VENV)/bin/ruff check src tests examples
--- /dev/null
+++ b/examples/demo/children.py
@@ -0,0 +1,73 @@
+"""Processes of the demo: started here, and ended here by their own ids."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+
+READY_S = 30.0
+END_S = 10.0
+READ_BYTES = 4096
+
+
+class Child:
+    """One started program."""
+
+    def __init__(self, name: str, process: trio.Process, log: Path) -> None:
+        self.name = name
+        self.process = process
+        self._log = log
+        self._buffer = b""
+
+    async def addresses(self) -> list[str]:
+        """Wait for the next line of addresses that the program prints."""
+        assert self.process.stdout is not None
+        with trio.fail_after(READY_S):
+            while b"\n" not in self._buffer:
+                part = await self.process.stdout.receive_some(READ_BYTES)
+                if not part:
+                    raise RuntimeError(f"{self.name} ended: {self._log.read_text()[-2000:]}")
+                self._buffer += part
+        line, _, self._buffer = self._buffer.partition(b"\n")
+        return line.decode().split()[1:]
+
+    async def end(self) -> None:
+        """End the process, by force where it does not end by itself."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        with trio.move_on_after(END_S):
+            await self.process.wait()
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+class Children:
+    """All processes of one run; their logs go to a directory."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self._all: list[Child] = []
+
+    async def start(self, name: str, module: str, *arguments: str) -> Child:
+        """Start a program of this package."""
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as errors:
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=errors,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+        child = Child(name, process, log)
+        self._all.append(child)
+        return child
+
+    async def end(self) -> None:
+        """End all that still run."""
+        with trio.CancelScope(shield=True):
+            async with trio.open_nursery() as nursery:
+                for child in self._all:
+                    nursery.start_soon(child.end)
--- /dev/null
+++ b/examples/demo/sites.py
@@ -0,0 +1,184 @@
+"""One site of the examples as processes: platform, stand-ins, sidecars and two entries."""
+
+import json
+import os
+import sys
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.declarations import DeclaredSpec
+from chivehold.core.declared import Deployment, Service, Upstream
+from chivehold.core.identity import Role
+from chivehold.declaration_files import read_declarations
+from examples.demo.children import Child, Children
+
+EXAMPLES = Path(__file__).parents[1]
+ANY_PORT = "127.0.0.1:0"
+SERVICE_WORK_S = 0.02
+
+
+class SiteNames(NamedTuple):
+    """Which example a site is, and what its traffic is called."""
+
+    name: str
+    deployment: str
+    service: str
+    urgent_class: str
+    patient_class: str
+    lookup_path: str
+    reservation_path: str
+    dying_engine: str
+
+
+BRUMA = SiteNames("bruma", "lector", "forja", "hook", "review", "/builds", "/publications", "d2")
+KINISI = SiteNames(
+    "kinisi", "casewriter", "loandesk", "check", "summary", "/chairs", "/reservations", "d3"
+)
+
+
+class RunningEntry(NamedTuple):
+    """An entry with its addresses."""
+
+    child: Child
+    callers: str
+    control: str
+
+
+class StandIn(NamedTuple):
+    """A stand-in engine or service with its addresses."""
+
+    role: Role
+    data: str
+    control: str
+
+
+class Site:
+    """The processes of one site.
+
+    Args:
+        names: Which example it is.
+        children: Starts and ends the processes.
+    """
+
+    def __init__(self, names: SiteNames, children: Children) -> None:
+        self.names = names
+        self.entries: list[RunningEntry] = []
+        self.stand_ins: dict[str, StandIn] = {}
+        self._children = children
+        self._directory = EXAMPLES / names.name
+        self._platform = ""
+        self._peers: list[str] = []
+        self._entries_started = 0
+        self._balanced = 0
+
+    async def start(self) -> None:
+        """Start everything and apply the declarations of the example."""
+        path = self._directory / "declarations.toml"
+        upstreams = [one for spec in read_declarations([path]) for one in _upstreams(spec)]
+        platform = await self._start("platform", "chivehold.fakes.platform")
+        (self._platform,) = await platform.addresses()
+        text = path.read_text()
+        for upstream, addresses in zip(
+            upstreams, await self._start_upstreams(upstreams), strict=True
+        ):
+            data, control, _ = addresses
+            text = text.replace(f'"{upstream.data_address}"', f'"{data}"')
+            text = text.replace(f'"{upstream.control_address}"', f'"{control}"')
+            self._peers.append(control)
+        started = [await self.launch_entry() for _ in range(2)]
+        for child in started:
+            await self.join_entry(child)
+        declared = self._children.directory / f"{self.names.name}-declarations.toml"
+        declared.write_text(text)
+        await self.chivehold("apply", "--wait", str(declared))
+
+    def next_entry(self) -> RunningEntry:
+        """Return the entry that the balancer gives the next connection to."""
+        self._balanced += 1
+        return self.entries[self._balanced % len(self.entries)]
+
+    async def add_entry(self) -> None:
+        """Start another entry and wait until callers can use it."""
+        await self.join_entry(await self.launch_entry())
+
+    async def launch_entry(self) -> Child:
+        """Start an entry's process."""
+        self._entries_started += 1
+        name = f"entry-{self._entries_started}"
+        settings = self._settings(
+            "entry",
+            name=name,
+            platform_address=self._platform,
+            peer_addresses=self._peers[:2],
+            caller_address=ANY_PORT,
+        )
+        return await self._start(name, "chivehold.cli", "entry", "--settings", settings)
+
+    async def join_entry(self, child: Child) -> None:
+        """Put an entry behind the balancer once it listens."""
+        callers, control, _ = await child.addresses()
+        self.entries.append(RunningEntry(child, callers, control))
+
+    async def chivehold(self, *arguments: str) -> None:
+        """Run an operator's command against the first entry.
+
+        Raises:
+            subprocess.CalledProcessError: It did not end well.
+        """
+        token = tomllib.loads((self._directory / "entry.toml").read_text())["token"]
+        environment = {"CHIVEHOLD_ENTRY": self.entries[0].control, "CHIVEHOLD_TOKEN": token}
+        command = [sys.executable, "-m", "chivehold.cli", *arguments]
+        await trio.run_process(
+            command, env=os.environ | environment, capture_stdout=True, capture_stderr=True
+        )
+
+    async def _start_upstreams(self, upstreams: list[Upstream]) -> list[list[str]]:
+        children = [await self._start_stand_in(upstream) for upstream in upstreams]
+        sidecars = []
+        for upstream, child in zip(upstreams, children, strict=True):
+            (data,) = await child.addresses()
+            (control,) = await child.addresses()
+            self.stand_ins[upstream.name] = StandIn(upstream.role, data, control)
+            sidecars.append(await self._start_sidecar(upstream, data))
+        return [await sidecar.addresses() for sidecar in sidecars]
+
+    async def _start_stand_in(self, upstream: Upstream) -> Child:
+        name = f"{upstream.name}-stand-in"
+        if upstream.role is Role.SERVICE:
+            arguments = ("--name", upstream.name, "--work-s", str(SERVICE_WORK_S))
+            return await self._start(name, "chivehold.fakes.service", *arguments)
+        arguments = ("--name", upstream.name, "--role", upstream.role)
+        return await self._start(name, "chivehold.fakes.engine", *arguments)
+
+    async def _start_sidecar(self, upstream: Upstream, address: str) -> Child:
+        settings = self._settings(
+            upstream.role.value,
+            name=upstream.name,
+            zone=upstream.zone,
+            places=upstream.places,
+            data_address=ANY_PORT,
+            upstream_address=address,
+        )
+        return await self._start(upstream.name, "chivehold.cli", "sidecar", "--settings", settings)
+
+    def _settings(self, example: str, **changed: object) -> str:
+        fields = tomllib.loads((self._directory / f"{example}.toml").read_text())
+        fields |= changed | {"control_address": ANY_PORT, "operator_address": ANY_PORT}
+        path = self._children.directory / f"{self.names.name}-{changed['name']}.toml"
+        lines = (f"{key} = {json.dumps(value)}\n" for key, value in fields.items())
+        path.write_text("".join(lines))
+        return str(path)
+
+    async def _start(self, name: str, module: str, *arguments: str) -> Child:
+        return await self._children.start(f"{self.names.name}-{name}", module, *arguments)
+
+
+def _upstreams(spec: DeclaredSpec) -> Iterator[Upstream]:
+    if isinstance(spec, Service):
+        yield from spec.upstreams
+    elif isinstance(spec, Deployment):
+        yield from (*spec.prefill, *spec.decode)
--- /dev/null
+++ b/examples/demo/traffic.py
@@ -0,0 +1,266 @@
+"""Callers of a site: what they send, what they see, and when they come back or leave."""
+
+import json
+import time
+from collections.abc import Iterator, Sequence
+from random import Random
+from typing import NamedTuple
+
+import trio
+
+from chivehold.fakes.output import output_tokens, prompt_digest
+from chivehold.http_client import HttpClient, LinkError
+from examples.demo.sites import Site
+
+TRIES_MOST = 12
+RETRY_PAUSE_S = 0.3
+READ_TIMEOUT_S = 60.0
+LEAVE_AFTER_S = (0.1, 1.5)
+DEPARTED = "departed"
+BROKEN = "broken"
+ANSWERED = "answered"
+
+
+class Kind(NamedTuple):
+    """One kind of call."""
+
+    label: str
+    traffic_class: str
+    path: str
+    """Of a plain service's call; empty for a model request."""
+    method: str
+    rate_per_s: float
+    prompt_words: tuple[int, int]
+    tokens: tuple[int, int]
+    leaving: float
+    """Share of callers that leave before the end."""
+    twice: float
+    """Share that is sent a second time under the same key, at once, through another entry."""
+
+
+class Try(NamedTuple):
+    """What one sending of a request came to."""
+
+    request: str
+    outcome: str
+    retry_after_s: float
+
+
+class Sent(NamedTuple):
+    """One request with all its sendings."""
+
+    kind: Kind
+    key: str
+    tries: list[Try]
+    whole_answers: int
+    wrong: str
+    """What was wrong with an answer that looked whole; empty for nothing."""
+    first_token_s: float | None
+    gaps_s: list[float]
+
+    @property
+    def outcome(self) -> str:
+        """The outcome of the last sending, or the answer that any of them got."""
+        if self.whole_answers:
+            return ANSWERED
+        return self.tries[-1].outcome if self.tries else "not_run"
+
+
+def kinds(site: Site, rate: float) -> tuple[Kind, ...]:
+    """Return a site's mix, its rates multiplied by ``rate``."""
+    names = site.names
+    short, long, calls = (40, 400), (2000, 9000), (0, 0)
+    return (
+        Kind(names.urgent_class, names.urgent_class, "", "POST", 6 * rate, short, (20, 60), 0, 0.1),
+        Kind(names.patient_class, names.patient_class, "", "POST", rate, long, (100, 300), 0.2, 0),
+        Kind("lookup", "", names.lookup_path, "GET", 6 * rate, calls, (0, 0), 0, 0),
+        Kind("reservation", "", names.reservation_path, "POST", 4 * rate, calls, (0, 0), 0, 0.3),
+    )
+
+
+class Callers:
+    """The callers of one site.
+
+    Args:
+        site: Where they send to.
+        random: Decides what they send and when.
+    """
+
+    def __init__(self, site: Site, random: Random) -> None:
+        self.sent: list[Sent] = []
+        self._site = site
+        self._random = random
+        self._client = HttpClient()
+        self._keys = 0
+
+    async def run(self, rate: float, for_s: float) -> None:
+        """Send the mix for a time, and return when every request has ended."""
+        async with trio.open_nursery() as nursery:
+            for kind in kinds(self._site, rate):
+                nursery.start_soon(self._arrivals, kind, for_s, nursery)
+        await self._client.aclose()
+
+    async def _arrivals(self, kind: Kind, for_s: float, nursery: trio.Nursery) -> None:
+        stop_at = trio.current_time() + for_s
+        while True:
+            await trio.sleep(self._random.expovariate(kind.rate_per_s))
+            if trio.current_time() >= stop_at:
+                return
+            nursery.start_soon(self._request, kind)
+
+    async def _request(self, kind: Kind) -> None:
+        self._keys += 1
+        key = f"{self._site.names.name}-{kind.label}-{self._keys}"
+        sent = Sent(kind, key, [], 0, "", None, [])
+        prompt = " ".join(self._words(kind, key))
+        tokens = self._random.randint(*kind.tokens)
+        leaves = self._random.random() < kind.leaving
+        copies = 2 if self._random.random() < kind.twice else 1
+        one = _OneRequest(self._site, self._client, sent, prompt, tokens)
+        with trio.move_on_after(self._random.uniform(*LEAVE_AFTER_S) if leaves else float("inf")):
+            async with trio.open_nursery() as nursery:
+                for _ in range(copies):
+                    nursery.start_soon(one.send_until_settled)
+        if leaves and not one.sent.whole_answers:
+            one.sent.tries.append(Try("", DEPARTED, 0.0))
+        self.sent.append(one.sent)
+
+    def _words(self, kind: Kind, key: str) -> Iterator[str]:
+        yield key
+        count = self._random.randint(*kind.prompt_words)
+        yield from (f"word{self._random.randrange(1000)}" for _ in range(count))
+
+
+class _OneRequest:
+    """Sends one request, again where its outcome says that this is worth it."""
+
+    def __init__(
+        self, site: Site, client: HttpClient, sent: Sent, prompt: str, tokens: int
+    ) -> None:
+        self.sent = sent
+        self._site = site
+        self._client = client
+        self._prompt = prompt
+        self._tokens = tokens
+        self._headers = [
+            ("idempotency-key", sent.key),
+            ("chivehold-first-sent", str(int(time.time() * 1000))),
+            ("content-type", "application/json"),
+        ]
+        if sent.kind.traffic_class:
+            self._headers.append(("chivehold-class", sent.kind.traffic_class))
+
+    async def send_until_settled(self) -> None:
+        """Send, and send again after ``not_run``, ``in_progress`` or a broken connection."""
+        for _ in range(TRIES_MOST):
+            try:
+                tried = await self._send()
+            except LinkError:
+                tried = Try("", BROKEN, RETRY_PAUSE_S)
+            self.sent.tries.append(tried)
+            if tried.outcome not in ("not_run", "in_progress", BROKEN) or self.sent.whole_answers:
+                return
+            await trio.sleep(tried.retry_after_s + RETRY_PAUSE_S)
+
+    async def _send(self) -> Try:
+        peer = self._site.next_entry().callers
+        kind = self.sent.kind
+        path, body = f"/services/{self._site.names.service}{kind.path}", b""
+        if not kind.path:
+            path, body = "/v1/completions", self._completion()
+        started_at = trio.current_time()
+        async with self._client.stream(
+            peer,
+            kind.method,
+            path,
+            step="demo request",
+            body=body,
+            headers=self._headers,
+            read_timeout_s=READ_TIMEOUT_S,
+        ) as stream:
+            headers = dict(stream.headers)
+            request = headers.get("chivehold-request", "")
+            if stream.status != 200:
+                await stream.read(1 << 20)
+                outcome = headers.get("chivehold-outcome", f"status {stream.status}")
+                return Try(request, outcome, float(headers.get("retry-after", 0)))
+            if kind.path:
+                self._take_call(await stream.read(1 << 20))
+                return Try(request, ANSWERED, 0.0)
+            return Try(request, await self._read_events(stream, started_at), 0.0)
+
+    def _completion(self) -> bytes:
+        fields = {
+            "model": self._site.names.deployment,
+            "prompt": self._prompt,
+            "max_tokens": self._tokens,
+            "stream": True,
+        }
+        return json.dumps(fields).encode()
+
+    async def _read_events(self, stream: object, started_at: float) -> str:
+        tokens: list[str] = []
+        last_at, done = started_at, False
+        async for lines in stream:  # type: ignore[attr-defined]
+            now = trio.current_time()
+            fresh = [token for line in lines for token in _tokens(line)]
+            done = done or b"data: [DONE]" in lines
+            if fresh:
+                self._time(now, last_at, started_at, len(fresh), first=not tokens)
+                last_at = now
+                tokens += fresh
+        if not done:
+            return BROKEN
+        expected = self._tokens
+        if len(tokens) != expected:
+            self._wrong(f"{len(tokens)} tokens of {expected}, closed as whole")
+        elif not is_own_answer(self._prompt, tokens):
+            self._wrong("tokens that do not follow from its prompt")
+        self._count()
+        return ANSWERED
+
+    def _time(self, now: float, last_at: float, started_at: float, fresh: int, first: bool) -> None:
+        if first and self.sent.first_token_s is None:
+            self.sent = self.sent._replace(first_token_s=now - started_at)
+        elif not first:
+            self.sent.gaps_s.extend([(now - last_at) / fresh] * fresh)
+
+    def _take_call(self, body: bytes) -> None:
+        answer = json.loads(body)
+        if answer["key"] != self.sent.key:
+            self._wrong(f"the answer of {answer['key']}")
+        self._count()
+
+    def _count(self) -> None:
+        self.sent = self.sent._replace(whole_answers=self.sent.whole_answers + 1)
+
+    def _wrong(self, what: str) -> None:
+        self.sent = self.sent._replace(wrong=what)
+
+
+def is_own_answer(prompt: str, tokens: Sequence[str]) -> bool:
+    """Tell whether tokens are a prompt's output, also where an engine went on from others' part."""
+    at = 0
+    while at < len(tokens):
+        before = "".join(f" {token}" for token in tokens[:at])
+        expected = output_tokens(prompt_digest(prompt + before), at, len(tokens))
+        matching = _matching(expected, tokens[at:])
+        if not matching:
+            return False
+        at += matching
+    return True
+
+
+def _matching(expected: Sequence[str], tokens: Sequence[str]) -> int:
+    pairs = enumerate(zip(expected, tokens, strict=True))
+    return next((at for at, (one, other) in pairs if one.strip() != other), len(tokens))
+
+
+def _tokens(line: bytes) -> list[str]:
+    if not line.startswith(b"data: {"):
+        return []
+    event = json.loads(line.removeprefix(b"data: "))
+    if "choices" not in event:
+        return []
+    text: str = event["choices"][0]["text"]
+    return text.split()
--- a/src/chivehold/commands/change.py
+++ b/src/chivehold/commands/change.py
@@ -21,6 +21,7 @@
 
 WAIT_POLL_S = 0.1
 WAIT_S = 10.0
+DOWN_WAIT_S = 3.0
 CHANGE_HEADER = ("NAME", "CHANGE", "VERSION", "MESSAGE")
 
 
@@ -89,19 +90,31 @@
         """Wait for the nodes, where asked to, and tell which have the revision."""
         if not self.option("wait"):
             return ExitCode.OK
-        stop_at = time.monotonic() + self._wait_s
-        while True:
-            status: pb.StatusResponse = self.ask_entry("Status", pb.StatusRequest())
-            late = [node.name for node in status.nodes if _is_behind(node, revision)]
-            if not late or time.monotonic() >= stop_at:
-                break
-            time.sleep(WAIT_POLL_S)
+        status = self._wait_for_nodes(revision)
         in_force = [node.name for node in status.nodes if node.revision >= revision]
+        late = [node.name for node in status.nodes if _is_late(node, revision)]
+        down = [node.name for node in status.nodes if node.state == "down"]
         self.emit_error(f"revision {revision} in force at {len(in_force)}: {' '.join(in_force)}")
+        if down:
+            self.emit_error(f"down: {' '.join(down)}")
         if late:
             self.emit_error(f"not yet at {len(late)}: {' '.join(late)}")
         return ExitCode.UNSURE if late else ExitCode.OK
 
+    def _wait_for_nodes(self, revision: int) -> pb.StatusResponse:
+        """Wait for all nodes; for those that are down only as long as it takes to hear of one."""
+        started_at = time.monotonic()
+        while True:
+            status: pb.StatusResponse = self.ask_entry("Status", pb.StatusRequest())
+            waited_s = time.monotonic() - started_at
+            behind = [node for node in status.nodes if node.revision < revision]
+            only_down = not any(_is_late(node, revision) for node in behind)
+            if not behind or waited_s >= self._wait_s:
+                return status
+            if only_down and waited_s >= DOWN_WAIT_S:
+                return status
+            time.sleep(WAIT_POLL_S)
+
 
 class DiffCommand(_ChangeCommand):
     """Shows what applying the files would change."""
@@ -133,7 +146,7 @@
         yield change.name, kind, change.version or "-", change.message
 
 
-def _is_behind(node: pb.NodeStatus, revision: int) -> bool:
+def _is_late(node: pb.NodeStatus, revision: int) -> bool:
     return node.state != "down" and node.revision < revision
 
 
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,72 @@
+"""The demo, in a short run, and the checks that it ends with."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from chivehold.core.identity import AttemptId
+from chivehold.fakes.history import HistoryEvent
+from chivehold.fakes.output import expected_tokens, output_tokens, prompt_digest
+from examples.demo.checks import Seen, broken_promises, wasted_prefill
+from examples.demo.traffic import Kind, Sent, Try, is_own_answer
+
+ROOT = Path(__file__).parents[1]
+KIND = Kind("reservation", "", "/reservations", "POST", 1, (0, 0), (0, 0), 0, 0)
+FOUND = Sent(KIND, "key", [Try("r", "answered", 0)], 1, "", 0.1, [])
+EMPTY = Seen([], [], 0)
+
+
+def _event(kind: str, request: str = "r", tokens: int = 0, detail: str = "key") -> HistoryEvent:
+    attempt = AttemptId(request, 1)
+    return HistoryEvent(kind=kind, attempt=attempt, at_s=0.0, tokens=tokens, detail=detail)
+
+
+class TestDemo:
+    def test_short_run_keeps_every_promise(self) -> None:
+        """With an engine killed and two entries replaced at each site, every promise holds."""
+        command = [sys.executable, "-m", "examples.demo", "--for-s", "6", "--rate", "0.5"]
+        ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+        assert ended.returncode == 0, ended.stdout + ended.stderr
+        assert ended.stdout.endswith("every promise held\n")
+        for label in ("hook", "review", "check", "summary", "lookup", "reservation"):
+            assert f"  {label}  " in ended.stdout
+
+
+class TestChecks:
+    @pytest.mark.parametrize(
+        ("sent", "seen", "broken"),
+        [
+            (FOUND, Seen([], [_event("started")], 0), ""),
+            (FOUND._replace(wrong="others' tokens"), EMPTY, "answered with others' tokens"),
+            (FOUND._replace(whole_answers=2), EMPTY, "answered 2 times"),
+            (FOUND, Seen([], [_event("started")] * 2, 0), "ran 2 times"),
+            (FOUND, EMPTY._replace(held_at_end=1), "1 requests still held"),
+            (
+                FOUND._replace(tries=[Try("r", "not_run", 0)], whole_answers=0),
+                Seen([_event("prefill_started")], [], 0),
+                "was called not run, and ran",
+            ),
+        ],
+    )
+    def test_bad_histories_are_rejected(self, sent: Sent, seen: Seen, broken: str) -> None:
+        """Each broken promise is found, and a good history has none."""
+        found = "\n".join(broken_promises([sent], seen))
+        assert broken in found
+        assert bool(broken) == bool(found)
+
+    def test_resumed_answer_is_own(self) -> None:
+        """An answer may go on from what came before, but holds no other token."""
+        first = expected_tokens("prompt", 3)
+        digest = prompt_digest("prompt" + "".join(first))
+        tokens = [token.strip() for token in (*first, *output_tokens(digest, 3, 8))]
+        assert is_own_answer("prompt", tokens)
+        assert not is_own_answer("prompt", [*tokens[:5], *tokens[6:]])
+        assert not is_own_answer("another", tokens)
+
+    def test_wasted_prefill_counts_what_nobody_received(self) -> None:
+        """A prefill that was run again, or whose request was not answered, is wasted."""
+        events = [_event("prefill_ended", tokens=30), _event("prefill_ended", tokens=50)]
+        events.append(_event("prefill_ended", "other", tokens=20))
+        assert wasted_prefill([FOUND], Seen(events, [], 0)) == 0.5
