A drain also waits for answers that slow callers are still reading

Cause: the drain ended once the decisions had, while a large answer could still be on its way; and its time could be spent twice, by the requests and again by the listener. Ruled out: a longer listener timeout alone, which doubles the bound for all. Change: requests count until their answers have been sent; the listener has 10 s after that. Before and after: no test before; `pytest tests/entry`: 127 passed in 20.99 s, then `pytest tests/entry/test_callers.py` with the new test passes.

--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -39,6 +39,9 @@
 
 INCARNATION_BYTES = 6
 OPERATOR_DRAIN_S = 1.0
+LISTENER_DRAIN_S = 10.0
+"""What is left to a caller's connection once all answers have been sent, or the time is up."""
+ANSWERS_POLL_S = 0.02
 PEERS_RETRY_S = 1.0
 CLAIMS_DRAIN_S = 3.0
 CLAIM_WRITE_S = 0.1
@@ -149,7 +152,7 @@
         limits = ServerLimits(
             max_header_bytes=settings.max_header_bytes,
             max_requests=settings.max_connections,
-            drain_timeout_s=settings.drain_timeout_s,
+            drain_timeout_s=LISTENER_DRAIN_S,
         )
         operator_limits = ServerLimits(drain_timeout_s=OPERATOR_DRAIN_S)
         async with trio.open_nursery() as servers:
@@ -179,6 +182,8 @@
         self._driver.feed(DrainStarted())
         with trio.move_on_after(self._settings.drain_timeout_s):
             await self._driver.wait_idle()
+            while self._callers.in_progress:
+                await trio.sleep(ANSWERS_POLL_S)
             await self._write_claims()
         log_event(_log, logging.INFO, "drain ended", in_progress=self._driver.in_progress)
 
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -96,6 +96,12 @@
         self._budget = BodyBudget(limits.max_held_bytes)
         self._numbers = itertools.count(1)
         self._is_draining = False
+        self._open = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Requests whose answers have not been sent in full."""
+        return self._open
 
     def drain(self) -> None:
         """Refuse new requests from now on and close each connection after its answer."""
@@ -104,7 +110,15 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         request = RequestId(f"{self._incarnation}-{next(self._numbers)}")
-        shielded = shield_end(send)
+        self._open += 1
+        try:
+            await self._answer_checked(request, scope, receive, shield_end(send))
+        finally:
+            self._open -= 1
+
+    async def _answer_checked(
+        self, request: RequestId, scope: Scope, receive: Receive, shielded: Send
+    ) -> None:
         try:
             await self._answer(request, scope, receive, shielded)
         except Malformed as error:
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -62,10 +62,14 @@
         return json.loads(self.body)["error"]
 
 
+def _app(driver: ScriptedDriver) -> CallerApp:
+    return CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, LIMITS)
+
+
 async def ask(
     driver, path=COMPLETIONS, body=b"", headers=(), method="POST", leaves=False, version="1.1"
 ):
-    app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, LIMITS)
+    app = _app(driver)
     content = body if isinstance(body, bytes) else json.dumps(body).encode()
     inbox = [{"type": "http.request", "body": content, "more_body": False}]
     sent = []
@@ -139,7 +143,7 @@
     async def test_caller_that_stops_sending_is_forgotten(self) -> None:
         """A body that breaks off holds nothing."""
         driver = ScriptedDriver()
-        app = CallerApp(driver, EntryMetrics(), EntryIncarnation("e.1"), BOUNDS, LIMITS)
+        app = _app(driver)
         sent = []
 
         async def receive():
@@ -242,6 +246,19 @@
         assert choice["finish_reason"] == "length"
         assert driver.arrivals[0].prompt == "user: hi\n"
 
+    async def test_slow_reader_is_in_progress(self, nursery, autojump_clock) -> None:
+        """A drain has to wait for an answer that is still being sent."""
+        app = _app(ScriptedDriver((), finish(Outcome.REJECTED)))
+
+        async def send(message):
+            await trio.sleep(1)
+
+        nursery.start_soon(app, {"path": "/", "headers": [], "http_version": "1.1"}, None, send)
+        await trio.sleep(1.5)
+        assert app.in_progress == 1
+        await trio.sleep(1)
+        assert app.in_progress == 0
+
     @pytest.mark.parametrize("tokens", [(), (" a",)])
     async def test_caller_gone_is_told(self, tokens) -> None:
         """The core learns that the caller left, before and after the first token."""
