A claim records its own request's end, and a silent sidecar gets no new work

Cause: a request whose second claim found another's run ended its first claim with that run's outcome; after a revocation that timed out the sidecar was still chosen until its next heartbeat failed, by patient work at once again. Ruled out: waiting for the heartbeat (it may be a second away). Change: EndClaim carries what became of the request itself; UNREACHABLE counts as UpstreamUnreachable, and any lost link pauses patient offers there. Before and after: `pytest tests/core/test_entry.py tests/core/test_calls.py` with the new cases passes; the cases were written after the change and not run against the old code.

--- a/src/chivehold/core/lifecycle.py
+++ b/src/chivehold/core/lifecycle.py
@@ -138,7 +138,7 @@
                 self._state.late_releases[request.id] = release
             yield release
         if request.claimed and request.arrival.key is not None:
-            end = EndClaim(request.id, request.arrival.key, outcome)
+            end = EndClaim(request.id, request.arrival.key, _own_outcome(request, outcome))
             if request.claim_pending:
                 self._state.late_ends[request.id] = end
             else:
@@ -147,3 +147,10 @@
     def _key_commit(self, request: Request) -> KeyCommit | None:
         key = request.arrival.key
         return KeyCommit(key, request.id, self._state.incarnation) if key is not None else None
+
+
+def _own_outcome(request: Request, outcome: Outcome) -> Outcome:
+    """Return what became of the request itself, where its outcome tells of another's run."""
+    if outcome is Outcome.ANSWERED:
+        return outcome
+    return Outcome.UNKNOWN if request.may_have_run else Outcome.NOT_RUN
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -119,16 +119,20 @@
     def revoke_settled(self, attempt_id: AttemptId, result: RevokeResult) -> Iterator[EntryCommand]:
         """Take a sidecar's word on an attempt whose link broke."""
         request = self._state.current(attempt_id, Phase.REVOKING)
-        if request is None:
+        if request is None or request.attempt is None:
             return
         if result is RevokeResult.NEVER_STARTED:
             yield from self._never_started(request)
             return
-        if request.attempt_may_have_run:
-            yield from self._lifecycle.close_attempt(request)
+        ran, upstream = request.attempt_may_have_run, request.attempt.upstream
+        view = self._state.upstreams.get(upstream)
+        if view is not None and result is RevokeResult.UNREACHABLE:
+            view.reachable = False
+        self._note_refusal(request, upstream, None, None)
+        yield from self._lifecycle.close_attempt(request)
+        if ran:
             yield from self.retry(request, f"link lost: {result}")
         else:
-            yield from self._lifecycle.close_attempt(request)
             yield from self._go_elsewhere(request, "link lost")
 
     def retry(self, request: Request, reason: str, wait_s: float = 0.0) -> Iterator[EntryCommand]:
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -51,6 +51,20 @@
         assert isinstance(last, SendCall) is again
         assert again or last.outcome is Outcome.UNKNOWN
 
+    @pytest.mark.parametrize(
+        ("result", "reachable"),
+        [(RevokeResult.UNREACHABLE, False), (RevokeResult.OTHER_INCARNATION, True)],
+    )
+    def test_a_sidecar_that_did_not_answer_gets_no_new_work(
+        self, result: RevokeResult, reachable: bool
+    ) -> None:
+        """A revocation that timed out tells as much as a heartbeat that did."""
+        driver = Driver()
+        (first,) = driver.feed(service())
+        driver.feed(AttemptLinkLost(FIRST, sent=True))
+        driver.feed(RevokeSettled(FIRST, result))
+        assert driver.core.dump()["upstreams"][first.upstream]["reachable"] is reachable
+
     @pytest.mark.parametrize("how", ["refused", "not sent", "revoked"])
     def test_goes_elsewhere_if_it_never_started(self, how: str) -> None:
         """A non-idempotent call that certainly did not start may go to another VM."""
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -245,14 +245,16 @@
         decision = ClaimDecision(granted, None if granted else Outcome.NOT_RUN)
         assert driver.feed(ClaimSettled(R, decision)) == [EndClaim(R, key(FORJA), Outcome.NOT_RUN)]
 
-    def test_an_earlier_claim_is_ended_when_the_next_is_declined(self) -> None:
+    @pytest.mark.parametrize("found", [Outcome.NOT_RUN, Outcome.IN_PROGRESS])
+    def test_an_earlier_claim_is_ended_when_the_next_is_declined(self, found: Outcome) -> None:
         """The claim of a VM that began to leave is not left open when the platform fails."""
         driver = Driver()
         (claim,) = driver.feed(service(**KEYED_CALL))
         driver.feed(LeavingListed((claim.upstream,)))
         driver.feed(ClaimSettled(R, ClaimDecision(True)))
-        commands = driver.feed(ClaimSettled(R, ClaimDecision(False, Outcome.NOT_RUN)))
-        assert kinds(commands) == [EndClaim, Finish]
+        end, finish = driver.feed(ClaimSettled(R, ClaimDecision(False, found)))
+        assert end == EndClaim(R, key(FORJA), Outcome.NOT_RUN)
+        assert finish.outcome is found
 
 
 class TestEnds:
