The harness counts come-backs after a refusal and refusals that were not at once

Cause: whether a `Retry-After` that is followed leads to an admission, and whether refusals come at once, were not measured.

Ruled out: the slowest refusal alone (one in a thousand hides the rest).

Change: a burst whose refused callers come back as told; shares of admitted come-backs and of refusals within 50 ms.

--- a/examples/measure/run.py
+++ b/examples/measure/run.py
@@ -84,6 +84,9 @@
     prefill_work_s: float
     wasted_prefill_s: float
     held_at_end: int
+    returns: int
+    """Tries of callers that came back after a refusal."""
+    returns_refused: int
 
 
 class _Row:
@@ -148,6 +151,8 @@
         self.clock = Clock()
         self.network = Network(self.clock, Random(scenario.seed), self)
         self._rows: dict[RequestId, _Row] = {}
+        self._returns = 0
+        self._returns_refused = 0
         self._open = 0
         self._sequence = 0
         self._starts = 0
@@ -166,6 +171,8 @@
             prefill_work_s=work_s,
             wasted_prefill_s=work_s - self._useful_s(),
             held_at_end=sum(len(engine.held) for engine in engines),
+            returns=self._returns,
+            returns_refused=self._returns_refused,
         )
 
     def relayed(self, request: RequestId, tokens: int) -> None:
@@ -178,6 +185,9 @@
     def finished(self, command: to_entry.Finish) -> None:
         """Note a request's end; refused callers may come back."""
         row = self._rows[command.request]
+        if row.tries > 1:
+            self._returns += 1
+            self._returns_refused += command.outcome is Outcome.NOT_RUN
         row.outcome = command.outcome
         row.reason = command.reason
         row.retry_after_s = command.retry_after_s
@@ -200,7 +210,7 @@
     def _comes_back(self, row: _Row) -> bool:
         if row.tries >= RETRIES_MOST:
             return False
-        return self._scenario.fault in (Fault.RETRY_STORM, Fault.RETRY_AFTER)
+        return self._scenario.fault in (Fault.RETRY_STORM, Fault.RETRY_AFTER, Fault.BURST_RETURN)
 
     def _set_up(self) -> None:
         declared = self._declared.declarations.deployments[0]
--- a/examples/measure/scenario.py
+++ b/examples/measure/scenario.py
@@ -109,6 +109,7 @@
 
     NONE = "none"
     BURST = "burst"
+    BURST_RETURN = "burst, Retry-After kept"
     LAUNCH = "launch queue"
     ENGINE_KILLED = "engine killed"
     ENGINE_SLOW = "engine at a tenth"
--- a/examples/measure/summary.py
+++ b/examples/measure/summary.py
@@ -36,6 +36,10 @@
     held_at_end: int
     fairness: float
     """Jain's index of urgent goodput over organisations other than the first."""
+    returned: float
+    """Share of the tries after a refusal that were admitted."""
+    refused_fast: float
+    """Share of the refusals that came within 50 ms."""
     recovered: float
     """Urgent good share from 10 s after a fault's end on."""
 
@@ -68,6 +72,8 @@
         lost=sum(row.ended_at is None for row in rows),
         held_at_end=result.held_at_end,
         fairness=_jain(urgent),
+        returned=1.0 - result.returns_refused / max(1, result.returns),
+        refused_fast=_share([_age(row) <= REFUSED_FAST_S for row in refused]),
         recovered=_share([row.good for row in settled]),
     )
 
--- a/examples/measure/workload.py
+++ b/examples/measure/workload.py
@@ -62,7 +62,8 @@
     at = 0.0
     while True:
         in_burst = BURST_AT_S <= at < BURST_AT_S + BURST_S
-        factor = BURST_FACTOR if scenario.fault is Fault.BURST and in_burst else 1.0
+        bursts = scenario.fault in (Fault.BURST, Fault.BURST_RETURN)
+        factor = BURST_FACTOR if bursts and in_burst else 1.0
         at += rng.exponential(1.0 / (rate * factor))
         if at >= ARRIVALS_END_S:
             return
