The holder of the control lease orders engines to hold what is declared

Cause: nothing gave orders; model, adapters and roles of a declaration had no effect on engines. Ruled out: a fencing number seen only with orders: a late order of the former holder reached the engine when its successor had read but not yet ordered, or when the sidecar had been restarted. Change: core/control.py decides from what is declared and read; entry/control.py reads and orders, four engines at once at most, asking its lease right before each order. The new call ReadEngine reads an engine through its sidecar and bars lower numbers; an order names the sidecar's run that was read. Additive: ReadEngine, OrderRequest.incarnation, EngineOrder.incarnation, EngineReadArrived, ReplyEngineRead. Status and Dump tell the control lease. Conclusion: an order that a killed sidecar left at its engine is not seen by the next sidecar.

--- /dev/null
+++ b/src/chivehold/core/control.py
@@ -0,0 +1,168 @@
+"""Which orders engines need, so that they hold what is declared.
+
+The holder of the control lease reads each engine in turn and orders one thing at a time: the role,
+then the model, then each adapter. It orders nothing that it has not read to be missing.
+
+An engine that ignores fencing numbers takes orders only once the holder has held the lease for as
+long as any earlier holder's could last.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from chivehold.core.control_lease import PAUSE_MARGIN_S, SUCCESSOR_MARGIN_S, TERM_S
+from chivehold.core.declared import Declarations, Upstream
+from chivehold.core.identity import Role, UpstreamName
+from chivehold.core.wire import OrderKind, OrderResult
+
+CHECK_EVERY_S = 5.0
+"""Shortest time between two readings of one engine."""
+UNFENCED_WAIT_S = TERM_S + PAUSE_MARGIN_S + SUCCESSOR_MARGIN_S
+
+
+class WantedEngine(NamedTuple):
+    """What is declared of one engine."""
+
+    name: UpstreamName
+    role: Role
+    model: str
+    adapters: tuple[str, ...]
+    honours_fencing: bool
+
+
+class EngineReading(NamedTuple):
+    """What an engine holds, as read through its sidecar."""
+
+    incarnation: str
+    fencing_number: int
+    """The number under which it was read."""
+    role: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    order_running: bool
+    """An order given before is still at the engine."""
+
+
+class Need(NamedTuple):
+    """What an engine is missing first."""
+
+    kind: OrderKind
+    argument: str
+
+
+class PlannedOrder(NamedTuple):
+    """An order to give under the lease of this fencing number."""
+
+    engine: UpstreamName
+    need: Need
+    operation_id: str
+    fencing_number: int
+    incarnation: str
+
+
+def wanted_engines(declarations: Declarations) -> Iterator[WantedEngine]:
+    """Yield every declared engine."""
+    for deployment in declarations.deployments:
+        for upstream in (*deployment.prefill, *deployment.decode):
+            yield _wanted(upstream, deployment.model, deployment.adapters)
+
+
+def first_need(wanted: WantedEngine, reading: EngineReading) -> Need | None:
+    """Return what an engine is missing first; ``None`` for nothing."""
+    if reading.role != wanted.role:
+        return Need(OrderKind.SET_ROLE, wanted.role)
+    if wanted.model not in reading.models:
+        return Need(OrderKind.LOAD_MODEL, wanted.model)
+    missing = (adapter for adapter in wanted.adapters if adapter not in reading.adapters)
+    return next((Need(OrderKind.LOAD_ADAPTER, adapter) for adapter in missing), None)
+
+
+class ControlPlan:
+    """Decides which engine to read next and what to order of it; times in seconds."""
+
+    def __init__(self) -> None:
+        self._wanted: dict[UpstreamName, WantedEngine] = {}
+        self._turns: deque[UpstreamName] = deque()
+        self._due_at: dict[UpstreamName, float] = {}
+        self._busy: set[UpstreamName] = set()
+        self._unsure: dict[tuple[UpstreamName, Need], str] = {}
+        self._fencing_number = 0
+        self._held_since = 0.0
+        self._orders = 0
+
+    @property
+    def fencing_number(self) -> int:
+        """The number of the lease held last; 0 for none."""
+        return self._fencing_number
+
+    @property
+    def busy(self) -> frozenset[UpstreamName]:
+        """Engines that are being read or ordered."""
+        return frozenset(self._busy)
+
+    def declare(self, wanted: Iterable[WantedEngine]) -> None:
+        """Take the declared engines; those that changed have their turn first."""
+        before, self._wanted = self._wanted, {one.name: one for one in wanted}
+        changed = [name for name, one in self._wanted.items() if before.get(name) != one]
+        kept = [name for name in self._turns if name in self._wanted and name not in changed]
+        self._turns = deque((*changed, *kept))
+        self._due_at = {name: self._due_at[name] for name in kept if name in self._due_at}
+
+    def hold(self, fencing_number: int, now: float) -> None:
+        """Act under a lease; a new number begins a new term of office."""
+        if fencing_number == self._fencing_number:
+            return
+        self._fencing_number = fencing_number
+        self._held_since = now
+        self._due_at.clear()
+        self._unsure.clear()
+
+    def next_to_read(self, now: float) -> UpstreamName | None:
+        """Return the engine whose turn it is, and mark it as busy; ``None`` for none."""
+        for name in self._turns:
+            if name not in self._busy and self._due_at.get(name, now) <= now:
+                self._turns.remove(name)
+                self._turns.append(name)
+                self._due_at[name] = now + CHECK_EVERY_S
+                self._busy.add(name)
+                return name
+        return None
+
+    def decide(self, name: UpstreamName, reading: EngineReading, now: float) -> PlannedOrder | None:
+        """Return the order that follows from a reading; ``None`` for none yet."""
+        wanted = self._wanted.get(name)
+        if reading.fencing_number != self._fencing_number or reading.order_running:
+            return None
+        if wanted is None or self._must_wait(wanted, now):
+            return None
+        need = first_need(wanted, reading)
+        if need is None:
+            return None
+        operation_id = self._unsure.get((name, need)) or self._next_operation()
+        return PlannedOrder(name, need, operation_id, self._fencing_number, reading.incarnation)
+
+    def settle(self, order: PlannedOrder, result: OrderResult, now: float) -> None:
+        """Take what became of an order; an unsure one keeps its operation id."""
+        key = (order.engine, order.need)
+        self._unsure.pop(key, None)
+        if result is OrderResult.UNSURE and order.fencing_number == self._fencing_number:
+            self._unsure[key] = order.operation_id
+        if result is OrderResult.DONE:
+            self._due_at[order.engine] = now
+
+    def release(self, name: UpstreamName) -> None:
+        """End an engine's reading and order."""
+        self._busy.discard(name)
+
+    def _must_wait(self, wanted: WantedEngine, now: float) -> bool:
+        held_for_s = now - self._held_since
+        return not wanted.honours_fencing and held_for_s < UNFENCED_WAIT_S
+
+    def _next_operation(self) -> str:
+        self._orders += 1
+        return f"control/{self._fencing_number}/{self._orders}"
+
+
+def _wanted(upstream: Upstream, model: str, adapters: tuple[str, ...]) -> WantedEngine:
+    return WantedEngine(upstream.name, upstream.role, model, adapters, upstream.honours_fencing)
--- a/src/chivehold/core/orders.py
+++ b/src/chivehold/core/orders.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from chivehold.core.sidecar_messages import OrderEngine, ReplyOrder
+from chivehold.core.sidecar_messages import OrderEngine, ReplyEngineRead, ReplyOrder
 from chivehold.core.wire import EngineOrder, OrderResult
 
 RESULTS_KEPT = 256
@@ -58,6 +58,12 @@
         self._waiting.append(_Waiting(reply, order, now + order.lease_left_s))
         yield from self._start_next(now)
 
+    def read(self, reply: int, fencing_number: int) -> ReplyEngineRead:
+        """Bar all orders with a lower number; tell whether one is still at the engine."""
+        newest = fencing_number >= self._highest_number
+        self._highest_number = max(self._highest_number, fencing_number)
+        return ReplyEngineRead(reply, newest, self._running is not None)
+
     def settle(
         self, order: EngineOrder, result: OrderResult, now: float
     ) -> Iterator[OrderEngine | ReplyOrder]:
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -22,6 +22,7 @@
     EngineFailed,
     EngineFinished,
     EnginePrefilled,
+    EngineReadArrived,
     EngineStatus,
     EngineTokens,
     HeartbeatArrived,
@@ -38,6 +39,7 @@
     ReplyImport,
     ReplyKey,
     ReplyKeyCommit,
+    ReplyOrder,
     ReplyRevoke,
     RevokeArrived,
     SendFrame,
@@ -52,6 +54,7 @@
     AttemptFrame,
     FrameKind,
     LoadReport,
+    OrderResult,
     PrefillKind,
     PrefillResult,
     Reason,
@@ -101,6 +104,7 @@
             KeyCommitArrived: self._on_key_commit,
             KeyReleaseArrived: self._on_key_release,
             OrderArrived: self._on_order,
+            EngineReadArrived: self._on_engine_read,
             OrderSettled: self._on_order_settled,
             EngineTokens: self.places.tokens,
             EngineFinished: self.places.finished,
@@ -272,8 +276,14 @@
         yield from ()
 
     def _on_order(self, event: OrderArrived, now: float) -> Iterator[SidecarCommand]:
+        if event.order.incarnation not in ("", self.config.incarnation):
+            yield ReplyOrder(event.reply, OrderResult.STALE)
+            return
         yield from self.orders.arrive(event.reply, event.order, now)
 
+    def _on_engine_read(self, event: EngineReadArrived, now: float) -> Iterator[SidecarCommand]:
+        yield self.orders.read(event.reply, event.fencing_number)
+
     def _on_order_settled(self, event: OrderSettled, now: float) -> Iterator[SidecarCommand]:
         yield from self.orders.settle(event.order, event.result, now)
 
--- a/src/chivehold/core/sidecar_messages.py
+++ b/src/chivehold/core/sidecar_messages.py
@@ -120,6 +120,13 @@
     order: EngineOrder
 
 
+class EngineReadArrived(NamedTuple):
+    """The holder of the control lease is about to read the engine's state."""
+
+    reply: int
+    fencing_number: int
+
+
 class OrderSettled(NamedTuple):
     """The engine answered an order."""
 
@@ -206,6 +213,7 @@
     | KeyCommitArrived
     | KeyReleaseArrived
     | OrderArrived
+    | EngineReadArrived
     | OrderSettled
     | EngineTokens
     | EngineFinished
@@ -308,6 +316,15 @@
     result: OrderResult
 
 
+class ReplyEngineRead(NamedTuple):
+    """Answer whether the engine may be read under a fencing number."""
+
+    reply: int
+    newest: bool
+    """False: a newer holder has been heard of."""
+    order_running: bool
+
+
 SidecarCommand = (
     SendFrame
     | SendPrefillResult
@@ -322,4 +339,5 @@
     | ReplyKey
     | ReplyKeyCommit
     | ReplyOrder
+    | ReplyEngineRead
 )
--- a/src/chivehold/core/wire.py
+++ b/src/chivehold/core/wire.py
@@ -274,6 +274,8 @@
     argument: str
     lease_left_s: float
     """What is left of the holder's lease, by its own clock, less its pause margin."""
+    incarnation: str = ""
+    """The run of the sidecar that was read before the order; empty for any."""
 
 
 class OrderResult(StrEnum):
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -18,6 +18,7 @@
 from chivehold.entry.bodies import CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds
 from chivehold.entry.callers import CallerApp
+from chivehold.entry.control import EngineControl
 from chivehold.entry.declaration_peers import SidecarPeers
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.heartbeats import Heartbeats, pools
@@ -32,7 +33,13 @@
 from chivehold.platform.claims import ClaimBook
 from chivehold.platform.client import HttpObjectStore
 from chivehold.platform.declaration_sync import DeclarationSync
-from chivehold.platform.leases import POLL_S, WATCH_LEASES, LeaseKeeper
+from chivehold.platform.leases import (
+    CONTROL_LEASES,
+    CONTROL_POLL_S,
+    POLL_S,
+    WATCH_LEASES,
+    LeaseKeeper,
+)
 from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
 from chivehold.settings import EntrySettings
@@ -81,6 +88,15 @@
         self._watch_lease = LeaseKeeper(
             self._store, self._incarnation, WATCH_LEASES, POLL_S, self._rng
         )
+        self._control_lease = LeaseKeeper(
+            self._store,
+            self._incarnation,
+            CONTROL_LEASES,
+            CONTROL_POLL_S,
+            self._rng,
+            eligible=self._watch_lease.is_held,
+        )
+        self._control = EngineControl(self._control_lease, self._calls)
         self._sync = DeclarationSync(
             self._store,
             self._replica,
@@ -132,6 +148,8 @@
         background = self._nursery
         background.start_soon(self._driver.run_timer)
         background.start_soon(self._watch_lease.run)
+        background.start_soon(self._control_lease.run)
+        background.start_soon(self._control.run)
         background.start_soon(self._sync.run)
         background.start_soon(self._ask_peers)
         background.start_soon(follow_leaving, self._store, self._list_leaving, self._rng)
@@ -216,6 +234,7 @@
         self._calls.keep_only(addresses)
         self._driver.feed(DeclarationsChanged(declarations))
         self._heartbeats.follow(declarations)
+        self._control.publish(declarations)
 
     def _list_leaving(self, leaving: tuple[UpstreamName, ...]) -> None:
         self._driver.feed(LeavingListed(leaving))
@@ -232,10 +251,13 @@
             incarnation=self._incarnation,
             is_draining=self._drain_asked.is_set,
             start_drain=self._drain_asked.set,
-            control_holder=lambda: "",
+            control_holder=self._control_holder,
             dump=self._dump,
         )
 
+    def _control_holder(self) -> str:
+        return next(iter(self._control_lease.holders.values()), "")
+
     def _dump(self) -> dict[str, Any]:
         followed = [upstream.name for upstream in self._heartbeats.followed]
         return {
@@ -243,6 +265,7 @@
             "ready": not self._unready(),
             "revision": self._replica.revision,
             "watches_platform": self._watch_lease.is_held(),
+            "control": self._control.dump(),
             "claims_waiting": self._claims.waiting,
             "declarations_digest": self._replica.digest,
             "heartbeats_with": sorted(followed),
--- /dev/null
+++ b/src/chivehold/entry/control.py
@@ -0,0 +1,135 @@
+"""The control duties of the entry that holds the control lease: orders to engines."""
+
+import logging
+from typing import Protocol
+
+import trio
+
+from chivehold.core.control import ControlPlan, EngineReading, PlannedOrder, wanted_engines
+from chivehold.core.control_lease import HeldLease
+from chivehold.core.declared import Declarations
+from chivehold.core.identity import UpstreamName
+from chivehold.core.wire import EngineOrder, OrderResult
+from chivehold.exceptions import Malformed
+from chivehold.logs import log_event
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcFailed
+
+READ_PAUSE_S = 0.05
+IDLE_PAUSE_S = 0.5
+ORDERS_AT_ONCE = 4
+
+_log = logging.getLogger(__name__)
+
+
+class ControlLease(Protocol):
+    """The lease under which orders are given."""
+
+    def current(self) -> HeldLease | None:
+        """Return the lease as held right now."""
+        ...
+
+
+class EngineCalls(Protocol):
+    """What the control duties ask of sidecars."""
+
+    async def read_engine(
+        self, upstream: UpstreamName, fencing_number: int
+    ) -> pb.ReadEngineResponse:
+        """Read what an engine has loaded."""
+        ...
+
+    async def order(self, upstream: UpstreamName, order: EngineOrder) -> OrderResult:
+        """Give an order."""
+        ...
+
+
+class EngineControl:
+    """Keeps engines at what is declared, for as long as the lease is held.
+
+    Args:
+        lease: Asked right before each order.
+        calls: Reads and orders engines through their sidecars.
+    """
+
+    def __init__(self, lease: ControlLease, calls: EngineCalls) -> None:
+        self._lease = lease
+        self._calls = calls
+        self._plan = ControlPlan()
+
+    def publish(self, declarations: Declarations) -> None:
+        """Take newer declarations."""
+        self._plan.declare(wanted_engines(declarations))
+
+    def dump(self) -> dict[str, object]:
+        """Return the state in types that JSON knows."""
+        held = self._lease.current()
+        return {
+            "fencing_number": held.fencing_number if held else 0,
+            "busy_with": sorted(self._plan.busy),
+        }
+
+    async def run(self) -> None:
+        """Read and order until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                engine = self._next_engine()
+                if engine is not None:
+                    nursery.start_soon(self._check, engine, self._plan.fencing_number)
+                await trio.sleep(READ_PAUSE_S if engine else IDLE_PAUSE_S)
+
+    def _next_engine(self) -> UpstreamName | None:
+        held = self._lease.current()
+        # The weight store is rate-limited, so few engines load at once.
+        if held is None or len(self._plan.busy) >= ORDERS_AT_ONCE:
+            return None
+        now = trio.current_time()
+        self._plan.hold(held.fencing_number, now)
+        return self._plan.next_to_read(now)
+
+    async def _check(self, engine: UpstreamName, fencing_number: int) -> None:
+        try:
+            message = await self._calls.read_engine(engine, fencing_number)
+            reading = _reading(message, fencing_number)
+            order = self._plan.decide(engine, reading, trio.current_time())
+            if order is not None:
+                await self._give(order)
+        except (RpcFailed, Malformed) as error:
+            log_event(_log, logging.INFO, "engine not read", peer=engine, detail=str(error))
+        finally:
+            self._plan.release(engine)
+
+    async def _give(self, order: PlannedOrder) -> None:
+        held = self._lease.current()
+        if held is None or held.fencing_number != order.fencing_number:
+            log_event(_log, logging.WARNING, "order given up: lease lapsed", peer=order.engine)
+            return
+        message = EngineOrder(
+            fencing_number=order.fencing_number,
+            operation_id=order.operation_id,
+            kind=order.need.kind,
+            argument=order.need.argument,
+            lease_left_s=held.left_s,
+            incarnation=order.incarnation,
+        )
+        result = await self._calls.order(order.engine, message)
+        self._plan.settle(order, result, trio.current_time())
+        log_event(
+            _log,
+            logging.INFO,
+            "order given",
+            peer=order.engine,
+            outcome=result,
+            detail=f"{order.need.kind} {order.need.argument}",
+        )
+
+
+def _reading(message: pb.ReadEngineResponse, fencing_number: int) -> EngineReading:
+    return EngineReading(
+        incarnation=message.incarnation,
+        fencing_number=fencing_number,
+        role=message.role,
+        models=tuple(message.models),
+        adapters=tuple(message.adapters),
+        order_running=message.order_running,
+    )
--- a/src/chivehold/entry/sidecar_calls.py
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -5,11 +5,13 @@
 
 from chivehold.core.identity import AttemptId, SidecarIncarnation, UpstreamName
 from chivehold.core.wire import (
+    EngineOrder,
     Heartbeat,
     KeyCommit,
     KeyDecision,
     KeyRegistration,
     LoadReport,
+    OrderResult,
     RevokeResult,
 )
 from chivehold.entry.attempts import FindUpstream
@@ -22,6 +24,8 @@
     decision_from_proto,
     heartbeat_to_proto,
     load_report_from_proto,
+    order_result_from_proto,
+    order_to_proto,
     registration_to_proto,
     revocation_to_proto,
     revoke_result_from_proto,
@@ -32,6 +36,7 @@
 RETRY_PAUSE_S = 0.05
 KEY_TRIES = 2
 OPERATOR_CALL_TIMEOUT_S = 5.0
+READ_ENGINE_TIMEOUT_S = 2.0
 
 
 class SidecarCalls:
@@ -98,6 +103,33 @@
         """Give a key back unanswered; if this fails, the lease's end does it."""
         await self._end_key(home, commit, release=True)
 
+    async def read_engine(
+        self, upstream: UpstreamName, fencing_number: int
+    ) -> pb.ReadEngineResponse:
+        """Read what an engine has loaded, and bar orders with a lower fencing number.
+
+        Raises:
+            RpcFailed: The sidecar refused or did not answer.
+        """
+        channel, stub = self._peer(upstream)
+        request = pb.ReadEngineRequest(fencing_number=fencing_number)
+        return await channel.call(stub.ReadEngine, request, READ_ENGINE_TIMEOUT_S)
+
+    async def order(self, upstream: UpstreamName, order: EngineOrder) -> OrderResult:
+        """Give an order for as long as its lease lasts; ``UNSURE`` where no answer came.
+
+        Raises:
+            Malformed: The answer has no meaning.
+        """
+        try:
+            channel, stub = self._peer(upstream)
+            message = order_to_proto(order)
+            return order_result_from_proto(
+                await channel.call(stub.Order, message, order.lease_left_s)
+            )
+        except RpcFailed as error:
+            return OrderResult.UNSURE if error.sent else OrderResult.FAILED
+
     async def drain(self, upstream: UpstreamName) -> pb.DrainResponse:
         """Start the drain of an upstream.
 
--- a/src/chivehold/rpc/convert.py
+++ b/src/chivehold/rpc/convert.py
@@ -185,6 +185,7 @@
         kind=_word(OrderKind, message.kind, "OrderRequest.kind"),
         argument=message.argument,
         lease_left_s=message.lease_left_s,
+        incarnation=message.incarnation,
     )
 
 
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -16,6 +16,7 @@
     CancelAtEngine,
     DrainStarted,
     OrderEngine,
+    ReplyEngineRead,
     ReplyHeartbeat,
     ReplyImport,
     ReplyKey,
@@ -98,7 +99,11 @@
             settings.target, settings.patient_floor, self._driver.feed
         )
         self._control = SidecarControl(
-            self._core, self._driver, self._declarations, self._shell_state
+            self._core,
+            self._driver,
+            self._declarations,
+            self._shell_state,
+            self._client.state if isinstance(self._client, EngineClient) else None,
         )
 
     @property
@@ -189,6 +194,7 @@
             ReplyKey: lambda command: answer(command.reply, command.decision),
             ReplyKeyCommit: lambda command: answer(command.reply, command.committed),
             ReplyOrder: lambda command: answer(command.reply, command.result),
+            ReplyEngineRead: lambda command: answer(command.reply, command),
         }
 
     def _upstream(
--- a/src/chivehold/sidecar/control.py
+++ b/src/chivehold/sidecar/control.py
@@ -1,6 +1,6 @@
 """The gRPC interface of a sidecar: heartbeats, revocations, keys, orders, declarations, dump."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, TypeVar
 
 import grpc
@@ -9,6 +9,7 @@
 from chivehold.core.sidecar import SidecarCore
 from chivehold.core.sidecar_messages import (
     DrainStarted,
+    EngineReadArrived,
     HeartbeatArrived,
     KeyCommitArrived,
     KeyRegisterArrived,
@@ -18,6 +19,7 @@
 )
 from chivehold.core.wire import KeyDecision
 from chivehold.exceptions import Malformed
+from chivehold.http_client import LinkError
 from chivehold.rpc import chivehold_pb2 as pb
 from chivehold.rpc.bridge import RpcRefused
 from chivehold.rpc.chivehold_pb2_grpc import SidecarServicer
@@ -34,6 +36,7 @@
 )
 from chivehold.sidecar.declarations import KeptDeclarations
 from chivehold.sidecar.driver import CoreDriver
+from chivehold.sidecar.engine_api import EngineState
 
 MessageT = TypeVar("MessageT")
 ValueT = TypeVar("ValueT")
@@ -47,6 +50,7 @@
         driver: Feeds the core.
         declarations: The declarations kept here.
         shell_state: Returns what the shell adds to the dump.
+        read_state: Reads what the engine has loaded; ``None`` beside a plain service.
     """
 
     def __init__(
@@ -55,7 +59,9 @@
         driver: CoreDriver,
         declarations: KeptDeclarations,
         shell_state: Callable[[], Mapping[str, Any]],
+        read_state: Callable[[], Awaitable[EngineState]] | None = None,
     ) -> None:
+        self._read_state = read_state
         self._core = core
         self._driver = driver
         self._declarations = declarations
@@ -106,6 +112,29 @@
         result = await self._driver.ask(lambda reply: OrderArrived(reply, order))
         return order_result_to_proto(result)
 
+    async def ReadEngine(  # noqa: N802
+        self, request: pb.ReadEngineRequest, context: Any
+    ) -> pb.ReadEngineResponse:
+        """Read what the engine has loaded, once no older holder's order can start any more."""
+        if self._read_state is None:
+            raise RpcRefused(grpc.StatusCode.FAILED_PRECONDITION, "a plain service takes no orders")
+        gate = await self._driver.ask(
+            lambda reply: EngineReadArrived(reply, request.fencing_number)
+        )
+        if not gate.newest:
+            raise RpcRefused(grpc.StatusCode.FAILED_PRECONDITION, "the fencing number is stale")
+        try:
+            state = await self._read_state()
+        except LinkError as error:
+            raise RpcRefused(grpc.StatusCode.UNAVAILABLE, str(error)) from error
+        return pb.ReadEngineResponse(
+            incarnation=self._core.config.incarnation,
+            role=state["role"],
+            models=state["models"],
+            adapters=state["adapters"],
+            order_running=gate.order_running,
+        )
+
     async def PushDeclarations(  # noqa: N802
         self, request: pb.PushDeclarationsRequest, context: Any
     ) -> pb.PushDeclarationsResponse:
--- a/src/chivehold/sidecar/engine_client.py
+++ b/src/chivehold/sidecar/engine_client.py
@@ -29,6 +29,7 @@
     DecodeCall,
     DecodeLine,
     EngineError,
+    EngineState,
     OrderCall,
     PrefillAnswer,
     PrefillCall,
@@ -146,6 +147,18 @@
         except LinkError:
             return False
 
+    async def state(self) -> EngineState:
+        """Read what the engine has loaded.
+
+        Raises:
+            LinkError: It did not answer, or its answer has no meaning.
+        """
+        timeout_s = self._timeouts.status_s
+        answer = await self._http.call(
+            self._peer, "GET", "/state", step="read state", timeout_s=timeout_s
+        )
+        return _decoded(answer, EngineState, "read state", self._peer)
+
     async def order(self, order: EngineOrder) -> OrderResult:
         """Pass an order on."""
         call = OrderCall(
--- /dev/null
+++ b/tests/entry/test_control.py
@@ -0,0 +1,146 @@
+"""Orders to engines by the holder of the control lease."""
+
+import json
+import signal
+
+import trio
+
+from chivehold.core.control_lease import HeldLease
+from chivehold.core.declared import Declarations, Deployment, TrafficClass, Upstream
+from chivehold.core.identity import Role, Urgency
+from chivehold.core.wire import EngineOrder, OrderKind, OrderResult
+from chivehold.entry.control import EngineControl
+from chivehold.rpc import chivehold_pb2 as pb
+from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
+from chivehold.rpc.convert import order_to_proto
+from tests.entry.deployed import Deployed, operate, post, start_entry
+from tests.processes import TOKEN, Programs
+
+TAKEOVER_S = 16.0
+POLL_S = 0.05
+LECTOR = Deployment(
+    "lector",
+    "m",
+    (Upstream("p1", Role.PREFILL, "sjo-a", "192.0.2.1:1", "192.0.2.1:2", 1),),
+    (Upstream("d1", Role.DECODE, "sjo-a", "192.0.2.1:3", "192.0.2.1:4", 1),),
+    (TrafficClass("hook", Urgency.URGENT, 30.0),),
+)
+
+
+class _Lease:
+    held: HeldLease | None = HeldLease("control", 7, 4.0)
+
+    def current(self) -> HeldLease | None:
+        return self.held
+
+
+class _Engines:
+    """Engines that lack their model; ``before_answer`` runs while one is being read."""
+
+    def __init__(self, before_answer=lambda: None) -> None:
+        self.orders: list[EngineOrder] = []
+        self.models: dict[str, list[str]] = {"p1": [], "d1": []}
+        self._before_answer = before_answer
+
+    async def read_engine(self, upstream: str, fencing_number: int) -> pb.ReadEngineResponse:
+        await trio.sleep(0.1)
+        self._before_answer()
+        role = "prefill" if upstream == "p1" else "decode"
+        return pb.ReadEngineResponse(incarnation="s1", role=role, models=self.models[upstream])
+
+    async def order(self, upstream: str, order: EngineOrder) -> OrderResult:
+        self.orders.append(order)
+        self.models[upstream].append(order.argument)
+        return OrderResult.DONE
+
+
+async def _run(lease: _Lease, engines: _Engines, for_s: float) -> list[EngineOrder]:
+    control = EngineControl(lease, engines)
+    control.publish(Declarations(1, (LECTOR,), ()))
+    with trio.move_on_after(for_s):
+        await control.run()
+    return engines.orders
+
+
+class TestEngineControl:
+    async def test_loads_what_is_missing_once(self, autojump_clock) -> None:
+        """Each engine is ordered its model once, under the lease's number and what is left."""
+        orders = await _run(_Lease(), _Engines(), 30.0)
+        assert [(one.argument, one.fencing_number, one.lease_left_s) for one in orders] == [
+            ("m", 7, 4.0)
+        ] * 2
+
+    async def test_lapsed_lease_gives_no_order(self, autojump_clock) -> None:
+        """A holder whose lease lapses between a reading and its order gives up the order."""
+        lease = _Lease()
+
+        def lapse() -> None:
+            lease.held = None
+
+        assert await _run(lease, _Engines(lapse), 30.0) == []
+
+
+class TestTakeover:
+    async def test_frozen_holder_is_succeeded_and_refused(
+        self, deployed: Deployed, programs: Programs
+    ) -> None:
+        """A successor orders under a higher number; the old one's orders are refused after it."""
+        await _until(deployed, "m")
+        old = json.loads((await operate(deployed.control, "Dump", pb.DumpRequest())).json)
+        old_number = old["control"]["fencing_number"]
+        successor = start_entry(programs, "entry-2", deployed.platform)
+        _, control, _ = successor.addresses()
+        deployed.entry.signal(signal.SIGSTOP)
+        with trio.fail_after(TAKEOVER_S):
+            while not (
+                await operate(control, "Status", pb.StatusRequest())
+            ).control_holder.startswith("entry-2."):
+                await trio.sleep(POLL_S)
+        await _declare_model(control, "n")
+        await _until(deployed, "n")
+        late = EngineOrder(old_number, "late", OrderKind.LOAD_MODEL, "stale-model", 5.0)
+        assert await _order(deployed, late) == "stale"
+        answered = await post(
+            deployed.engines["lector-d1"],
+            "/order",
+            json.dumps(
+                {
+                    "fencing_number": old_number,
+                    "operation_id": "late",
+                    "kind": "load_model",
+                    "argument": "stale-model",
+                }
+            ).encode(),
+        )
+        assert answered.status == 409
+        assert (await _state(deployed))["models"] == ["m", "n"]
+
+
+async def _until(deployed: Deployed, model: str) -> None:
+    with trio.fail_after(TAKEOVER_S):
+        while model not in (await _state(deployed))["models"]:
+            await trio.sleep(POLL_S)
+
+
+async def _state(deployed: Deployed):
+    address = deployed.engines["lector-d1"]
+    return json.loads((await post(address, "/state", b"", method="GET")).content)
+
+
+async def _declare_model(control: str, model: str) -> None:
+    found = await operate(control, "Get", pb.GetRequest(name="lector"))
+    declaration = found.declarations[0].declaration
+    declaration.deployment.model = model
+    request = pb.ApplyRequest(declarations=[declaration], operation_id="change-model")
+    answer = await operate(control, "Apply", request)
+    assert [change.kind for change in answer.changes] == [pb.CHANGE_KIND_UPDATED], answer
+
+
+async def _order(deployed: Deployed, order: EngineOrder) -> str:
+    channel = RpcChannel(deployed.upstreams["lector-d1"].control_address, TOKEN)
+    try:
+        stub = SidecarStub(channel.grpc_channel)
+        return (await channel.call(stub.Order, order_to_proto(order), 5)).result
+    finally:
+        channel.close()
