Pages for operators and newcomers, whose commands a test runs

Cause: the README told of tests only; nothing told operators what to do. Ruled out: running the commands against stand-ins of processes: they run against Bruma's own. Change: README, docs/operators.md, docs/glossary.md, docs/why.md, CHANGELOG with fragments, the control duties in docs/design.md; the setting platform_token, which the pages need and the platform's client already took; it is not shown in errors. Conclusion: docs/promises.md and CAPACITY.md are not part of this.

--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -82,7 +82,9 @@
         self._upstreams: dict[UpstreamName, Upstream] = {}
         self._replica = DeclarationReplica()
         self._client = HttpClient(ClientLimits(max_answer_bytes=settings.max_answer_bytes))
-        self._store = HttpObjectStore(settings.platform_address, self._client)
+        self._store = HttpObjectStore(
+            settings.platform_address, self._client, settings.platform_token
+        )
         self._calls = SidecarCalls(self._upstreams.get, settings.token)
         self._metrics = EntryMetrics()
         self._watch_lease = LeaseKeeper(
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -59,6 +59,8 @@
     platform_address: str
     token: str
     """Shared between entries and sidecars."""
+    platform_token: str | None = None
+    """Sent to the platform with each call; ``None`` where it asks for none."""
     heartbeat_s: float = 0.5
     max_body_bytes: int = 4 * MIB
     max_header_bytes: int = 16_384
@@ -151,6 +153,7 @@
 class EntryTable(_EntryRequired, total=False):
     """An entry's settings file."""
 
+    platform_token: _Token
     heartbeat_s: _Seconds
     max_body_bytes: _Bytes
     max_header_bytes: _Bytes
--- a/src/chivehold/toml_tables.py
+++ b/src/chivehold/toml_tables.py
@@ -97,7 +97,7 @@
 
 
 def _shown(key: str, value: object) -> str:
-    if key == "token":
+    if key.endswith("token"):
         return "something else"
     return repr(value)[:80]
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,120 @@
+"""The pages: every command in them runs, and what they list is all there is."""
+
+import os
+import re
+import shlex
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import trio
+from aioprometheus.collectors import Registry
+
+from chivehold.metrics import EntryMetrics
+from chivehold.sidecar.metrics import SidecarMetrics
+from examples.demo.children import Children
+from examples.demo.sites import BRUMA, Site
+from tests.processes import READY_S
+
+ROOT = Path(__file__).parents[1]
+PAGES = (ROOT / "README.md", ROOT / "docs" / "operators.md")
+OPERATORS = PAGES[1].read_text()
+EVENT = re.compile(r'log_event\(\s*_log,\s*(?:logging\.\w+|level),\s*"([^"]+)"')
+SIDECAR_EVENT = re.compile(r'_event\(\s*logging\.\w+,\s*"([^"]+)"')
+
+
+def _commands(kind: str) -> Iterator[list[str]]:
+    for page in PAGES:
+        for block in re.findall(rf"```{kind}\n(.*?)```", page.read_text(), re.DOTALL):
+            yield from map(shlex.split, block.splitlines())
+
+
+@pytest.fixture
+async def site(tmp_path: Path):
+    """Bruma as processes, and its example files with the addresses that they listen on."""
+    children = Children(tmp_path)
+    try:
+        site = Site(BRUMA, children)
+        await site.start()
+        example = tmp_path / "examples" / "bruma"
+        example.mkdir(parents=True)
+        for name, of in (("declarations", ""), ("entry", "entry-1"), ("decode", "lector-d1")):
+            shutil.copy(tmp_path / f"bruma-{of or name}.toml", example / f"{name}.toml")
+        yield site
+    finally:
+        await children.end()
+
+
+class TestCommands:
+    async def test_operators_commands_run(self, site: Site, tmp_path: Path) -> None:
+        """Each command of an operator ends well, in the order of the page."""
+        token = "change-this-shared-token"
+        environment = {"CHIVEHOLD_ENTRY": site.entries[0].control, "CHIVEHOLD_TOKEN": token}
+        assert f"CHIVEHOLD_TOKEN={token}" in OPERATORS
+        commands = [command for command in _commands("sh") if command[0] == "chivehold"]
+        assert len(commands) >= 12
+        for _, *arguments in commands:
+            ended = await trio.run_process(
+                [sys.executable, "-m", "chivehold.cli", *arguments],
+                cwd=tmp_path,
+                env=os.environ | environment,
+                capture_stdout=True,
+                capture_stderr=True,
+                check=False,
+            )
+            assert ended.returncode == 0, (arguments, ended.stderr.decode())
+            assert ended.stdout, arguments
+        for _, *arguments in _commands("daemon"):
+            await _starts_and_ends([sys.executable, "-m", "chivehold.cli", *arguments], tmp_path)
+
+    @pytest.mark.parametrize("command", [one for one in _commands("sh") if one[0] != "chivehold"])
+    def test_make_targets_exist(self, command: list[str]) -> None:
+        """Each make target of the README is there."""
+        program, target = command
+        assert program == "make"
+        subprocess.run(["make", "-n", target], cwd=ROOT, check=True, capture_output=True)
+
+
+class TestReference:
+    def test_every_metric_is_explained(self) -> None:
+        """Each metric that a daemon exposes stands in the operators' page."""
+        for metrics in (EntryMetrics(), SidecarMetrics()):
+            registry = metrics._registry
+            assert isinstance(registry, Registry)
+            for name in registry.collectors:
+                assert f"`{name.removeprefix('chivehold_sidecar_')}`" in OPERATORS, name
+
+    def test_every_log_event_is_explained(self) -> None:
+        """Each event that is logged stands in the operators' page."""
+        sources = [path.read_text() for path in (ROOT / "src").rglob("*.py")]
+        events = {event for text in sources for event in EVENT.findall(text)}
+        events |= {event for text in sources for event in SIDECAR_EVENT.findall(text)}
+        assert len(events) >= 12
+        for event in events:
+            assert f"`{event}`" in OPERATORS, event
+
+    def test_links_lead_somewhere(self) -> None:
+        """Each link to a file of the repository leads to one."""
+        pages = [*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")]
+        for page in pages:
+            for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+                assert (page.parent / link).exists(), (page.name, link)
+
+
+async def _starts_and_ends(command: list[str], directory: Path) -> None:
+    process = await trio.lowlevel.open_process(
+        command, cwd=directory, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+    )
+    try:
+        with trio.fail_after(READY_S):
+            assert (await process.stdout.receive_some(256)).startswith(b"listening ")
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,18 +54,20 @@
     def test_names_all_problems_at_once(self, tmp_path: Path) -> None:
         """Each fault is named with file, key and what was expected; the token is not shown."""
         text = ENTRY.replace('zone = "sjo-a"\n', "").replace("0123456789abcdef", "short")
+        text += 'platform_token = "brief"\n'
         text += 'heartbeats_s = 1\nmax_connections = 0\n[policy]\nwait_list = "no"\n'
         path = self._write(tmp_path, text)
         with pytest.raises(SettingsInvalid) as caught:
             read_entry_settings(path)
         problems = "\n".join(caught.value.problems)
-        assert len(caught.value.problems) == 5
+        assert len(caught.value.problems) == 6
         assert all(line.startswith(str(path)) for line in caught.value.problems)
         assert "heartbeats_s: unknown key; did you mean 'heartbeat_s'?" in problems
         assert "zone: missing" in problems
         assert "max_connections: expected a count, 1 to 1000000, found 0" in problems
         assert "policy.wait_list: expected true or false, found 'no'" in problems
         assert "short" not in problems
+        assert "brief" not in problems
 
     @pytest.mark.parametrize(
         "line",
