--- a/src/chivehold/commands/change.py
+++ b/src/chivehold/commands/change.py
@@ -2,8 +2,9 @@
 
 import time
 import uuid
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import ClassVar
 
 from cleo.exceptions import CleoUserError
@@ -30,7 +31,13 @@
         argument("files", "Declaration files in TOML", optional=True, multiple=True)
     ]
 
-    def send(self, operation_id: str, dry_run: bool, delete_names: Iterable[str] = ()) -> int:
+    def send(
+        self,
+        operation_id: str,
+        dry_run: bool,
+        delete_names: Iterable[str] = (),
+        expected_versions: Mapping[str, int] = MappingProxyType({}),
+    ) -> int:
         """Read the files, have the entry apply them and show the result."""
         specs = read_declarations([Path(file) for file in self.argument("files")])
         request = pb.ApplyRequest(
@@ -38,6 +45,7 @@
             delete_names=delete_names,
             operation_id=operation_id,
             dry_run=dry_run,
+            expected_versions=expected_versions,
         )
         response: pb.ApplyResponse = self.ask_entry("Apply", request)
         self.show(response, _changes_text(response, dry_run))
@@ -61,12 +69,19 @@
         option("dry-run", description="Validate and show the diff, write nothing"),
         value_option("operation-id", "Give the id of an unsure apply to repeat it"),
         option("delete", description="Delete a declaration", flag=False, multiple=True),
+        option(
+            "expect",
+            description="NAME=VERSION: refuse if another version is in force; 0 for none",
+            flag=False,
+            multiple=True,
+        ),
         option("wait", description="Wait until every node that is up has it"),
         value_option("wait-s", "Longest wait in seconds", str(WAIT_S)),
     ]
     examples = (
         "chivehold apply bruma.toml kinisi.toml",
         "chivehold apply --dry-run bruma.toml",
+        "chivehold apply --expect lector=12 bruma.toml",
         "chivehold apply --wait --delete casewriter loandesk.toml",
     )
 
@@ -75,10 +90,11 @@
         deletes = self.option("delete") or []
         if not self.argument("files") and not deletes:
             raise CleoUserError("expected a declaration file or --delete")
+        expected = dict(map(_expected_version, self.option("expect") or []))
         self._wait_s = _seconds(self.option("wait-s"))
         operation_id = self.option("operation-id") or str(uuid.uuid4())
         try:
-            code = self.send(operation_id, bool(self.option("dry-run")), deletes)
+            code = self.send(operation_id, bool(self.option("dry-run")), deletes, expected)
         except RpcFailed:
             self.emit_error(f"operation id: {operation_id}")
             raise
@@ -150,6 +166,13 @@
     return node.state != "down" and node.revision < revision
 
 
+def _expected_version(text: str) -> tuple[str, int]:
+    name, _, version = text.partition("=")
+    if not (name and version.isascii() and version.isdigit()):
+        raise CleoUserError(f"--expect: expected NAME=VERSION, found {text!r}")
+    return name, int(version)
+
+
 def _seconds(text: str) -> float:
     try:
         return float(text)
--- a/src/chivehold/commands/read.py
+++ b/src/chivehold/commands/read.py
@@ -71,7 +71,12 @@
 
     def handle(self) -> int:
         """Run the command."""
-        revision = self._first_revision()
+        try:
+            return self._watch(self._first_revision())
+        except KeyboardInterrupt:
+            return ExitCode.OK
+
+    def _watch(self, revision: int) -> int:
         while True:
             request = pb.WatchRequest(after_revision=revision, wait_s=WATCH_WAIT_S)
             response: pb.WatchResponse = self.ask_entry("Watch", request, WATCH_TIMEOUT_S)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -64,6 +64,8 @@
         assert "forja-1" in chivehold("status")[1]
         assert chivehold("watch", "--after", 0, "--once")[0] == 0
         assert json.loads(chivehold("dump")[1])["name"] == "node-1"
+        code, refused, _ = chivehold("apply", "--expect", "forja=999", "--delete", "forja")
+        assert (code, "conflict" in refused) == (1, True)
         code, deleted, _ = chivehold("apply", "--delete", "forja")
         assert (code, "deleted" in deleted) == (0, True)
         assert chivehold("get", "forja")[0] == 1
@@ -85,6 +87,7 @@
             (("nothing",), 2),
             (("apply",), 2),
             (("diff",), 2),
+            (("apply", "--expect", "forja", "--delete", "forja"), 2),
             (("drain", "no-such-upstream"), 1),
             (("apply", "--help"), 0),
         ],
