Try: streams move off a decode engine that has become slow

Cause: with an engine at a tenth of its speed, 3 to 5% of the urgent requests missed their targets; the declared knob between goodput and wasted prefill decided nothing, and a move trades the two.

Ruled out: refusing new work at the slow engine, which routing does already.

Change: where the declaration weighs goodput, a report of an engine at three times its pool's token interval moves its streams, each once, urgent ones within the retry budget.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 proto: setup
 	$(PY) examples/generate_rpc.py
+
+measure: setup
+	$(PY) -m examples.measure
--- a/examples/measure/scenario.py
+++ b/examples/measure/scenario.py
@@ -14,7 +14,8 @@
 PATIENT_TARGET_S = 900.0
 URGENT_DEADLINE_S = 30.0
 WARM_UP_S = 5.0
-ARRIVALS_END_S = 40.0
+STEADY_END_S = 25.0
+FAULTS_END_S = 40.0
 RUN_END_S = 1_500.0
 KV_BYTES_PER_TOKEN = 160_000
 
@@ -134,6 +135,7 @@
     link_budget=False,
     shed_late=False,
     avoid_slow=False,
+    move_slow=False,
 )
 OURS = Policy()
 BASELINES = {
@@ -152,6 +154,7 @@
     "less link budget": OURS._replace(link_budget=False),
     "less shedding": OURS._replace(shed_late=False),
     "less slow avoidance": OURS._replace(avoid_slow=False),
+    "less moving of streams": OURS._replace(move_slow=False),
     "two choices inside": OURS._replace(decode_choice=DecodeChoiceKind.TWO_CHOICES),
     "no retries": OURS._replace(retry_budget=0.0, retry_budget_floor=0),
 }
@@ -169,6 +172,11 @@
     seed: int
 
 
+def arrivals_end_s(scenario: Scenario) -> float:
+    """Return when the last request arrives; runs with a fault go on for its aftermath."""
+    return STEADY_END_S if scenario.fault is Fault.NONE else FAULTS_END_S
+
+
 def site_of(scenario: Scenario) -> Site:
     """Return the scenario's deployment."""
     return next(site for site in SITES if site.name == scenario.site)
