--- a/examples/measure/plan.py
+++ b/examples/measure/plan.py
@@ -20,7 +20,6 @@
 ABLATION_FAULTS = {
     "less fair shares": (Fault.GREEDY_ORGANISATION,),
     "less slow avoidance": (Fault.ENGINE_SLOW,),
-    "less moving of streams": (Fault.ENGINE_SLOW,),
     "no retries": (Fault.ENGINE_KILLED, Fault.TRANSFERS_STALL),
     "two choices inside": (Fault.REPORTS_LATE,),
 }
--- a/examples/measure/scenario.py
+++ b/examples/measure/scenario.py
@@ -135,7 +135,6 @@
     link_budget=False,
     shed_late=False,
     avoid_slow=False,
-    move_slow=False,
 )
 OURS = Policy()
 BASELINES = {
@@ -154,7 +153,6 @@
     "less link budget": OURS._replace(link_budget=False),
     "less shedding": OURS._replace(shed_late=False),
     "less slow avoidance": OURS._replace(avoid_slow=False),
-    "less moving of streams": OURS._replace(move_slow=False),
     "two choices inside": OURS._replace(decode_choice=DecodeChoiceKind.TWO_CHOICES),
     "no retries": OURS._replace(retry_budget=0.0, retry_budget_floor=0),
 }
--- a/src/chivehold/core/entry.py
+++ b/src/chivehold/core/entry.py
@@ -41,7 +41,6 @@
 from chivehold.core.policy import Policy
 from chivehold.core.requests import RequestDump
 from chivehold.core.sending import Sender
-from chivehold.core.slow_streams import SlowStreams
 from chivehold.core.state import EntryState
 from chivehold.core.targets import Target, TargetDump, declared_targets, declared_upstreams
 from chivehold.core.upstreams import UpstreamDump
@@ -79,7 +78,6 @@
         sender = Sender(self._state, estimates)
         self._placement = Placement(self._state, estimates, self._lifecycle, sender)
         self._inference = Inference(self._state, self._lifecycle, self._placement, sender)
-        self._slow_streams = SlowStreams(self._state, self._placement)
         self._calls = Calls(self._state, self._lifecycle, self._placement)
         self._intake = Intake(self._state, estimates, self._lifecycle, self._placement)
         self._revision = 0
@@ -177,7 +175,6 @@
             return
         view.take_report(event.report, self._state.now)
         for name in self._targets_of.get(event.upstream, ()):
-            yield from self._slow_streams.leave(event.upstream, self._state.targets[name])
             yield from self._placement.dispatch(self._state.targets[name])
 
     def _upstream_unreachable(self, event: UpstreamUnreachable) -> Iterator[EntryCommand]:
--- a/src/chivehold/core/placement.py
+++ b/src/chivehold/core/placement.py
@@ -152,15 +152,6 @@
         request.relay.restart()
         yield from self._place_again(request)
 
-    def move(self, request: Request) -> Iterator[EntryCommand]:
-        """Resume a stream at another engine, unless it may not run again."""
-        if not self.may_run_again(request):
-            return
-        request.moved = True
-        yield from self._lifecycle.close_attempt(request)
-        request.relay.restart()
-        yield from self._place_again(request)
-
     def may_run_again(self, request: Request) -> bool:
         """Tell whether a request that may have run is to run again.
 
--- a/src/chivehold/core/policy.py
+++ b/src/chivehold/core/policy.py
@@ -35,8 +35,6 @@
     shed_late: bool = True
     """Refuse at once what cannot meet its first-token target or its deadline."""
     avoid_slow: bool = True
-    move_slow: bool = True
-    """Move streams off an engine that has become slow, for deployments that weigh goodput."""
     retry_budget: float = 0.1
     """Further attempts as a share of recent requests."""
     retry_budget_floor: int = 3
--- a/src/chivehold/core/requests.py
+++ b/src/chivehold/core/requests.py
@@ -125,8 +125,6 @@
         self.commits = 0
         self.claimed = False
         """The platform may hold a claim of this request."""
-        self.moved = False
-        """It was resumed elsewhere because its engine had become slow."""
         self.stalled: Attempt | None = None
         """An attempt whose transfer stalled; its KV cache may still be used."""
         self.claim_granted = False
