A sidecar started as a command is tested for its memory too

Cause: only the entry's bound was checked when started through chivehold. Ruled out: nothing. Change: one test; the fixture ends its processes also when its own check fails. Conclusion: entry at most 64 MiB, sidecar at most 56 MiB, started as commands.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,12 +19,14 @@
 def control(tmp_path_factory):
     """The control address of an entry with an empty platform."""
     programs = Programs(tmp_path_factory.mktemp("programs"))
-    (platform,) = programs.start("chivehold.fakes.platform").addresses()
-    settings = _settings(programs, "entry.toml", platform_address=platform)
-    entry = programs.start("chivehold.cli", "entry", "--settings", str(settings))
-    yield entry.addresses()[1]
-    assert entry.resident_mib() <= 64
-    programs.end()
+    try:
+        (platform,) = programs.start("chivehold.fakes.platform").addresses()
+        settings = _settings(programs, "entry.toml", platform_address=platform)
+        entry = programs.start("chivehold.cli", "entry", "--settings", str(settings))
+        yield entry.addresses()[1]
+        assert entry.resident_mib() <= 64
+    finally:
+        programs.end()
 
 
 def _settings(programs: Programs, name: str, **more: str) -> Path:
@@ -122,3 +124,18 @@
         ended = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
         assert ended.returncode == 0, ended.stderr
         assert ended.stderr == "/none: cannot be read: No such file or directory\n"
+
+    def test_idle_sidecar_stays_small(self, tmp_path: Path) -> None:
+        """A sidecar started as a command takes at most 56 MiB when idle."""
+        programs = Programs(tmp_path)
+        try:
+            (engine,) = programs.start("chivehold.fakes.engine").addresses()
+            fields = {"target": "lector", "role": "decode", "data_address": ANY_PORT}
+            settings = _settings(programs, "sidecar.toml", upstream_address=engine, **fields)
+            text = settings.read_text().replace("caller_address", "# caller_address")
+            settings.write_text(f"{text}places = 20\n")
+            sidecar = programs.start("chivehold.cli", "sidecar", "--settings", str(settings))
+            assert len(sidecar.addresses()) == 3
+            assert sidecar.resident_mib() <= 56
+        finally:
+            programs.end()
