An entry's heartbeats are bounded over all pools together

Cause: upstreams_most bounded the upstreams of one pool, so with 24 pools of 154 engines every entry kept heartbeats with all 3,700 engines, 7,400 a second. Ruled out: a smaller bound for each pool, since the sum still grows with the number of models. A longer interval, since the sidecars' lease of an entry is 1.5 s. Change: upstreams_most (96) bounds all pools together; small pools leave their room to large ones, and each pool has at least 4. Before and after: with the former rule the new test's 40 pools of 154 give 40 x 96 upstreams; now at most max(96, 4 x 40). pytest tests/entry/test_heartbeats.py tests/test_settings.py tests/entry/test_whole_path.py pass; the tests that stood are unchanged. Conclusion: heartbeats of an entry no longer grow with pools up to 24 of them.

--- a/src/chivehold/entry/heartbeats.py
+++ b/src/chivehold/entry/heartbeats.py
@@ -20,6 +20,8 @@
 
 SCORE_BYTES = 8
 FIRST_HEARTBEAT_S = 1.0
+POOL_SUBSET_LEAST = 4
+"""Upstreams of each pool in use however many pools are declared."""
 LOST_AFTER_S = 2.0
 """Longer than a sidecar's lease for an entry that is not heard from."""
 
@@ -48,6 +50,27 @@
     return sorted(pool, key=lambda upstream: _score(entry, upstream.name), reverse=True)[:most]
 
 
+def subsets(entry: str, pools: Sequence[Sequence[Upstream]], most: int) -> Iterator[list[Upstream]]:
+    """Yield the upstreams of each pool that an entry uses.
+
+    An entry's heartbeats are bounded in all, whatever the number of pools: pools share ``most``
+    evenly, and what a small pool leaves goes to larger ones.
+
+    Args:
+        entry: The entry's name.
+        pools: All upstreams of each pool.
+        most: How many to use in all; more where that would leave a pool fewer than
+            ``POOL_SUBSET_LEAST``, or ``most`` where that is less.
+    """
+    least = min(POOL_SUBSET_LEAST, most)
+    left = most
+    for number, pool in enumerate(sorted(pools, key=len)):
+        share = max(least, left // (len(pools) - number))
+        chosen = subset(entry, pool, share)
+        left -= len(chosen)
+        yield chosen
+
+
 class RevisionListener(Protocol):
     """Follows which declarations each sidecar keeps."""
 
@@ -68,7 +91,7 @@
         name: This entry's name.
         incarnation: This run of the entry.
         interval_s: Time between two heartbeats, also their timeout.
-        upstreams_most: Upstreams of one pool in use at once.
+        upstreams_most: Upstreams of all pools together in use at once.
         feed: Takes the core's events.
         lost: Told of an upstream whose lease must have lapsed, after each heartbeat without answer.
         revision: Returns the revision of the declarations in force here.
@@ -125,7 +148,7 @@
         """Start and stop loops as the declarations ask for."""
         declared = tuple(pools(declarations))
         self._declared = {one.name: one for pool in declared for one in pool}
-        chosen = (subset(self._name, pool, self._upstreams_most) for pool in declared)
+        chosen = subsets(self._name, declared, self._upstreams_most)
         self._subset = frozenset(chain.from_iterable(chosen))
         self._update()
 
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -73,8 +73,8 @@
     default_deadline_s: float = 900.0
     """Longest time a request may name for itself."""
     key_retention_s: float = 3600.0
-    upstreams_most: int = 256
-    """Upstreams of one pool an entry keeps heartbeats with."""
+    upstreams_most: int = 96
+    """Upstreams of all pools together an entry keeps heartbeats with; at least 4 of each pool."""
     peer_addresses: tuple[str, ...] = ()
     """Control addresses of sidecars to fetch declarations from while the platform is out."""
     drain_timeout_s: float = 900.0
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -9,7 +9,7 @@
 from chivehold.core.entry_messages import LoadReported, UpstreamUnreachable
 from chivehold.core.identity import Role
 from chivehold.core.wire import LoadReport, UpstreamState
-from chivehold.entry.heartbeats import Heartbeats, subset
+from chivehold.entry.heartbeats import POOL_SUBSET_LEAST, Heartbeats, subset, subsets
 from chivehold.exceptions import Malformed
 
 INTERVAL_S = 0.5
@@ -140,6 +140,21 @@
         assert len(used) == 100
         assert max(used.values()) <= 3 * 40 * 16 / 100
 
+    @pytest.mark.parametrize("pool_size", (3, 20, 154))
+    @pytest.mark.parametrize("pools", (3, 24, 40))
+    def test_bounded_over_all_pools(self, pools, pool_size) -> None:
+        """More pools do not make an entry know more upstreams, and none is left out."""
+        most = 96
+        chosen = [len(one) for one in subsets("entry-1", [_pool(pool_size)] * pools, most)]
+        assert sum(chosen) <= max(most, pools * POOL_SUBSET_LEAST)
+        assert min(chosen) >= min(pool_size, POOL_SUBSET_LEAST)
+        assert sum(chosen) >= min(pools * pool_size, most - pools)
+
+    def test_small_pools_leave_room(self) -> None:
+        """What small pools do not use goes to large ones."""
+        pools = [_pool(100), _pool(5), _pool(3)]
+        assert [len(one) for one in subsets("entry-1", pools, 96)] == [3, 5, 88]
+
     def test_few_move_when_a_pool_changes(self) -> None:
         """A removed upstream is replaced, the others stay."""
         before = subset("entry-1", _pool(100), 16)
