A second sending of a reservation no longer cancels the first

Cause: an entry that finds another's claim asks the claim's sidecar whether the attempt has started, by the same revocation with which an owner gives its own attempt up; that cancels a started attempt. So two entries with one key ran the reservation once and told its sender `unknown`.

Ruled out: telling the asker apart by its entry (the second sending may reach the same entry); asking without barring (the attempt could start between the answer and the new claim).

Change: the question carries `keeps_started`: it bars what has not started and leaves the rest alone.

Conclusion: a question changes nothing that runs.

--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -255,6 +255,8 @@
         result = self.attempts.revoke(event.attempt, now)
         yield ReplyRevoke(event.reply, result)
         barred = result is RevokeResult.NEVER_STARTED
+        if event.keeps_started and not barred:
+            return
         yield from self._fail(event.attempt, Reason.REVOKED if barred else Reason.CANCELLED, now)
 
     def _on_heartbeat(self, event: HeartbeatArrived, now: float) -> Iterator[SidecarCommand]:
--- a/src/chivehold/core/sidecar_messages.py
+++ b/src/chivehold/core/sidecar_messages.py
@@ -84,6 +84,8 @@
     reply: int
     attempt: AttemptId
     incarnation: str
+    keeps_started: bool = False
+    """Another request asks, and a started attempt is left alone; else it is cancelled."""
 
 
 class HeartbeatArrived(NamedTuple):
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -123,7 +123,7 @@
         self._claims = ClaimBook(
             self._store,
             self._incarnation,
-            self._calls.revoke,
+            self._calls.inquire,
             core.incarnations.get,
             self._rng,
             settings.key_retention_s,
--- a/src/chivehold/entry/sidecar_calls.py
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -20,6 +20,7 @@
 from chivehold.rpc.bridge import RpcChannel, RpcFailed
 from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
 from chivehold.rpc.convert import (
+    Revocation,
     commit_to_proto,
     decision_from_proto,
     heartbeat_to_proto,
@@ -70,8 +71,17 @@
     async def revoke(
         self, upstream: UpstreamName, attempt: AttemptId, incarnation: SidecarIncarnation
     ) -> RevokeResult:
-        """Bar an attempt from starting; tries again for ``REVOKE_TIME_S``."""
-        message = revocation_to_proto(attempt, incarnation)
+        """Bar an own attempt from starting, or cancel it; tries again for ``REVOKE_TIME_S``."""
+        return await self._revoke(upstream, Revocation(attempt, incarnation, False))
+
+    async def inquire(
+        self, upstream: UpstreamName, attempt: AttemptId, incarnation: SidecarIncarnation
+    ) -> RevokeResult:
+        """Bar another request's attempt from starting; one that has started is left alone."""
+        return await self._revoke(upstream, Revocation(attempt, incarnation, True))
+
+    async def _revoke(self, upstream: UpstreamName, revocation: Revocation) -> RevokeResult:
+        message = revocation_to_proto(revocation)
         stop_at = trio.current_time() + REVOKE_TIME_S
         while (left_s := stop_at - trio.current_time()) > 0:
             try:
--- a/src/chivehold/rpc/convert.py
+++ b/src/chivehold/rpc/convert.py
@@ -47,6 +47,7 @@
 
     attempt: AttemptId
     incarnation: SidecarIncarnation
+    keeps_started: bool
 
 
 class KeyEnd(NamedTuple):
@@ -103,16 +104,20 @@
     )
 
 
-def revocation_to_proto(attempt: AttemptId, incarnation: SidecarIncarnation) -> pb.RevokeRequest:
-    """Return the revocation of an attempt as its message."""
-    return pb.RevokeRequest(attempt=pb.Attempt(**attempt._asdict()), incarnation=incarnation)
+def revocation_to_proto(revocation: Revocation) -> pb.RevokeRequest:
+    """Return a revocation as its message."""
+    return pb.RevokeRequest(
+        attempt=pb.Attempt(**revocation.attempt._asdict()),
+        incarnation=revocation.incarnation,
+        keeps_started=revocation.keeps_started,
+    )
 
 
 def revocation_from_proto(message: pb.RevokeRequest) -> Revocation:
     """Return a message as a revocation."""
     request = RequestId(_named(message.attempt.request, "RevokeRequest.attempt.request"))
     attempt = AttemptId(request, message.attempt.number)
-    return Revocation(attempt, SidecarIncarnation(message.incarnation))
+    return Revocation(attempt, SidecarIncarnation(message.incarnation), message.keeps_started)
 
 
 def revoke_result_to_proto(result: RevokeResult) -> pb.RevokeResponse:
--- a/src/chivehold/sidecar/control.py
+++ b/src/chivehold/sidecar/control.py
@@ -81,8 +81,8 @@
         self, request: pb.RevokeRequest, context: Any
     ) -> pb.RevokeResponse:
         """Bar an attempt from starting."""
-        attempt, incarnation = _checked(revocation_from_proto, request)
-        result = await self._driver.ask(lambda reply: RevokeArrived(reply, attempt, incarnation))
+        revocation = _checked(revocation_from_proto, request)
+        result = await self._driver.ask(lambda reply: RevokeArrived(reply, *revocation))
         return revoke_result_to_proto(result)
 
     async def RegisterKey(  # noqa: N802
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -2,8 +2,10 @@
 
 from chivehold.core import attempts as module
 from chivehold.core.attempts import ATTEMPT_RETENTION_S, AttemptLedger, Phase
+from chivehold.core.identity import Role
+from chivehold.core.sidecar_messages import CancelAtEngine, ReplyRevoke, RevokeArrived
 from chivehold.core.wire import Reason, RevokeResult
-from tests.core.sidecar_driver import ENTRY, attempt
+from tests.core.sidecar_driver import ENTRY, Driver, attempt, only, outcome
 
 A = attempt("a")
 
@@ -57,3 +59,23 @@
         ledger.close(attempt("d"), 1.0)
         assert ledger.revoke(A, ATTEMPT_RETENTION_S) is RevokeResult.STARTED
         assert ledger.revoke(A, 1.0 + ATTEMPT_RETENTION_S) is RevokeResult.NEVER_STARTED
+
+
+class TestInquiry:
+    @pytest.mark.parametrize("keeps_started", [True, False])
+    def test_leaves_a_started_attempt_alone(self, keeps_started: bool) -> None:
+        """Another request's question about an attempt cancels nothing; its own revocation does."""
+        driver = Driver(role=Role.SERVICE)
+        driver.offer("a")
+        sent = driver.feed(RevokeArrived(1, attempt("a"), "s1", keeps_started))
+        assert only(sent, ReplyRevoke)[0].result is RevokeResult.STARTED
+        assert bool(only(sent, CancelAtEngine)) is not keeps_started
+
+    def test_bars_an_attempt_that_waits(self) -> None:
+        """A waiting attempt that another request asks about is refused and never starts."""
+        driver = Driver(role=Role.SERVICE, places=1)
+        for name in ("a", "b"):
+            driver.offer(name)
+        sent = driver.feed(RevokeArrived(1, attempt("b"), "s1", True))
+        assert only(sent, ReplyRevoke)[0].result is RevokeResult.NEVER_STARTED
+        assert outcome(sent, "b") == "refused:revoked"
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -20,7 +20,7 @@
 )
 from chivehold.fakes.output import expected_tokens
 from chivehold.http_client import LinkBroken
-from chivehold.rpc.convert import revocation_to_proto, revoke_result_from_proto
+from chivehold.rpc.convert import Revocation, revocation_to_proto, revoke_result_from_proto
 from tests.sidecar.rig import TOKEN, Rig, SidecarPeer, attempt, rig, until
 
 RELEASED_WITHIN_S = 2.0
@@ -223,7 +223,9 @@
         """An attempt revoked before its offer arrives is refused when it does."""
         async with rig() as one:
             offer = await one.decode.offer(1)
-            revocation = revocation_to_proto(offer.attempt, offer.incarnation)
+            revocation = revocation_to_proto(
+                Revocation(offer.attempt, offer.incarnation, keeps_started=False)
+            )
             answer = await one.decode.rpc("Revoke", revocation)
             assert revoke_result_from_proto(answer) is RevokeResult.NEVER_STARTED
             async with one.decode.frames(offer) as frames:
