Urgent work takes the place of patient streams where goodput weighs more

Cause: the declared knob between goodput and wasted prefill decided nothing. Patient streams of six seconds hold places that urgent work needs at once when a burst begins.

Change: an urgent offer of a deployment that weighs goodput, which would wait 0.45 s or longer, breaks off the patient stream beyond the floor whose prompt costs least to run again. That request goes back to its queue, resumes at its offset, and gives way at most twice. Deployments that weigh wasted prefill never do this.

--- a/src/chivehold/core/cancellations.py
+++ b/src/chivehold/core/cancellations.py
@@ -18,6 +18,9 @@
     def __contains__(self, attempt: AttemptId) -> bool:
         return attempt in self._due
 
+    def __len__(self) -> int:
+        return len(self._due)
+
     def __iter__(self) -> Iterator[AttemptId]:
         return iter(self._due)
 
--- a/src/chivehold/core/inference.py
+++ b/src/chivehold/core/inference.py
@@ -150,6 +150,8 @@
             return
         if frame.reason is Reason.ENGINE_FAILED and request.attempt is not None:
             self._broke_off(request.attempt.upstream)
+        if frame.reason is Reason.PREEMPTED:
+            request.preemptions += 1
         if frame.reason is Reason.TRANSFER_STALLED and not request.relay.relayed:
             request.stalled = request.attempt
         yield from self._lifecycle.end_attempt(request, ran=True)
--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -31,6 +31,7 @@
 MIN_RETRY_S = 0.1
 INTERVAL_WEIGHT = 0.05
 STALL_INTERVALS = 10
+PREEMPTION_WAIT_S = 0.45
 
 
 class PlaceAdmission:
@@ -87,6 +88,9 @@
         self._offers[offer.attempt] = offer
         self.waitlist.add(offer, now)
         yield from self.fill(now)
+        if offer.attempt not in self.waitlist:
+            return
+        yield from self._preempt(offer, now)
         if offer.attempt not in self.waitlist:
             return
         ahead = self.waitlist.ahead(offer)
@@ -100,6 +104,28 @@
         self._start_by.set(offer.attempt, now + max(0.0, within_s))
         yield SendFrame(offer.entry, AttemptFrame(FrameKind.QUEUED, offer.attempt))
 
+    def _preempt(self, offer: AttemptOffer, now: float) -> Iterator[SidecarCommand]:
+        """Break a patient stream off for an urgent offer that would have to wait for long.
+
+        The place is granted once the engine has confirmed that it is free. Of the streams beyond
+        the patient floor the one whose prompt costs least to run again gives way.
+        """
+        releases = len(self._cancellations)
+        if not offer.preempts or releases >= self.waitlist.waiting(Urgency.URGENT):
+            return
+        held = self.slots.held_by(Urgency.PATIENT)
+        if held - releases <= self.slots.floor_places:
+            return
+        wait_s = self.expected_wait_s(offer.urgency, self.waitlist.ahead(offer), now)
+        victims = [one for one in self._offers.values() if self._is_preemptible(one)]
+        if wait_s <= PREEMPTION_WAIT_S or not victims:
+            return
+        victim = min(victims, key=lambda one: one.prompt_tokens)
+        yield from self.fail(victim.attempt, Reason.PREEMPTED, now)
+
+    def _is_preemptible(self, offer: AttemptOffer) -> bool:
+        return offer.preemptible and offer.attempt in self.slots
+
     def fill(self, now: float) -> Iterator[SidecarCommand]:
         """Grant free places to waiting offers."""
         while (offer := self._next_grant(now)) is not None:
--- a/src/chivehold/core/policy.py
+++ b/src/chivehold/core/policy.py
@@ -26,6 +26,8 @@
     urgent_headroom: float = 2.0
     """Decode places that patient work leaves free, as a factor of the square root of those that
     urgent work holds on average; 0 leaves none."""
+    preemption: bool = True
+    """Urgent work takes the place of patient streams, for deployments that weigh goodput."""
     fair_shares: bool = True
     prefill_pacing: bool = True
     """Offer patient work only when its prefill can start soon after the grant."""
--- a/src/chivehold/core/requests.py
+++ b/src/chivehold/core/requests.py
@@ -125,6 +125,8 @@
         self.commits = 0
         self.claimed = False
         """The platform may hold a claim of this request."""
+        self.preemptions = 0
+        """How often its stream gave way to an urgent request."""
         self.stalled: Attempt | None = None
         """An attempt whose transfer stalled; its KV cache may still be used."""
         self.claim_granted = False
--- a/src/chivehold/core/sending.py
+++ b/src/chivehold/core/sending.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from chivehold.core.declared import Weigh
 from chivehold.core.entry_messages import (
     EntryCommand,
     SendCall,
@@ -10,13 +11,15 @@
     SendPrefill,
 )
 from chivehold.core.estimates import Estimates
-from chivehold.core.identity import UpstreamName
+from chivehold.core.identity import UpstreamName, Urgency
 from chivehold.core.protocols import Candidate
 from chivehold.core.requests import Attempt, Phase, Request
 from chivehold.core.routing import prefill_work_s
 from chivehold.core.state import EntryState
 from chivehold.core.wire import AttemptOffer, ImportOrder, PrefillOrder, PrefillResult
 
+PREEMPTIONS_MOST = 2
+"""A patient request gives way at most this often."""
 TOKEN_INTERVAL_S = 0.02
 """Time between tokens where an engine reported none."""
 
@@ -110,8 +113,20 @@
             max_tokens=request.tokens_left,
             first_offset=request.relay.relayed,
             kv_bytes=kv_bytes,
+            preempts=self._preempts(request),
+            preemptible=self._is_preemptible(request),
         )
 
+    def _preempts(self, request: Request) -> bool:
+        """Tell whether a request may cost a patient one its prefill: what the knob decides."""
+        weighs_goodput = request.target.weigh is Weigh.GOODPUT
+        urgent = request.urgency is Urgency.URGENT and not request.target.is_service
+        return self._state.policy.preemption and weighs_goodput and urgent
+
+    def _is_preemptible(self, request: Request) -> bool:
+        patient = request.urgency is Urgency.PATIENT and not request.target.is_service
+        return patient and request.idempotent and request.preemptions < PREEMPTIONS_MOST
+
     def _sent(self, attempt: Attempt, request: Request) -> None:
         attempt.is_open = True
         self._state.upstreams.entered(attempt.upstream)
--- a/src/chivehold/core/wire.py
+++ b/src/chivehold/core/wire.py
@@ -34,6 +34,7 @@
     LEASE_LAPSED = "lease_lapsed"
     ENGINE_FAILED = "engine_failed"
     TRANSFER_STALLED = "transfer_stalled"
+    PREEMPTED = "preempted"
     KV_EXPIRED = "kv_expired"
     DEADLINE = "deadline"
 
@@ -64,6 +65,10 @@
     first_offset: int = 0
     """Offset of the first output token to produce; above 0 when a cut stream is resumed."""
     kv_bytes: int = 0
+    preempts: bool = False
+    """An urgent offer that may take the place of a preemptible one rather than wait."""
+    preemptible: bool = False
+    """A patient offer whose stream may be broken off and resumed later."""
 
 
 class FrameKind(StrEnum):
