A prefill's time limit leaves room for the prefill itself

Ruled out: a margin on the reported backlog (the report is right; the limit was not).

Change: the time within which a prefill has to start is less by the time that it takes.

--- a/src/chivehold/core/estimates.py
+++ b/src/chivehold/core/estimates.py
@@ -56,12 +56,17 @@
             work_s = 0.0
         return min(left_s, max(0.0, target_s - self.waited_s(request) - work_s))
 
-    def prefill_within_s(self, request: Request) -> float:
-        """Return how long the request's prefill may wait at its engine, in seconds."""
+    def prefill_within_s(self, request: Request, work_s: float) -> float:
+        """Return how long the request's prefill may wait at its engine, in seconds.
+
+        Args:
+            request: The request.
+            work_s: Time that the prefill itself takes, in seconds.
+        """
         if not self._has_first_token_target(request):
             return min(self.left_s(request), PREFILL_WAIT_MOST_S)
         target_s = request.traffic_class.first_token_target_s
-        within_s = target_s - self.waited_s(request) - TRANSFER_S
+        within_s = target_s - self.waited_s(request) - work_s - TRANSFER_S
         if within_s <= 0.0 or not self._state.policy.shed_late:
             within_s = PREFILL_WAIT_MOST_S
         return min(self.left_s(request), within_s, PREFILL_WAIT_MOST_S)
--- a/src/chivehold/core/sending.py
+++ b/src/chivehold/core/sending.py
@@ -58,8 +58,9 @@
         request.phase = Phase.PREFILLING
         arrival = request.arrival
         view = self._state.upstreams.get(candidate.upstream)
+        work_s = prefill_work_s(candidate, request.prompt_tokens)
         if view is not None:
-            view.sent(prefill_work_s(candidate, request.prompt_tokens), self._state.now)
+            view.sent(work_s, self._state.now)
             view.blocks.sent(arrival.prefix_blocks)
         order = PrefillOrder(
             attempt=attempt.id,
@@ -71,7 +72,7 @@
             prompt=request.prompt,
             prompt_tokens=request.prompt_tokens,
             prefix_blocks=arrival.prefix_blocks,
-            start_within_s=self._estimates.prefill_within_s(request),
+            start_within_s=self._estimates.prefill_within_s(request, work_s),
             deadline_in_s=self._estimates.left_s(request),
         )
         attempt.prefill_upstream = candidate.upstream
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -1,9 +1,11 @@
 import pytest
 
 from chivehold.core.entry_messages import SendOffer
-from chivehold.core.identity import RequestId
+from chivehold.core.estimates import TRANSFER_S
+from chivehold.core.identity import AttemptId, RequestId
 from chivehold.core.policy import Policy
-from tests.core.entry_driver import Driver, model
+from chivehold.core.wire import FrameKind
+from tests.core.entry_driver import Driver, frame, model
 
 
 def patient_offers(driver: Driver, count: int, prompt_tokens: int = 1_000) -> int:
@@ -39,3 +41,12 @@
         commands = driver.feed(model("u"))
         assert [type(command) for command in commands] == [SendOffer]
         assert commands[0].offer.attempt.request == RequestId("u")
+
+
+class TestPrefillTime:
+    def test_wait_leaves_room_for_the_prefill_itself(self) -> None:
+        """A prompt of half a second may wait for less than the rest of its second."""
+        driver = Driver()
+        driver.feed(model(prompt_tokens=5_000))
+        (order,) = driver.feed(frame(FrameKind.GRANTED, AttemptId(RequestId("r"), 1)))
+        assert order.order.start_within_s == pytest.approx(1.0 - 0.5 - TRANSFER_S)
