A caller cannot make a call repeatable that a declaration says may not be

Cause: `Chivehold-Idempotent: true` outweighed a declared rule, so a caller's mistake could run a reservation twice.

Ruled out: ignoring the header (a caller knows best of a POST that no rule marks).

Change: either side's no holds; the caller's yes counts only where no rule marks the call.

Before and after: the case "rule's no outweighs the caller" failed, and passes.

Conclusion: at most once holds for whatever operators mark.

--- a/src/chivehold/core/entry_messages.py
+++ b/src/chivehold/core/entry_messages.py
@@ -43,7 +43,7 @@
     key: KeyId | None
     first_sent_ago_s: float
     idempotent: bool | None
-    """``None`` leaves it to the declaration."""
+    """What the caller states; ``True`` does not outweigh a declared rule."""
     deadline_in_s: float | None
     prompt: str = ""
     prompt_tokens: int = 0
--- a/src/chivehold/core/intake.py
+++ b/src/chivehold/core/intake.py
@@ -106,9 +106,10 @@
     def _request(
         self, arrival: RequestArrived, target: Target, traffic_class: TrafficClass
     ) -> Request:
-        idempotent = arrival.idempotent
-        if idempotent is None:
-            call = arrival.call
-            idempotent = call is None or target.is_idempotent(call.method, call.path)
+        call = arrival.call
+        if call is None:
+            idempotent = arrival.idempotent is not False
+        else:
+            idempotent = target.is_idempotent(call.method, call.path, arrival.idempotent)
         self._sequence += 1
         return Request(arrival, target, traffic_class, idempotent, self._state.now, self._sequence)
--- a/src/chivehold/core/targets.py
+++ b/src/chivehold/core/targets.py
@@ -92,12 +92,21 @@
         """Return an organisation's declared share, 1.0 where none is declared."""
         return self._weights.get(organisation, 1.0)
 
-    def is_idempotent(self, method: str, path: str) -> bool:
-        """Tell whether a plain service's call may be repeated, by rule or else by method."""
+    def is_idempotent(self, method: str, path: str, stated: bool | None = None) -> bool:
+        """Tell whether a plain service's call may be repeated.
+
+        Args:
+            method: The HTTP method.
+            path: The path within the service.
+            stated: What the caller states, ``None`` for nothing. It may take idempotence away from
+                any call, and give it only to one that no rule marks.
+        """
+        if stated is False:
+            return False
         for rule in self.rules:
             if rule.method in ("*", method) and path.startswith(rule.path_prefix):
                 return rule.idempotent
-        return method in IDEMPOTENT_METHODS
+        return stated or method in IDEMPOTENT_METHODS
 
     def dump(self, now: float) -> TargetDump:
         """Return the queues for an operator."""
--- a/tests/core/entry_driver.py
+++ b/tests/core/entry_driver.py
@@ -93,7 +93,7 @@
             FORJA,
             (upstream("s1", Role.SERVICE), upstream("s2", Role.SERVICE)),
             CLASSES,
-            rules=(CallRule("*", "/builds", True),),
+            rules=(CallRule("*", "/builds", True), CallRule("*", "/vans", False)),
         ),
     ),
 )
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -13,6 +13,7 @@
 
 FIRST = AttemptId(RequestId("r"), 1)
 BUILD = CallContent("POST", "/builds/7", (), b"")
+VAN = CallContent("GET", "/vans/1", (), b"")
 
 
 class TestCall:
@@ -32,8 +33,18 @@
             (BUILD, None, True),
             (CALL, True, True),
             (READ, False, False),
+            (BUILD, False, False),
+            (VAN, True, False),
+        ],
+        ids=[
+            "by method",
+            "by method not",
+            "by rule",
+            "by caller",
+            "by caller not",
+            "caller's no outweighs the rule",
+            "rule's no outweighs the caller",
         ],
-        ids=["by method", "by method not", "by rule", "by caller", "by caller not"],
     )
     @pytest.mark.parametrize("how", ["failed", "link lost"])
     def test_is_repeated_only_if_idempotent(
