Both listeners mark a connection idle after its last message

Cause: the entry shielded the last message of an answer from the cancellation that the connection's own end brings, since the server otherwise keeps the connection open for ever; the sidecar's listener did not.

Ruled out: a second shield in the sidecar, which would stand twice.

Change: the shield moves from the entry into the listener that both use.

Before and after: tests of idle connections at the entry pass as before with the shield moved (`pytest tests/entry tests/sidecar tests/test_http_server.py`). A test of its own for the sidecar was not added: it runs the same code.

--- a/src/chivehold/entry/bodies.py
+++ b/src/chivehold/entry/bodies.py
@@ -4,10 +4,8 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
-import trio
-
 from chivehold.exceptions import BudgetSpent
-from chivehold.http_server import Message, Scope, Send, header
+from chivehold.http_server import Scope, header
 
 
 class CallerLimits(NamedTuple):
@@ -79,21 +77,3 @@
     if announced is not None and announced.isdecimal():
         return min(int(announced), most)
     return 0 if header(scope, "transfer-encoding") is None else most
-
-
-def shield_end(send: Send) -> Send:
-    """Return a ``send`` whose last message is not cancelled half done.
-
-    The server tells the application of the connection's end while it sends the last message. Were
-    the sending task cancelled by that, the server would not get to mark the connection as idle,
-    and would keep it open for ever.
-    """
-
-    async def send_shielded(message: Message) -> None:
-        if message["type"] != "http.response.body" or message.get("more_body", False):
-            await send(message)
-            return
-        with trio.CancelScope(shield=True):
-            await send(message)
-
-    return send_shielded
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -28,7 +28,6 @@
     BodyBudget,
     CallerLimits,
     expected_bytes,
-    shield_end,
 )
 from chivehold.entry.caller_headers import HeaderBounds, read_headers
 from chivehold.entry.caller_requests import (
@@ -112,7 +111,7 @@
         request = RequestId(f"{self._incarnation}-{next(self._numbers)}")
         self._open += 1
         try:
-            await self._answer_checked(request, scope, receive, shield_end(send))
+            await self._answer_checked(request, scope, receive, send)
         finally:
             self._open -= 1
 
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -293,7 +293,7 @@
             await self._send(message)
             return
         if self._body_ended:
-            await self._send(message)
+            await self._send_last(message)
             return
         await self._send({**message, "more_body": True})
         with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
@@ -303,6 +303,16 @@
             await self._send({**message, "body": b""})
             nursery.cancel_scope.cancel()
 
+    async def _send_last(self, message: Message) -> None:
+        """Send the last message whole.
+
+        The server tells the application of the connection's end while it sends that message. Were
+        the sending task cancelled by it, the server would not get to mark the connection as idle,
+        and would keep it open for ever.
+        """
+        with trio.CancelScope(shield=True):
+            await self._send(message)
+
     async def _drop_body(self) -> None:
         while not self._body_ended:
             await self.receive()
