--- a/tests/proofs/callers.py
+++ b/tests/proofs/callers.py
@@ -89,10 +89,12 @@
         begun = trio.Event() if begun is None else begun
         reading = _Reading(call.prompt is not None, begun)
         end = End.LEFT
-        with trio.move_on_after(leave_after_s):
-            end = await _exchange(door, path, body, all_headers, reading)
-        fields = reading.fields | {"end": end, "completed_at_s": time.time()}
-        self._recorder.update(invocation, **fields)
+        try:
+            with trio.move_on_after(leave_after_s):
+                end = await _exchange(door, path, body, all_headers, reading)
+        finally:
+            fields = reading.fields | {"end": end, "completed_at_s": time.time()}
+            self._recorder.update(invocation, **fields)
         return call._replace(**fields)
 
 
--- /dev/null
+++ b/tests/proofs/without.py
@@ -0,0 +1,125 @@
+"""Runs a daemon with one mechanism switched off: ``python -m tests.proofs.without NAME MODULE …``.
+
+With ``CHIVEHOLD_WITHOUT=NAME`` in the environment the proofs start all entries and sidecars this
+way; the checker of the promise that rests on the mechanism then has to find violations.
+"""
+
+import runpy
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from chivehold.core import claims, keys, leases, relay, requests, sidecar
+from chivehold.core.availability import Availability
+from chivehold.core.declarations import DeclarationReplica
+from chivehold.core.wire import KeyDecision, UpstreamState
+from chivehold.entry.app import Entry
+from chivehold.platform.declaration_sync import DeclarationSync
+from chivehold.sidecar.app import Sidecar
+
+SHORT_DRAIN_S = 3.0
+
+
+def _nothing(*arguments: object) -> Any:
+    return iter(())
+
+
+def _key_register() -> None:
+    keys.KeyHome.register = lambda *arguments: KeyDecision.FRESH
+
+
+def _key_commit() -> None:
+    keys.KeyHome.commit = lambda *arguments: True
+
+
+def _entry_lease() -> None:
+    leases.EntryLeases.expire = _nothing
+
+
+def _stream_close() -> None:
+    sidecar.SidecarCore._on_closed = _nothing
+
+
+def _cancel_uncovered() -> None:
+    sidecar.SidecarCore._cancel_uncovered = _nothing
+
+
+def _offsets() -> None:
+    def take(self, offset: int, tokens: tuple[str, ...]):
+        yield relay.TokenRun(self.relayed, tokens)
+        self._relayed.extend(tokens)
+
+    relay.AnswerRelay.take = take
+    relay.AnswerRelay.relayed = property(lambda self: 0)
+    relay.AnswerRelay.is_whole = lambda self, total: True
+
+
+def _may_have_run() -> None:
+    requests.Request.may_have_run = property(lambda self: False)
+
+
+def _claims() -> None:
+    granted = claims.Verdict(granted=True)
+    claims.decide = lambda *arguments: granted
+
+
+def _leaving() -> None:
+    Availability.state = property(lambda self: UpstreamState.READY)
+    Availability.refusal = property(lambda self: None)
+
+
+def _long_drain() -> None:
+    """Bounds the drain as hypercorn's default does."""
+    for daemon in (Entry, Sidecar):
+        start = daemon.__init__
+
+        def init(self, settings, *arguments, start=start) -> None:
+            start(self, settings._replace(drain_timeout_s=SHORT_DRAIN_S), *arguments)
+
+        daemon.__init__ = init
+
+
+def _versions() -> None:
+    def take(self, change) -> bool:
+        self._held[change.name] = change
+        return True
+
+    def merge(self, changes, after_revision: int, revision: int) -> bool:
+        for change in changes:
+            take(self, change)
+        self._revision = revision
+        return True
+
+    DeclarationReplica.merge = merge
+
+
+def _push() -> None:
+    DeclarationSync._behind = lambda self: ()
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "none": lambda: None,
+    "key-register": _key_register,
+    "key-commit": _key_commit,
+    "entry-lease": _entry_lease,
+    "stream-close": _stream_close,
+    "cancel-uncovered": _cancel_uncovered,
+    "offsets": _offsets,
+    "may-have-run": _may_have_run,
+    "claims": _claims,
+    "leaving": _leaving,
+    "long-drain": _long_drain,
+    "versions": _versions,
+    "push": _push,
+}
+
+
+def main() -> None:
+    name, module, *arguments = sys.argv[1:]
+    MECHANISMS[name]()
+    sys.argv = [module, *arguments]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
