A burst of calls to one peer costs a quarter of the processor time

Cause: httpcore's pool looks through every idle connection at each request, and kept all that a burst had opened. Ruled out: one pool for each connection, which would lose reuse. Change: at most 32 idle connections to one peer are kept (ClientLimits.max_idle_connections). The new test fails with 512 in place of the bound. Conclusion: the work of a burst no longer grows with the square of its size.

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -18,6 +18,8 @@
 
     max_connections: int = 512
     """Connections to one peer at once."""
+    max_idle_connections: int = 32
+    """Idle connections kept to one peer; the pool looks through all of them at each request."""
     connect_timeout_s: float = 1.0
     keep_alive_s: float = 2.0
     """An idle connection is used again within this time; shorter than the servers' own."""
@@ -211,6 +213,7 @@
         if peer not in self._pools:
             self._pools[peer] = httpcore.AsyncConnectionPool(
                 max_connections=self._limits.max_connections,
+                max_keepalive_connections=self._limits.max_idle_connections,
                 keepalive_expiry=self._limits.keep_alive_s,
             )
         return self._pools[peer]
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -50,3 +50,36 @@
         """An answer up to the bound is given whole."""
         got = await call_raw(HEAD + b"x" * 100, ClientLimits(max_answer_bytes=100), 3.0)
         assert got == b"x" * 100
+
+    async def test_idle_connections_are_bounded(self) -> None:
+        """After a burst few connections stay open, since each request looks through them all."""
+        is_open: set[trio.SocketStream] = set()
+        together = 12
+
+        async def handle(stream: trio.SocketStream) -> None:
+            is_open.add(stream)
+            while await stream.receive_some():
+                await all_here.wait()
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            is_open.discard(stream)
+
+        async def call() -> None:
+            await client.call(peer, "POST", "/", step="ask", timeout_s=5.0)
+
+        all_here = trio.Event()
+        client = HttpClient(ClientLimits(max_idle_connections=3))
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, handle, [listener])
+                peer = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+                async with trio.open_nursery() as calls:
+                    for _ in range(together):
+                        calls.start_soon(call)
+                    while len(is_open) < together:
+                        await trio.sleep(0.01)
+                    all_here.set()
+                while len(is_open) > 3:
+                    await trio.sleep(0.01)
+                await client.aclose()
+                nursery.cancel_scope.cancel()
