Declarations travel compressed between entries and sidecars

Ruled out: compression of every call, which costs time on short messages and saves nothing. Change: pushes and the answers of pulls are compressed by gRPC (gzip). RpcChannel.call takes compressed=True. The test fails with either switched off.

--- /dev/null
+++ b/examples/slopes/entry_slopes.py
@@ -0,0 +1,217 @@
+"""An entry's memory and work, by its core alone."""
+
+from collections.abc import Iterator
+from random import Random
+
+from chivehold.core.declared import Declarations, Deployment, Share, TrafficClass, Upstream
+from chivehold.core.entry import EntryCore
+from chivehold.core.entry_messages import (
+    CallerGone,
+    DeclarationsChanged,
+    EntryEvent,
+    LoadReported,
+    RequestArrived,
+)
+from chivehold.core.identity import (
+    EntryIncarnation,
+    Organisation,
+    RequestId,
+    Role,
+    SidecarIncarnation,
+    TargetName,
+    UpstreamName,
+    Urgency,
+)
+from chivehold.core.policy import Policy
+from chivehold.core.wire import LoadReport, UpstreamState
+from examples.slopes.costs import kept_bytes, microseconds
+from examples.slopes.fit import Slope, fit
+
+PREFIX_BLOCKS = 64
+PROMPT = "word " * 400
+ACTS = 400
+CLASSES = (
+    TrafficClass("hook", Urgency.URGENT, 30.0),
+    TrafficClass("review", Urgency.PATIENT, 900.0),
+)
+POLICY = Policy(urgent_queue_most=100_000, patient_queue_most=100_000, patient_offers_most=100_000)
+
+
+def report(seed: int, role: Role = Role.DECODE) -> LoadReport:
+    """Return a report as a busy engine gives it."""
+    rng = Random(seed)
+    blocks = tuple(rng.getrandbits(32) for _ in range(PREFIX_BLOCKS))
+    return LoadReport(
+        incarnation=SidecarIncarnation(f"engine-{seed:04d}.0123456789abcdef"),
+        up_for_s=86_400.0,
+        role=role,
+        state=UpstreamState.READY,
+        revision=8_500,
+        places=1_000_000,
+        places_free=1_000_000,
+        waiting_urgent=3,
+        waiting_patient=5,
+        wait_urgent_s=0.0,
+        wait_patient_s=0.0,
+        prefill_backlog_s=0.01,
+        prefill_urgent_backlog_s=0.01,
+        prefill_tokens_per_s=10_000.0,
+        token_interval_s=0.02,
+        link_backlog_s=0.0,
+        prefix_blocks=blocks,
+    )
+
+
+def deployment(name: str, upstreams: int, organisations: int = 0) -> Deployment:
+    """Return a deployment, half of it for prefill."""
+    half = upstreams // 2
+    return Deployment(
+        TargetName(name),
+        "model",
+        prefill=tuple(_upstream(name, Role.PREFILL, number) for number in range(half)),
+        decode=tuple(_upstream(name, Role.DECODE, number) for number in range(half)),
+        classes=CLASSES,
+        shares=tuple(Share(_organisation(number), 1.0) for number in range(organisations)),
+    )
+
+
+def _upstream(target: str, role: Role, number: int) -> Upstream:
+    name = UpstreamName(f"{target}-{role}-{number:04d}")
+    addresses = (f"10.1.{number >> 8}.{number & 255}:8100", f"10.1.{number >> 8}.{number & 255}:81")
+    return Upstream(name, role, "region-a", *addresses, places=20)
+
+
+def _organisation(number: int) -> Organisation:
+    return Organisation(f"organisation-{number:04d}")
+
+
+class _Entry:
+    """An entry's core whose upstreams have reported."""
+
+    def __init__(self, *declared: Deployment, reported: bool = True) -> None:
+        self.core = EntryCore(EntryIncarnation("entry.1"), "region-a", POLICY, Random(1))
+        self.now = 0.0
+        self.sent = 0
+        self.feed(DeclarationsChanged(Declarations(1, declared, ())))
+        self.upstreams = [one for each in declared for one in (*each.prefill, *each.decode)]
+        if reported:
+            self.report_all()
+
+    def feed(self, event: EntryEvent) -> None:
+        self.sent += sum(1 for _ in self.core.handle(event, self.now))
+
+    def report_all(self) -> int:
+        for number, upstream in enumerate(self.upstreams):
+            self.feed(LoadReported(upstream.name, report(number, upstream.role)))
+        return len(self.upstreams)
+
+    def request(self, number: int, traffic_class: str, organisations: int = 1) -> RequestId:
+        name = RequestId(f"entry.1/{number}")
+        self.feed(
+            RequestArrived(
+                name,
+                TargetName("model-0"),
+                _organisation(number % organisations),
+                traffic_class,
+                None,
+                0.0,
+                None,
+                None,
+                prompt=f"{number} {PROMPT}",
+                prompt_tokens=len(PROMPT) // 4,
+                prefix_blocks=tuple(range(32)),
+                max_tokens=300,
+            )
+        )
+        return name
+
+    def requests(self, count: int, traffic_class: str, organisations: int = 1) -> "_Entry":
+        for number in range(count):
+            self.request(number, traffic_class, organisations)
+        return self
+
+    def turn(self, traffic_class: str, organisations: int = 1) -> int:
+        """Let requests come and go beside those in progress."""
+        for number in range(ACTS):
+            name = self.request(10_000_000 + number, traffic_class, organisations)
+            self.feed(CallerGone(name))
+        return ACTS
+
+
+def entry_slopes() -> Iterator[Slope]:
+    """Yield the slopes of an entry."""
+    yield fit("entry", "memory", "B", "known upstream", (24, 48, 96, 192), _memory_upstreams)
+    yield fit("entry", "CPU of a load report", "µs", "known upstream", (24, 48, 96, 192), _reports)
+    yield fit("entry", "CPU of a request", "µs", "known upstream", (24, 48, 96, 192), _choice)
+    yield fit("entry", "memory", "B", "declared upstream, not known", (500, 1000, 2000), _declared)
+    yield fit("entry", "memory", "B", "organisation", (50, 200, 810), _memory_organisations)
+    yield fit("entry", "CPU of a request", "µs", "organisation", (50, 200, 810), _organisations)
+    yield fit("entry", "memory", "B", "model with 8 upstreams", (2, 6, 12, 24), _memory_models)
+    yield fit("entry", "memory", "B", "request in progress", (100, 400, 1600), _in_progress)
+    yield fit("entry", "CPU of a request", "µs", "request in progress", (100, 400, 1600), _turn)
+    yield fit("entry", "memory", "B", "queued request", (100, 400, 1600), _queued)
+    yield fit("entry", "CPU of a request", "µs", "queued request", (100, 400, 1600), _queue_turn)
+
+
+def _memory_upstreams(count: int) -> float:
+    return kept_bytes(lambda: _Entry(deployment("model-0", count)))
+
+
+def _reports(count: int) -> float:
+    entry = _Entry(deployment("model-0", count))
+    reports = [report(number, one.role) for number, one in enumerate(entry.upstreams)]
+
+    def work() -> int:
+        for _ in range(20):
+            for upstream, one in zip(entry.upstreams, reports, strict=True):
+                entry.feed(LoadReported(upstream.name, one))
+        return 20 * count
+
+    return microseconds(work)
+
+
+def _choice(count: int) -> float:
+    entry = _Entry(deployment("model-0", count))
+    return microseconds(lambda: entry.turn("hook"))
+
+
+def _declared(count: int) -> float:
+    return kept_bytes(lambda: _Entry(deployment("model-0", count), reported=False))
+
+
+def _memory_organisations(count: int) -> float:
+    return kept_bytes(
+        lambda: _Entry(deployment("model-0", 8, count)).requests(count, "hook", count)
+    ) - kept_bytes(lambda: _Entry(deployment("model-0", 8)).requests(count, "hook"))
+
+
+def _organisations(count: int) -> float:
+    entry = _Entry(deployment("model-0", 8, count)).requests(count, "hook", count)
+    return microseconds(lambda: entry.turn("hook", count))
+
+
+def _memory_models(count: int) -> float:
+    return kept_bytes(lambda: _Entry(*(deployment(f"model-{n}", 8) for n in range(count))))
+
+
+def _in_progress(count: int) -> float:
+    return kept_bytes(lambda: _Entry(deployment("model-0", 8)).requests(count, "hook"))
+
+
+def _turn(count: int) -> float:
+    entry = _Entry(deployment("model-0", 8)).requests(count, "hook")
+    return microseconds(lambda: entry.turn("hook"))
+
+
+def _waiting(count: int) -> _Entry:
+    """Return an entry whose requests all wait, since no upstream takes patient work."""
+    return _Entry(deployment("model-0", 8), reported=False).requests(count, "review")
+
+
+def _queued(count: int) -> float:
+    return kept_bytes(lambda: _waiting(count))
+
+
+def _queue_turn(count: int) -> float:
+    entry = _waiting(count)
+    return microseconds(lambda: entry.turn("review"))
--- /dev/null
+++ b/examples/slopes/revisions.py
@@ -0,0 +1,201 @@
+"""Spread of a revision over many entries and sidecars, in memory on a paused clock."""
+
+import time
+from collections.abc import Iterator
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+import trio
+import trio.testing
+
+from chivehold.core.declarations import DeclarationReplica
+from chivehold.core.declared import Declarations, Service, TrafficClass, Upstream
+from chivehold.core.identity import EntryIncarnation, Role, TargetName, UpstreamName, Urgency
+from chivehold.entry.heartbeats import subset
+from chivehold.fakes.object_store import MemoryObjectStore
+from chivehold.platform.declaration_apply import ACCEPTED, ApplyRequest
+from chivehold.platform.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.platform.leases import POLL_S, WATCH_LEASES, LeaseKeeper
+from examples.slopes.fit import Slope, line
+
+NODES = (30, 100, 300, 930)
+UPSTREAMS_PER_ENTRY = 4
+KNOWN = 96
+HEARTBEAT_S = 0.5
+HOP_S = 0.005
+SETTLE_S = 5.0
+QUIET_S = 15.0
+BURST = 100
+BURST_S = 1.0
+LOOK_S = 0.02
+EVERYWHERE_MOST_S = 30.0
+FIRST_PORT = 8_000
+CLASSES = (TrafficClass("hook", Urgency.URGENT, 30.0),)
+
+
+class Spread(NamedTuple):
+    """What one run of a number of entries gave."""
+
+    entries: int
+    sidecars: int
+    single_s: float
+    """From the acceptance of a change until the last node has it."""
+    burst_s: float
+    quiet_reads_per_s: float
+    quiet_writes_per_s: float
+    burst_calls: int
+    hand_overs: float
+    """Declarations that a sidecar was handed for one change of a quiet fleet."""
+    burst_hand_overs: float
+    unknown_sidecars: int
+    """Sidecars that no entry's subset contains."""
+
+
+class _Fleet:
+    """Entries with their sidecars; carries their calls."""
+
+    def __init__(self, entries: int, nursery: trio.Nursery) -> None:
+        self.store = MemoryObjectStore()
+        names = [f"sidecar-{number}" for number in range(UPSTREAMS_PER_ENTRY * entries)]
+        self.sidecars = {name: DeclarationReplica() for name in names}
+        self.replicas = [DeclarationReplica() for _ in range(entries)]
+        self.handed = 0
+        self.known: set[str] = set()
+        pool = [Upstream(UpstreamName(n), Role.DECODE, "", "", "", 20) for n in names]
+        self.syncs = [self._entry(number, pool, nursery) for number in range(entries)]
+
+    def _entry(self, number: int, pool: list[Upstream], nursery: trio.Nursery) -> DeclarationSync:
+        rng, name = Random(number), EntryIncarnation(f"entry-{number}")
+        lease = LeaseKeeper(self.store, name, WATCH_LEASES, POLL_S, rng)
+        replica = self.replicas[number]
+        sync = DeclarationSync(self.store, replica, self, _ignore, lease.is_held, rng)
+        known = [one.name for one in subset(name, pool, KNOWN)]
+        self.known.update(known)
+        for run in (lease.run, sync.run):
+            nursery.start_soon(run)
+        nursery.start_soon(self._heartbeats, sync, known, rng)
+        return sync
+
+    async def _heartbeats(self, sync: DeclarationSync, known: list[str], rng: Random) -> None:
+        await trio.sleep(HEARTBEAT_S * rng.random())
+        while True:
+            for peer in known:
+                sync.heard(peer, self.sidecars[peer].revision)
+            await trio.sleep(HEARTBEAT_S)
+
+    async def pull(self, peer: str, after_revision: int) -> PeerChanges | None:
+        await trio.sleep(HOP_S)
+        replica = self.sidecars[peer]
+        changes = replica.changed_after(after_revision)
+        return PeerChanges(after_revision, replica.revision, changes)
+
+    async def push(self, peer: str, changes: PeerChanges) -> int | None:
+        await trio.sleep(HOP_S)
+        self.handed += len(changes.changes)
+        replica = self.sidecars[peer]
+        replica.merge(changes.changes, changes.after_revision, changes.revision)
+        return replica.revision
+
+    async def apply(self, name: str, revision: int) -> int:
+        ports = (FIRST_PORT + 2 * revision, FIRST_PORT + 2 * revision + 1)
+        addresses = [f"10.0.0.1:{port}" for port in ports]
+        upstream = Upstream(UpstreamName(f"{name}-1"), Role.SERVICE, "region-a", *addresses, 20)
+        spec = Service(TargetName(name), (upstream,), CLASSES)
+        request = ApplyRequest((spec,), (), f"{name}/{revision}")
+        result = await self.syncs[0].apply(request)
+        assert all(change.kind in ACCEPTED for change in result.changes), result
+        return result.revision
+
+    async def everywhere(self, revision: int) -> None:
+        every = [*self.replicas, *(self.sidecars[name] for name in self.known)]
+        with trio.fail_after(EVERYWHERE_MOST_S):
+            while every := [replica for replica in every if replica.revision < revision]:
+                await trio.sleep(LOOK_S)
+
+    def calls(self, *kinds: str) -> int:
+        return sum(self.store.counts[kind] for kind in kinds)
+
+
+def _ignore(declarations: Declarations) -> None:
+    pass
+
+
+def spreads() -> list[Spread]:
+    """Return the spread at each number of entries."""
+    return [_spread(entries) for entries in NODES]
+
+
+def _spread(entries: int) -> Spread:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(_run, entries, clock=clock)
+
+
+async def _run(entries: int) -> Spread:
+    async with trio.open_nursery() as nursery:
+        fleet = _Fleet(entries, nursery)
+        numbers = count(1)
+        await fleet.everywhere(await fleet.apply("first", next(numbers)))
+        await trio.sleep(SETTLE_S)
+        reads, writes = fleet.calls("get", "list", "watch"), fleet.calls("put")
+        await trio.sleep(QUIET_S)
+        reads = fleet.calls("get", "list", "watch") - reads
+        writes = fleet.calls("put") - writes
+        handed = fleet.handed
+        start = trio.current_time()
+        await fleet.everywhere(await fleet.apply("single", next(numbers)))
+        single_s = trio.current_time() - start
+        await trio.sleep(2.0)
+        handed, before_burst = fleet.handed - handed, fleet.handed
+        calls = fleet.calls("get", "list", "watch", "put")
+        revision = 0
+        for number in range(BURST):
+            revision = await fleet.apply(f"burst-{number}", next(numbers))
+            await trio.sleep(BURST_S / BURST)
+        start = trio.current_time()
+        await fleet.everywhere(revision)
+        burst_s = trio.current_time() - start
+        await trio.sleep(2.0)
+        calls = fleet.calls("get", "list", "watch", "put") - calls
+        burst_handed = fleet.handed - before_burst
+        nursery.cancel_scope.cancel()
+    return Spread(
+        entries,
+        len(fleet.sidecars),
+        single_s,
+        burst_s,
+        reads / QUIET_S,
+        writes / QUIET_S,
+        calls,
+        handed / len(fleet.sidecars),
+        burst_handed / len(fleet.sidecars) / BURST,
+        len(fleet.sidecars) - len(fleet.known),
+    )
+
+
+def revision_slopes(found: list[Spread]) -> Iterator[Slope]:
+    """Yield lines over the number of entries."""
+    entries = [one.entries for one in found]
+    fields = (
+        ("reads while quiet", "1/s", "quiet_reads_per_s"),
+        ("writes while quiet", "1/s", "quiet_writes_per_s"),
+        ("time of one change to the last node", "s", "single_s"),
+        ("time after a burst of 100 in 1 s to the last node", "s", "burst_s"),
+        ("calls for a burst of 100", "calls", "burst_calls"),
+        ("hand-overs of one change to a sidecar", "", "hand_overs"),
+        ("hand-overs of each change of a burst to a sidecar", "", "burst_hand_overs"),
+    )
+    for what, unit, field in fields:
+        values = [getattr(one, field) for one in found]
+        yield line("platform and sync", what, unit, "entry", entries, values)
+
+
+def main() -> None:
+    """Print each run."""
+    for entries in NODES:
+        start = time.process_time()
+        print(_spread(entries), round(time.process_time() - start, 1), "s CPU", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/slopes/sidecar_slopes.py
@@ -0,0 +1,154 @@
+"""A sidecar's memory and work, by its core alone."""
+
+from collections.abc import Iterator
+
+from chivehold.core.identity import (
+    AttemptId,
+    EntryIncarnation,
+    KeyId,
+    Organisation,
+    RequestId,
+    Role,
+    SidecarIncarnation,
+    TargetName,
+    Urgency,
+)
+from chivehold.core.policy import Policy
+from chivehold.core.sidecar import SidecarCore
+from chivehold.core.sidecar_messages import (
+    EngineStatus,
+    HeartbeatArrived,
+    KeyCommitArrived,
+    KeyRegisterArrived,
+    OfferArrived,
+    SidecarConfig,
+    SidecarEvent,
+    StreamClosed,
+)
+from chivehold.core.wire import AttemptOffer, Heartbeat, KeyCommit, KeyRegistration
+from examples.slopes.costs import kept_bytes, microseconds
+from examples.slopes.fit import Slope, fit
+
+INCARNATION = SidecarIncarnation("sidecar.1")
+RETENTION_S = 3600.0
+PLACES = 20
+TARGET = TargetName("model-0")
+ORGANISATION = Organisation("organisation-0001")
+
+
+class _Sidecar:
+    """A sidecar's core before a ready engine."""
+
+    def __init__(self) -> None:
+        config = SidecarConfig(
+            INCARNATION,
+            Role.DECODE,
+            PLACES,
+            0.1,
+            1.5,
+            1e9,
+            10_000.0,
+            RETENTION_S,
+            waiting_most=100_000,
+        )
+        self.core = SidecarCore(config, Policy())
+        self.now = 0.0
+        self.feed(EngineStatus(True, False, ()))
+        self.now = 2 * RETENTION_S
+        self.feed(EngineStatus(True, False, ()))
+
+    def feed(self, event: SidecarEvent) -> None:
+        for _ in self.core.handle(event, self.now):
+            pass
+
+    def attempts(self, count: int) -> "_Sidecar":
+        """Let attempts come and end; their records are kept for revocations."""
+        for number in range(count):
+            offer = _offer(number)
+            self.feed(OfferArrived(offer))
+            self.feed(StreamClosed(offer.attempt))
+        return self
+
+    def keys(self, count: int) -> "_Sidecar":
+        """Register and commit keys, which are remembered."""
+        for number in range(count):
+            key = KeyId(ORGANISATION, TARGET, f"0190aa00-0000-7000-8000-{number:012d}")
+            request = RequestId(f"entry.1/{number}")
+            entry = EntryIncarnation("entry.1")
+            self.feed(KeyRegisterArrived(0, KeyRegistration(key, request, entry, 0.0)))
+            self.feed(KeyCommitArrived(0, KeyCommit(key, request, entry)))
+        return self
+
+    def entries(self, count: int) -> "_Sidecar":
+        """Hear a heartbeat of each entry."""
+        for number in range(count):
+            entry = EntryIncarnation(f"entry-{number:04d}.0123456789abcdef")
+            self.feed(HeartbeatArrived(0, Heartbeat(entry, INCARNATION, 1)))
+        return self
+
+
+def _offer(number: int) -> AttemptOffer:
+    return AttemptOffer(
+        AttemptId(RequestId(f"entry.1/{number}"), 1),
+        EntryIncarnation("entry.1"),
+        INCARNATION,
+        TARGET,
+        ORGANISATION,
+        1.0,
+        Urgency.URGENT,
+        0.0,
+        60.0,
+        90.0,
+        prompt_tokens=500,
+        max_tokens=300,
+    )
+
+
+def sidecar_slopes() -> Iterator[Slope]:
+    """Yield the slopes of a sidecar."""
+    yield fit("sidecar", "memory", "B", "attempt kept", (200, 800, 3200), _memory_attempts)
+    yield fit("sidecar", "CPU of an attempt", "µs", "attempt kept", (200, 800, 3200), _attempts)
+    yield fit("sidecar", "memory", "B", "key kept", (500, 2000, 8000), _memory_keys)
+    yield fit("sidecar", "CPU of a key's two calls", "µs", "key kept", (500, 2000, 8000), _keys)
+    yield fit("sidecar", "memory", "B", "entry", (6, 24, 93, 930), _memory_entries)
+    yield fit("sidecar", "CPU of a heartbeat", "µs", "entry", (6, 24, 93, 930), _entries)
+
+
+def _memory_attempts(count: int) -> float:
+    return kept_bytes(lambda: _Sidecar().attempts(count))
+
+
+def _attempts(count: int) -> float:
+    def work() -> int:
+        _Sidecar().attempts(count)
+        return count
+
+    return microseconds(work)
+
+
+def _memory_keys(count: int) -> float:
+    return kept_bytes(lambda: _Sidecar().keys(count))
+
+
+def _keys(count: int) -> float:
+    def work() -> int:
+        _Sidecar().keys(count)
+        return count
+
+    return microseconds(work)
+
+
+def _memory_entries(count: int) -> float:
+    return kept_bytes(lambda: _Sidecar().entries(count))
+
+
+def _entries(count: int) -> float:
+    sidecar = _Sidecar().entries(count)
+    rounds = max(1, 2_000 // count)
+
+    def work() -> int:
+        for _ in range(rounds):
+            sidecar.entries(count)
+        return rounds * count
+
+    return microseconds(work)
--- a/src/chivehold/entry/sidecar_calls.py
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -167,7 +167,7 @@
             RpcFailed: The sidecar did not answer.
         """
         channel, stub = self._peer(upstream)
-        return await channel.call(stub.PushDeclarations, request, CALL_TIMEOUT_S)
+        return await channel.call(stub.PushDeclarations, request, CALL_TIMEOUT_S, compressed=True)
 
     async def pull(
         self, upstream: UpstreamName, after_revision: int
--- a/src/chivehold/rpc/bridge.py
+++ b/src/chivehold/rpc/bridge.py
@@ -81,7 +81,9 @@
 class UnaryMethod(Protocol[RequestT, ResponseT]):
     """A method of a generated stub."""
 
-    def future(self, request: RequestT, timeout: float, metadata: Any) -> Any:
+    def future(
+        self, request: RequestT, timeout: float, metadata: Any, compression: Any = None
+    ) -> Any:
         """Start the call."""
         ...
 
@@ -271,7 +273,12 @@
         return self._channel
 
     async def call(
-        self, method: UnaryMethod[RequestT, ResponseT], request: RequestT, timeout_s: float
+        self,
+        method: UnaryMethod[RequestT, ResponseT],
+        request: RequestT,
+        timeout_s: float,
+        *,
+        compressed: bool = False,
     ) -> ResponseT:
         """Call a method of a stub and wait for the answer; a cancelled wait cancels the call.
 
@@ -279,6 +286,7 @@
             method: The stub's method, as ``stub.Heartbeat``.
             request: The request message.
             timeout_s: Time in seconds after which the call fails with ``DEADLINE_EXCEEDED``.
+            compressed: Whether the request travels compressed; for long ones only.
 
         Returns:
             The response message.
@@ -288,7 +296,12 @@
         """
         trio_token = trio.lowlevel.current_trio_token()
         done = trio.Event()
-        future = method.future(request, timeout=timeout_s, metadata=self._metadata)
+        future = method.future(
+            request,
+            timeout=timeout_s,
+            metadata=self._metadata,
+            compression=grpc.Compression.Gzip if compressed else None,
+        )
 
         def settle(_future: Any) -> None:
             with suppress(trio.RunFinishedError):
--- a/src/chivehold/sidecar/control.py
+++ b/src/chivehold/sidecar/control.py
@@ -145,6 +145,7 @@
         self, request: pb.PullDeclarationsRequest, context: Any
     ) -> pb.PullDeclarationsResponse:
         """Hand on the declarations that are kept here."""
+        context.set_compression(grpc.Compression.Gzip)
         return self._declarations.pull(request)
 
     async def Drain(self, request: pb.DrainRequest, context: Any) -> pb.DrainResponse:  # noqa: N802
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,99 @@
+"""The length of each kind of message between processes, and the page of capacity figures."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from chivehold.entry.sidecar_calls import SidecarCalls
+from chivehold.rpc.bridge import serve_rpc
+from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
+from chivehold.sidecar.control import SidecarControl
+from chivehold.sidecar.declarations import KeptDeclarations
+from examples.slopes.fit import line
+from examples.slopes.messages import change, sizes
+from examples.slopes.page import write
+from examples.slopes.wire import TOKEN, CountingProxy
+
+INTENDED_BYTES = {
+    "HeartbeatRequest": 80,
+    "HeartbeatResponse": 400,
+    "RegisterKeyRequest": 180,
+    "RegisterKeyResponse": 24,
+    "CommitKeyRequest": 180,
+    "CommitKeyResponse": 4,
+    "RevokeRequest": 96,
+    "RevokeResponse": 24,
+    "OrderRequest": 128,
+    "OrderResponse": 16,
+    "ReadEngineRequest": 16,
+    "ReadEngineResponse": 96,
+    "PushDeclarationsRequest": 48_000,
+    "PushDeclarationsResponse": 16,
+    "PullDeclarationsRequest": 16,
+    "AttemptOffer": 256,
+    "AttemptFrame": 96,
+    "PrefillOrder": 640,
+    "PrefillResult": 160,
+    "ImportOrder": 160,
+    "LeaseRecord": 64,
+    "Claim": 192,
+    "Claim, ended": 64,
+}
+LEAST_USED = 0.4
+SMALL_BYTES = 32
+HAND_OVER_BYTES = 6_000
+
+
+class TestSizes:
+    def test_every_kind_has_its_intended_size(self):
+        """No kind is without an intended size, or the other way round."""
+        assert {one.kind for one in sizes()} == INTENDED_BYTES.keys()
+
+    @pytest.mark.parametrize("sized", tuple(sizes()), ids=lambda sized: sized.kind)
+    def test_within_intended_size(self, sized):
+        """A message of ordinary content fits its intended size, which is not far above it."""
+        intended = INTENDED_BYTES[sized.kind]
+        assert sized.encoded_bytes <= intended
+        assert intended <= SMALL_BYTES or sized.encoded_bytes >= LEAST_USED * intended
+
+
+class TestHandOver:
+    async def test_changes_travel_compressed(self):
+        """A changed deployment of two full pools takes few bytes, pushed and pulled."""
+        kept = KeptDeclarations("model-0", 0.1, lambda event: None)
+        add = partial(add_SidecarServicer_to_server, SidecarControl(None, None, kept, dict))
+        async with (
+            serve_rpc("127.0.0.1:0", [add], TOKEN) as address,
+            trio.open_nursery() as nursery,
+        ):
+            proxy = CountingProxy(address)
+            calls = SidecarCalls(lambda name: None, TOKEN)
+            peer = await proxy.listen(nursery)
+            await calls.push(peer, change())
+            pushed = proxy.passed
+            answer = await calls.pull(peer, 0)
+            pulled = proxy.passed - pushed
+            nursery.cancel_scope.cancel()
+        assert answer.declarations == change().declarations
+        assert max(pushed, pulled) <= HAND_OVER_BYTES
+
+
+class TestLine:
+    def test_fit(self):
+        """The line through points of a line is that line, with R² of 1."""
+        found = line("r", "w", "u", "p", [1, 2, 4], [5, 7, 11])
+        assert found.slope == pytest.approx(2)
+        assert found.intercept == pytest.approx(3)
+        assert found.r_squared == pytest.approx(1)
+
+
+class TestWrite:
+    def test_between_markers(self, tmp_path):
+        """Only what stands between the markers is replaced, and missing markers are told."""
+        page = tmp_path / "page.md"
+        page.write_text("a\n<!-- x: begin -->\nold\n<!-- x: end -->\nb\n")
+        write("x", "new", page)
+        assert page.read_text() == "a\n<!-- x: begin -->\n\nnew\n\n<!-- x: end -->\nb\n"
+        with pytest.raises(ValueError, match="y: begin"):
+            write("y", "new", page)
