An offer held back for the link is granted with the first token of the transfer before it

Cause: the first token frees the link's plan, but nothing was granted until the next event or the recheck; and after a token the wakeup was not worked out anew, so each following token event ran all expiries until another event came. Ruled out: a recheck at shorter intervals. Change: the first token fills places, and every event sets the wakeup; tests that each message of an entry renews its lease, and that a tick never leaves due what it was asked for. Before and after: `pytest tests/core/test_sidecar.py`: with the filling off the new test fails, with it on it passes; the random histories pass (500 examples, derandomised).

--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -157,6 +157,8 @@
         self._last_token_at[event.attempt] = now
         frame = AttemptFrame(FrameKind.TOKENS, event.attempt, event.offset, event.tokens)
         yield SendFrame(offer.entry, frame)
+        if last_at is None:
+            yield from self.fill(now)
 
     def finished(self, event: EngineFinished, now: float) -> Iterator[SidecarCommand]:
         """End an attempt whose whole output the engine has produced."""
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -139,8 +139,7 @@
         if self._wakeup is not None and self._wakeup <= now:
             yield from self._expire(now)
         yield from self._handlers[type(event)](event, now)
-        if type(event) is not EngineTokens:
-            self._wakeup = self._next_due(now)
+        self._wakeup = self._next_due(now)
 
     def next_wakeup(self) -> float | None:
         """Return the time in seconds at which a ``Tick`` is due, or ``None``."""
--- a/tests/core/sidecar_driver.py
+++ b/tests/core/sidecar_driver.py
@@ -93,6 +93,7 @@
         seen: list[SidecarCommand] = []
         while (due := self.core.next_wakeup()) is not None and due <= end:
             seen += self.feed(Tick(), max(due, self.now))
+            assert self.core.next_wakeup() != due, "a tick left due what it was asked for"
         self.now = end
         return seen
 
--- a/tests/core/test_sidecar.py
+++ b/tests/core/test_sidecar.py
@@ -10,6 +10,7 @@
     Organisation,
     RequestId,
     Role,
+    SidecarIncarnation,
     TargetName,
     Urgency,
 )
@@ -25,8 +26,10 @@
     EngineStatus,
     EngineTokens,
     HeartbeatArrived,
+    ImportArrived,
     KeyCommitArrived,
     KeyRegisterArrived,
+    OfferArrived,
     ReplyHeartbeat,
     ReplyImport,
     ReplyKey,
@@ -41,6 +44,7 @@
 )
 from chivehold.core.wire import (
     Heartbeat,
+    ImportOrder,
     KeyCommit,
     KeyDecision,
     KeyRegistration,
@@ -49,14 +53,14 @@
     RevokeResult,
     UpstreamState,
 )
-from tests.core.sidecar_driver import ENTRY, Driver, attempt, granted, only, outcome
+from tests.core.sidecar_driver import ENTRY, Driver, attempt, granted, offer, only, outcome
 
 A = attempt("a")
 CANCEL_A = CancelAtEngine(A)
 
 
 def beat(driver: Driver, at: float | None = None) -> LoadReport:
-    event = HeartbeatArrived(1, Heartbeat(ENTRY, "s1", 0))  # type: ignore[arg-type]
+    event = HeartbeatArrived(1, Heartbeat(ENTRY, SidecarIncarnation("s1"), 0))
     return only(driver.feed(event, at), ReplyHeartbeat)[0].report
 
 
@@ -233,6 +237,16 @@
         driver.feed(EngineTokens(A, 0, ("x",)), 0.5)
         assert driver.tick_until(50.0) == []
 
+    def test_make_room_on_the_link_with_the_first_token(self) -> None:
+        """An offer held back for the link is granted once the transfer before it has ended."""
+        driver = Driver(link_bytes_per_s=1_000.0)
+        patient = {"urgency": Urgency.PATIENT, "kv_bytes": 400}
+        driver.offer("a", **patient)
+        driver.import_kv("a", kv_bytes=400)
+        assert driver.offer("b", **patient) == "queued"
+        assert granted(driver.feed(EngineTokens(A, 0, ("x",)), 0.001)) == ["b"]
+        assert driver.core.next_wakeup() == 1.5
+
 
 class TestRevocation:
     @pytest.mark.parametrize(
@@ -276,6 +290,24 @@
         assert ended == ["failed:lease_lapsed"] * 3 + ["refused:lease_lapsed"]
         assert only(sent, CancelAtEngine) == [CANCEL_A]
 
+    @pytest.mark.parametrize(
+        ("renews", "event"),
+        [
+            (True, HeartbeatArrived(1, Heartbeat(ENTRY, SidecarIncarnation("s1"), 0))),
+            (True, ImportArrived(1, ImportOrder(A, "h", "p:1", 0, 0, 0.8))),
+            (True, RevokeArrived(1, A, "s1")),
+            (True, OfferArrived(offer("b"))),
+            (False, StreamClosed(attempt("b"))),
+        ],
+    )
+    def test_are_renewed_by_each_message(self, renews: bool, event: SidecarEvent) -> None:
+        """Any message of a live entry renews its lease; a broken stream does not."""
+        driver = Driver()
+        driver.offer("a")
+        driver.feed(event, 1.0)
+        leases = driver.core.dump()["leases"]
+        assert [lease["left_s"] for lease in leases] == [1.5 if renews else 0.5]
+
     def test_of_a_frozen_entry_cost_it_its_keys(self) -> None:
         """An entry that wakes after its lease is refused its commit, though it comes first."""
         driver = Driver()
--- a/tests/core/test_sidecar_histories.py
+++ b/tests/core/test_sidecar_histories.py
@@ -229,6 +229,8 @@
         while (due := self.driver.core.next_wakeup()) is not None and due <= end:
             self.driver.now = max(due, self.driver.now)
             self.feed(Tick())
+            again = self.driver.core.next_wakeup()
+            assert again is None or again > self.driver.now
         self.driver.now = end
 
     @rule(request=st.sampled_from(["q1", "q2"]), entry=ENTRIES, verb=st.integers(0, 2))
