Due times that were dropped early leave nothing behind; the load report has its own module

Cause: a due time discarded before it came stayed in the heap until then: with patient deadlines of 900 s some thousands of entries in a busy sidecar. Ruled out: removing from the middle of the heap at each discard (linear). Before and after: `pytest tests/core/test_deadlines.py`: 10,000 keys set for 900 s later and dropped left 10,001 entries, now at most 66.

--- a/src/chivehold/core/deadlines.py
+++ b/src/chivehold/core/deadlines.py
@@ -7,6 +7,9 @@
 KeyT = TypeVar("KeyT", bound=Hashable)
 
 
+STALE_MOST = 64
+
+
 class _Due(NamedTuple):
     at: float
     sequence: int
@@ -47,6 +50,8 @@
         self._sequence += 1
         self._due[key] = _Due(at, self._sequence)
         heapq.heappush(self._heap, (at, self._sequence, key))
+        if len(self._heap) > 2 * len(self._due) + STALE_MOST:
+            self._compact()
 
     def discard(self, key: KeyT) -> None:
         """Forget a key; an unknown one is ignored."""
@@ -72,3 +77,8 @@
             key = heapq.heappop(self._heap)[2]
             del self._due[key]
             yield key
+
+    def _compact(self) -> None:
+        """Drop the heap's entries of forgotten keys, which would stay until their time comes."""
+        self._heap = [(due.at, due.sequence, key) for key, due in self._due.items()]
+        heapq.heapify(self._heap)
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -6,9 +6,10 @@
 from chivehold.core.attempts import AttemptLedger, Phase
 from chivehold.core.availability import Availability
 from chivehold.core.cancellations import Cancellations
-from chivehold.core.identity import AttemptId, EntryIncarnation, Role, SidecarIncarnation, Urgency
+from chivehold.core.identity import AttemptId, EntryIncarnation, Role
 from chivehold.core.keys import KeyHome
 from chivehold.core.leases import EntryLeases
+from chivehold.core.load_report import load_report
 from chivehold.core.orders import OrderGate
 from chivehold.core.place_admission import PlaceAdmission
 from chivehold.core.policy import Policy
@@ -59,11 +60,8 @@
     PrefillResult,
     Reason,
     RevokeResult,
-    UpstreamState,
 )
 
-PREFIX_BLOCKS_REPORTED = 64
-
 
 class SidecarCore:
     """Decides for one upstream; implements ``DecisionCore[SidecarEvent, SidecarCommand]``.
@@ -118,6 +116,11 @@
             Tick: self._on_tick,
         }
 
+    @property
+    def prefix_blocks(self) -> tuple[int, ...]:
+        """Digests of blocks that the engine last said it caches, most recent first."""
+        return self._prefix_blocks
+
     @property
     def revision(self) -> int:
         """The revision of the newest declarations kept beside this sidecar."""
@@ -151,37 +154,12 @@
 
     def report(self, now: float) -> LoadReport:
         """Return the upstream's load as the ledgers have it."""
-        known = self.availability.state is not UpstreamState.DOWN
-        waitlist = self.places.waitlist
-        queue = self.prefills.queue
-        queued = {urgency: waitlist.queued_with(urgency) for urgency in Urgency}
-        return LoadReport(
-            incarnation=SidecarIncarnation(self.config.incarnation),
-            up_for_s=round(self.up_for_s(now), 3),
-            role=self.config.role,
-            state=self.availability.state,
-            revision=self._revision,
-            places=self.places.slots.places,
-            places_free=self.places.slots.free if known else 0,
-            waiting_urgent=waitlist.waiting(Urgency.URGENT) + queue.waiting(Urgency.URGENT),
-            waiting_patient=waitlist.waiting(Urgency.PATIENT) + queue.waiting(Urgency.PATIENT),
-            wait_urgent_s=self._reported_wait_s(Urgency.URGENT, queued[Urgency.URGENT], now),
-            wait_patient_s=self._reported_wait_s(Urgency.PATIENT, queued[Urgency.PATIENT], now),
-            prefill_backlog_s=round(queue.backlog_s(now), 4),
-            prefill_urgent_backlog_s=round(queue.backlog_s(now, Urgency.URGENT), 4),
-            prefill_tokens_per_s=round(queue.tokens_per_s, 1),
-            token_interval_s=round(self.places.token_interval_s.or_else(0.0), 5),
-            link_backlog_s=round(self.places.link.backlog_s(now), 4),
-            prefix_blocks=self._prefix_blocks[:PREFIX_BLOCKS_REPORTED],
-        )
+        return load_report(self, now)
 
     def dump(self) -> SidecarDump:
         """Return the whole state in types that JSON knows."""
         return dump_sidecar(self, self._now)
 
-    def _reported_wait_s(self, urgency: Urgency, ahead: int, now: float) -> float:
-        return round(self.places.expected_wait_s(urgency, ahead, now), 4)
-
     def _next_due(self, now: float) -> float | None:
         times = (
             self.leases.next_due(),
--- a/tests/core/test_deadlines.py
+++ b/tests/core/test_deadlines.py
@@ -1,7 +1,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chivehold.core.deadlines import Deadlines
+from chivehold.core.deadlines import STALE_MOST, Deadlines
 
 TIMES = st.integers(0, 20).map(float)
 STEPS = st.lists(st.tuples(st.sampled_from("abc"), st.none() | TIMES), max_size=30)
@@ -27,3 +27,13 @@
         due = [model[key] for key in deadlines.expire(now)]
         assert due == sorted(at for at in model.values() if at <= now)
         assert len(deadlines) == len(model) - len(due)
+
+    def test_forgets_what_was_dropped_long_before_it_was_due(self) -> None:
+        """Keys that come and go leave no more behind than a fixed number."""
+        deadlines: Deadlines[int] = Deadlines()
+        deadlines.set(-1, 1.0)
+        for key in range(10_000):
+            deadlines.set(key, 900.0)
+            deadlines.discard(key)
+        assert len(deadlines._heap) <= STALE_MOST + 2
+        assert list(deadlines.expire(1_000.0)) == [-1]
