An upstream with one place serves urgent work too while patient work waits

Cause: the patient floor is rounded up, so that of one place all was the floor's: while patient offers waited, urgent ones got nothing. Ruled out: rounding down for one place, which starves patient work instead. Change: a single place is divided by time; it is patient work's turn while its share, averaged over DEMAND_WINDOW_S, is below the floor. Before and after: `pytest tests/core/test_waitlist.py -k starves` (floor 0.2, both classes always waiting, places held one after another): with one place 100 of 100 grants went to patient work, now within 5 to 30; two and ten places as before.

--- a/src/chivehold/core/slots.py
+++ b/src/chivehold/core/slots.py
@@ -100,6 +100,17 @@
         wanted = math.ceil(self._patient_floor * self._places - 1e-9)
         return max(0, min(wanted, max(1, self._places - 1)))
 
+    def patient_missing(self, now: float) -> int:
+        """Return how many places patient work lacks to its floor.
+
+        A single place cannot be divided; it is patient work's turn there while its share of the
+        time, averaged over ``DEMAND_WINDOW_S``, is below the floor.
+        """
+        if self._places > 1:
+            return self.floor_places - self.held_by(Urgency.PATIENT)
+        share = self._classes[Urgency.PATIENT].smoothed_count(now)
+        return int(share < self._patient_floor)
+
     def has_room_for_patient(self, now: float) -> bool:
         """Tell whether patient work may take a place although no urgent work waits.
 
--- a/src/chivehold/core/waitlist.py
+++ b/src/chivehold/core/waitlist.py
@@ -118,7 +118,7 @@
                 if slots.has_room_for_patient(now):
                     yield aged or patient
                 return
-            missing = slots.floor_places - slots.held_by(Urgency.PATIENT)
+            missing = slots.patient_missing(now)
             if missing > 0 and aged is not None:
                 yield aged
             elif missing >= slots.free:
--- a/tests/core/test_waitlist.py
+++ b/tests/core/test_waitlist.py
@@ -80,3 +80,22 @@
         waitlist = waiting(Policy(), "pa0", "pb1")
         waitlist.add(offer("pa9", urgency=PATIENT, organisation="a", waited_s=AGE_S + 1.0), 0.0)
         assert grants(waitlist, slots_with(0, 0)) == ["pa9", "pb1", "pa0"]
+
+    @pytest.mark.parametrize(("places", "least", "most"), [(1, 5, 30), (2, 10, 50), (10, 20, 40)])
+    def test_starves_neither_class(self, places: int, least: int, most: int) -> None:
+        """While both classes always wait, patient work gets about its floor, also of one place."""
+        slots = SlotLedger(places, 0.2)
+        waitlist = WaitList(Policy())
+        patient = 0
+        for number in range(100 * places):
+            now = float(number)
+            for urgency in Urgency:
+                waitlist.add(offer(f"{urgency}{number}", urgency=urgency), now)
+            held = list(slots)
+            if len(held) == places:
+                slots.release(held[0][0], now)
+            chosen = next(waitlist.in_turn(slots, now))
+            waitlist.take(chosen.attempt)
+            slots.hold(chosen.attempt, chosen.urgency, now)
+            patient += chosen.urgency is PATIENT
+        assert least <= patient / places <= most
