--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,9 @@
 
 measure: setup
 	$(PY) -m examples.measure
+
+slopes: setup
+	$(PY) -m examples.slopes
+
+bench: setup
+	$(PY) -m examples.bench
--- a/examples/slopes/entry_slopes.py
+++ b/examples/slopes/entry_slopes.py
@@ -24,12 +24,14 @@
 )
 from chivehold.core.policy import Policy
 from chivehold.core.wire import LoadReport, UpstreamState
+from chivehold.entry.heartbeats import pools, subsets
 from examples.slopes.costs import kept_bytes, microseconds
 from examples.slopes.fit import Slope, fit
 
 PREFIX_BLOCKS = 64
 PROMPT = "word " * 400
 ACTS = 400
+UPSTREAMS_MOST = 96
 CLASSES = (
     TrafficClass("hook", Urgency.URGENT, 30.0),
     TrafficClass("review", Urgency.PATIENT, 900.0),
@@ -144,6 +146,8 @@
     yield fit("entry", "CPU of a load report", "µs", "known upstream", (24, 48, 96, 192), _reports)
     yield fit("entry", "CPU of a request", "µs", "known upstream", (24, 48, 96, 192), _choice)
     yield fit("entry", "memory", "B", "declared upstream, not known", (500, 1000, 2000), _declared)
+    sizes = (500, 1000, 2000)
+    yield fit("entry", "CPU of a changed declaration", "µs", "declared upstream", sizes, _change)
     yield fit("entry", "memory", "B", "organisation", (50, 200, 810), _memory_organisations)
     yield fit("entry", "CPU of a request", "µs", "organisation", (50, 200, 810), _organisations)
     yield fit("entry", "memory", "B", "model with 8 upstreams", (2, 6, 12, 24), _memory_models)
@@ -179,6 +183,19 @@
     return kept_bytes(lambda: _Entry(deployment("model-0", count), reported=False))
 
 
+def _change(count: int) -> float:
+    declared = [deployment(f"model-{number}", count // 10) for number in range(10)]
+    entry = _Entry(*declared, reported=False)
+    declarations = Declarations(2, tuple(declared), ())
+
+    def work() -> int:
+        entry.feed(DeclarationsChanged(declarations))
+        chosen = list(subsets("entry-1", tuple(pools(declarations)), UPSTREAMS_MOST))
+        return min(1, len(chosen))
+
+    return microseconds(work)
+
+
 def _memory_organisations(count: int) -> float:
     return kept_bytes(
         lambda: _Entry(deployment("model-0", 8, count)).requests(count, "hook", count)
