make bench counts every request and chunk

Cause: the count of finished acts was read before and written after a wait, so that acts ended meanwhile were lost from the sum; each counted one then seemed to cost up to 8 times as much, and the ratio of chunks was arbitrary. Ruled out: processor time itself; a profile showed 76 of 600 calls counted. Change: the result is awaited first and added then; 600 calls and 32 streams, 3 rounds.

--- a/examples/bench/__main__.py
+++ b/examples/bench/__main__.py
@@ -14,13 +14,13 @@
 from tests.entry.deployed import Deployed, deploy
 from tests.processes import Programs, Running
 
-WARM_UP = 50
-CALLS = 400
-STREAMS = 16
+WARM_UP = 100
+CALLS = 600
+STREAMS = 32
 TOKENS = 250
 IN_FLIGHT = 8
 IDLE_S = 3.0
-ROUNDS = 2
+ROUNDS = 3
 
 Act = Callable[[httpcore.AsyncConnectionPool], Awaitable[int]]
 
@@ -65,7 +65,8 @@
         nonlocal total, left
         while left > 0:
             left -= 1
-            total += await act(pool)
+            result = await act(pool)
+            total += result
 
     async with trio.open_nursery() as nursery:
         for _ in range(IN_FLIGHT):
