Random histories of the sidecar's core cover a planned link and preemption

Cause: the histories ran without a link's budget and without preempting offers, both added since. Ruled out: nothing. Change: a link rate, sizes of KV caches, preempting offers and imports right after the offer are drawn.

--- a/tests/core/test_sidecar_histories.py
+++ b/tests/core/test_sidecar_histories.py
@@ -91,10 +91,14 @@
         self.committed: set[tuple[RequestId, EntryIncarnation]] = set()
         self.heard: dict[EntryIncarnation, float] = {}
 
-    @initialize(role=st.sampled_from(list(Role)), left=st.integers(0, 2))
-    def start(self, role: Role, left: int) -> None:
+    @initialize(
+        role=st.sampled_from(list(Role)),
+        left=st.integers(0, 2),
+        link_bytes_per_s=st.sampled_from([0.0, 1_000.0]),
+    )
+    def start(self, role: Role, left: int, **config: object) -> None:
         self.role = role
-        self.driver = Driver(ready=False, role=role, places=PLACES, entry_lease_s=LEASE_S)
+        self.driver = Driver(ready=False, role=role, places=PLACES, entry_lease_s=LEASE_S, **config)
         self.held = {attempt(f"old{number}") for number in range(left)}
         if role is not Role.DECODE:
             self.held.clear()
@@ -140,8 +144,19 @@
         urgency=st.sampled_from(Urgency),
         organisation=st.sampled_from(["bruma", "kinisi"]),
         start_within_s=st.sampled_from([0.5, 5.0, 60.0]),
+        kv_bytes=st.sampled_from([0, 400]),
+        preempts=st.booleans(),
+        imports=st.booleans(),
     )
-    def offer(self, name: str, entry: EntryIncarnation, **changes: object) -> None:
+    def offer(
+        self,
+        name: str,
+        entry: EntryIncarnation,
+        kv_bytes: int,
+        preempts: bool,
+        imports: bool,
+        **changes: object,
+    ) -> None:
         known = attempt(name)
         if self.opened.setdefault(known, entry) != entry:
             return
@@ -150,7 +165,10 @@
         if self.role is Role.PREFILL:
             self.feed(PrefillArrived(prefill(name, entry=entry, **changes)))
         else:
+            changes |= {"kv_bytes": kv_bytes, "preempts": preempts, "preemptible": True}
             self.feed(OfferArrived(offer(name, entry=entry, **changes)))
+            if imports:
+                self.import_kv(name)
 
     @rule(name=NAMES)
     def import_kv(self, name: str) -> None:
@@ -159,7 +177,7 @@
             if live is not None:
                 self.hear(live.entry)
             before = len(self.driver.sent)
-            self.driver.import_kv(name)
+            self.driver.import_kv(name, kv_bytes=400)
             for command in only(self.driver.sent[before:], StartDecode):
                 self.begin(command.offer.attempt)
 
