--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -74,7 +74,10 @@
     """Longest time a request may name for itself."""
     key_retention_s: float = 3600.0
     upstreams_most: int = 96
-    """Upstreams of all pools together an entry keeps heartbeats with; at least 4 of each pool."""
+    """Upstreams of all pools together an entry keeps heartbeats with; at least 4 of each pool.
+
+    Few entries before many engines need more, for an engine that no entry follows gets no work.
+    """
     peer_addresses: tuple[str, ...] = ()
     """Control addresses of sidecars to fetch declarations from while the platform is out."""
     drain_timeout_s: float = 900.0
