--- a/examples/measure/__main__.py
+++ b/examples/measure/__main__.py
@@ -25,7 +25,7 @@
     """Run scenarios on all cores and group their figures by cell, in order of seeds."""
     measured: dict[Cell, list[Summary]] = {}
     with Pool() as pool:
-        for scenario, summary in pool.imap(measure, list(scenarios), chunksize=4):
+        for scenario, summary in pool.imap(measure, list(scenarios), chunksize=1):
             measured.setdefault(Cell(*scenario[:-1]), []).append(summary)
     return measured
 
--- a/src/chivehold/core/policy.py
+++ b/src/chivehold/core/policy.py
@@ -39,7 +39,7 @@
     avoid_slow: bool = True
     retry_budget: float = 0.1
     """Further attempts as a share of recent requests."""
-    retry_budget_floor: int = 3
+    retry_budget_floor: int = 20
     """Further attempts allowed at any rate, per ``retry_window_s``."""
     retry_window_s: float = 10.0
     attempts_most: int = 3
--- a/src/chivehold/fakes/engine_model.py
+++ b/src/chivehold/fakes/engine_model.py
@@ -8,12 +8,15 @@
 import heapq
 from collections import OrderedDict
 from collections.abc import Iterator
+from itertools import islice
 from typing import NamedTuple
 
 from chivehold.core.identity import AttemptId
 from chivehold.core.prefix import BLOCK_TOKENS
 from chivehold.core.shared_link import SharedLink
 
+CACHED_BLOCKS_TOLD = 64
+
 
 class EngineCost(NamedTuple):
     """What work costs at an engine."""
@@ -127,8 +130,8 @@
 
     @property
     def cached_blocks(self) -> tuple[int, ...]:
-        """Digests of cached prefix blocks, most recent first."""
-        return tuple(reversed(self._cache))
+        """Digests of the ``CACHED_BLOCKS_TOLD`` latest cached blocks, most recent first."""
+        return tuple(islice(reversed(self._cache), CACHED_BLOCKS_TOLD))
 
     @property
     def abandoned_work_s(self) -> float:
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -1,7 +1,10 @@
 import pytest
 
+from chivehold.core.policy import Policy
 from chivehold.core.retries import RetryBudget
 
+ENGINE_PLACES = 20
+
 
 class TestRetryBudget:
     @pytest.mark.parametrize(("requests", "allowed"), [(0, 3), (20, 3), (100, 10), (1_000, 100)])
@@ -19,3 +22,10 @@
             budget.saw_request(0.0)
         assert [budget.take(0.0) for _ in range(6)] == [True] * 5 + [False]
         assert [budget.take(10.0) for _ in range(2)] == [True, False]
+
+    def test_quiet_entry_resumes_the_streams_of_one_engine(self) -> None:
+        """With few recent requests the floor covers all streams of an engine that dies."""
+        policy = Policy()
+        budget = RetryBudget(policy.retry_budget, policy.retry_budget_floor, policy.retry_window_s)
+        assert all(budget.take(0.0) for _ in range(ENGINE_PLACES))
+        assert not budget.take(0.0)
