The harness's nodes stand in modules of their own

Cause: examples/measure/nodes.py had grown to 431 lines with three things in it.

Ruled out: leaving it; it is the page from which a newcomer learns how to drive the cores.

Change: network.py, sidecar_node.py and entry_node.py; no behaviour changed.

--- a/examples/measure/run.py
+++ b/examples/measure/run.py
@@ -7,7 +7,8 @@
 from chivehold.core.declared import TARGET_BETWEEN_TOKENS_S, TARGET_FIRST_TOKEN_S
 from chivehold.core.identity import Organisation, Outcome, RequestId, TargetName, Urgency
 from examples.measure.clock import Clock
-from examples.measure.nodes import EntryNode, Network, SidecarNode
+from examples.measure.entry_node import EntryNode
+from examples.measure.network import Network
 from examples.measure.scenario import (
     POLICIES,
     RUN_END_S,
@@ -19,6 +20,7 @@
     engine_cost,
     site_of,
 )
+from examples.measure.sidecar_node import SidecarNode
 from examples.measure.workload import Arrival, arrivals
 
 ARRIVALS_FROM_S = 1.0
--- a/examples/measure/nodes.py
+++ b/examples/measure/sidecar_node.py
@@ -1,25 +1,18 @@
-"""Cores and engine models joined on one clock."""
+"""A sidecar's core with its engine, on the clock of a run."""
 
 from collections.abc import Callable
-from random import Random
-from typing import Protocol
 
 from chivehold.core import entry_messages as to_entry
 from chivehold.core import sidecar_messages as to_sidecar
 from chivehold.core.declared import Upstream
-from chivehold.core.entry import EntryCore
-from chivehold.core.identity import AttemptId, EntryIncarnation, RequestId, Role, Urgency
+from chivehold.core.identity import AttemptId, EntryIncarnation, Role, Urgency
 from chivehold.core.policy import Policy
 from chivehold.core.sidecar import SidecarCore
 from chivehold.core.wire import (
     FrameKind,
-    Heartbeat,
-    ImportOrder,
-    LoadReport,
     PrefillKind,
     PrefillResult,
     Reason,
-    RevokeResult,
 )
 from chivehold.fakes.engine_model import (
     DecodeDone,
@@ -32,62 +25,14 @@
     PrefillDone,
     PrefillJob,
 )
-from examples.measure.clock import Clock
+from examples.measure.network import Network
 
-NETWORK_S = 0.0005
 ENGINE_CALL_S = 0.0005
-HEARTBEAT_S = 0.5
 STATUS_POLL_S = 0.5
 ENTRY_LEASE_S = 1.5
 TOKEN = "t"
 
 
-class Callers(Protocol):
-    """What entries tell the callers."""
-
-    def relayed(self, request: RequestId, tokens: int) -> None:
-        """Tokens reached a caller."""
-
-    def finished(self, command: to_entry.Finish) -> None:
-        """A request ended."""
-
-
-class Network:
-    """Names of nodes, the KV caches that exist, and what a run's faults do to messages."""
-
-    def __init__(self, clock: Clock, random: Random, callers: Callers) -> None:
-        self.clock = clock
-        self.random = random
-        self.callers = callers
-        self.entries: dict[EntryIncarnation, EntryNode] = {}
-        self.sidecars: dict[str, SidecarNode] = {}
-        self.kv_expires_at: dict[str, float] = {}
-        self.prefilled_by: dict[str, AttemptId] = {}
-        self.output_tokens: dict[RequestId, int] = {}
-        self.stall_share = 0.0
-        self.report_delay_s = 0.0
-        self.cache_events = True
-        self.tokens_each_poll = False
-        """Emit tokens with each poll, not only the first and the last of a stream."""
-        self.prefill_work_s: dict[AttemptId, float] = {}
-        self.prefill_of: dict[AttemptId, AttemptId] = {}
-        self.used: dict[RequestId, AttemptId] = {}
-        """The attempt whose prefill led to a request's last output."""
-
-    def tell_entry(self, entry: EntryIncarnation, event: to_entry.EntryEvent) -> None:
-        """Deliver an event to an entry, if it still runs."""
-        self.clock.after(NETWORK_S, self._deliver_entry, entry, event)
-
-    def tell_sidecar(self, upstream: str, event: to_sidecar.SidecarEvent) -> None:
-        """Deliver an event to a sidecar."""
-        self.clock.after(NETWORK_S, self.sidecars[upstream].feed, event)
-
-    def _deliver_entry(self, entry: EntryIncarnation, event: to_entry.EntryEvent) -> None:
-        node = self.entries.get(entry)
-        if node is not None:
-            node.feed(event)
-
-
 class SidecarNode:
     """A sidecar's core with its engine."""
 
@@ -310,122 +255,3 @@
     to_sidecar.ReplyRevoke: SidecarNode._reply_revoke,
     to_sidecar.ReplyHeartbeat: SidecarNode._reply_heartbeat,
 }
-
-
-class EntryNode:
-    """An entry's core on the network."""
-
-    def __init__(self, network: Network, name: str, zone: str, policy: Policy, seed: int) -> None:
-        self._network = network
-        self._clock = network.clock
-        self.incarnation = EntryIncarnation(name)
-        self.core = EntryCore(self.incarnation, zone, policy, Random(seed))
-        self._wakeup: float | None = None
-        self._running = True
-        self._prefill_at: dict[AttemptId, str] = {}
-        network.entries[self.incarnation] = self
-
-    def start(self, declarations: to_entry.DeclarationsChanged) -> None:
-        """Take the declarations and begin to send heartbeats."""
-        self.feed(declarations)
-        for upstream in self._network.sidecars:
-            self._clock.after(self._network.random.random() * 0.05, self._heartbeat, upstream)
-
-    def kill(self) -> None:
-        """Lose the process; nothing is told to anyone."""
-        self._running = False
-        del self._network.entries[self.incarnation]
-
-    def feed(self, event: to_entry.EntryEvent) -> None:
-        """Let the core handle an event and carry its commands out."""
-        for command in list(self.core.handle(event, self._clock.now)):
-            _ENTRY_COMMANDS[type(command)](self, command)
-        self._plan_wakeup()
-
-    def _plan_wakeup(self) -> None:
-        due = self.core.next_wakeup()
-        if due is None or (self._wakeup is not None and self._wakeup <= due):
-            return
-        self._wakeup = due
-        self._clock.at(due, self._wake, due)
-
-    def _wake(self, due: float) -> None:
-        if self._wakeup != due or not self._running:
-            return
-        self._wakeup = None
-        self.feed(to_entry.Tick())
-
-    def _heartbeat(self, upstream: str) -> None:
-        if not self._running:
-            return
-        self._clock.after(HEARTBEAT_S, self._heartbeat, upstream)
-        heartbeat = Heartbeat(self.incarnation, f"{upstream}.1", 1)
-        self._clock.after(
-            NETWORK_S,
-            self._network.sidecars[upstream].ask,
-            lambda reply: to_sidecar.HeartbeatArrived(reply, heartbeat),
-            lambda report: self._reported(upstream, report),
-        )
-
-    def _reported(self, upstream: str, report: LoadReport) -> None:
-        if not self._network.cache_events:
-            report = report._replace(prefix_blocks=())
-        delay_s = NETWORK_S + self._network.report_delay_s
-        self._clock.after(
-            delay_s,
-            self._network._deliver_entry,
-            self.incarnation,
-            to_entry.LoadReported(upstream, report),
-        )
-
-    def _send_offer(self, command: to_entry.SendOffer) -> None:
-        self._network.tell_sidecar(command.upstream, to_sidecar.OfferArrived(command.offer))
-
-    def _send_prefill(self, command: to_entry.SendPrefill) -> None:
-        self._prefill_at[command.order.attempt] = command.upstream
-        self._network.tell_sidecar(command.upstream, to_sidecar.PrefillArrived(command.order))
-
-    def _send_import(self, command: to_entry.SendImport) -> None:
-        order: ImportOrder = command.order
-        self._prefill_at.pop(order.attempt, None)
-        self._clock.after(
-            NETWORK_S,
-            self._network.sidecars[command.upstream].ask,
-            lambda reply: to_sidecar.ImportArrived(reply, order),
-            lambda accepted: self._network.tell_entry(
-                self.incarnation, to_entry.ImportSettled(order.attempt, bool(accepted))
-            ),
-        )
-
-    def _revoke(self, command: to_entry.Revoke) -> None:
-        self._clock.after(
-            NETWORK_S,
-            self._network.sidecars[command.upstream].ask,
-            lambda reply: to_sidecar.RevokeArrived(reply, command.attempt, f"{command.upstream}.1"),
-            lambda result: self._network.tell_entry(
-                self.incarnation, to_entry.RevokeSettled(command.attempt, RevokeResult(str(result)))
-            ),
-        )
-
-    def _close(self, command: to_entry.CloseAttempt) -> None:
-        self._network.tell_sidecar(command.upstream, to_sidecar.StreamClosed(command.attempt))
-        prefill = self._prefill_at.pop(command.attempt, None)
-        if prefill is not None:
-            self._network.tell_sidecar(prefill, to_sidecar.PrefillClosed(command.attempt))
-
-    def _relay(self, command: to_entry.Relay) -> None:
-        self._network.callers.relayed(command.request, len(command.tokens))
-
-    def _finish(self, command: to_entry.Finish) -> None:
-        self._network.callers.finished(command)
-
-
-_ENTRY_COMMANDS: dict[type, Callable[[EntryNode, object], None]] = {
-    to_entry.SendOffer: EntryNode._send_offer,
-    to_entry.SendPrefill: EntryNode._send_prefill,
-    to_entry.SendImport: EntryNode._send_import,
-    to_entry.Revoke: EntryNode._revoke,
-    to_entry.CloseAttempt: EntryNode._close,
-    to_entry.Relay: EntryNode._relay,
-    to_entry.Finish: EntryNode._finish,
-}
