The reasons of refusal that places and prefills share stand once

Cause: both admissions of a sidecar had the same four rules, word for word: addressed to another run, known attempt, deadline, lateness.

Change: `core/refusals.py`.

--- a/src/chivehold/core/place_admission.py
+++ b/src/chivehold/core/place_admission.py
@@ -9,6 +9,7 @@
 from chivehold.core.identity import AttemptId, Role, Urgency
 from chivehold.core.link import ImportLink
 from chivehold.core.policy import Policy
+from chivehold.core.refusals import RETRY_SOON_S, Refusals, overdue, retry_after_s
 from chivehold.core.sidecar_messages import (
     CancelAtEngine,
     EngineFinished,
@@ -27,8 +28,6 @@
 from chivehold.core.waitlist import WaitList
 from chivehold.core.wire import AttemptFrame, AttemptOffer, FrameKind, Reason
 
-RETRY_SOON_S = 1.0
-MIN_RETRY_S = 0.1
 INTERVAL_WEIGHT = 0.05
 STALL_INTERVALS = 10
 PREEMPTION_WAIT_S = 0.45
@@ -58,6 +57,7 @@
         self._attempts = attempts
         self._availability = availability
         self._cancellations = cancellations
+        self._refusals = Refusals(config.incarnation, policy.shed_late, attempts, availability)
         self.slots = SlotLedger(config.places, config.patient_floor, policy.urgent_headroom)
         self.waitlist = WaitList(policy)
         self.link = ImportLink(config.link_bytes_per_s, policy.link_budget)
@@ -80,7 +80,7 @@
 
     def offer(self, offer: AttemptOffer, now: float) -> Iterator[SidecarCommand]:
         """Grant an offer, let it wait, or refuse it at once."""
-        reason = self._standing_refusal(offer)
+        reason = self._refusals.standing(offer)
         if reason is not None:
             yield from self._refuse_unopened(offer, reason, now)
             return
@@ -216,10 +216,8 @@
         """Carry out what time alone decides."""
         for attempt in list(self._start_by.expire(now)):
             offer = self._offers[attempt]
-            late = offer.start_within_s < offer.deadline_in_s
-            reason = Reason.TOO_LATE if late else Reason.DEADLINE
             wait_s = self.expected_wait_s(offer.urgency, self.waitlist.ahead(offer), now)
-            yield from self._refuse_waiting(attempt, reason, wait_s, now)
+            yield from self._refuse_waiting(attempt, overdue(offer), wait_s, now)
         for attempt in list(self._import_by.expire(now)):
             yield from self.fail(attempt, Reason.CANCELLED, now)
         for attempt in list(self.link.ended(now)):
@@ -251,29 +249,14 @@
             return 0.0
         return self.link.transfer_s(offer.kv_bytes, now)
 
-    def _standing_refusal(self, offer: AttemptOffer) -> Reason | None:
-        if offer.incarnation != self._config.incarnation:
-            return Reason.WRONG_INCARNATION
-        known = self._attempts.refusal(offer.attempt)
-        if known is not None:
-            return known
-        if offer.deadline_in_s <= 0:
-            return Reason.DEADLINE
-        return self._availability.refusal
-
     def _late_refusal(self, offer: AttemptOffer, wait_s: float) -> Reason | None:
         if not self._policy.wait_list or len(self.waitlist) > self._config.waiting_most:
             return Reason.FULL
-        if not self._policy.shed_late:
-            return None
-        if wait_s > offer.deadline_in_s:
-            return Reason.DEADLINE
-        return Reason.TOO_LATE if wait_s > offer.start_within_s else None
+        return self._refusals.late(offer, wait_s)
 
-    def _refused(self, offer: AttemptOffer, reason: Reason, retry_after_s: float) -> SendFrame:
-        retry = max(MIN_RETRY_S, retry_after_s)
+    def _refused(self, offer: AttemptOffer, reason: Reason, wait_s: float) -> SendFrame:
         frame = AttemptFrame(
-            FrameKind.REFUSED, offer.attempt, reason=reason, retry_after_s=round(retry, 3)
+            FrameKind.REFUSED, offer.attempt, reason=reason, retry_after_s=retry_after_s(wait_s)
         )
         return SendFrame(offer.entry, frame)
 
@@ -285,9 +268,9 @@
         yield self._refused(offer, reason, RETRY_SOON_S)
 
     def _refuse_waiting(
-        self, attempt: AttemptId, reason: Reason, retry_after_s: float, now: float
+        self, attempt: AttemptId, reason: Reason, wait_s: float, now: float
     ) -> Iterator[SidecarCommand]:
-        yield self._refused(self._offers[attempt], reason, retry_after_s)
+        yield self._refused(self._offers[attempt], reason, wait_s)
         yield from self._end(attempt, now)
 
     def _next_grant(self, now: float) -> AttemptOffer | None:
--- a/src/chivehold/core/prefill_admission.py
+++ b/src/chivehold/core/prefill_admission.py
@@ -9,6 +9,7 @@
 from chivehold.core.identity import AttemptId
 from chivehold.core.policy import Policy
 from chivehold.core.prefill_queue import PrefillQueue
+from chivehold.core.refusals import RETRY_SOON_S, Refusals, overdue, retry_after_s
 from chivehold.core.sidecar_messages import (
     SendPrefillResult,
     SidecarCommand,
@@ -17,9 +18,6 @@
 )
 from chivehold.core.wire import PrefillKind, PrefillOrder, PrefillResult, Reason
 
-RETRY_SOON_S = 1.0
-MIN_RETRY_S = 0.1
-
 
 class PrefillAdmission:
     """Queues prompts here rather than at the engine, so that they can be dropped unrun.
@@ -40,18 +38,17 @@
         availability: Availability,
         cancellations: Cancellations,
     ) -> None:
-        self._config = config
-        self._policy = policy
+        self._waiting_most = config.waiting_most
         self._attempts = attempts
-        self._availability = availability
         self._cancellations = cancellations
+        self._refusals = Refusals(config.incarnation, policy.shed_late, attempts, availability)
         self.queue = PrefillQueue(policy, config.patient_floor, config.prefill_tokens_per_s)
         self._orders: dict[AttemptId, PrefillOrder] = {}
         self._start_by: Deadlines[AttemptId] = Deadlines()
 
     def order(self, order: PrefillOrder, now: float) -> Iterator[SidecarCommand]:
         """Run a prompt, queue it, or refuse it at once."""
-        reason = self._standing_refusal(order)
+        reason = self._refusals.standing(order)
         if reason is not None:
             if self._attempts.refusal(order.attempt) is None:
                 self._attempts.refuse(order.attempt, now)
@@ -132,48 +129,30 @@
         """Refuse prompts that could not be started in time."""
         for attempt in list(self._start_by.expire(now)):
             order = self._orders[attempt]
-            late = order.start_within_s < order.deadline_in_s
-            reason = Reason.TOO_LATE if late else Reason.DEADLINE
-            yield from self._refuse_waiting(order, reason, self.queue.backlog_s(now), now)
+            yield from self._refuse_waiting(order, overdue(order), self.queue.backlog_s(now), now)
 
     def next_due(self) -> float | None:
         """Return when ``expire`` has something to do, or ``None``."""
         return self._start_by.next_due()
 
-    def _standing_refusal(self, order: PrefillOrder) -> Reason | None:
-        if order.incarnation != self._config.incarnation:
-            return Reason.WRONG_INCARNATION
-        known = self._attempts.refusal(order.attempt)
-        if known is not None:
-            return known
-        if order.deadline_in_s <= 0:
-            return Reason.DEADLINE
-        return self._availability.refusal
-
     def _late_refusal(self, order: PrefillOrder, wait_s: float) -> Reason | None:
-        if len(self.queue) > self._config.waiting_most:
+        if len(self.queue) > self._waiting_most:
             return Reason.FULL
-        if not self._policy.shed_late:
-            return None
-        if wait_s > order.deadline_in_s:
-            return Reason.DEADLINE
-        return Reason.TOO_LATE if wait_s > order.start_within_s else None
-
-    def _refused(
-        self, order: PrefillOrder, reason: Reason, retry_after_s: float
-    ) -> SendPrefillResult:
+        return self._refusals.late(order, wait_s)
+
+    def _refused(self, order: PrefillOrder, reason: Reason, wait_s: float) -> SendPrefillResult:
         result = PrefillResult(
             PrefillKind.REFUSED,
             order.attempt,
             reason=reason,
-            retry_after_s=round(max(MIN_RETRY_S, retry_after_s), 3),
+            retry_after_s=retry_after_s(wait_s),
         )
         return SendPrefillResult(order.entry, result)
 
     def _refuse_waiting(
-        self, order: PrefillOrder, reason: Reason, retry_after_s: float, now: float
+        self, order: PrefillOrder, reason: Reason, wait_s: float, now: float
     ) -> Iterator[SidecarCommand]:
-        yield self._refused(order, reason, retry_after_s)
+        yield self._refused(order, reason, wait_s)
         yield from self.drop(order.attempt, now)
 
     def _forget(self, attempt: AttemptId, now: float) -> None:
