Every decision of the policy can be set, at sidecars too

Ruled out: two tables with a part each; operators would have to know which process decides what.

Change: one table for both; a test holds it to the fields of `Policy`.

--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -43,6 +43,7 @@
 _Rate = Annotated[float, msgspec.Meta(ge=0, le=1e15, description="a rate a second, 0 or more")]
 _Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000, description="a count, 1 to 1000000")]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1, description="a share, 0 to 1")]
+_Headroom = Annotated[float, msgspec.Meta(ge=0, le=10, description="a factor, 0 to 10")]
 
 
 class EntrySettings(NamedTuple):
@@ -117,16 +118,20 @@
     max_answer_bytes: int = 8 * MIB
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_level: LogLevel = LogLevel.INFO
+    policy: Policy = Policy()
 
 
 class PolicyTable(TypedDict, total=False):
-    """The table ``[policy]``; see ``core.policy.Policy``."""
+    """The table ``[policy]`` of entries and sidecars; see ``core.policy.Policy``."""
 
     decode_choice: DecodeChoiceKind
     reserve_before_prefill: bool
     wait_list: bool
     class_order: bool
+    urgent_headroom: _Headroom
+    preemption: bool
     fair_shares: bool
+    prefill_pacing: bool
     prefix_affinity: bool
     link_budget: bool
     shed_late: bool
@@ -137,6 +142,9 @@
     ]
     retry_window_s: _Seconds
     attempts_most: Annotated[int, msgspec.Meta(ge=1, le=10, description="a count, 1 to 10")]
+    patient_attempts_most: Annotated[
+        int, msgspec.Meta(ge=1, le=100, description="a count, 1 to 100")
+    ]
     urgent_queue_most: _Count
     patient_queue_most: _Count
     patient_offers_most: _Count
@@ -205,6 +213,7 @@
     max_answer_bytes: _Bytes
     log_format: LogFormat
     log_level: LogLevel
+    policy: PolicyTable
 
 
 def read_entry_settings(path: Path) -> EntrySettings:
@@ -219,9 +228,7 @@
     Raises:
         SettingsInvalid: The file cannot be read or is wrong; names every fault.
     """
-    values = _checked(path, EntryTable)
-    policy = Policy(**values.pop("policy", {}))
-    return EntrySettings(**values, policy=policy)
+    return EntrySettings(**_with_policy(_checked(path, EntryTable)))
 
 
 def read_sidecar_settings(path: Path) -> SidecarSettings:
@@ -236,7 +243,11 @@
     Raises:
         SettingsInvalid: The file cannot be read or is wrong; names every fault.
     """
-    return SidecarSettings(**_checked(path, SidecarTable))
+    return SidecarSettings(**_with_policy(_checked(path, SidecarTable)))
+
+
+def _with_policy(values: dict[str, Any]) -> dict[str, Any]:
+    return {**values, "policy": Policy(**values.get("policy", {}))}
 
 
 def _checked(path: Path, shape: type) -> dict[str, Any]:
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -9,7 +9,6 @@
 import trio
 
 from chivehold.core.identity import Role
-from chivehold.core.policy import Policy
 from chivehold.core.sidecar import SidecarCore
 from chivehold.core.sidecar_messages import (
     CallEnded,
@@ -89,7 +88,7 @@
 
     def __init__(self, settings: SidecarSettings, nursery: trio.Nursery, http: HttpClient) -> None:
         self._settings = settings
-        self._core = SidecarCore(_config(settings), Policy())
+        self._core = SidecarCore(_config(settings), settings.policy)
         self._metrics = SidecarMetrics()
         self._sessions = Sessions()
         self._driver = CoreDriver(self._core, self._perform)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,9 +5,9 @@
 import pytest
 
 from chivehold.core.identity import Role
-from chivehold.core.policy import DecodeChoiceKind
+from chivehold.core.policy import DecodeChoiceKind, Policy
 from chivehold.exceptions import SettingsInvalid
-from chivehold.settings import read_entry_settings, read_sidecar_settings
+from chivehold.settings import PolicyTable, read_entry_settings, read_sidecar_settings
 
 ENTRY = """
 name = "entry-1"
@@ -50,6 +50,14 @@
         """Left-out keys take their defaults."""
         settings = read_sidecar_settings(self._write(tmp_path, SIDECAR))
         assert (settings.role, settings.entry_lease_s) == (Role.DECODE, 1.5)
+        assert settings.policy == Policy()
+
+    def test_policy_has_a_key_for_every_decision(self, tmp_path: Path) -> None:
+        """Each field of the policy can be set, at sidecars as at entries."""
+        assert set(PolicyTable.__annotations__) == set(Policy._fields)
+        text = SIDECAR + "[policy]\nurgent_headroom = 1.5\nlink_budget = false\n"
+        policy = read_sidecar_settings(self._write(tmp_path, text)).policy
+        assert policy == Policy(urgent_headroom=1.5, link_budget=False)
 
     def test_names_all_problems_at_once(self, tmp_path: Path) -> None:
         """Each fault is named with file, key and what was expected; the token is not shown."""
