Known failures are left out of the verdict by name, and printed

Cause: a test that fails for a known fault may land when KNOWN-RED.txt lists it, but nothing read the file, so it would have turned every run red.

Ruled out: marks in the tests (they hide at the test; the list is one place to look).

Change: tests/conftest.py leaves out exactly the listed tests and prints the list; `--known-red` runs them too. The file does not exist at present: no test is known to fail.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,34 @@
+"""Known failures of KNOWN-RED.txt: left out of the verdict, and printed."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+FIELD = "test: "
+
+
+def known_red(text: str) -> Iterator[str]:
+    """Yield the node ids that a list of known failures names."""
+    for line in text.splitlines():
+        if line.startswith(FIELD):
+            yield line.removeprefix(FIELD).strip()
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    listed = set(known_red(KNOWN_RED.read_text())) if KNOWN_RED.exists() else set()
+    red = [item for item in items if item.nodeid in listed]
+    if red and not config.getoption("--known-red"):
+        items[:] = [item for item in items if item.nodeid not in listed]
+        config.hook.pytest_deselected(items=red)
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption("--known-red", action="store_true", help="run the tests of KNOWN-RED.txt too")
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    if KNOWN_RED.exists():
+        terminalreporter.section("KNOWN-RED.txt, not in this verdict")
+        terminalreporter.write(KNOWN_RED.read_text())
