--- a/examples/slopes/claim_writes.py
+++ b/examples/slopes/claim_writes.py
@@ -21,7 +21,7 @@
 )
 from chivehold.core.wire import RevokeResult
 from chivehold.fakes.object_store import Faults, MemoryObjectStore
-from chivehold.platform.claims import ClaimBook
+from chivehold.store.claims import ClaimBook
 from examples.slopes.fit import Slope, fit, line
 from examples.slopes.messages import ORGANISATION, SIDECAR, TARGET, UPSTREAM, claim
 
--- a/examples/slopes/revisions.py
+++ b/examples/slopes/revisions.py
@@ -14,9 +14,9 @@
 from chivehold.core.identity import EntryIncarnation, Role, TargetName, UpstreamName, Urgency
 from chivehold.entry.heartbeats import subset
 from chivehold.fakes.object_store import MemoryObjectStore
-from chivehold.platform.declaration_apply import ACCEPTED, ApplyRequest
-from chivehold.platform.declaration_sync import DeclarationSync, PeerChanges
-from chivehold.platform.leases import POLL_S, WATCH_LEASES, LeaseKeeper
+from chivehold.store.declaration_apply import ACCEPTED, ApplyRequest
+from chivehold.store.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.store.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from examples.slopes.fit import Slope, line
 
 NODES = (30, 100, 300, 930)
--- /dev/null
+++ b/src/chivehold/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the program: ``python -m chivehold``."""
+
+import sys
+
+from chivehold.cli import main
+
+sys.exit(main())
--- a/src/chivehold/cli.py
+++ b/src/chivehold/cli.py
@@ -20,6 +20,8 @@
             return _run_entry(given[1:])
         if given[:1] == ["sidecar"]:
             return _run_sidecar(given[1:])
+        if given[:1] == ["direct"]:
+            return _run_direct(given[1:])
     return _run_command(given)
 
 
@@ -35,6 +37,12 @@
     return run(arguments)
 
 
+def _run_direct(arguments: Sequence[str]) -> int:
+    from chivehold.direct.__main__ import main as run
+
+    return run(arguments)
+
+
 def _run_command(arguments: Sequence[str]) -> int:
     from chivehold.commands.application import run_command
 
--- /dev/null
+++ b/src/chivehold/core/direct/places.py
@@ -0,0 +1,39 @@
+"""A place at an upstream: asked for, waited for, granted or refused, and given back."""
+
+from typing import NamedTuple, Protocol
+
+from chivehold.core.direct.messages import UpstreamEntry
+from chivehold.core.direct.waiting import Waiter
+
+
+class Place(NamedTuple):
+    """Memory and a slot reserved at one upstream."""
+
+    upstream: UpstreamEntry
+    hold: str
+    """The reservation's name; it can be used once."""
+    tokens: int
+
+
+class PlaceRefused(NamedTuple):
+    """No place can be had."""
+
+    reason: str
+    retry_after_s: float
+    """When a place is likely to be free."""
+
+
+class Places(Protocol):
+    """Grants places of a service's decode engines, whoever it is that keeps the ledger."""
+
+    async def ask(self, service: str, waiter: Waiter) -> Place | PlaceRefused:
+        """Wait for a place; a caller that no longer wants it cancels the call."""
+        ...
+
+    def release(self, place: Place) -> None:
+        """Give back a place that was not used; returns at once."""
+        ...
+
+    def freed(self, service: str) -> None:
+        """Take note that memory has become free at an engine of a service."""
+        ...
--- a/src/chivehold/core/retries.py
+++ b/src/chivehold/core/retries.py
@@ -24,6 +24,11 @@
         """Further attempts made within the window, as of the last call."""
         return len(self._retries)
 
+    def allow(self, share: float, floor: int) -> None:
+        """Change what is allowed from now on."""
+        self._share = share
+        self._floor = floor
+
     def saw_request(self, now: float) -> None:
         """Count a new request."""
         self._drop_old(now)
--- /dev/null
+++ b/src/chivehold/direct/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that reaches its upstreams itself, where no sidecar stands beside them."""
--- /dev/null
+++ b/src/chivehold/direct/app.py
@@ -0,0 +1,304 @@
+"""An entry without sidecars as a process: builds its parts, serves, and drains when told to."""
+
+import logging
+import secrets
+import signal
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+import trio
+from returns.result import Result
+
+from chivehold.core.direct.fleet import Fleet, FleetChange
+from chivehold.core.direct.messages import Dialect, UpstreamEntry
+from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica
+from chivehold.core.direct.routes import EngineTraits, RouteIndex, RouteTable
+from chivehold.core.direct.shared_retries import SharedRetries
+from chivehold.direct.caller_app import CallerApp
+from chivehold.direct.engines import EngineClient
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.operator_app import OperatorApp, ReadyApp
+from chivehold.direct.plain_calls import PlainCalls
+from chivehold.direct.reservations import EngineReservations
+from chivehold.direct.stream_calls import StreamCalls
+from chivehold.exceptions import SettingsInvalid
+from chivehold.http_client import ClientLimits, HttpClient
+from chivehold.http_server import ServerLimits, serve_http
+from chivehold.logs import LogCounts, log_event
+from chivehold.metrics import RenderedMetrics
+from chivehold.settings import DirectSettings, read_direct_settings
+from chivehold.store.api import ObjectStore
+from chivehold.store.follower import Follower
+
+CONNECT_TIMEOUT_S = 0.3
+STORE_CONNECT_TIMEOUT_S = 0.5
+IDLE_CONNECTION_S = 1.0
+"""Idle connections to upstreams are used again within this time."""
+ACCEPT_WHILE_DRAINING_S = 3.0
+"""The load balancer needs two failed checks, a second apart, to send callers elsewhere."""
+SHUTDOWN_MARGIN_S = 0.8
+"""What is left of the shutdown time when the last requests are cut off."""
+SETTINGS_POLL_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class PlatformBinding(NamedTuple):
+    """What a platform's adapter gives to an entry."""
+
+    dialect: Dialect
+    open_store: Callable[[str, HttpClient], ObjectStore]
+    """Makes the client of the store at an address."""
+    configuration_kind: str
+    decode_configuration: Callable[[str, bytes], Result[RouteTable, str]]
+    upstream_kind: str
+    decode_upstream: Callable[[str, bytes], Result[UpstreamEntry, str]]
+
+
+class DirectEntry:
+    """The parts of one entry.
+
+    Args:
+        settings: The entry's settings.
+        path: The settings file, read again when it changes.
+        platform: The platform's adapter.
+        logs: Counts the log lines left out.
+        nursery: Runs the background tasks; cancelled at the end.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        path: Path,
+        platform: PlatformBinding,
+        logs: LogCounts,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._logs = logs
+        self._nursery = nursery
+        rng = self._rng = Random(secrets.randbits(64))
+        self._drain_asked = trio.Event()
+        self._reload_asked = trio.Event()
+        self._client = HttpClient(
+            ClientLimits(connect_timeout_s=CONNECT_TIMEOUT_S, keep_alive_s=IDLE_CONNECTION_S)
+        )
+        self._store_client = HttpClient(ClientLimits(connect_timeout_s=STORE_CONNECT_TIMEOUT_S))
+        self._fleet = Fleet(settings.zone, rng)
+        self._metrics = DirectMetrics()
+        self._retries = SharedRetries(
+            settings.retry_share,
+            settings.retry_extra,
+            settings.retry_window_s,
+            settings.entries_most,
+        )
+        engines = EngineClient(self._fleet, self._client, platform.dialect, nursery)
+        self._places = EngineReservations(self._fleet, engines, self._traits, nursery, rng)
+        self._callers = CallerApp(
+            platform.dialect,
+            PlainCalls(self._fleet, self._client, platform.dialect, self._retries, self._metrics),
+            StreamCalls(self._fleet, engines, self._places, self._retries, self._metrics),
+            self._retries,
+            self._metrics,
+        )
+        store = platform.open_store(settings.store_address, self._store_client)
+        self._tables: Replica[RouteTable] = Replica()
+        self._upstreams: Replica[UpstreamEntry] = Replica(LAPSE_GRACE_S)
+        self._configuration = Follower(
+            store,
+            platform.configuration_kind,
+            platform.decode_configuration,
+            self._tables,
+            self._apply_routes,
+            rng,
+        )
+        self._membership = Follower(
+            store,
+            platform.upstream_kind,
+            platform.decode_upstream,
+            self._upstreams,
+            self._apply_upstreams,
+            rng,
+        )
+
+    async def run(self) -> None:
+        """Serve until told to end, then drain."""
+        self._nursery.start_soon(self._configuration.run)
+        self._nursery.start_soon(self._membership.run)
+        await self._nursery.start(self._await_signals)
+        self._nursery.start_soon(self._follow_settings)
+        settings = self._settings
+        shutdown = trio.Event()
+        cut_s = settings.shutdown_s - ACCEPT_WHILE_DRAINING_S - SHUTDOWN_MARGIN_S
+        limits = ServerLimits(
+            max_requests=settings.max_requests,
+            keep_alive_s=settings.idle_timeout_s,
+            drain_timeout_s=max(0.1, cut_s),
+            date_header=False,
+        )
+        side_limits = ServerLimits(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
+        operator = OperatorApp(self._unready, self._render, self._dump)
+        async with trio.open_nursery() as servers:
+            for app, address, bounds in (
+                (ReadyApp(self._unready), settings.ready_address, side_limits),
+                (operator, settings.operator_address, side_limits),
+                (self._callers, settings.caller_address, limits),
+            ):
+                await servers.start(
+                    partial(serve_http, app, address, limits=bounds, shutdown=shutdown)
+                )
+            log_event(_log, logging.INFO, "entry started", **settings._asdict())
+            await self._drain_asked.wait()
+            await self._drain()
+            shutdown.set()
+        log_event(_log, logging.INFO, "entry stopped", in_progress=self._callers.in_progress)
+
+    async def close(self) -> None:
+        """Close all connections, after the background tasks have ended."""
+        await self._client.aclose()
+        await self._store_client.aclose()
+
+    async def _drain(self) -> None:
+        """Go on accepting until the load balancer has taken note."""
+        in_progress = self._callers.in_progress
+        log_event(_log, logging.INFO, "drain started", in_progress=in_progress)
+        self._callers.drain()
+        await trio.sleep(ACCEPT_WHILE_DRAINING_S)
+
+    async def _await_signals(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload_asked.set()
+                else:
+                    self._drain_asked.set()
+
+    async def _follow_settings(self) -> None:
+        """Read the settings again on a signal, or when the file has changed without one."""
+        while True:
+            with trio.move_on_after(SETTINGS_POLL_S):
+                await self._reload_asked.wait()
+            asked, self._reload_asked = self._reload_asked.is_set(), trio.Event()
+            self._reload(asked)
+
+    def _reload(self, asked: bool) -> None:
+        try:
+            settings = read_direct_settings(self._path)
+        except SettingsInvalid as error:
+            log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
+            return
+        changed = [
+            field
+            for field, value in settings._asdict().items()
+            if value != getattr(self._settings, field)
+        ]
+        if changed or asked:
+            log_event(_log, logging.INFO, "settings reloaded", changed=changed)
+        self._settings = settings
+        self._retries.configure(settings.retry_share, settings.retry_extra, settings.entries_most)
+
+    def _apply_routes(self) -> None:
+        table = max(self._tables.values(), key=lambda one: one.version, default=None)
+        if table is None or table.version <= self._callers.configuration:
+            return
+        log_event(
+            _log,
+            logging.INFO,
+            "routes in force",
+            configuration=table.version,
+            before=self._callers.configuration,
+            routes=len(table.routes),
+            revision=self._tables.revision,
+        )
+        self._callers.apply(RouteIndex(table))
+
+    def _apply_upstreams(self) -> None:
+        change = self._fleet.replace(self._upstreams.values())
+        self._log_fleet(change)
+        for entry in change.left:
+            self._client.forget(entry.address)
+        for service in {entry.service for entry in (*change.came, *change.changed)}:
+            self._places.freed(service)
+
+    def _log_fleet(self, change: FleetChange) -> None:
+        for event, entries in (
+            ("upstream listed", change.came),
+            ("upstream gone", change.left),
+            ("upstream changed", change.changed),
+        ):
+            for entry in entries:
+                log_event(
+                    _log,
+                    logging.INFO,
+                    event,
+                    peer=entry.name,
+                    service=entry.service,
+                    address=entry.address,
+                    stage=entry.stage,
+                    draining=entry.draining,
+                    started_ms=entry.started_ms,
+                    revision=self._upstreams.revision,
+                )
+
+    def _traits(self, service: str) -> EngineTraits | None:
+        routes = self._callers.routes
+        return routes.table.engine_traits(service) if routes else None
+
+    def _unready(self) -> str:
+        if self._drain_asked.is_set():
+            return "draining"
+        if not self._callers.configuration:
+            return "no routes known yet"
+        return "" if self._fleet.entries else "no upstreams known yet"
+
+    def _render(self, accepted: list[str]) -> RenderedMetrics:
+        return self._metrics.render(
+            accepted,
+            self._callers.in_progress,
+            self._callers.configuration,
+            self._configuration.is_lost or self._membership.is_lost,
+            self._logs.dropped,
+        )
+
+    def _dump(self) -> dict[str, Any]:
+        now = trio.current_time()
+        return {
+            "name": self._settings.name,
+            "unready": self._unready(),
+            "configuration": self._callers.configuration,
+            "configuration_age_s": self._tables.age_s(now),
+            "upstreams_revision": self._upstreams.revision,
+            "upstreams_age_s": self._upstreams.age_s(now),
+            "upstreams": list(self._fleet.dump(now)),
+            "in_progress": self._callers.in_progress,
+            "waiting_for_places": self._places.waiting(),
+            "log_lines_dropped": self._logs.dropped,
+        }
+
+
+async def run_direct_entry(
+    settings: DirectSettings, path: Path, platform: PlatformBinding, logs: LogCounts
+) -> None:
+    """Run an entry until SIGTERM or SIGINT.
+
+    Args:
+        settings: The entry's settings.
+        path: The settings file.
+        platform: The platform's adapter.
+        logs: Counts the log lines left out.
+
+    Raises:
+        OSError: An address cannot be listened on.
+    """
+    async with trio.open_nursery() as nursery:
+        entry = DirectEntry(settings, path, platform, logs, nursery)
+        await entry.run()
+        nursery.cancel_scope.cancel()
+    await entry.close()
--- /dev/null
+++ b/src/chivehold/direct/caller_app.py
@@ -0,0 +1,169 @@
+"""The entry towards callers, as an ASGI application."""
+
+import logging
+
+import trio
+
+from chivehold.core.direct.messages import Dialect, RawHeaders
+from chivehold.core.direct.routes import CallKind, RouteIndex, choose_service
+from chivehold.core.direct.shared_retries import SharedRetries
+from chivehold.direct.exchange import Exchange, Reply
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.plain_calls import PlainCalls
+from chivehold.direct.refusals import (
+    NO_REQUEST_ID,
+    NO_ROUTE,
+    Refusal,
+    not_run,
+    send_refusal,
+)
+from chivehold.direct.stream_calls import StreamCalls
+from chivehold.http_server import Receive, Scope, Send, read_body, wait_disconnect
+from chivehold.logs import log_event
+
+NOT_READY_RETRY_S = 0.5
+DEPARTED = "departed"
+
+_log = logging.getLogger(__name__)
+
+
+class CallerApp:
+    """Answers callers.
+
+    Args:
+        dialect: How requests are written.
+        plain: Serves plain services.
+        streams: Serves model services.
+        retries: Is told of each request.
+        metrics: Counts them.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        plain: PlainCalls,
+        streams: StreamCalls,
+        retries: SharedRetries,
+        metrics: DirectMetrics,
+    ) -> None:
+        self._dialect = dialect
+        self._plain = plain
+        self._streams = streams
+        self._retries = retries
+        self._metrics = metrics
+        self._routes: RouteIndex | None = None
+        self._is_draining = False
+        self._open = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Requests whose answers have not been sent in full."""
+        return self._open
+
+    @property
+    def configuration(self) -> int:
+        """Version of the routes in force; 0 before the first."""
+        return self._routes.table.version if self._routes else 0
+
+    @property
+    def routes(self) -> RouteIndex | None:
+        """The routes in force."""
+        return self._routes
+
+    def apply(self, routes: RouteIndex) -> None:
+        """Use these routes for all requests from now on."""
+        self._routes = routes
+
+    def drain(self) -> None:
+        """Close each connection after its next answer."""
+        self._is_draining = True
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        self._open += 1
+        try:
+            await self._answer(scope, receive, Reply(send, lambda: self._is_draining))
+        finally:
+            self._open -= 1
+
+    async def _answer(self, scope: Scope, receive: Receive, reply: Reply) -> None:
+        arrived_at = trio.current_time()
+        routes = self._routes
+        if routes is None:
+            await send_refusal(reply, not_run("not_ready", "no routes yet", NOT_READY_RETRY_S))
+            return
+        headers: RawHeaders = scope["headers"]
+        facts = self._dialect.read_request(headers)
+        route = routes.find(_host(headers), scope["raw_path"].decode("latin-1"))
+        if route is None or not facts.request:
+            refusal = NO_ROUTE if route is None else NO_REQUEST_ID
+            self._log_refusal(facts.request, refusal, routes)
+            await send_refusal(reply, refusal)
+            return
+        body = await read_body(receive, routes.table.body_bytes_most)
+        query = scope["query_string"]
+        limit_s = route.timeout_s
+        if facts.deadline_s is not None:
+            limit_s = min(limit_s, facts.deadline_s)
+        exchange = Exchange(
+            facts=facts,
+            route=route,
+            service=choose_service(route.splits, facts.request),
+            configuration=routes.table.version,
+            method=scope["method"],
+            target=scope["raw_path"] + (b"?" + query if query else b""),
+            headers=headers,
+            body=body,
+            arrived_at=arrived_at,
+            expires_at=arrived_at + limit_s,
+        )
+        await self._serve_until_departure(exchange, receive, reply, routes)
+
+    async def _serve_until_departure(
+        self, exchange: Exchange, receive: Receive, reply: Reply, routes: RouteIndex
+    ) -> None:
+        """Serve a request, and give all of it up as soon as its caller leaves."""
+        exchange.log(
+            "request routed",
+            route=exchange.route.name,
+            service=exchange.service,
+            configuration=exchange.configuration,
+            left_ms=round(exchange.left_s() * 1_000),
+            tokens=exchange.facts.prompt_tokens or None,
+            hint=exchange.facts.output_hint,
+        )
+        outcome = DEPARTED
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            outcome = await self._serve(exchange, reply, routes)
+            nursery.cancel_scope.cancel()
+        self._metrics.ended(exchange.route.kind, outcome)
+        exchange.log("request ended", outcome=outcome)
+
+    async def _serve(self, exchange: Exchange, reply: Reply, routes: RouteIndex) -> str:
+        self._retries.saw_request(exchange.service, exchange.arrived_at)
+        traits = routes.table.engine_traits(exchange.service)
+        if traits is not None and exchange.route.kind is CallKind.STREAM:
+            return await self._streams.serve(exchange, reply, traits)
+        outcome = await self._plain.serve(exchange, reply)
+        self._metrics.answered(exchange.route.kind, exchange.age_s())
+        return outcome
+
+    def _log_refusal(self, request: str, refusal: Refusal, routes: RouteIndex) -> None:
+        log_event(
+            _log,
+            logging.INFO,
+            "request refused",
+            request=request,
+            reason=refusal.reason,
+            configuration=routes.table.version,
+        )
+
+
+def _host(headers: RawHeaders) -> str:
+    return next((value.decode("latin-1") for name, value in headers if name == b"host"), "")
+
+
+async def _cancel_on_disconnect(receive: Receive, scope: trio.CancelScope) -> None:
+    await wait_disconnect(receive)
+    scope.cancel()
--- /dev/null
+++ b/src/chivehold/direct/engines.py
@@ -0,0 +1,188 @@
+"""Calls to model engines: reservations, prefills, and giving back what was not used."""
+
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.fleet import Fleet, Verdict
+from chivehold.core.direct.messages import (
+    Dialect,
+    EngineCall,
+    Forwarding,
+    KvSource,
+    StageOrder,
+    UpstreamEntry,
+)
+from chivehold.direct.exchange import Exchange
+from chivehold.exceptions import PeerRefused
+from chivehold.http_client import HttpAnswer, HttpClient, LinkBroken, LinkError, RawAnswer
+from chivehold.logs import log_event
+
+HOLD_TIMEOUT_S = 0.25
+GIVE_BACK_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 1.0
+PREFILL_ANSWER_BYTES_MOST = 65_536
+OK_STATUS = 200
+
+_log = logging.getLogger(__name__)
+
+
+class Prefilled(NamedTuple):
+    """A KV cache that waits at its prefill engine."""
+
+    upstream: UpstreamEntry
+    source: KvSource
+    took_s: float
+
+
+class EngineClient:
+    """Speaks to the engines of model services.
+
+    Args:
+        fleet: Learns how each call ended.
+        client: Makes the calls.
+        dialect: How they are written.
+        nursery: Runs what outlives its request: giving back.
+    """
+
+    def __init__(
+        self, fleet: Fleet, client: HttpClient, dialect: Dialect, nursery: trio.Nursery
+    ) -> None:
+        self._fleet = fleet
+        self._client = client
+        self._dialect = dialect
+        self._nursery = nursery
+
+    @property
+    def dialect(self) -> Dialect:
+        """How calls are written."""
+        return self._dialect
+
+    async def hold(self, upstream: UpstreamEntry, tokens: int, ttl_s: float) -> str | None:
+        """Reserve a slot and memory; ``None`` where there is no room.
+
+        Raises:
+            LinkError: The engine could not be asked.
+        """
+        call = self._dialect.hold_call(tokens, ttl_s)
+        answer = await self._call(upstream, call, "reserve memory", HOLD_TIMEOUT_S)
+        return self._dialect.read_hold(answer.body) if answer.status == OK_STATUS else None
+
+    def give_back_hold(self, upstream: UpstreamEntry, hold: str) -> None:
+        """Free a reservation that will not be used; returns at once."""
+        self._give_back(upstream, self._dialect.drop_hold_call(hold), "free reservation")
+
+    def give_back_kv(self, prefilled: Prefilled) -> None:
+        """Free a KV cache that will not be fetched; returns at once."""
+        call = self._dialect.drop_handle_call(prefilled.source.handle)
+        self._give_back(prefilled.upstream, call, "free KV cache")
+
+    async def order_stage(self, upstream: UpstreamEntry, order: StageOrder) -> int:
+        """Order an engine to change its stage, and return the status that it answered.
+
+        Raises:
+            LinkError: No answer came; the order may be carried out all the same.
+        """
+        call = self._dialect.stage_order_call(order)
+        return (await self._call(upstream, call, "order stage", ORDER_TIMEOUT_S)).status
+
+    async def prefill(self, exchange: Exchange, upstream: UpstreamEntry) -> Prefilled:
+        """Have a prompt prefilled.
+
+        Raises:
+            PeerRefused: The engine has not done it.
+            LinkError: It could not be asked, or its answer broke off.
+        """
+        self._fleet.started(upstream)
+        started_at = trio.current_time()
+        verdict = Verdict.UNKNOWN
+        took_s: float | None = None
+        try:
+            handle = await self._prefill(exchange, upstream)
+            took_s = trio.current_time() - started_at
+            verdict = Verdict.SOUND
+        except PeerRefused:
+            verdict = Verdict.FULL
+            raise
+        except LinkError:
+            verdict = Verdict.FAILED
+            raise
+        finally:
+            self._fleet.ended(upstream, verdict, trio.current_time(), took_s)
+        return Prefilled(upstream, KvSource(upstream.address, handle), took_s)
+
+    @asynccontextmanager
+    async def decode(
+        self, exchange: Exchange, upstream: UpstreamEntry, forwarding: Forwarding
+    ) -> AsyncIterator[RawAnswer]:
+        """Have a stream generated; leaving the context early closes the connection.
+
+        Raises:
+            LinkError: The engine could not be reached, or the connection broke.
+        """
+        headers = self._dialect.forwarded_headers(exchange.headers, upstream, forwarding)
+        async with self._client.relay(
+            upstream.address,
+            exchange.method,
+            exchange.target,
+            step="decode",
+            headers=headers,
+            body=exchange.body,
+            new_connection=not exchange.route.repeatable,
+        ) as answer:
+            yield answer
+
+    async def _prefill(self, exchange: Exchange, upstream: UpstreamEntry) -> str:
+        forwarding = Forwarding(exchange.left_s(), prefill_only=True)
+        headers = self._dialect.forwarded_headers(exchange.headers, upstream, forwarding)
+        async with self._client.relay(
+            upstream.address,
+            exchange.method,
+            exchange.target,
+            step="prefill",
+            headers=headers,
+            body=exchange.body,
+        ) as answer:
+            body = b""
+            async for part in answer.parts:
+                body += part
+                if len(body) > PREFILL_ANSWER_BYTES_MOST:
+                    raise LinkBroken("prefill", upstream.name, "answer too long")
+        facts = self._dialect.read_answer(answer.status, answer.headers)
+        if facts.request is not None and not exchange.answers(facts):
+            raise LinkBroken("prefill", upstream.name, "answer to another request")
+        if answer.status != OK_STATUS:
+            raise PeerRefused("prefill", upstream.name, f"status {answer.status}")
+        handle = self._dialect.read_handle(body)
+        if handle is None:
+            raise LinkBroken("prefill", upstream.name, "answer without a handle")
+        return handle
+
+    async def _call(
+        self, upstream: UpstreamEntry, call: EngineCall, step: str, timeout_s: float
+    ) -> HttpAnswer:
+        headers = [("content-type", "application/json")] if call.body else []
+        return await self._client.call(
+            upstream.address,
+            call.method,
+            call.path,
+            step=step,
+            timeout_s=timeout_s,
+            body=call.body,
+            headers=headers,
+        )
+
+    def _give_back(self, upstream: UpstreamEntry, call: EngineCall, step: str) -> None:
+        self._nursery.start_soon(self._give_back_now, upstream, call, step)
+
+    async def _give_back_now(self, upstream: UpstreamEntry, call: EngineCall, step: str) -> None:
+        try:
+            await self._call(upstream, call, step, GIVE_BACK_TIMEOUT_S)
+        except LinkError as error:
+            # The engine frees it by itself when its lease ends.
+            log_event(
+                _log, logging.INFO, "give-back failed", step=step, peer=upstream.name, detail=error
+            )
--- /dev/null
+++ b/src/chivehold/direct/exchange.py
@@ -0,0 +1,107 @@
+"""One caller's request on its way through the entry."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.messages import AnswerFacts, RawHeaders, RequestFacts
+from chivehold.core.direct.routes import Route
+from chivehold.http_server import Send
+from chivehold.logs import log_event
+
+_log = logging.getLogger(__name__)
+
+
+class Exchange(NamedTuple):
+    """A request as read, with its route and its time limits in this entry's monotonic clock."""
+
+    facts: RequestFacts
+    route: Route
+    service: str
+    configuration: int
+    """Version of the configuration that named the route."""
+    method: str
+    target: bytes
+    """Path with its query, as the caller wrote it."""
+    headers: RawHeaders
+    body: bytes
+    arrived_at: float
+    expires_at: float
+    """When the caller or the route stops waiting."""
+
+    @property
+    def request(self) -> str:
+        """The request's id."""
+        return self.facts.request
+
+    def left_s(self) -> float:
+        """Return the time left, in seconds; below 0 when it is over."""
+        return self.expires_at - trio.current_time()
+
+    def age_s(self) -> float:
+        """Return the time since the request arrived, in seconds."""
+        return trio.current_time() - self.arrived_at
+
+    def answers(self, facts: AnswerFacts) -> bool:
+        """Tell whether an answer belongs to this request."""
+        return facts.request == self.request
+
+    def log(self, event: str, level: int = logging.INFO, **fields: object) -> None:
+        """Log a decision that touches this request."""
+        age_ms = round(self.age_s() * 1_000)
+        log_event(_log, level, event, None, request=self.request, age_ms=age_ms, **fields)
+
+
+class Reply:
+    """The answer to one request, as far as it has been sent.
+
+    Args:
+        send: The ASGI callable of the request.
+        closes: Tells whether the connection is to be closed after the answer.
+    """
+
+    def __init__(self, send: Send, closes: Callable[[], bool]) -> None:
+        self._send = send
+        self._closes = closes
+        self._started = False
+        self._ended = False
+
+    @property
+    def started(self) -> bool:
+        """Whether status and headers have been sent."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Whether the whole answer has been sent."""
+        return self._ended
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Send status and headers."""
+        self._started = True
+        closing = [(b"connection", b"close")] if self._closes() else []
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [*headers, *closing],
+            }
+        )
+
+    async def part(self, body: bytes) -> None:
+        """Send a part of the body."""
+        await self._send({"type": "http.response.body", "body": body, "more_body": True})
+
+    async def end(self) -> None:
+        """Close the answer as whole; without this the connection is cut."""
+        self._ended = True
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def whole(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        self._ended = True
+        await self._send({"type": "http.response.body", "body": body, "more_body": False})
--- /dev/null
+++ b/src/chivehold/direct/metrics.py
@@ -0,0 +1,96 @@
+"""Metrics of an entry without sidecars, by ``aioprometheus``."""
+
+from collections.abc import Sequence
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from chivehold.metrics import RenderedMetrics
+
+ANSWER_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
+WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
+
+
+class DirectMetrics:
+    """What the entry counts and measures."""
+
+    def __init__(self) -> None:
+        registry = self._registry = Registry()
+        self._requests = Counter(
+            "chivehold_requests_total", "Requests ended, by route kind and outcome.", None, registry
+        )
+        self._attempts = Counter(
+            "chivehold_attempts_total",
+            "Calls to upstreams, by service and verdict.",
+            None,
+            registry,
+        )
+        self._first = Histogram(
+            "chivehold_answer_seconds",
+            "Time from a request's arrival to its answer, for streams to the first event.",
+            registry=registry,
+            buckets=ANSWER_BUCKETS_S,
+        )
+        self._waited = Histogram(
+            "chivehold_place_wait_seconds",
+            "Time that streams waited for memory at a decode engine.",
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+        self._prefilled = Histogram(
+            "chivehold_prefill_seconds",
+            "Time that prefill engines took for a prompt.",
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+        self._in_progress = Gauge(
+            "chivehold_in_progress_requests", "Requests that have not ended.", None, registry
+        )
+        self._configuration = Gauge(
+            "chivehold_configuration_version", "Version of the routes in force.", None, registry
+        )
+        self._store_lost = Gauge(
+            "chivehold_store_lost", "1 while the store does not answer.", None, registry
+        )
+        self._log_lines_dropped = Gauge(
+            "chivehold_log_lines_dropped",
+            "Log lines left out to bound their volume.",
+            None,
+            registry,
+        )
+
+    def ended(self, kind: str, outcome: str) -> None:
+        """Count a request's end."""
+        self._requests.inc({"kind": kind, "outcome": outcome})
+
+    def attempt(self, service: str, verdict: str) -> None:
+        """Count a call to an upstream."""
+        self._attempts.inc({"service": service, "verdict": str(verdict)})
+
+    def answered(self, kind: str, after_s: float) -> None:
+        """Note the time to an answer or a stream's first event, in seconds."""
+        self._first.observe({"kind": kind}, float(after_s))
+
+    def waited(self, service: str, wait_s: float) -> None:
+        """Note how long a stream waited for its place, in seconds."""
+        self._waited.observe({"service": service}, float(wait_s))
+
+    def prefilled(self, service: str, took_s: float) -> None:
+        """Note how long a prefill took, in seconds."""
+        self._prefilled.observe({"service": service}, float(took_s))
+
+    def render(
+        self,
+        accepted: Sequence[str],
+        in_progress: int,
+        configuration: int,
+        store_lost: bool,
+        log_lines_dropped: int,
+    ) -> RenderedMetrics:
+        """Return all metrics, the gauges as of now."""
+        self._in_progress.set({}, in_progress)
+        self._configuration.set({}, configuration)
+        self._store_lost.set({}, int(store_lost))
+        self._log_lines_dropped.set({}, log_lines_dropped)
+        body, headers = render(self._registry, list(accepted))
+        return RenderedMetrics(body, headers["Content-Type"])
--- /dev/null
+++ b/src/chivehold/direct/plain_calls.py
@@ -0,0 +1,289 @@
+"""Calls of plain services: one upstream, or several where the call may be repeated."""
+
+import math
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.fleet import Fleet, Verdict
+from chivehold.core.direct.messages import Dialect, Forwarding, RawHeaders, Stage, UpstreamEntry
+from chivehold.core.direct.shared_retries import SharedRetries
+from chivehold.direct.exchange import Exchange, Reply
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.refusals import Refusal, not_run, send_refusal, unknown
+from chivehold.http_client import HttpClient, LinkBroken, NothingSent
+
+WHOLE_ANSWER_BYTES_MOST = 8 << 20
+LEAST_TIME_LEFT_S = 0.02
+"""A request with less time left cannot be answered and is not sent."""
+UNREACHED_MOST = 4
+"""Upstreams that may fail to accept a connection before the request is refused."""
+HEDGE_SHARE = 0.45
+"""Share of the target after which a second upstream is asked while the first is silent."""
+FULL_RETRY_S = 0.25
+NO_UPSTREAM_RETRY_S = 0.5
+ERROR_STATUS = 500
+
+
+class Whole(NamedTuple):
+    """The upstream's whole answer."""
+
+    upstream: UpstreamEntry
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+class NotRun(NamedTuple):
+    """The upstream has not run the request."""
+
+    upstream: UpstreamEntry
+    detail: str
+    sent: bool
+    """Whether the request has reached the upstream at all."""
+    misdirected: bool = False
+    """Another upstream has the address now."""
+
+
+class Broken(NamedTuple):
+    """No usable answer came; the upstream may have run the request."""
+
+    upstream: UpstreamEntry
+    detail: str
+
+
+Result = Whole | NotRun | Broken
+
+
+class PlainCalls:
+    """Passes requests on to the upstreams of plain services.
+
+    Args:
+        fleet: The upstreams.
+        client: Makes the calls.
+        dialect: How they are written.
+        retries: Bounds the calls beyond the first of each request.
+        metrics: Counts attempts.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        client: HttpClient,
+        dialect: Dialect,
+        retries: SharedRetries,
+        metrics: DirectMetrics,
+    ) -> None:
+        self._fleet = fleet
+        self._client = client
+        self._dialect = dialect
+        self._retries = retries
+        self._metrics = metrics
+
+    async def serve(self, exchange: Exchange, reply: Reply) -> str:
+        """Answer a request, and return the outcome as one word."""
+        answer = await _Race(self, exchange).run()
+        if isinstance(answer, Whole):
+            headers = self._dialect.returned_headers(answer.headers)
+            await reply.whole(answer.status, headers, answer.body)
+            return "answered" if answer.status < ERROR_STATUS else "upstream_error"
+        await send_refusal(reply, answer)
+        return answer.reason
+
+    def next_upstream(self, exchange: Exchange, tried: set[str]) -> UpstreamEntry | None:
+        """Return the best upstream that has not been tried."""
+        now = trio.current_time()
+        ranked = self._fleet.ranked(exchange.service, Stage.NONE, now, tried)
+        return ranked[0] if ranked else None
+
+    def may_repeat(self, exchange: Exchange) -> bool:
+        """Spend one call beyond the first, if the shared budget allows it."""
+        return self._retries.take(exchange.service, trio.current_time())
+
+    async def send(self, exchange: Exchange, upstream: UpstreamEntry) -> Result:
+        """Send the request to one upstream and read its whole answer."""
+        self._fleet.started(upstream)
+        sent_at = trio.current_time()
+        verdict = Verdict.UNKNOWN
+        latency_s: float | None = None
+        try:
+            result = await self._try(exchange, upstream)
+            latency_s = trio.current_time() - sent_at
+            verdict = _verdict(result)
+            return result
+        finally:
+            now = trio.current_time()
+            if verdict is not Verdict.SOUND:
+                latency_s = None
+            suspended_s = self._fleet.ended(upstream, verdict, now, latency_s)
+            self._metrics.attempt(exchange.service, verdict)
+            if verdict not in (Verdict.SOUND, Verdict.UNKNOWN):
+                exchange.log(
+                    "attempt failed",
+                    peer=upstream.name,
+                    outcome=verdict,
+                    detail=result.detail if isinstance(result, NotRun | Broken) else "",
+                    took_ms=round((now - sent_at) * 1_000),
+                    suspended_ms=round(suspended_s * 1_000),
+                )
+
+    async def _try(self, exchange: Exchange, upstream: UpstreamEntry) -> Result:
+        forwarding = Forwarding(exchange.left_s())
+        headers = self._dialect.forwarded_headers(exchange.headers, upstream, forwarding)
+        try:
+            async with self._client.relay(
+                upstream.address,
+                exchange.method,
+                exchange.target,
+                step="call service",
+                headers=headers,
+                body=exchange.body,
+                new_connection=not exchange.route.repeatable,
+            ) as answer:
+                facts = self._dialect.read_answer(answer.status, answer.headers)
+                if facts.request is not None and not exchange.answers(facts):
+                    return Broken(upstream, "answer to another request")
+                body = await _read_whole(answer.parts)
+        except NothingSent as error:
+            return NotRun(upstream, error.detail, sent=False)
+        except LinkBroken as error:
+            return Broken(upstream, error.detail)
+        if facts.not_run:
+            return NotRun(upstream, f"status {answer.status}", True, facts.misdirected)
+        if body is None:
+            return Broken(upstream, "answer too long")
+        if not facts.signed or facts.encoded or facts.request is None:
+            return Broken(upstream, f"unsigned answer with status {answer.status}")
+        return Whole(upstream, answer.status, answer.headers, body)
+
+
+class _Race:
+    """The attempts at one request; at most two run at a time."""
+
+    def __init__(self, calls: PlainCalls, exchange: Exchange) -> None:
+        self._calls = calls
+        self._exchange = exchange
+        self._tried: set[str] = set()
+        self._running = 0
+        self._runs = 0
+        self._unreached = 0
+        self._error: Whole | None = None
+        self._send, self._results = trio.open_memory_channel[Result](math.inf)
+
+    async def run(self) -> Whole | Refusal:
+        """Return an upstream's answer, or why there is none."""
+        if self._exchange.left_s() < LEAST_TIME_LEFT_S:
+            return not_run("too_late", "no time is left", FULL_RETRY_S)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            answer = await self._decide()
+            nursery.cancel_scope.cancel()
+        return answer
+
+    async def _decide(self) -> Whole | Refusal:
+        if not self._start():
+            return not_run("no_upstream", "no upstream takes requests", NO_UPSTREAM_RETRY_S)
+        hedge_at = self._hedge_at()
+        while self._running:
+            result = await self._next(min(hedge_at, self._exchange.expires_at))
+            if result is None:
+                if self._exchange.left_s() <= 0:
+                    return self._timed_out()
+                hedge_at = math.inf
+                self._repeat("slow")
+                continue
+            self._running -= 1
+            answer = self._judge(result)
+            if answer is not None:
+                return answer
+        return self._exhausted()
+
+    async def _next(self, until: float) -> Result | None:
+        with trio.move_on_at(until):
+            return await self._results.receive()
+        return None
+
+    def _judge(self, result: Result) -> Whole | None:
+        """Return the answer to pass on, or ``None`` after starting what else can be tried."""
+        if isinstance(result, Whole):
+            if result.status < ERROR_STATUS:
+                return result
+            self._error = result
+            self._runs += 1
+            self._repeat("upstream error")
+        elif isinstance(result, Broken):
+            self._runs += 1
+            self._repeat("broken")
+        elif result.sent:
+            self._repeat("refused", counts=False)
+        else:
+            self._unreached += 1
+            if self._unreached <= UNREACHED_MOST:
+                self._start()
+        return None
+
+    def _repeat(self, reason: str, counts: bool = True) -> None:
+        """Ask another upstream, where the request may run there and the budget allows it."""
+        exchange = self._exchange
+        if counts and not exchange.route.repeatable:
+            return
+        if self._runs + self._running >= exchange.route.upstreams_most:
+            return
+        if exchange.left_s() < LEAST_TIME_LEFT_S:
+            return
+        if self._calls.next_upstream(exchange, self._tried) is None:
+            return
+        if not self._calls.may_repeat(exchange):
+            exchange.log("retry budget spent", reason=reason)
+            return
+        exchange.log("request repeated", reason=reason)
+        self._start()
+
+    def _start(self) -> bool:
+        upstream = self._calls.next_upstream(self._exchange, self._tried)
+        if upstream is None:
+            return False
+        self._tried.add(upstream.name)
+        self._running += 1
+        self._nursery.start_soon(self._attempt, upstream)
+        return True
+
+    async def _attempt(self, upstream: UpstreamEntry) -> None:
+        self._send.send_nowait(await self._calls.send(self._exchange, upstream))
+
+    def _hedge_at(self) -> float:
+        route = self._exchange.route
+        if not route.repeatable or route.upstreams_most < 2:
+            return math.inf
+        return self._exchange.arrived_at + HEDGE_SHARE * route.target_s
+
+    def _timed_out(self) -> Refusal:
+        return unknown(504, "timeout", "no upstream answered in time")
+
+    def _exhausted(self) -> Whole | Refusal:
+        if self._error is not None:
+            return self._error
+        if self._runs:
+            return unknown(502, "broken", "the upstream's answer broke off")
+        return not_run("full", "no upstream has room", FULL_RETRY_S)
+
+
+def _verdict(result: Result) -> Verdict:
+    if isinstance(result, Whole):
+        return Verdict.SOUND if result.status < ERROR_STATUS else Verdict.ERROR
+    if isinstance(result, Broken) or not result.sent:
+        return Verdict.FAILED
+    return Verdict.GONE if result.misdirected else Verdict.FULL
+
+
+async def _read_whole(parts: AsyncIterator[bytes]) -> bytes | None:
+    """Read an answer's body, or return ``None`` where it is too long."""
+    collected: list[bytes] = []
+    size = 0
+    async for part in parts:
+        collected.append(part)
+        size += len(part)
+        if size > WHOLE_ANSWER_BYTES_MOST:
+            return None
+    return b"".join(collected)
--- /dev/null
+++ b/src/chivehold/direct/reservations.py
@@ -0,0 +1,190 @@
+"""Places granted by the engines themselves: memory reserved under a lease of theirs."""
+
+import logging
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from chivehold.core.direct.fleet import Fleet, Verdict
+from chivehold.core.direct.messages import Stage, UpstreamEntry
+from chivehold.core.direct.places import Place, PlaceRefused
+from chivehold.core.direct.routes import EngineTraits
+from chivehold.core.direct.waiting import Waiter, WaitingRoom
+from chivehold.direct.engines import EngineClient
+from chivehold.http_client import LinkError
+from chivehold.logs import log_event
+
+POLL_S = 0.03
+"""Between rounds while all engines are full; memory freed by other entries is seen only so."""
+POLL_JITTER = 0.3
+NO_ENGINE_RETRY_S = 1.0
+UNANSWERED_PAUSE_S = 0.5
+"""An engine that did not answer is not asked again for so long."""
+
+_log = logging.getLogger(__name__)
+
+
+class _Pending:
+    """A waiting request and what became of it."""
+
+    def __init__(self, waiter: Waiter) -> None:
+        self.waiter = waiter
+        self.settled = trio.Event()
+        self.result: Place | PlaceRefused | None = None
+
+    def settle(self, result: Place | PlaceRefused) -> None:
+        self.result = result
+        self.settled.set()
+
+
+class EngineReservations:
+    """Asks decode engines for memory in the order of the waiting room; implements ``Places``.
+
+    Args:
+        fleet: The engines.
+        engines: Makes the calls.
+        traits: Returns what the engines of a service have in common.
+        nursery: Runs the tasks that ask.
+        rng: Draws the pauses.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        engines: EngineClient,
+        traits: Callable[[str], EngineTraits | None],
+        nursery: trio.Nursery,
+        rng: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._engines = engines
+        self._traits = traits
+        self._nursery = nursery
+        self._rng = rng
+        self._lines: dict[str, _Line] = {}
+
+    async def ask(self, service: str, waiter: Waiter) -> Place | PlaceRefused:
+        """Wait for a place until the waiter's ``leaves_at``."""
+        if service not in self._lines:
+            self._lines[service] = _Line()
+        line = self._lines[service]
+        pending = _Pending(waiter)
+        line.enter(pending)
+        if not line.served:
+            line.served = True
+            self._nursery.start_soon(self._serve, service, line)
+        try:
+            with trio.move_on_at(waiter.leaves_at):
+                await pending.settled.wait()
+        except trio.Cancelled:
+            if isinstance(pending.result, Place):
+                self.release(pending.result)
+            raise
+        finally:
+            line.leave(waiter.request)
+        if pending.result is None:
+            return PlaceRefused("full", line.retry_after_s(self._rng))
+        return pending.result
+
+    def release(self, place: Place) -> None:
+        """Give back a place that was not used."""
+        self._fleet.ended(place.upstream, Verdict.UNKNOWN, trio.current_time(), tokens=place.tokens)
+        self._engines.give_back_hold(place.upstream, place.hold)
+        self.freed(place.upstream.service)
+
+    def freed(self, service: str) -> None:
+        """Take note that memory has become free at an engine of a service."""
+        if service in self._lines:
+            self._lines[service].wake.set()
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many requests wait, by service."""
+        return {service: len(line.room) for service, line in self._lines.items()}
+
+    async def _serve(self, service: str, line: "_Line") -> None:
+        """Ask for the head of the line until nobody waits."""
+        try:
+            while (waiter := line.room.head(trio.current_time())) is not None:
+                if not self._fleet.serving(service, Stage.DECODE):
+                    line.refuse_all(PlaceRefused("no_engine", NO_ENGINE_RETRY_S))
+                    return
+                if not await self._grant(service, line, waiter):
+                    await line.pause(POLL_S * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
+        finally:
+            line.served = False
+
+    async def _grant(self, service: str, line: "_Line", waiter: Waiter) -> bool:
+        """Ask each engine once for a waiter; tells whether it got a place or has left."""
+        traits = self._traits(service)
+        ttl_s = traits.hold_most_s if traits else 1.0
+        for upstream in self._fleet.roomiest(service, trio.current_time()):
+            hold = await self._hold(upstream, waiter.tokens, ttl_s)
+            if hold is None:
+                continue
+            place = Place(upstream, hold, waiter.tokens)
+            self._fleet.started(upstream, waiter.tokens)
+            if not line.settle(waiter.request, place):
+                self.release(place)
+            return True
+        return False
+
+    async def _hold(self, upstream: UpstreamEntry, tokens: int, ttl_s: float) -> str | None:
+        try:
+            return await self._engines.hold(upstream, tokens, ttl_s)
+        except LinkError as error:
+            self._fleet.suspend(upstream, trio.current_time() + UNANSWERED_PAUSE_S)
+            log_event(
+                _log,
+                logging.WARNING,
+                "engine did not answer",
+                step=error.step,
+                peer=upstream.name,
+                detail=error.detail,
+                suspended_ms=round(UNANSWERED_PAUSE_S * 1_000),
+            )
+            return None
+
+
+class _Line:
+    """The requests of one service that wait, and the task that serves them."""
+
+    RETRY_S = (2.0, 4.0)
+    """Range of the times to come back."""
+
+    def __init__(self) -> None:
+        self.room = WaitingRoom()
+        self.served = False
+        self.wake = trio.Event()
+        self._pending: dict[str, _Pending] = {}
+
+    def enter(self, pending: _Pending) -> None:
+        self.room.enter(pending.waiter)
+        self._pending[pending.waiter.request] = pending
+        self.wake.set()
+
+    def leave(self, request: str) -> None:
+        self.room.leave(request)
+        self._pending.pop(request, None)
+
+    def settle(self, request: str, result: Place | PlaceRefused) -> bool:
+        """Tell a waiting request what became of it; ``False`` where it no longer waits."""
+        pending = self._pending.get(request)
+        if pending is None or pending.result is not None:
+            return False
+        self.room.leave(request)
+        pending.settle(result)
+        return True
+
+    def refuse_all(self, refused: PlaceRefused) -> None:
+        for request in list(self._pending):
+            self.settle(request, refused)
+
+    async def pause(self, pause_s: float) -> None:
+        """Wait for a time, or until something changes."""
+        self.wake = trio.Event()
+        with trio.move_on_after(pause_s):
+            await self.wake.wait()
+
+    def retry_after_s(self, rng: Random) -> float:
+        return rng.uniform(*self.RETRY_S)
--- /dev/null
+++ b/src/chivehold/direct/stream_calls.py
@@ -0,0 +1,371 @@
+"""Streams of model services: a place at a decode engine, a prefill elsewhere, then the events."""
+
+import math
+from collections.abc import AsyncIterator
+from enum import StrEnum
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, follows
+from chivehold.core.direct.fleet import Fleet, Verdict
+from chivehold.core.direct.messages import Forwarding, KvSource, RawHeaders, Stage, UpstreamEntry
+from chivehold.core.direct.places import Place, PlaceRefused, Places
+from chivehold.core.direct.routes import EngineTraits
+from chivehold.core.direct.shared_retries import SharedRetries
+from chivehold.core.direct.waiting import Waiter
+from chivehold.direct.engines import EngineClient, Prefilled
+from chivehold.direct.exchange import Exchange, Reply
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.refusals import Refusal, not_run, send_refusal, unknown
+from chivehold.exceptions import PeerRefused
+from chivehold.http_client import LinkError, RawAnswer
+
+FIRST_EVENT_ALLOWANCE_S = 0.2
+"""From a place to the first event, when nothing waits."""
+PREFILL_TIMEOUT_S = 0.8
+LATEST_PLACE_S = 2.8
+"""A caller that has waited this long for a place would leave before its first event."""
+SILENCE_S = 1.5
+"""A resumable stream without an event for so long goes on at another engine."""
+LEAST_TIME_LEFT_S = 0.1
+FULL_RETRY_S = 2.0
+NO_ENGINE_RETRY_S = 1.0
+OK_STATUS = 200
+PART_BYTES_MOST = 1 << 16
+
+
+class _End(StrEnum):
+    """How one engine's part of a stream ended."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not run"
+    BROKEN = "broken"
+    ANSWERED = "answered"
+    """The engine gave an answer that is no stream."""
+
+
+class _Run(NamedTuple):
+    """One engine's part of a stream."""
+
+    end: _End
+    verdict: Verdict
+    detail: str = ""
+
+
+class StreamCalls:
+    """Serves the streams of model services.
+
+    Args:
+        fleet: The engines.
+        engines: Makes the calls.
+        places: Grants memory at decode engines.
+        traits: Returns what the engines of a service have in common.
+        retries: Bounds the calls beyond the first of each request.
+        metrics: Counts and measures.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        engines: EngineClient,
+        places: Places,
+        retries: SharedRetries,
+        metrics: DirectMetrics,
+    ) -> None:
+        self._fleet = fleet
+        self._engines = engines
+        self._places = places
+        self._retries = retries
+        self._metrics = metrics
+
+    async def serve(self, exchange: Exchange, reply: Reply, traits: EngineTraits) -> str:
+        """Answer a request, and return the outcome as one word."""
+        stream = _Stream(self, exchange, reply, traits)
+        refusal = await stream.run()
+        if refusal is None:
+            return "answered"
+        if reply.started:
+            exchange.log("stream broken off", reason=refusal.reason, last_event=stream.last_event)
+            return "broken_off"
+        await send_refusal(reply, refusal)
+        return refusal.reason
+
+    async def place(self, exchange: Exchange, traits: EngineTraits) -> Place | PlaceRefused:
+        """Wait for memory at a decode engine."""
+        asked_at = trio.current_time()
+        result = await self._places.ask(exchange.service, _waiter(exchange, traits))
+        waited_s = trio.current_time() - asked_at
+        self._metrics.waited(exchange.service, waited_s)
+        waited_ms = round(waited_s * 1_000)
+        if isinstance(result, Place):
+            exchange.log(
+                "place granted",
+                peer=result.upstream.name,
+                tokens=result.tokens,
+                waited_ms=waited_ms,
+                here=self._fleet.in_flight(result.upstream),
+            )
+        else:
+            exchange.log("place refused", reason=result.reason, waited_ms=waited_ms)
+        return result
+
+    def release(self, place: Place) -> None:
+        """Give back a place that was not used."""
+        self._places.release(place)
+
+    def finished(self, place: Place, run: _Run) -> None:
+        """Take note of how the use of a place ended."""
+        now = trio.current_time()
+        suspended_s = self._fleet.ended(place.upstream, run.verdict, now, tokens=place.tokens)
+        self._metrics.attempt(place.upstream.service, run.verdict)
+        self._places.freed(place.upstream.service)
+        del suspended_s
+
+    async def prefill(self, exchange: Exchange, near: UpstreamEntry) -> Prefilled | None:
+        """Have the prompt prefilled, or return ``None`` where the decode engine has to do it."""
+        tried: set[str] = set()
+        while True:
+            upstream = self._prefill_engine(exchange.service, near, tried)
+            if upstream is None:
+                exchange.log("prefill left to decode engine", tried=len(tried))
+                return None
+            if tried and not self._retries.take(exchange.service, trio.current_time()):
+                exchange.log("retry budget spent", reason="prefill")
+                return None
+            tried.add(upstream.name)
+            if (prefilled := await self._prefill_at(exchange, upstream)) is not None:
+                return prefilled
+
+    def give_back(self, prefilled: Prefilled) -> None:
+        """Free a KV cache that will not be fetched."""
+        self._engines.give_back_kv(prefilled)
+
+    def may_repeat(self, exchange: Exchange) -> bool:
+        """Spend one call beyond the first, if the shared budget allows it."""
+        return self._retries.take(exchange.service, trio.current_time())
+
+    @property
+    def engines(self) -> EngineClient:
+        """Makes the calls."""
+        return self._engines
+
+    @property
+    def metrics(self) -> DirectMetrics:
+        """Counts and measures."""
+        return self._metrics
+
+    def _prefill_engine(
+        self, service: str, near: UpstreamEntry, tried: set[str]
+    ) -> UpstreamEntry | None:
+        ranked = self._fleet.ranked(service, Stage.PREFILL, trio.current_time(), tried)
+        return ranked[0] if ranked else None
+
+    async def _prefill_at(self, exchange: Exchange, upstream: UpstreamEntry) -> Prefilled | None:
+        detail: object = f"no answer within {PREFILL_TIMEOUT_S} s"
+        try:
+            with trio.move_on_after(min(PREFILL_TIMEOUT_S, exchange.left_s())):
+                prefilled = await self._engines.prefill(exchange, upstream)
+                self._metrics.prefilled(exchange.service, prefilled.took_s)
+                took_ms = round(prefilled.took_s * 1_000)
+                exchange.log("prefilled", peer=upstream.name, took_ms=took_ms)
+                return prefilled
+        except (PeerRefused, LinkError) as error:
+            detail = error
+        self._fleet.suspend(upstream, trio.current_time() + PREFILL_TIMEOUT_S)
+        exchange.log("prefill failed", peer=upstream.name, detail=detail)
+        return None
+
+
+class _Stream:
+    """One request for a stream, at one engine after the other."""
+
+    def __init__(
+        self, calls: StreamCalls, exchange: Exchange, reply: Reply, traits: EngineTraits
+    ) -> None:
+        self._calls = calls
+        self._exchange = exchange
+        self._reply = reply
+        self._traits = traits
+        self._runs = 0
+        self._refusals = 0
+        self.last_event = exchange.facts.last_event
+
+    async def run(self) -> Refusal | None:
+        """Relay the whole stream, or return why it has none or stays cut."""
+        while True:
+            if self._exchange.left_s() < LEAST_TIME_LEFT_S:
+                return self._given_up("timeout", "no time is left", 504)
+            place = await self._calls.place(self._exchange, self._traits)
+            if isinstance(place, PlaceRefused):
+                return self._refused(place)
+            run = await self._use(place)
+            if run.end in (_End.WHOLE, _End.ANSWERED):
+                return None
+            self._exchange.log(
+                "attempt failed",
+                peer=place.upstream.name,
+                outcome=run.end,
+                detail=run.detail,
+                last_event=self.last_event,
+            )
+            if refusal := self._after(run):
+                return refusal
+
+    def _after(self, run: _Run) -> Refusal | None:
+        """Return ``None`` where another engine may be asked, else how the request ends."""
+        route = self._exchange.route
+        if run.end is _End.BROKEN:
+            self._runs += 1
+            if not route.repeatable or self._runs >= route.upstreams_most:
+                return self._given_up("broken", "the engine's stream broke off", 502)
+        else:
+            self._refusals += 1
+        if not self._calls.may_repeat(self._exchange):
+            return self._given_up("retry_budget", "the retry budget is spent", 502)
+        return None
+
+    def _given_up(self, reason: str, message: str, status: int) -> Refusal:
+        if self._runs:
+            return unknown(status, reason, message)
+        return not_run(reason, message, FULL_RETRY_S)
+
+    def _refused(self, place: PlaceRefused) -> Refusal:
+        if self._runs:
+            return unknown(502, place.reason, "no engine can go on with the stream")
+        return not_run(place.reason, "no engine has room", place.retry_after_s)
+
+    async def _use(self, place: Place) -> _Run:
+        """Prefill and decode; the place is used up or given back whatever happens."""
+        prefilled: Prefilled | None = None
+        run = _Run(_End.BROKEN, Verdict.UNKNOWN, "given up")
+        sent = False
+        try:
+            if self._prefills_elsewhere():
+                prefilled = await self._calls.prefill(self._exchange, place.upstream)
+            sent = True
+            source = prefilled.source if prefilled else None
+            run = await self._decode(place, source)
+            return run
+        finally:
+            if sent:
+                self._calls.finished(place, run)
+            else:
+                self._calls.release(place)
+            if prefilled is not None and run.end is not _End.WHOLE:
+                self._calls.give_back(prefilled)
+
+    def _prefills_elsewhere(self) -> bool:
+        """A stream that is resumed is read by its decode engine: no time is left for a detour."""
+        return self._runs == 0 and self._refusals == 0 and self._exchange.route.prefills
+
+    async def _decode(self, place: Place, source: KvSource | None) -> _Run:
+        forwarding = Forwarding(
+            self._exchange.left_s(),
+            kv_source=source,
+            hold=place.hold,
+            last_event=self.last_event,
+        )
+        try:
+            with trio.move_on_at(self._exchange.expires_at):
+                async with self._calls.engines.decode(
+                    self._exchange, place.upstream, forwarding
+                ) as answer:
+                    return await self._read(answer)
+            return _Run(_End.BROKEN, Verdict.UNKNOWN, "out of time")
+        except _Silent:
+            return _Run(_End.BROKEN, Verdict.FAILED, f"silent for {SILENCE_S} s")
+        except EventTooLong:
+            return _Run(_End.BROKEN, Verdict.FAILED, "event too long")
+        except LinkError as error:
+            return _Run(_End.BROKEN, Verdict.FAILED, error.detail)
+
+    async def _read(self, answer: RawAnswer) -> _Run:
+        facts = self._calls.engines.dialect.read_answer(answer.status, answer.headers)
+        if facts.request is not None and not self._exchange.answers(facts):
+            return _Run(_End.BROKEN, Verdict.FAILED, "answer to another request")
+        if facts.not_run:
+            verdict = Verdict.GONE if facts.misdirected else Verdict.FULL
+            return _Run(_End.NOT_RUN, verdict, f"status {answer.status}")
+        if not facts.signed or facts.encoded or facts.request is None:
+            return _Run(_End.BROKEN, Verdict.FAILED, f"unsigned answer, status {answer.status}")
+        if answer.status != OK_STATUS:
+            return await self._pass_on(answer)
+        return await self._relay(answer)
+
+    async def _pass_on(self, answer: RawAnswer) -> _Run:
+        """Pass on an answer that is no stream."""
+        if self._reply.started:
+            return _Run(_End.BROKEN, Verdict.ERROR, f"status {answer.status} on resuming")
+        body = b""
+        async for part in answer.parts:
+            body += part
+            if len(body) > PART_BYTES_MOST:
+                return _Run(_End.BROKEN, Verdict.FAILED, "answer too long")
+        headers = self._calls.engines.dialect.returned_headers(answer.headers)
+        await self._reply.whole(answer.status, headers, body)
+        return _Run(_End.ANSWERED, Verdict.ERROR, f"status {answer.status}")
+
+    async def _relay(self, answer: RawAnswer) -> _Run:
+        """Relay whole events as they arrive."""
+        splitter = EventSplitter()
+        async for part in _unless_silent(answer.parts, self._patience_s()):
+            events = [
+                event for event in splitter.feed(part) if follows(event.number, self.last_event)
+            ]
+            if events:
+                await self._relay_events(answer.headers, events)
+        if splitter.rest:
+            # An event that the engine left unfinished is nobody's.
+            return _Run(_End.BROKEN, Verdict.FAILED, "ended within an event")
+        if not self._reply.started:
+            await self._start(answer.headers)
+        await self._reply.end()
+        return _Run(_End.WHOLE, Verdict.SOUND)
+
+    async def _relay_events(self, headers: RawHeaders, events: list[StreamEvent]) -> None:
+        if not self._reply.started:
+            await self._start(headers)
+        await self._reply.part(b"".join(event.raw for event in events))
+        self.last_event = events[-1].number or self.last_event
+
+    async def _start(self, headers: RawHeaders) -> None:
+        first_s = self._exchange.age_s()
+        self._calls.metrics.answered("stream", first_s)
+        self._exchange.log("first event", event_id=self.last_event)
+        await self._reply.start(OK_STATUS, self._calls.engines.dialect.returned_headers(headers))
+
+    def _patience_s(self) -> float:
+        route = self._exchange.route
+        may_resume = route.repeatable and self._runs + 1 < route.upstreams_most
+        return SILENCE_S if may_resume else math.inf
+
+
+class _Silent(Exception):  # noqa: N818
+    """The engine has sent nothing for too long."""
+
+
+async def _unless_silent(parts: AsyncIterator[bytes], patience_s: float) -> AsyncIterator[bytes]:
+    while True:
+        part: bytes | None = None
+        with trio.move_on_after(patience_s) as scope:
+            part = await anext(parts, None)
+        if scope.cancelled_caught:
+            raise _Silent
+        if part is None:
+            return
+        yield part
+
+
+def _waiter(exchange: Exchange, traits: EngineTraits) -> Waiter:
+    facts = exchange.facts
+    output = facts.output_most if facts.output_hint is None else facts.output_hint
+    tokens = facts.prompt_tokens + min(output, facts.output_most or output)
+    on_time_until = exchange.arrived_at + exchange.route.target_s - FIRST_EVENT_ALLOWANCE_S
+    return Waiter(
+        request=exchange.request,
+        tokens=min(tokens, traits.kv_capacity or tokens),
+        arrived_at=exchange.arrived_at,
+        on_time_until=on_time_until,
+        leaves_at=min(exchange.arrived_at + LATEST_PLACE_S, exchange.expires_at),
+    )
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -30,19 +30,19 @@
 from chivehold.http_server import ServerLimits, serve_http
 from chivehold.logs import log_event
 from chivehold.metrics import EntryMetrics
-from chivehold.platform.claims import ClaimBook
-from chivehold.platform.client import HttpObjectStore
-from chivehold.platform.declaration_sync import DeclarationSync
-from chivehold.platform.leases import (
+from chivehold.rpc.bridge import serve_rpc
+from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
+from chivehold.settings import EntrySettings
+from chivehold.store.claims import ClaimBook
+from chivehold.store.client import HttpObjectStore
+from chivehold.store.declaration_sync import DeclarationSync
+from chivehold.store.leases import (
     CONTROL_LEASES,
     CONTROL_POLL_S,
     POLL_S,
     WATCH_LEASES,
     LeaseKeeper,
 )
-from chivehold.rpc.bridge import serve_rpc
-from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
-from chivehold.settings import EntrySettings
 
 INCARNATION_BYTES = 6
 OPERATOR_DRAIN_S = 1.0
--- a/src/chivehold/entry/declaration_peers.py
+++ b/src/chivehold/entry/declaration_peers.py
@@ -9,10 +9,10 @@
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
-from chivehold.platform.declaration_sync import PeerChanges
 from chivehold.rpc import chivehold_pb2 as pb
 from chivehold.rpc.bridge import RpcFailed
 from chivehold.rpc.convert_declarations import held_from_proto, held_to_proto
+from chivehold.store.declaration_sync import PeerChanges
 
 _log = logging.getLogger(__name__)
 
--- a/src/chivehold/entry/operators.py
+++ b/src/chivehold/entry/operators.py
@@ -14,11 +14,11 @@
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.heartbeats import Heartbeats
 from chivehold.entry.sidecar_calls import SidecarCalls
-from chivehold.platform.declaration_apply import ApplyRequest, Change, ChangeKind
-from chivehold.platform.declaration_sync import DeclarationSync
 from chivehold.rpc import chivehold_pb2 as pb
 from chivehold.rpc.bridge import RpcFailed, RpcRefused
 from chivehold.rpc.convert_declarations import declaration_from_proto, held_to_proto
+from chivehold.store.declaration_apply import ApplyRequest, Change, ChangeKind
+from chivehold.store.declaration_sync import DeclarationSync
 
 MAX_WATCHERS = 4
 MAX_OPERATION_ID_LENGTH = 128
--- a/src/chivehold/entry/vm_list.py
+++ b/src/chivehold/entry/vm_list.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from chivehold.core.identity import UpstreamName
-from chivehold.platform.client import HttpObjectStore
+from chivehold.store.client import HttpObjectStore
 
 POLL_S = 10.0
 
--- a/src/chivehold/fakes/object_store.py
+++ b/src/chivehold/fakes/object_store.py
@@ -9,7 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from chivehold.platform.api import (
+from chivehold.store.api import (
     MAX_VALUE_BYTES,
     MAX_WATCH_WAIT_S,
     OPERATIONS_KEPT,
@@ -22,7 +22,7 @@
     Unsure,
     WriteError,
 )
-from chivehold.platform.client import VmList
+from chivehold.store.client import VmList
 
 ANSWER_LOST = "answer lost"
 RATE_LIMITED = "rate limited"
--- a/src/chivehold/fakes/platform.py
+++ b/src/chivehold/fakes/platform.py
@@ -22,9 +22,9 @@
     serve_http,
     start_response,
 )
-from chivehold.platform.api import MAX_VALUE_BYTES, Conflict, NotFound, Unavailable, Unsure
-from chivehold.platform.client import VmList
-from chivehold.platform.object_json import (
+from chivehold.store.api import MAX_VALUE_BYTES, Conflict, NotFound, Unavailable, Unsure
+from chivehold.store.client import VmList
+from chivehold.store.object_json import (
     CONFLICT_STATUS,
     NOT_FOUND_STATUS,
     OUTAGE_STATUS,
--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -1,6 +1,7 @@
 """HTTP calls to peers, with errors that tell whether the peer can have read the request."""
 
-from collections.abc import AsyncIterator, Iterable, Mapping
+import socket
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
@@ -11,6 +12,12 @@
 
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
+UNACKNOWLEDGED_MS = 3_000
+"""A connection whose peer acknowledges nothing for this long is broken."""
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
 
 
 class ClientLimits(NamedTuple):
@@ -57,6 +64,16 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+class RawAnswer(NamedTuple):
+    """A peer's answer as it arrives, its body as the bytes received."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    """Names in lower case."""
+    parts: AsyncIterator[bytes]
+    """Raises ``LinkBroken`` when the answer breaks off."""
+
+
 class HttpStream:
     """A peer's answer as it arrives; iterate it for the whole lines of each part received.
 
@@ -119,6 +136,7 @@
     def __init__(self, limits: ClientLimits = DEFAULT_CLIENT_LIMITS) -> None:
         self._limits = limits
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._single_use: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def call(
         self,
@@ -193,7 +211,7 @@
         request = _request(peer, method, path, body, headers)
         request.extensions["timeout"] = self._timeouts(read_timeout_s)
         try:
-            response = await self._pool(peer).handle_async_request(request)
+            response = await self._pool(peer, self._pools).handle_async_request(request)
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise NothingSent(step, peer, _detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
@@ -203,20 +221,84 @@
         finally:
             await response.aclose()
 
+    @asynccontextmanager
+    async def relay(
+        self,
+        peer: str,
+        method: str,
+        target: bytes,
+        *,
+        step: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes = b"",
+        new_connection: bool = False,
+    ) -> AsyncIterator[RawAnswer]:
+        """Send a request with the given headers and give its answer while it arrives.
+
+        The call has no time limit of its own; leaving the context before the answer's end closes
+        the connection.
+
+        Args:
+            peer: ``host:port``.
+            method: HTTP method.
+            target: Path with its query.
+            step: What this call is for; errors carry it.
+            headers: All request headers but the body's length.
+            body: The request's body.
+            new_connection: Use a connection that has carried nothing before, so that the peer
+                cannot have closed it meanwhile and no bytes of another answer lie on it.
+
+        Raises:
+            NothingSent: The peer has certainly read nothing.
+            LinkBroken: The peer may have read the request.
+        """
+        raw = list(headers)
+        if body or method in ("POST", "PUT", "PATCH"):
+            raw.append((b"content-length", str(len(body)).encode("ascii")))
+        request = httpcore.Request(
+            method, _url(peer, target), headers=raw, content=body, extensions={}
+        )
+        connect_s = self._limits.connect_timeout_s
+        request.extensions["timeout"] = {"connect": connect_s, "pool": connect_s}
+        pools = self._single_use if new_connection else self._pools
+        try:
+            response = await self._pool(peer, pools).handle_async_request(request)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+            raise NothingSent(step, peer, _detail(error)) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise LinkBroken(step, peer, _detail(error)) from error
+        try:
+            lowered = tuple((key.lower(), value) for key, value in response.headers)
+            yield RawAnswer(response.status, lowered, _raw_parts(response, step, peer))
+        finally:
+            await response.aclose()
+
+    def forget(self, peer: str) -> None:
+        """Drop the idle connections to a peer that is gone."""
+        for pools in (self._pools, self._single_use):
+            pool = pools.get(peer)
+            if pool is not None and not pool.connections:
+                del pools[peer]
+
     async def aclose(self) -> None:
         """Close all connections."""
-        pools, self._pools = self._pools, {}
-        for pool in pools.values():
+        pools = [*self._pools.values(), *self._single_use.values()]
+        self._pools, self._single_use = {}, {}
+        for pool in pools:
             await pool.aclose()
 
-    def _pool(self, peer: str) -> httpcore.AsyncConnectionPool:
-        if peer not in self._pools:
-            self._pools[peer] = httpcore.AsyncConnectionPool(
+    def _pool(
+        self, peer: str, pools: dict[str, httpcore.AsyncConnectionPool]
+    ) -> httpcore.AsyncConnectionPool:
+        if peer not in pools:
+            idle = 0 if pools is self._single_use else self._limits.max_idle_connections
+            pools[peer] = httpcore.AsyncConnectionPool(
                 max_connections=self._limits.max_connections,
-                max_keepalive_connections=self._limits.max_idle_connections,
+                max_keepalive_connections=idle,
                 keepalive_expiry=self._limits.keep_alive_s,
+                socket_options=_SOCKET_OPTIONS,
             )
-        return self._pools[peer]
+        return pools[peer]
 
     def _timeouts(self, read_timeout_s: float) -> Mapping[str, float]:
         connect_s = self._limits.connect_timeout_s
@@ -231,20 +313,29 @@
 def _request(
     peer: str, method: str, path: str, body: bytes, headers: Iterable[tuple[str, str]]
 ) -> httpcore.Request:
-    host, _, port = peer.rpartition(":")
     raw = [(b"host", peer.encode("ascii"))]
     raw += [(key.encode("latin-1"), value.encode("latin-1")) for key, value in headers]
     if body or method in ("POST", "PUT", "PATCH"):
         raw.append((b"content-length", str(len(body)).encode("ascii")))
-    url = httpcore.URL(
-        scheme=b"http",
-        host=host.strip("[]").encode("ascii"),
-        port=int(port),
-        target=path.encode("ascii"),
-    )
+    url = _url(peer, path.encode("ascii"))
     return httpcore.Request(method, url, headers=raw, content=body, extensions={})
 
 
+def _url(peer: str, target: bytes) -> httpcore.URL:
+    host, _, port = peer.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http", host=host.strip("[]").encode("ascii"), port=int(port), target=target
+    )
+
+
+async def _raw_parts(response: httpcore.Response, step: str, peer: str) -> AsyncIterator[bytes]:
+    try:
+        async for part in response.aiter_stream():
+            yield part
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+        raise LinkBroken(step, peer, _detail(error)) from error
+
+
 def _text_headers(response: httpcore.Response) -> tuple[tuple[str, str], ...]:
     return tuple(
         (key.decode("latin-1").lower(), value.decode("latin-1")) for key, value in response.headers
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -44,6 +44,8 @@
     send_stall_s: float = 10.0
     """A connection whose peer acknowledges nothing for this long is dropped."""
     backlog: int = 1_024
+    date_header: bool = True
+    """Off where answers are passed on as their upstream gave them."""
 
 
 DEFAULT_SERVER_LIMITS = ServerLimits()
@@ -118,6 +120,7 @@
     config.graceful_timeout = limits.drain_timeout_s
     config.h11_max_incomplete_size = limits.max_header_bytes
     config.include_server_header = False
+    config.include_date_header = limits.date_header
     config.keep_alive_timeout = limits.keep_alive_s
     config.send_stall_s = limits.send_stall_s
     trigger = trio.sleep_forever if shutdown is None else shutdown.wait
--- a/src/chivehold/logs.py
+++ b/src/chivehold/logs.py
@@ -1,11 +1,13 @@
 """Logs by the standard library's ``logging``: one line an event, as key=value pairs or as JSON."""
 
 import logging
+import os
 import sys
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
 from enum import StrEnum
-from typing import TextIO
+from typing import NamedTuple, TextIO
 
 import msgspec
 
@@ -48,6 +50,104 @@
     logger.propagate = False
 
 
+class VolumeLimit(logging.Filter):
+    """Lets through a bounded number of lines a second and counts the rest.
+
+    Args:
+        lines_per_s: Lines let through in the long run; as many more in a burst.
+        clock: Returns monotonic seconds.
+    """
+
+    def __init__(self, lines_per_s: float, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self._lines_per_s = lines_per_s
+        self._clock = clock
+        self._allowed = lines_per_s
+        self._refilled_at = clock()
+        self.dropped = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether a line may be written."""
+        now = self._clock()
+        gained = (now - self._refilled_at) * self._lines_per_s
+        self._allowed = min(self._lines_per_s, self._allowed + gained)
+        self._refilled_at = now
+        if self._allowed < 1:
+            self.dropped += 1
+            return False
+        self._allowed -= 1
+        return True
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a file descriptor and drops what its reader is too slow for.
+
+    Args:
+        fd: The descriptor; it is made non-blocking.
+    """
+
+    def __init__(self, fd: int) -> None:
+        super().__init__()
+        os.set_blocking(fd, False)
+        self._fd = fd
+        self._rest = b""
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or count it as dropped."""
+        line = self.format(record).encode() + b"\n"
+        if self._rest and not self._write_rest():
+            self.dropped += 1
+            return
+        self._rest = line
+        self._write_rest()
+
+    def _write_rest(self) -> bool:
+        """Write what is left of the last line; a line is never cut in the middle for good."""
+        try:
+            written = os.write(self._fd, self._rest)
+        except OSError:
+            # The reader is slow or gone; logging must neither wait nor fail for that.
+            return False
+        self._rest = self._rest[written:]
+        return not self._rest
+
+
+class LogCounts(NamedTuple):
+    """Where lines were left out."""
+
+    limit: VolumeLimit
+    handler: NonBlockingHandler
+
+    @property
+    def dropped(self) -> int:
+        """Lines left out since the start."""
+        return self.limit.dropped + self.handler.dropped
+
+
+def set_up_bounded_logging(
+    log_format: LogFormat, level: LogLevel, node: str, lines_per_s: float, fd: int = 1
+) -> LogCounts:
+    """Send this package's log events to standard output, never waiting for its reader.
+
+    Args:
+        log_format: The form of the lines.
+        level: The least severe events to log.
+        node: The name of this process, repeated on every line.
+        lines_per_s: Bound of the volume in the long run.
+        fd: Where to write.
+    """
+    handler = NonBlockingHandler(fd)
+    handler.setFormatter(_FORMATTERS[log_format](node))
+    limit = VolumeLimit(lines_per_s)
+    handler.addFilter(limit)
+    logger = logging.getLogger(ROOT_LOGGER)
+    logger.handlers = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
+    return LogCounts(limit, handler)
+
+
 def log_event(
     logger: logging.Logger,
     level: int,
--- a/src/chivehold/platform/__init__.py
+++ b/src/chivehold/platform/__init__.py
@@ -1,1 +1,29 @@
-"""The client of the platform's object API."""
+"""The users' platform: its names, formats and calls, translated at this boundary and nowhere else.
+
+Nothing in this package decides. Field names of the wire appear here alone; each is decoded once
+into the product's own types.
+"""
+
+from chivehold.direct.app import PlatformBinding
+from chivehold.http_client import HttpClient
+from chivehold.platform.configuration import CONFIGURATION_KIND, decode_configuration
+from chivehold.platform.dialect import PlatformDialect
+from chivehold.platform.engine_entries import UPSTREAM_KIND, decode_upstream
+from chivehold.platform.store import PlatformStore
+from chivehold.store.leases import LEASE_KIND
+
+__all__ = ["BINDING", "PlatformDialect", "PlatformStore", "decode_configuration", "decode_upstream"]
+
+
+def _open_store(address: str, client: HttpClient) -> PlatformStore:
+    return PlatformStore(address, client, own_kinds=frozenset((LEASE_KIND,)))
+
+
+BINDING = PlatformBinding(
+    dialect=PlatformDialect(),
+    open_store=_open_store,
+    configuration_kind=CONFIGURATION_KIND,
+    decode_configuration=decode_configuration,
+    upstream_kind=UPSTREAM_KIND,
+    decode_upstream=decode_upstream,
+)
--- /dev/null
+++ b/src/chivehold/platform/configuration.py
@@ -0,0 +1,139 @@
+"""The operator's configuration, decoded into routes."""
+
+from collections.abc import Iterator
+from typing import NotRequired, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from chivehold.core.direct.routes import (
+    CallKind,
+    EngineTraits,
+    Route,
+    RouteTable,
+    ServiceTraits,
+    Split,
+)
+
+CONFIGURATION_KIND = "config"
+DEFAULT_BODY_BYTES = 4 << 20
+DEFAULT_TIMEOUT_MS = 30_000.0
+
+_KINDS = {
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.NON_IDEMPOTENT,
+    "stream": CallKind.STREAM,
+}
+
+
+class _SplitJson(TypedDict):
+    service: str
+    weight: float
+
+
+class _RouteJson(TypedDict):
+    name: str
+    host: str
+    pathPrefix: str
+    kind: str
+    service: NotRequired[str | None]
+    trafficSplit: NotRequired[list[_SplitJson] | None]
+    timeoutMs: NotRequired[float | None]
+    targetLatencyMs: NotRequired[float | None]
+    priority: NotRequired[int | None]
+    maxAttempts: NotRequired[int | None]
+    sessionAffinity: NotRequired[bool | None]
+    """Set on routes whose requests carry a prompt."""
+    resumable: NotRequired[bool | None]
+    gapAimMs: NotRequired[float | None]
+    """Longest pause between events of a stream that is on time."""
+
+
+class _EngineJson(TypedDict):
+    kvCapacity: NotRequired[int | None]
+    stride: NotRequired[int | None]
+    """Tokens in one event."""
+    holdMs: NotRequired[float | None]
+    handleTtlS: NotRequired[float | None]
+    reconfigS: NotRequired[float | None]
+
+
+class _ServiceJson(TypedDict):
+    name: str
+    healthPath: NotRequired[str | None]
+    maxConnections: NotRequired[int | None]
+    engine: NotRequired[_EngineJson | None]
+
+
+class _LimitsJson(TypedDict):
+    maxBodyBytes: NotRequired[int | None]
+
+
+class _ConfigurationJson(TypedDict):
+    version: int
+    routes: list[_RouteJson]
+    services: list[_ServiceJson]
+    limits: NotRequired[_LimitsJson | None]
+
+
+def decode_configuration(name: str, spec: bytes) -> Result[RouteTable, str]:
+    """Decode the operator's configuration, or tell why it cannot be read."""
+    try:
+        found = msgspec.json.decode(spec, type=_ConfigurationJson)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(str(error))
+    services = {service["name"]: _service(service) for service in found["services"]}
+    routes = tuple(_routes(found["routes"]))
+    limits = found.get("limits") or {}
+    most = limits.get("maxBodyBytes") or DEFAULT_BODY_BYTES
+    return Success(RouteTable(found["version"], routes, services, most))
+
+
+def _routes(found: list[_RouteJson]) -> Iterator[Route]:
+    for route in found:
+        splits = tuple(_splits(route))
+        if not splits:
+            continue
+        timeout_s = (route.get("timeoutMs") or DEFAULT_TIMEOUT_MS) / 1_000
+        yield Route(
+            name=route["name"],
+            host=route["host"],
+            path_prefix=route["pathPrefix"],
+            # A kind that is not known here must not be repeated.
+            kind=_KINDS.get(route["kind"], CallKind.NON_IDEMPOTENT),
+            splits=splits,
+            timeout_s=timeout_s,
+            target_s=(route.get("targetLatencyMs") or timeout_s * 1_000) / 1_000,
+            priority=route.get("priority") or 0,
+            upstreams_most=route.get("maxAttempts") or 1,
+            resumable=bool(route.get("resumable")),
+            pause_target_s=(route.get("gapAimMs") or 0.0) / 1_000,
+            prefills=bool(route.get("sessionAffinity")),
+        )
+
+
+def _splits(route: _RouteJson) -> Iterator[Split]:
+    for split in route.get("trafficSplit") or ():
+        yield Split(split["service"], split["weight"])
+    if not route.get("trafficSplit") and (service := route.get("service")):
+        yield Split(service, 1.0)
+
+
+def _service(service: _ServiceJson) -> ServiceTraits:
+    engine = service.get("engine")
+    return ServiceTraits(
+        name=service["name"],
+        connections_most=service.get("maxConnections") or 0,
+        health_path=service.get("healthPath") or "/health",
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(engine: _EngineJson) -> EngineTraits:
+    return EngineTraits(
+        kv_capacity=engine.get("kvCapacity") or 0,
+        tokens_per_event=engine.get("stride") or 1,
+        hold_most_s=(engine.get("holdMs") or 0.0) / 1_000,
+        handle_ttl_s=engine.get("handleTtlS") or 0.0,
+        stage_change_s=engine.get("reconfigS") or 0.0,
+    )
--- /dev/null
+++ b/src/chivehold/platform/dialect.py
@@ -0,0 +1,198 @@
+"""Headers and engine calls as the platform's callers and upstreams write them."""
+
+from collections.abc import Iterator, Mapping
+
+import msgspec
+
+from chivehold.core.direct.messages import (
+    AnswerFacts,
+    EngineCall,
+    Forwarding,
+    RawHeaders,
+    RequestFacts,
+    StageOrder,
+    UpstreamEntry,
+)
+
+REQUEST_ID = b"x-chivehold-request-id"
+DEADLINE_MS = b"x-chivehold-deadline-ms"
+TOKEN_COUNT = b"x-chivehold-token-count"
+"""Prompt tokens and the most output tokens, with a comma."""
+LENGTH_HINT = b"x-chivehold-length-hint"
+EXPECTED_UPSTREAM = b"x-chivehold-expect-instance"
+STAGE = b"x-chivehold-stage"
+KV_SOURCE = b"x-chivehold-kv-from"
+HOLD = b"x-chivehold-hold"
+LAST_EVENT_ID = b"last-event-id"
+SIGNATURE = b"x-chivehold-server-stamp"
+NOT_RUN = b"x-chivehold-not-run"
+CONTENT_ENCODING = b"content-encoding"
+OWN_PREFIX = b"x-chivehold-"
+MISDIRECTED_STATUS = 421
+NOT_RUN_STATUSES = frozenset((400, 421, 429, 503))
+
+SET_BY_SYSTEM = frozenset(
+    (
+        EXPECTED_UPSTREAM,
+        STAGE,
+        KV_SOURCE,
+        HOLD,
+        DEADLINE_MS,
+        b"x-chivehold-kv-backup",
+        b"x-chivehold-pin-ms",
+        b"x-chivehold-request-urgency",
+        b"x-chivehold-expect-version",
+        b"kv-fetch",
+        b"x-chivehold-kv-fetch",
+    )
+)
+"""Request headers that only the system may set; a caller's are dropped."""
+ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+"""Headers that concern one connection; the body's length is written anew for each."""
+_PLAIN_HEADERS = frozenset((b"host", b"content-type", CONTENT_ENCODING, LAST_EVENT_ID))
+
+
+class PlatformDialect:
+    """Reads and writes the platform's headers and engine calls; implements ``Dialect``."""
+
+    def read_request(self, headers: RawHeaders) -> RequestFacts:
+        """Read a caller's headers; what cannot be read counts as absent."""
+        found = dict(reversed(headers))
+        deadline_ms = _number(found.get(DEADLINE_MS))
+        counts = [_number(part) for part in found.get(TOKEN_COUNT, b"").split(b",")]
+        hint = _number(found.get(LENGTH_HINT))
+        last_event = found.get(LAST_EVENT_ID)
+        return RequestFacts(
+            request=found.get(REQUEST_ID, b"").decode("latin-1"),
+            deadline_s=None if deadline_ms is None else deadline_ms / 1_000,
+            prompt_tokens=int(counts[0] or 0),
+            output_most=int(counts[1] or 0) if len(counts) > 1 else 0,
+            output_hint=None if hint is None else int(hint),
+            last_event=None if last_event is None else last_event.decode("latin-1"),
+        )
+
+    def forwarded_headers(
+        self, headers: RawHeaders, upstream: UpstreamEntry, forwarding: Forwarding
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers to send to an upstream, without the body's length."""
+        return [*_passed_on(headers, forwarding), *_added(upstream, forwarding)]
+
+    def read_answer(self, status: int, headers: RawHeaders) -> AnswerFacts:
+        """Read an upstream's headers."""
+        found = dict(headers)
+        request = found.get(REQUEST_ID)
+        return AnswerFacts(
+            request=None if request is None else request.decode("latin-1"),
+            signed=SIGNATURE in found,
+            not_run=(NOT_RUN in found and status in NOT_RUN_STATUSES)
+            or status == MISDIRECTED_STATUS,
+            misdirected=status == MISDIRECTED_STATUS,
+            encoded=found.get(CONTENT_ENCODING, b"identity") != b"identity",
+        )
+
+    def returned_headers(self, headers: RawHeaders) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer that go to the caller, without the body's length."""
+        dropped = ONE_CONNECTION | _named_by_connection(headers)
+        return [(name, value) for name, value in headers if name not in dropped]
+
+    def hold_call(self, tokens: int, ttl_s: float) -> EngineCall:
+        """Return the call that reserves a slot and memory for some tokens."""
+        body = msgspec.json.encode({"tokens": tokens, "ttlMs": int(ttl_s * 1_000)})
+        return EngineCall("POST", "/v1/hold-take", body)
+
+    def read_hold(self, body: bytes) -> str | None:
+        """Return the reservation's name, or ``None`` where the body cannot be read."""
+        return _text_field(body, "hold")
+
+    def drop_hold_call(self, hold: str) -> EngineCall:
+        """Return the call that gives a reservation back."""
+        return EngineCall("DELETE", f"/v1/hold-drop/{hold}")
+
+    def read_handle(self, body: bytes) -> str | None:
+        """Return the handle of a prefilled KV cache, or ``None``."""
+        return _text_field(body, "kvRef")
+
+    def drop_handle_call(self, handle: str) -> EngineCall:
+        """Return the call that frees a prefilled KV cache."""
+        return EngineCall("DELETE", f"/v1/kv-handle/{handle}")
+
+    def stage_order_call(self, order: StageOrder) -> EngineCall:
+        """Return the call that changes an engine's stage."""
+        body: dict[str, object] = {
+            "opType": "stage",
+            "stage": str(order.stage),
+            "holder": order.holder,
+            "fenceToken": order.fencing_number,
+        }
+        if order.orders_accepted is not None:
+            body["expect"] = order.orders_accepted
+        return EngineCall("POST", "/v1/order", msgspec.json.encode(body))
+
+
+def _passed_on(headers: RawHeaders, forwarding: Forwarding) -> Iterator[tuple[bytes, bytes]]:
+    dropped = ONE_CONNECTION | SET_BY_SYSTEM | _named_by_connection(headers)
+    if forwarding.last_event is not None:
+        dropped |= {LAST_EVENT_ID}
+    return ((name, value) for name, value in headers if name not in dropped)
+
+
+def _added(upstream: UpstreamEntry, forwarding: Forwarding) -> Iterator[tuple[bytes, bytes]]:
+    yield DEADLINE_MS, str(max(1, int(forwarding.deadline_s * 1_000))).encode()
+    yield EXPECTED_UPSTREAM, upstream.name.encode()
+    if forwarding.prefill_only:
+        yield STAGE, b"prefill"
+    if forwarding.kv_source is not None:
+        yield KV_SOURCE, f"{forwarding.kv_source.address}/{forwarding.kv_source.handle}".encode()
+    if forwarding.hold is not None:
+        yield HOLD, forwarding.hold.encode()
+    if forwarding.last_event is not None:
+        yield LAST_EVENT_ID, forwarding.last_event.encode()
+
+
+def _named_by_connection(headers: RawHeaders) -> frozenset[bytes]:
+    """Return the headers that a ``Connection`` header names as its own.
+
+    Those that identify a request or describe its body belong to the request, whatever it says.
+    """
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for part in value.split(b",")
+    }
+    return frozenset(
+        name for name in named if not name.startswith(OWN_PREFIX) and name not in _PLAIN_HEADERS
+    )
+
+
+def _number(text: bytes | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e12 else None
+
+
+def _text_field(body: bytes, field: str) -> str | None:
+    try:
+        found: Mapping[str, object] = msgspec.json.decode(body, type=dict[str, object])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    value = found.get(field)
+    return str(value) if isinstance(value, str | int) else None
--- /dev/null
+++ b/src/chivehold/platform/store.py
@@ -0,0 +1,256 @@
+"""The platform's metadata store as an ``ObjectStore``."""
+
+from collections.abc import Sequence
+from typing import Any, NotRequired, TypedDict
+from urllib.parse import quote, urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from chivehold.http_client import HttpAnswer, HttpClient, LinkBroken, NothingSent
+from chivehold.store.api import (
+    Conflict,
+    HistoryGone,
+    NotFound,
+    ReadError,
+    Snapshot,
+    Stored,
+    Unavailable,
+    Unsure,
+    WriteError,
+)
+
+CALL_TIMEOUT_S = 1.0
+WATCH_MARGIN_S = 0.6
+"""How long after its waiting time a watch that stays silent counts as dead."""
+PAGES_MOST = 1_000
+OK_STATUSES = (200, 201)
+NOT_FOUND_STATUS = 404
+CONFLICT_STATUS = 409
+HISTORY_GONE_STATUS = 410
+# Below 500 the store has refused the call; 503 says so as well. Other errors prove nothing.
+_REFUSED_STATUSES = (*range(400, 500), 503)
+
+
+class _MetadataJson(TypedDict):
+    name: str
+    revision: NotRequired[int]
+    createRevision: NotRequired[int]
+
+
+class _ObjectJson(TypedDict):
+    metadata: _MetadataJson
+    spec: NotRequired[msgspec.Raw]
+
+
+class _PageJson(TypedDict):
+    items: list[_ObjectJson]
+    hasMore: NotRequired[bool]
+    currentRev: int
+
+
+class _EventJson(TypedDict):
+    object: _ObjectJson
+    tombstone: NotRequired[bool]
+
+
+class _EventsJson(TypedDict):
+    events: list[_EventJson]
+    currentRev: int
+
+
+class _OwnSpec(TypedDict):
+    """The spec of objects that this product writes."""
+
+    value: str
+    operation: str
+
+
+class PlatformStore:
+    """The store behind one address; implements ``ObjectStore``.
+
+    Args:
+        address: ``host:port``.
+        client: Makes the calls.
+        own_kinds: Kinds whose objects this product writes. Their spec carries the id of the last
+            write beside the value; of all other kinds the spec is the value.
+    """
+
+    def __init__(self, address: str, client: HttpClient, own_kinds: frozenset[str]) -> None:
+        self._address = address
+        self._client = client
+        self._own_kinds = own_kinds
+
+    @property
+    def address(self) -> str:
+        """The store's ``host:port``."""
+        return self._address
+
+    async def get(self, kind: str, name: str) -> Result[Stored, ReadError]:
+        """Read one object."""
+        step = f"get {kind}/{name}"
+        answer = await self._read(step, _path(kind, name), CALL_TIMEOUT_S)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        if answer.status == NOT_FOUND_STATUS:
+            return Failure(NotFound(step, self._address))
+        if answer.status not in OK_STATUSES:
+            return Failure(self._unavailable(step, answer))
+        try:
+            return Success(self._stored(kind, msgspec.json.decode(answer.body, type=_ObjectJson)))
+        except msgspec.DecodeError as error:
+            return Failure(Unavailable(step, self._address, str(error)))
+
+    async def list(self, kind: str) -> Result[Snapshot, Unavailable]:
+        """Read all objects of a kind, page by page.
+
+        The revision is that of the first page, so that a watch from there misses nothing that
+        changed while later pages were read.
+        """
+        objects: list[Stored] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(PAGES_MOST):
+            page = await self._page(kind, after)
+            if isinstance(page, Unavailable):
+                return Failure(page)
+            revision = page["currentRev"] if revision is None else revision
+            objects += [self._stored(kind, item) for item in page["items"]]
+            if not page.get("hasMore") or not page["items"]:
+                break
+            after = page["items"][-1]["metadata"]["name"]
+        return Success(Snapshot(revision or 0, tuple(objects)))
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Write an object whose version is the expected one; 0 creates it."""
+        spec = _OwnSpec(value=value.decode(), operation=operation_id)
+        metadata: dict[str, Any] = {"name": name}
+        if expected_version:
+            metadata["revision"] = expected_version
+        body = msgspec.json.encode({"metadata": metadata, "spec": spec})
+        if expected_version:
+            return await self._write("PUT", kind, name, _path(kind, name), body)
+        return await self._write("POST", kind, name, _path(kind), body)
+
+    async def delete(
+        self, kind: str, name: str, expected_version: int, operation_id: str
+    ) -> Result[Stored, WriteError]:
+        """Delete an object whose version is the expected one; the operation leaves no trace."""
+        path = f"{_path(kind, name)}?{urlencode({'revision': expected_version})}"
+        return await self._write("DELETE", kind, name, path, b"")
+
+    async def watch(
+        self, kinds: Sequence[str], after_revision: int, wait_s: float
+    ) -> Result[Snapshot, Unavailable | HistoryGone]:
+        """Wait for objects of one kind changed after a revision, deletions included."""
+        (kind,) = kinds
+        step = f"watch {kind}"
+        query = urlencode({"watch": after_revision, "waitMs": int(wait_s * 1_000)})
+        answer = await self._read(step, f"{_path(kind)}?{query}", wait_s + WATCH_MARGIN_S)
+        if isinstance(answer, Unavailable):
+            return Failure(answer)
+        if answer.status == HISTORY_GONE_STATUS:
+            return Failure(HistoryGone(step, self._address))
+        if answer.status not in OK_STATUSES:
+            return Failure(self._unavailable(step, answer))
+        try:
+            found = msgspec.json.decode(answer.body, type=_EventsJson)
+        except msgspec.DecodeError as error:
+            return Failure(Unavailable(step, self._address, str(error)))
+        changes = tuple(
+            self._stored(kind, event["object"])._replace(deleted=event.get("tombstone", False))
+            for event in found["events"]
+        )
+        return Success(Snapshot(found["currentRev"], changes))
+
+    async def _page(self, kind: str, after: str) -> _PageJson | Unavailable:
+        step = f"list {kind}"
+        query = f"?{urlencode({'after': after})}" if after else ""
+        answer = await self._read(step, f"{_path(kind)}{query}", CALL_TIMEOUT_S)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status not in OK_STATUSES:
+            return self._unavailable(step, answer)
+        try:
+            return msgspec.json.decode(answer.body, type=_PageJson)
+        except msgspec.DecodeError as error:
+            return Unavailable(step, self._address, str(error))
+
+    async def _read(self, step: str, path: str, timeout_s: float) -> HttpAnswer | Unavailable:
+        try:
+            return await self._client.call(
+                self._address, "GET", path, step=step, timeout_s=timeout_s
+            )
+        except (NothingSent, LinkBroken) as error:
+            return Unavailable(step, self._address, error.detail)
+
+    async def _write(
+        self, method: str, kind: str, name: str, path: str, body: bytes
+    ) -> Result[Stored, WriteError]:
+        step = f"{method.lower()} {kind}/{name}"
+        headers = [("content-type", "application/json")] if body else []
+        try:
+            answer = await self._client.call(
+                self._address,
+                method,
+                path,
+                step=step,
+                timeout_s=CALL_TIMEOUT_S,
+                body=body,
+                headers=headers,
+            )
+        except NothingSent as error:
+            return Failure(Unavailable(step, self._address, error.detail))
+        except LinkBroken as error:
+            return Failure(Unsure(step, self._address, error.detail))
+        return self._written(step, kind, answer)
+
+    def _written(self, step: str, kind: str, answer: HttpAnswer) -> Result[Stored, WriteError]:
+        if answer.status in (*OK_STATUSES, CONFLICT_STATUS):
+            try:
+                found = msgspec.json.decode(answer.body, type=_ObjectJson)
+                stored = self._stored(kind, found)
+            except msgspec.DecodeError as error:
+                return Failure(Unsure(step, self._address, str(error)))
+            if answer.status == CONFLICT_STATUS:
+                return Failure(Conflict(step, self._address, stored.version))
+            return Success(stored)
+        if answer.status == NOT_FOUND_STATUS:
+            return Failure(NotFound(step, self._address))
+        if answer.status in _REFUSED_STATUSES:
+            return Failure(self._unavailable(step, answer))
+        return Failure(Unsure(step, self._address, f"status {answer.status}"))
+
+    def _stored(self, kind: str, found: _ObjectJson) -> Stored:
+        metadata = found["metadata"]
+        spec = bytes(found.get("spec", msgspec.Raw(b"null")))
+        operations: tuple[str, ...] = ()
+        if kind in self._own_kinds:
+            spec, operations = _own_value(spec)
+        return Stored(
+            kind=kind,
+            name=metadata["name"],
+            uid=str(metadata.get("createRevision", 0)),
+            version=metadata.get("revision", 0),
+            value=spec,
+            operations=operations,
+        )
+
+    def _unavailable(self, step: str, answer: HttpAnswer) -> Unavailable:
+        return Unavailable(step, self._address, f"status {answer.status}")
+
+
+def _own_value(spec: bytes) -> tuple[bytes, tuple[str, ...]]:
+    """Return an own object's value and the id of its last write; nothing where it is not ours."""
+    try:
+        found = msgspec.json.decode(spec, type=_OwnSpec)
+    except msgspec.DecodeError:
+        return b"", ()
+    return found["value"].encode(), (found["operation"],)
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"/v1/objects/{quote(kind, safe='')}"
+    return f"{path}/{quote(name, safe='')}" if name else path
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -121,6 +121,39 @@
     policy: Policy = Policy()
 
 
+class DirectSettings(NamedTuple):
+    """Settings of one entry that reaches its upstreams without sidecars."""
+
+    name: str
+    zone: str
+    caller_address: str
+    """``host:port`` for callers' HTTP."""
+    ready_address: str
+    """``host:port`` that the load balancer asks whether this entry takes requests."""
+    operator_address: str
+    """``host:port`` for metrics and the state dump over HTTP."""
+    store_address: str
+    """``host:port`` of the platform's store."""
+    retry_share: float
+    """Calls beyond the first, as a share of a service's requests, over all entries together."""
+    retry_extra: float
+    """Further such calls within the window, over all entries together."""
+    retry_window_s: float
+    shutdown_s: float
+    """Time between SIGTERM and SIGKILL."""
+    entries_most: int = 8
+    """Entries that share ``retry_extra``."""
+    order_lease_s: float = 3.0
+    """Orders of two holders to one engine are at least this long apart."""
+    idle_timeout_s: float = 60.0
+    """An idle caller's connection is closed after this time."""
+    max_requests: int = 1024
+    """Requests in progress at once."""
+    log_lines_per_s: int = 400
+    log_format: LogFormat = LogFormat.JSON
+    log_level: LogLevel = LogLevel.INFO
+
+
 class PolicyTable(TypedDict, total=False):
     """The table ``[policy]`` of entries and sidecars; see ``core.policy.Policy``."""
 
@@ -216,6 +249,46 @@
     policy: PolicyTable
 
 
+class _DirectRequired(TypedDict):
+    name: _Name
+    zone: _Name
+    caller_address: _Address
+    ready_address: _Address
+    operator_address: _Address
+    store_address: _Address
+    retry_share: _Share
+    retry_extra: _Rate
+    retry_window_s: _Seconds
+    shutdown_s: _Seconds
+
+
+class DirectTable(_DirectRequired, total=False):
+    """The settings file of an entry without sidecars."""
+
+    entries_most: _Count
+    order_lease_s: _Seconds
+    idle_timeout_s: _Seconds
+    max_requests: _Count
+    log_lines_per_s: _Count
+    log_format: LogFormat
+    log_level: LogLevel
+
+
+def read_direct_settings(path: Path) -> DirectSettings:
+    """Read the settings of an entry without sidecars.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, defaults filled in.
+
+    Raises:
+        SettingsInvalid: The file cannot be read or is wrong; names every fault.
+    """
+    return DirectSettings(**_checked(path, DirectTable))
+
+
 def read_entry_settings(path: Path) -> EntrySettings:
     """Read an entry's settings.
 
--- /dev/null
+++ b/src/chivehold/store/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's object API."""
--- a/src/chivehold/platform/api.py
+++ b/src/chivehold/store/api.py
@@ -68,6 +68,14 @@
     detail: str
 
 
+class HistoryGone(NamedTuple):
+    """The store no longer knows what changed after the revision asked for: list anew."""
+
+    step: str
+    peer: str
+    detail: str = "history gone"
+
+
 ReadError = NotFound | Unavailable
 WriteError = NotFound | Conflict | Unavailable | Unsure
 
@@ -97,7 +105,7 @@
 
     async def watch(
         self, kinds: Sequence[str], after_revision: int, wait_s: float
-    ) -> Result[Snapshot, Unavailable]:
+    ) -> Result[Snapshot, Unavailable | HistoryGone]:
         """Wait for objects of these kinds changed after a revision, deletions included.
 
         Returns at once when there are any, and with none after ``wait_s``.
--- a/src/chivehold/platform/claims.py
+++ b/src/chivehold/store/claims.py
@@ -37,8 +37,8 @@
     UpstreamName,
 )
 from chivehold.core.wire import RevokeResult
-from chivehold.platform.api import NotFound, ObjectStore, Stored, Unavailable, Unsure
-from chivehold.platform.backoff import waits
+from chivehold.store.api import NotFound, ObjectStore, Stored, Unavailable, Unsure
+from chivehold.store.backoff import waits
 
 CLAIM_KIND = "claims"
 RETENTION_S = 3600.0
--- a/src/chivehold/platform/client.py
+++ b/src/chivehold/store/client.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from chivehold.http_client import HttpAnswer, HttpClient, LinkBroken, NothingSent
-from chivehold.platform.api import (
+from chivehold.store.api import (
     Conflict,
     NotFound,
     ObjectStore,
@@ -22,8 +22,8 @@
     Unsure,
     WriteError,
 )
-from chivehold.platform.backoff import waits
-from chivehold.platform.object_json import (
+from chivehold.store.backoff import waits
+from chivehold.store.object_json import (
     CONFLICT_STATUS,
     NOT_FOUND_STATUS,
     ConflictJson,
--- a/src/chivehold/platform/declaration_apply.py
+++ b/src/chivehold/store/declaration_apply.py
@@ -11,8 +11,10 @@
 from chivehold.core.declarations import DeclarationReplica, DeclaredSpec
 from chivehold.core.identity import TargetName
 from chivehold.core.validation import Problem, validate
-from chivehold.platform.api import (
+from chivehold.rpc.convert_declarations import encode_declaration
+from chivehold.store.api import (
     Conflict,
+    HistoryGone,
     NotFound,
     ObjectStore,
     Snapshot,
@@ -21,9 +23,8 @@
     Unsure,
     WriteError,
 )
-from chivehold.platform.client import Write, settle
-from chivehold.platform.declaration_objects import DECLARATION_KIND, held_declarations
-from chivehold.rpc.convert_declarations import encode_declaration
+from chivehold.store.client import Write, settle
+from chivehold.store.declaration_objects import DECLARATION_KIND, held_declarations
 
 NOT_TRIED = "not tried, since the platform did not answer an earlier write of this request"
 
@@ -117,7 +118,7 @@
 
 async def _tombstones(
     store: ObjectStore, request: ApplyRequest, listed: Snapshot
-) -> Result[tuple[Stored, ...], Unavailable]:
+) -> Result[tuple[Stored, ...], Unavailable | HistoryGone]:
     """Read the deletions, by which a repeated request knows what others have deleted since."""
     present = {stored.name for stored in listed.objects}
     if present.issuperset(name for name, _ in _intents(request)):
--- a/src/chivehold/platform/declaration_objects.py
+++ b/src/chivehold/store/declaration_objects.py
@@ -7,8 +7,8 @@
 
 from chivehold.core.declarations import DeclarationReplica, HeldDeclaration
 from chivehold.core.identity import TargetName
-from chivehold.platform.api import Stored
 from chivehold.rpc.convert_declarations import decode_declaration
+from chivehold.store.api import Stored
 
 DECLARATION_KIND = "declaration"
 
--- a/src/chivehold/platform/declaration_sync.py
+++ b/src/chivehold/store/declaration_sync.py
@@ -14,10 +14,10 @@
 
 from chivehold.core.declarations import DeclarationReplica, HeldDeclaration
 from chivehold.core.declared import Declarations
-from chivehold.platform.api import ObjectStore, Snapshot
-from chivehold.platform.backoff import waits
-from chivehold.platform.declaration_apply import ApplyRequest, ApplyResult, apply
-from chivehold.platform.declaration_objects import DECLARATION_KIND, held_declarations
+from chivehold.store.api import ObjectStore, Snapshot
+from chivehold.store.backoff import waits
+from chivehold.store.declaration_apply import ApplyRequest, ApplyResult, apply
+from chivehold.store.declaration_objects import DECLARATION_KIND, held_declarations
 
 WATCH_WAIT_S = 1.5
 WATCH_PACE_S = 0.25
--- /dev/null
+++ b/src/chivehold/store/follower.py
@@ -0,0 +1,157 @@
+"""Follows the objects of one kind: lists them once, then watches, and lists anew when it must."""
+
+import logging
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Generic, TypeVar
+
+import trio
+from returns.result import Failure, Result
+
+from chivehold.core.direct.replica import Replica, Versioned
+from chivehold.logs import log_event
+from chivehold.store.api import HistoryGone, ObjectStore, Snapshot, Stored, Unavailable
+from chivehold.store.backoff import waits
+
+ValueT = TypeVar("ValueT")
+
+WATCH_WAIT_S = 2.0
+LONGEST_PAUSE_S = 0.5
+"""Between tries while the store does not answer; what is missed meanwhile is work misrouted."""
+EMPTY_WATCH_LEAST_S = 0.05
+"""A watch that returns nothing sooner than this is not repeated at once."""
+
+_log = logging.getLogger(__name__)
+
+
+class Follower(Generic[ValueT]):
+    """Keeps a replica of one kind up to date; ``run`` does the work.
+
+    Args:
+        store: The store.
+        kind: The kind to follow.
+        decode: Turns an object's name and value into a value, or tells why it cannot.
+        replica: Takes what is read.
+        publish: Called after each change of the replica.
+        rng: Draws the pauses between tries.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        decode: Callable[[str, bytes], Result[ValueT, str]],
+        replica: Replica[ValueT],
+        publish: Callable[[], None],
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._decode = decode
+        self._replica = replica
+        self._publish = publish
+        self._rng = rng
+        self._must_list = True
+        self._is_lost = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store's last answer was a failure."""
+        return self._is_lost
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire)
+            while True:
+                for pause_s in waits(self._rng, longest_s=LONGEST_PAUSE_S):
+                    if await self._step():
+                        break
+                    await trio.sleep(pause_s)
+
+    async def _step(self) -> bool:
+        """Make one call; tells whether the store answered."""
+        if self._must_list:
+            return await self._list()
+        return await self._watch()
+
+    async def _list(self) -> bool:
+        listed = await self._store.list(self._kind)
+        if isinstance(listed, Failure):
+            self._lose(listed.failure())
+            return False
+        snapshot = listed.unwrap()
+        self._regain(snapshot.revision)
+        objects = ((name, item) for name, item in self._decoded(snapshot) if item is not None)
+        self._replica.list_replaced(snapshot.revision, objects, trio.current_time())
+        self._must_list = False
+        self._publish()
+        return True
+
+    async def _watch(self) -> bool:
+        asked_at = trio.current_time()
+        found = await self._store.watch([self._kind], self._replica.revision, WATCH_WAIT_S)
+        if isinstance(found, Failure):
+            error = found.failure()
+            if isinstance(error, HistoryGone):
+                log_event(_log, logging.INFO, "store history gone", kind=self._kind)
+                self._must_list = True
+                return True
+            self._lose(error)
+            return False
+        snapshot = found.unwrap()
+        self._regain(snapshot.revision)
+        changes = list(self._decoded(snapshot))
+        self._replica.changed(snapshot.revision, changes, trio.current_time())
+        if changes:
+            self._publish()
+        elif trio.current_time() - asked_at < EMPTY_WATCH_LEAST_S:
+            await trio.sleep(EMPTY_WATCH_LEAST_S)
+        return True
+
+    def _decoded(self, snapshot: Snapshot) -> Iterator[tuple[str, Versioned[ValueT] | None]]:
+        for stored in snapshot.objects:
+            yield stored.name, None if stored.deleted else self._value(stored)
+
+    def _value(self, stored: Stored) -> Versioned[ValueT] | None:
+        decoded = self._decode(stored.name, stored.value)
+        if isinstance(decoded, Failure):
+            log_event(
+                _log,
+                logging.WARNING,
+                "object unreadable",
+                kind=self._kind,
+                name=stored.name,
+                revision=stored.version,
+                detail=decoded.failure(),
+            )
+            return None
+        return Versioned(stored.version, decoded.unwrap())
+
+    def _lose(self, error: Unavailable) -> None:
+        self._replica.lost_store()
+        if not self._is_lost:
+            self._is_lost = True
+            log_event(
+                _log,
+                logging.WARNING,
+                "store lost",
+                kind=self._kind,
+                step=error.step,
+                peer=error.peer,
+                detail=error.detail,
+                revision=self._replica.revision,
+            )
+
+    def _regain(self, revision: int) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            log_event(_log, logging.INFO, "store regained", kind=self._kind, revision=revision)
+
+    async def _expire(self) -> None:
+        while True:
+            due = self._replica.next_expiry()
+            await trio.sleep(0.1 if due is None else max(0.01, due - trio.current_time()))
+            if gone := self._replica.expire(trio.current_time()):
+                log_event(_log, logging.INFO, "objects lapsed", kind=self._kind, names=gone)
+                self._publish()
--- a/src/chivehold/platform/leases.py
+++ b/src/chivehold/store/leases.py
@@ -16,8 +16,8 @@
     encode_lease,
 )
 from chivehold.core.identity import EntryIncarnation
-from chivehold.platform.api import ObjectStore, Stored, Unavailable, WriteError
-from chivehold.platform.client import Write, settle
+from chivehold.store.api import ObjectStore, Stored, Unavailable, WriteError
+from chivehold.store.client import Write, settle
 
 LEASE_KIND = "lease"
 CONTROL_LEASES = ("control",)
--- a/src/chivehold/platform/object_json.py
+++ b/src/chivehold/store/object_json.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chivehold.platform.api import Snapshot, Stored
+from chivehold.store.api import Snapshot, Stored
 
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
--- a/tests/fakes/test_platform.py
+++ b/tests/fakes/test_platform.py
@@ -8,8 +8,8 @@
 import pytest
 
 from chivehold.http_client import HttpClient
-from chivehold.platform.api import Unavailable
-from chivehold.platform.client import HttpObjectStore, VmList
+from chivehold.store.api import Unavailable
+from chivehold.store.client import HttpObjectStore, VmList
 
 ENOUGH_S = 5.0
 
--- a/tests/proofs/without.py
+++ b/tests/proofs/without.py
@@ -14,8 +14,8 @@
 from chivehold.core.declarations import DeclarationReplica
 from chivehold.core.wire import KeyDecision, UpstreamState
 from chivehold.entry.app import Entry
-from chivehold.platform.declaration_sync import DeclarationSync
 from chivehold.sidecar.app import Sidecar
+from chivehold.store.declaration_sync import DeclarationSync
 
 SHORT_DRAIN_S = 3.0
 
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -83,6 +83,10 @@
     return len(got) == count
 
 
+CERTAIN_DEPARTURE = 100
+"""A caller that leaves once its decode was seen to run, whatever the clock does to the others."""
+
+
 class TestMemory:
     async def test_is_freed_when_the_caller_leaves(self) -> None:
         """A closed stream's place is free once its engine lets go of it, and not before."""
@@ -119,6 +123,8 @@
                 with trio.move_on_after(after_s), suppress(AssertionError, LinkBroken):
                     await one.tokens(number, "p", max_tokens=tokens)
 
+            async with decoding(one, CERTAIN_DEPARTURE):
+                pass
             async with trio.open_nursery() as nursery:
                 for number in range(40):
                     nursery.start_soon(leave_early, number, moments.uniform(0.0, 0.6))
--- a/tests/platform/test_claims.py
+++ b/tests/store/test_claims.py
@@ -10,7 +10,7 @@
 from chivehold.core.identity import AttemptId, KeyId, Outcome
 from chivehold.core.wire import RevokeResult
 from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
-from chivehold.platform.claims import RETENTION_S, ClaimBook
+from chivehold.store.claims import RETENTION_S, ClaimBook
 
 KEY = KeyId("kinisi", "loandesk", "chair 7")
 DEADLINE_S = 30.0
--- a/tests/platform/test_client.py
+++ b/tests/store/test_client.py
@@ -11,8 +11,8 @@
 from chivehold.fakes.platform import PlatformApp
 from chivehold.http_client import HttpClient
 from chivehold.http_server import serve_http
-from chivehold.platform.api import Conflict, NotFound, Unavailable, Unsure
-from chivehold.platform.client import HttpObjectStore, VmList, Write, settle
+from chivehold.store.api import Conflict, NotFound, Unavailable, Unsure
+from chivehold.store.client import HttpObjectStore, VmList, Write, settle
 
 ENOUGH_S = 5.0
 
--- a/tests/platform/test_declaration_apply.py
+++ b/tests/store/test_declaration_apply.py
@@ -7,7 +7,7 @@
 
 from chivehold.core.declarations import DeclarationReplica
 from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
-from chivehold.platform.declaration_apply import ApplyRequest, apply
+from chivehold.store.declaration_apply import ApplyRequest, apply
 from tests.core.declared_examples import deployment, service
 
 FORJA, LECTOR = service(), deployment()
--- a/tests/platform/test_declaration_sync.py
+++ b/tests/store/test_declaration_sync.py
@@ -7,10 +7,10 @@
 
 from chivehold.core.declarations import DeclarationReplica
 from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
-from chivehold.platform.declaration_apply import ACCEPTED, ApplyRequest
-from chivehold.platform.declaration_sync import DeclarationSync, PeerChanges
-from chivehold.platform.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from chivehold.rpc.convert_declarations import encode_declaration
+from chivehold.store.declaration_apply import ACCEPTED, ApplyRequest
+from chivehold.store.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.store.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from tests.core.declared_examples import service
 
 IN_FORCE_WITHIN_S = 3.0
--- a/tests/platform/test_leases.py
+++ b/tests/store/test_leases.py
@@ -7,7 +7,7 @@
 
 from chivehold.core.control_lease import PAUSE_MARGIN_S, SUCCESSOR_MARGIN_S, TERM_S
 from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
-from chivehold.platform.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
+from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
 
 SAMPLE_S = 0.05
 TAKE_OVER_MOST_S = TERM_S + SUCCESSOR_MARGIN_S + 3 * CONTROL_POLL_S
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,7 @@
 import trio
 from aioprometheus.collectors import Registry
 
+from chivehold.direct.metrics import DirectMetrics
 from chivehold.metrics import EntryMetrics
 from chivehold.sidecar.metrics import SidecarMetrics
 from examples.demo.children import Children
@@ -23,7 +24,11 @@
 ROOT = Path(__file__).parents[1]
 PAGES = (ROOT / "README.md", ROOT / "docs" / "operators.md")
 OPERATORS = PAGES[1].read_text()
+DIRECT_OPERATORS = (ROOT / "docs" / "OPERATIONS.md").read_text()
+DIRECT_SOURCES = ("direct/*.py", "store/follower.py")
 EVENT = re.compile(r'log_event\(\s*_log,\s*(?:logging\.\w+|level),\s*"([^"]+)"')
+REQUEST_EVENT = re.compile(r'exchange\.log\(\s*"([^"]+)"')
+CHANGE_EVENT = re.compile(r'\("(upstream [a-z]+)", change')
 SIDECAR_EVENT = re.compile(r'_event\(\s*logging\.\w+,\s*"([^"]+)"')
 
 
@@ -88,9 +93,26 @@
             for name in registry.collectors:
                 assert f"`{name.removeprefix('chivehold_sidecar_')}`" in OPERATORS, name
 
+    def test_every_metric_without_sidecars_is_explained(self) -> None:
+        """Each metric of an entry without sidecars stands in its page."""
+        registry = DirectMetrics()._registry
+        assert len(registry.collectors) >= 9
+        for name in registry.collectors:
+            assert f"`{name}`" in DIRECT_OPERATORS, name
+
+    def test_every_log_event_without_sidecars_is_explained(self) -> None:
+        """Each event that an entry without sidecars logs stands in its page."""
+        sources = [path.read_text() for path in _direct_sources()]
+        patterns = (EVENT, REQUEST_EVENT, CHANGE_EVENT)
+        events = {event for text in sources for one in patterns for event in one.findall(text)}
+        assert len(events) >= 25
+        for event in events:
+            assert f"`{event}`" in DIRECT_OPERATORS, event
+
     def test_every_log_event_is_explained(self) -> None:
         """Each event that is logged stands in the operators' page."""
-        sources = [path.read_text() for path in (ROOT / "src").rglob("*.py")]
+        others = set((ROOT / "src").rglob("*.py")) - set(_direct_sources())
+        sources = [path.read_text() for path in others]
         events = {event for text in sources for event in EVENT.findall(text)}
         events |= {event for text in sources for event in SIDECAR_EVENT.findall(text)}
         assert len(events) >= 12
@@ -105,6 +127,11 @@
                 assert (page.parent / link).exists(), (page.name, link)
 
 
+def _direct_sources() -> Iterator[Path]:
+    for pattern in DIRECT_SOURCES:
+        yield from (ROOT / "src" / "chivehold").glob(pattern)
+
+
 async def _starts_and_ends(command: list[str], directory: Path) -> None:
     process = await trio.lowlevel.open_process(
         command, cwd=directory, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
