--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -29,7 +29,6 @@
     slots: int
     draining: bool
     stage: Stage = Stage.NONE
-    orders_accepted: int | None = None
 
 
 class RequestFacts(NamedTuple):
@@ -94,10 +93,25 @@
     stage: Stage
     holder: str
     fencing_number: int
-    orders_accepted: int | None
+    orders_accepted: int
     """The engine refuses the order if it has accepted another number of orders by then."""
 
 
+class EngineReport(NamedTuple):
+    """What a model engine says of itself when asked."""
+
+    stage: Stage
+    busy: bool
+    """An order is being carried out."""
+    orders_accepted: int
+    """Since its start."""
+    running: int
+    waiting: int
+    tokens_used: int
+    """Memory that cannot yield."""
+    tokens_total: int
+
+
 class Dialect(Protocol):
     """How requests, answers and engine calls are written on the wire."""
 
@@ -139,6 +153,14 @@
         """Return the call that frees a prefilled KV cache."""
         ...
 
+    def report_call(self) -> EngineCall:
+        """Return the call that asks an engine for its state."""
+        ...
+
+    def read_report(self, body: bytes) -> EngineReport | None:
+        """Return the engine's state, or ``None`` where the body cannot be read."""
+        ...
+
     def stage_order_call(self, order: StageOrder) -> EngineCall:
         """Return the call that changes an engine's stage."""
         ...
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -17,21 +17,25 @@
 from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica
 from chivehold.core.direct.routes import EngineTraits, RouteIndex, RouteTable
 from chivehold.core.direct.shared_retries import SharedRetries
+from chivehold.core.identity import EntryIncarnation
 from chivehold.direct.caller_app import CallerApp
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.operator_app import OperatorApp, ReadyApp
 from chivehold.direct.plain_calls import PlainCalls
+from chivehold.direct.prefills import Prefills
 from chivehold.direct.reservations import EngineReservations
+from chivehold.direct.stage_duty import StageDuty, suspended_s
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.exceptions import SettingsInvalid
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import ServerLimits, serve_http
+from chivehold.http_server import App, ServerLimits, serve_http
 from chivehold.logs import LogCounts, log_event
 from chivehold.metrics import RenderedMetrics
 from chivehold.settings import DirectSettings, read_direct_settings
 from chivehold.store.api import ObjectStore
 from chivehold.store.follower import Follower
+from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
 
 CONNECT_TIMEOUT_S = 0.3
 STORE_CONNECT_TIMEOUT_S = 0.5
@@ -42,6 +46,7 @@
 SHUTDOWN_MARGIN_S = 0.8
 """What is left of the shutdown time when the last requests are cut off."""
 SETTINGS_POLL_S = 1.0
+INCARNATION_BYTES = 6
 
 _log = logging.getLogger(__name__)
 
@@ -58,6 +63,14 @@
     decode_upstream: Callable[[str, bytes], Result[UpstreamEntry, str]]
 
 
+class DirectAddresses(NamedTuple):
+    """Where an entry listens, each as ``host:port``."""
+
+    ready: str
+    operator: str
+    callers: str
+
+
 class DirectEntry:
     """The parts of one entry.
 
@@ -101,7 +114,14 @@
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(self._fleet, self._client, platform.dialect, self._retries, self._metrics),
-            StreamCalls(self._fleet, engines, self._places, self._retries, self._metrics),
+            StreamCalls(
+                self._fleet,
+                engines,
+                Prefills(self._fleet, engines, self._retries, self._metrics),
+                self._places,
+                self._retries,
+                self._metrics,
+            ),
             self._retries,
             self._metrics,
         )
@@ -125,10 +145,27 @@
             rng,
         )
 
-    async def run(self) -> None:
+        name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._control_lease = LeaseKeeper(
+            store, name, CONTROL_LEASES, CONTROL_POLL_S, rng, self._may_order, suspended_s
+        )
+        self._stages = StageDuty(
+            self._control_lease,
+            name,
+            self._fleet,
+            engines,
+            self._table,
+            lambda: self._settings.decode_per_prefill,
+            self._metrics,
+        )
+
+    async def run(
+        self, task_status: trio.TaskStatus[DirectAddresses] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serve until told to end, then drain."""
         self._nursery.start_soon(self._configuration.run)
         self._nursery.start_soon(self._membership.run)
+        self._nursery.start_soon(self._control)
         await self._nursery.start(self._await_signals)
         self._nursery.start_soon(self._follow_settings)
         settings = self._settings
@@ -141,17 +178,21 @@
             date_header=False,
         )
         side_limits = ServerLimits(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
-        operator = OperatorApp(self._unready, self._render, self._dump)
+        operator = OperatorApp(self._unready, self._render, self.dump)
         async with trio.open_nursery() as servers:
-            for app, address, bounds in (
-                (ReadyApp(self._unready), settings.ready_address, side_limits),
-                (operator, settings.operator_address, side_limits),
-                (self._callers, settings.caller_address, limits),
-            ):
-                await servers.start(
-                    partial(serve_http, app, address, limits=bounds, shutdown=shutdown)
-                )
+
+            async def listen(app: App, address: str, bounds: ServerLimits) -> str:
+                serve = partial(serve_http, app, address, limits=bounds, shutdown=shutdown)
+                bound: str = await servers.start(serve)
+                return bound
+
+            addresses = DirectAddresses(
+                await listen(ReadyApp(self._unready), settings.ready_address, side_limits),
+                await listen(operator, settings.operator_address, side_limits),
+                await listen(self._callers, settings.caller_address, limits),
+            )
             log_event(_log, logging.INFO, "entry started", **settings._asdict())
+            task_status.started(addresses)
             await self._drain_asked.wait()
             await self._drain()
             shutdown.set()
@@ -169,6 +210,17 @@
         self._callers.drain()
         await trio.sleep(ACCEPT_WHILE_DRAINING_S)
 
+    async def _control(self) -> None:
+        """Do the duties of the control lease until this entry drains, then give it back."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._control_lease.run)
+            nursery.start_soon(self._stages.run)
+            await self._drain_asked.wait()
+            nursery.cancel_scope.cancel()
+
+    def _may_order(self) -> bool:
+        return not self._drain_asked.is_set() and bool(self._callers.configuration)
+
     async def _await_signals(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -247,9 +299,13 @@
                     revision=self._upstreams.revision,
                 )
 
-    def _traits(self, service: str) -> EngineTraits | None:
+    def _table(self) -> RouteTable | None:
         routes = self._callers.routes
-        return routes.table.engine_traits(service) if routes else None
+        return routes.table if routes else None
+
+    def _traits(self, service: str) -> EngineTraits | None:
+        table = self._table()
+        return table.engine_traits(service) if table else None
 
     def _unready(self) -> str:
         if self._drain_asked.is_set():
@@ -267,7 +323,8 @@
             self._logs.dropped,
         )
 
-    def _dump(self) -> dict[str, Any]:
+    def dump(self) -> dict[str, Any]:
+        """Return the state as operators see it."""
         now = trio.current_time()
         return {
             "name": self._settings.name,
@@ -278,6 +335,10 @@
             "upstreams_age_s": self._upstreams.age_s(now),
             "upstreams": list(self._fleet.dump(now)),
             "in_progress": self._callers.in_progress,
+            "control_lease": {
+                "held": self._control_lease.is_held(),
+                "holders": self._control_lease.holders,
+            },
             "waiting_for_places": self._places.waiting(),
             "log_lines_dropped": self._logs.dropped,
         }
--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -11,6 +11,7 @@
 from chivehold.core.direct.messages import (
     Dialect,
     EngineCall,
+    EngineReport,
     Forwarding,
     KvSource,
     StageOrder,
@@ -80,6 +81,19 @@
         call = self._dialect.drop_handle_call(prefilled.source.handle)
         self._give_back(prefilled.upstream, call, "free KV cache")
 
+    async def report(self, upstream: UpstreamEntry) -> EngineReport:
+        """Ask an engine for its state.
+
+        Raises:
+            LinkError: It could not be asked, or its answer cannot be read.
+        """
+        step = "read engine's state"
+        answer = await self._call(upstream, self._dialect.report_call(), step, ORDER_TIMEOUT_S)
+        report = self._dialect.read_report(answer.body)
+        if answer.status != OK_STATUS or report is None:
+            raise LinkBroken(step, upstream.name, f"status {answer.status}")
+        return report
+
     async def order_stage(self, upstream: UpstreamEntry, order: StageOrder) -> int:
         """Order an engine to change its stage, and return the status that it answered.
 
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -25,6 +25,9 @@
             None,
             registry,
         )
+        self._orders = Counter(
+            "chivehold_orders_total", "Orders to engines, by service.", None, registry
+        )
         self._first = Histogram(
             "chivehold_answer_seconds",
             "Time from a request's arrival to its answer, for streams to the first event.",
@@ -59,6 +62,10 @@
             registry,
         )
 
+    def ordered(self, service: str, accepted: bool) -> None:
+        """Count an order to an engine."""
+        self._orders.inc({"service": service, "accepted": str(accepted).lower()})
+
     def ended(self, kind: str, outcome: str) -> None:
         """Count a request's end."""
         self._requests.inc({"kind": kind, "outcome": outcome})
--- /dev/null
+++ b/src/chivehold/direct/stage_duty.py
@@ -0,0 +1,180 @@
+"""The duty of one entry at a time: orders that give each engine the stage it should have.
+
+The holder of the control lease orders. Each order carries the lease's fencing number and the number
+of orders that the engine had accepted when it was read, so that neither a former holder nor an
+order that is carried out late can undo what came after.
+"""
+
+import logging
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
+
+import trio
+
+from chivehold.core.control_lease import HeldLease
+from chivehold.core.direct.fleet import Fleet, UpstreamIncarnation, incarnation
+from chivehold.core.direct.messages import Stage, StageOrder, UpstreamEntry
+from chivehold.core.direct.routes import EngineTraits, RouteTable
+from chivehold.core.direct.stages import StageChange, prefill_engines_wanted, stage_changes
+from chivehold.direct.engines import ORDER_TIMEOUT_S, EngineClient
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.http_client import LinkError
+from chivehold.logs import log_event
+
+ROUND_S = 0.5
+STAGE_SLACK_S = 4.0
+"""Longer than an engine's change of stage until the list of upstreams must show it."""
+REFUSED_PAUSE_S = 2.0
+UNANSWERED_PAUSE_S = 3.0
+CHANGES_MOST_SHARE = 0.25
+"""Of a service's engines, how many may be changing at once while requests come."""
+
+_log = logging.getLogger(__name__)
+
+
+class ControlLease(Protocol):
+    """The lease under which orders are given."""
+
+    def current(self) -> HeldLease | None:
+        """Return the lease if it is held right now."""
+        ...
+
+
+class _Ordered(NamedTuple):
+    """An engine that has been ordered, or has not answered an order."""
+
+    stage: Stage
+    until: float
+
+
+class StageDuty:
+    """Reads engines and orders their stages; ``run`` does the work.
+
+    Args:
+        lease: Must be held for each order.
+        holder: The name of this run of the entry.
+        fleet: The engines.
+        engines: Makes the calls.
+        table: Returns the configuration in force.
+        decode_per_prefill: Returns how many decode engines one prefill engine keeps busy.
+        metrics: Counts orders.
+    """
+
+    def __init__(
+        self,
+        lease: ControlLease,
+        holder: str,
+        fleet: Fleet,
+        engines: EngineClient,
+        table: Callable[[], RouteTable | None],
+        decode_per_prefill: Callable[[], float],
+        metrics: DirectMetrics,
+    ) -> None:
+        self._lease = lease
+        self._holder = holder
+        self._fleet = fleet
+        self._engines = engines
+        self._table = table
+        self._decode_per_prefill = decode_per_prefill
+        self._metrics = metrics
+        self._ordered: dict[UpstreamIncarnation, _Ordered] = {}
+        self._paused: dict[UpstreamIncarnation, float] = {}
+
+    async def run(self) -> None:
+        """Order what is missing until cancelled."""
+        while True:
+            await trio.sleep(ROUND_S)
+            table = self._table()
+            if table is None or self._lease.current() is None:
+                continue
+            self._forget(trio.current_time())
+            for service, traits in _model_services(table):
+                for change in self._changes(service, traits):
+                    await self._order(change, traits)
+
+    def _changes(self, service: str, traits: EngineTraits) -> list[StageChange]:
+        listed = [
+            *self._fleet.serving(service, Stage.PREFILL),
+            *self._fleet.serving(service, Stage.DECODE),
+        ]
+        engines = [self._as_ordered(one) for one in listed]
+        changing = {
+            one.name
+            for one in listed
+            if incarnation(one) in self._ordered or incarnation(one) in self._paused
+        }
+        wanted = prefill_engines_wanted(len(engines), self._decode_per_prefill())
+        most = max(1, int(len(engines) * CHANGES_MOST_SHARE))
+        return list(stage_changes(engines, changing, wanted, most))
+
+    def _as_ordered(self, entry: UpstreamEntry) -> UpstreamEntry:
+        ordered = self._ordered.get(incarnation(entry))
+        return entry._replace(stage=ordered.stage) if ordered else entry
+
+    async def _order(self, change: StageChange, traits: EngineTraits) -> None:
+        """Read one engine and order its change, if the lease is still held by then."""
+        upstream = change.upstream
+        try:
+            report = await self._engines.report(upstream)
+            lease = self._lease.current()
+            if lease is None or lease.left_s < ORDER_TIMEOUT_S:
+                log_event(_log, logging.INFO, "order given up", peer=upstream.name)
+                return
+            if report.busy or report.stage is change.stage:
+                self._pause(upstream, REFUSED_PAUSE_S)
+                return
+            number = lease.fencing_number
+            order = StageOrder(change.stage, self._holder, number, report.orders_accepted)
+            status = await self._engines.order_stage(upstream, order)
+        except LinkError as error:
+            self._pause(upstream, UNANSWERED_PAUSE_S)
+            log_event(
+                _log,
+                logging.WARNING,
+                "order unanswered",
+                step=error.step,
+                peer=upstream.name,
+                detail=error.detail,
+                stage=change.stage,
+            )
+            return
+        accepted = status in (200, 202)
+        self._metrics.ordered(upstream.service, accepted)
+        if accepted:
+            until = trio.current_time() + traits.stage_change_s + STAGE_SLACK_S
+            self._ordered[incarnation(upstream)] = _Ordered(change.stage, until)
+        else:
+            self._pause(upstream, REFUSED_PAUSE_S)
+        log_event(
+            _log,
+            logging.INFO,
+            "stage ordered",
+            peer=upstream.name,
+            stage=change.stage,
+            outcome=status,
+            fencing_number=number,
+            orders_accepted=report.orders_accepted,
+        )
+
+    def _pause(self, upstream: UpstreamEntry, pause_s: float) -> None:
+        self._paused[incarnation(upstream)] = trio.current_time() + pause_s
+
+    def _forget(self, now: float) -> None:
+        """Drop what the list of upstreams shows by now, or should have shown."""
+        self._paused = {one: until for one, until in self._paused.items() if until > now}
+        listed = {incarnation(entry): entry.stage for entry in self._fleet.entries}
+        self._ordered = {
+            one: ordered
+            for one, ordered in self._ordered.items()
+            if ordered.until > now and listed.get(one) not in (None, ordered.stage)
+        }
+
+
+def suspended_s() -> float:
+    """Return how long this machine has been suspended since its start, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
+def _model_services(table: RouteTable) -> Iterable[tuple[str, EngineTraits]]:
+    return ((name, one.engine) for name, one in table.services.items() if one.engine)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -9,7 +9,7 @@
 
 from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, follows
 from chivehold.core.direct.fleet import Fleet, Verdict
-from chivehold.core.direct.messages import Forwarding, KvSource, RawHeaders, Stage, UpstreamEntry
+from chivehold.core.direct.messages import Forwarding, KvSource, RawHeaders
 from chivehold.core.direct.places import Place, PlaceRefused, Places
 from chivehold.core.direct.routes import EngineTraits
 from chivehold.core.direct.shared_retries import SharedRetries
@@ -17,13 +17,12 @@
 from chivehold.direct.engines import EngineClient, Prefilled
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.prefills import Prefills
 from chivehold.direct.refusals import Refusal, not_run, send_refusal, unknown
-from chivehold.exceptions import PeerRefused
 from chivehold.http_client import LinkError, RawAnswer
 
-FIRST_EVENT_ALLOWANCE_S = 0.2
+FIRST_EVENT_ALLOWANCE_S = 0.35
 """From a place to the first event, when nothing waits."""
-PREFILL_TIMEOUT_S = 0.8
 LATEST_PLACE_S = 2.8
 """A caller that has waited this long for a place would leave before its first event."""
 SILENCE_S = 1.5
@@ -59,8 +58,8 @@
     Args:
         fleet: The engines.
         engines: Makes the calls.
+        prefills: Has prompts prefilled.
         places: Grants memory at decode engines.
-        traits: Returns what the engines of a service have in common.
         retries: Bounds the calls beyond the first of each request.
         metrics: Counts and measures.
     """
@@ -69,12 +68,14 @@
         self,
         fleet: Fleet,
         engines: EngineClient,
+        prefills: Prefills,
         places: Places,
         retries: SharedRetries,
         metrics: DirectMetrics,
     ) -> None:
         self._fleet = fleet
         self._engines = engines
+        self._prefills = prefills
         self._places = places
         self._retries = retries
         self._metrics = metrics
@@ -122,20 +123,9 @@
         self._places.freed(place.upstream.service)
         del suspended_s
 
-    async def prefill(self, exchange: Exchange, near: UpstreamEntry) -> Prefilled | None:
+    async def prefill(self, exchange: Exchange) -> Prefilled | None:
         """Have the prompt prefilled, or return ``None`` where the decode engine has to do it."""
-        tried: set[str] = set()
-        while True:
-            upstream = self._prefill_engine(exchange.service, near, tried)
-            if upstream is None:
-                exchange.log("prefill left to decode engine", tried=len(tried))
-                return None
-            if tried and not self._retries.take(exchange.service, trio.current_time()):
-                exchange.log("retry budget spent", reason="prefill")
-                return None
-            tried.add(upstream.name)
-            if (prefilled := await self._prefill_at(exchange, upstream)) is not None:
-                return prefilled
+        return await self._prefills.run(exchange)
 
     def give_back(self, prefilled: Prefilled) -> None:
         """Free a KV cache that will not be fetched."""
@@ -155,27 +145,6 @@
         """Counts and measures."""
         return self._metrics
 
-    def _prefill_engine(
-        self, service: str, near: UpstreamEntry, tried: set[str]
-    ) -> UpstreamEntry | None:
-        ranked = self._fleet.ranked(service, Stage.PREFILL, trio.current_time(), tried)
-        return ranked[0] if ranked else None
-
-    async def _prefill_at(self, exchange: Exchange, upstream: UpstreamEntry) -> Prefilled | None:
-        detail: object = f"no answer within {PREFILL_TIMEOUT_S} s"
-        try:
-            with trio.move_on_after(min(PREFILL_TIMEOUT_S, exchange.left_s())):
-                prefilled = await self._engines.prefill(exchange, upstream)
-                self._metrics.prefilled(exchange.service, prefilled.took_s)
-                took_ms = round(prefilled.took_s * 1_000)
-                exchange.log("prefilled", peer=upstream.name, took_ms=took_ms)
-                return prefilled
-        except (PeerRefused, LinkError) as error:
-            detail = error
-        self._fleet.suspend(upstream, trio.current_time() + PREFILL_TIMEOUT_S)
-        exchange.log("prefill failed", peer=upstream.name, detail=detail)
-        return None
-
 
 class _Stream:
     """One request for a stream, at one engine after the other."""
@@ -242,7 +211,7 @@
         sent = False
         try:
             if self._prefills_elsewhere():
-                prefilled = await self._calls.prefill(self._exchange, place.upstream)
+                prefilled = await self._calls.prefill(self._exchange)
             sent = True
             source = prefilled.source if prefilled else None
             run = await self._decode(place, source)
@@ -321,6 +290,7 @@
         if not self._reply.started:
             await self._start(answer.headers)
         await self._reply.end()
+        self._exchange.log("stream ended", last_event=self.last_event)
         return _Run(_End.WHOLE, Verdict.SOUND)
 
     async def _relay_events(self, headers: RawHeaders, events: list[StreamEvent]) -> None:
--- /dev/null
+++ b/src/chivehold/fakes/metadata_store.py
@@ -0,0 +1,156 @@
+"""A stand-in of the platform's metadata store: objects by kind, conditional writes, watches."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+import trio
+
+from chivehold.http_server import Receive, Scope, Send, read_body, respond, respond_json
+
+PATH = "/v1/objects/"
+BODY_BYTES_MOST = 1 << 20
+PAGE_ITEMS = 50
+
+
+class _Change(NamedTuple):
+    revision: int
+    kind: str
+    object: dict[str, Any]
+    removed: bool
+
+
+class MetadataStore:
+    """The store as an ASGI application; tests change it directly and set its faults."""
+
+    def __init__(self) -> None:
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._oldest = 0
+        self._changed = trio.Event()
+        self.revision = 1
+        self.calls = 0
+        self.refuse_with: int | None = None
+        """Status of every answer while set; nothing is done then."""
+        self.lose_writes = 0
+        """So many of the next writes are done and get no answer."""
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object whatever it was before, and return its revision."""
+        before = self._objects.get((kind, name))
+        self.revision += 1
+        created = before["metadata"]["createRevision"] if before else self.revision
+        metadata: dict[str, Any] = {
+            "name": name,
+            "revision": self.revision,
+            "createRevision": created,
+            "finalizers": [],
+            "deleting": False,
+        }
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        self._objects[kind, name] = stored
+        self._tell(_Change(self.revision, kind, stored, False))
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self._objects.pop((kind, name))
+        self.revision += 1
+        self._tell(_Change(self.revision, kind, stored, True))
+
+    def forget_history(self) -> None:
+        """Answer 410 to watches from before now."""
+        self._oldest = self.revision
+        self._changes.clear()
+        self._wake()
+
+    def spec(self, kind: str, name: str) -> Any:
+        """Return what an object holds."""
+        return self._objects[kind, name]["spec"]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        self.calls += 1
+        body = await read_body(receive, BODY_BYTES_MOST)
+        if self.refuse_with is not None:
+            await respond(send, self.refuse_with)
+            return
+        kind, _, name = scope["path"].removeprefix(PATH).partition("/")
+        query = {key: one[0] for key, one in parse_qs(scope["query_string"].decode()).items()}
+        if scope["method"] != "GET":
+            await self._write(scope["method"], unquote(kind), unquote(name), query, body, send)
+        elif name:
+            await self._get(kind, unquote(name), send)
+        elif "watch" in query:
+            await self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1_000, send)
+        else:
+            await self._list(kind, query.get("after", ""), send)
+
+    async def _get(self, kind: str, name: str, send: Send) -> None:
+        stored = self._objects.get((kind, name))
+        if stored is None:
+            await respond(send, 404)
+        else:
+            await respond_json(send, 200, stored)
+
+    async def _list(self, kind: str, after: str, send: Send) -> None:
+        names = sorted(name for of, name in self._objects if of == kind and name > after)
+        items = [self._objects[kind, name] for name in names[:PAGE_ITEMS]]
+        page = {"items": items, "hasMore": len(names) > PAGE_ITEMS, "currentRev": self.revision}
+        await respond_json(send, 200, page)
+
+    async def _watch(self, kind: str, since: int, wait_s: float, send: Send) -> None:
+        with trio.move_on_after(wait_s):
+            while since >= self._oldest and not self._since(kind, since):
+                await self._changed.wait()
+        if since < self._oldest:
+            await respond(send, 410)
+            return
+        events = [
+            {"object": change.object, "tombstone": change.removed}
+            for change in self._since(kind, since)
+        ]
+        await respond_json(send, 200, {"events": events, "currentRev": self.revision})
+
+    async def _write(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        query: Mapping[str, str],
+        body: bytes,
+        send: Send,
+    ) -> None:
+        found = msgspec.json.decode(body) if body else {}
+        metadata = found.get("metadata", {})
+        name = name or metadata["name"]
+        stored = self._objects.get((kind, name))
+        expected = metadata.get("revision") or int(query.get("revision", 0))
+        if stored is None and method != "POST":
+            await respond(send, 404)
+            return
+        if stored is not None and (
+            method == "POST" or (expected and expected != stored["metadata"]["revision"])
+        ):
+            await respond_json(send, 409, stored)
+            return
+        if method == "DELETE":
+            self.remove(kind, name)
+        else:
+            self.put(kind, name, found["spec"])
+        if self.lose_writes:
+            self.lose_writes -= 1
+            await trio.sleep_forever()
+        await respond_json(send, 200, self._objects.get((kind, name), stored))
+
+    def _since(self, kind: str, revision: int) -> list[_Change]:
+        return [one for one in self._changes if one.kind == kind and one.revision > revision]
+
+    def _tell(self, change: _Change) -> None:
+        self._changes.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -0,0 +1,242 @@
+"""Stand-ins of the platform's upstreams: a plain service's and a model engine, over HTTP."""
+
+import itertools
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+import trio
+
+from chivehold.http_server import (
+    Message,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    respond,
+    respond_json,
+    wait_disconnect,
+)
+
+BODY_BYTES_MOST = 1 << 20
+SIGNATURE = "x-chivehold-server-stamp"
+REQUEST_ID = "x-chivehold-request-id"
+NOT_RUN = ("x-chivehold-not-run", "1")
+
+
+class PlainUpstream:
+    """One upstream of a plain service; tests set how it behaves.
+
+    Args:
+        name: Its name in the store.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.work_s = 0.0
+        self.status = 200
+        self.silent = False
+        """Runs each request and never answers."""
+        self.cut = False
+        """Runs each request and breaks its answer off."""
+        self.other_request = ""
+        """Answers in the name of this request."""
+        self.unsigned = False
+        self.refuse = False
+        self.seen: list[dict[str, str]] = []
+        """Headers of each request that reached it, with method, target and body."""
+        self.runs: list[str] = []
+        """Ids of the requests that it ran."""
+        self.given_up: list[str] = []
+        """Ids of the requests whose connection was closed before the answer."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        headers = {key.decode(): value.decode() for key, value in scope["headers"]}
+        body = await read_body(receive, BODY_BYTES_MOST)
+        target = scope["raw_path"].decode()
+        if scope["query_string"]:
+            target += "?" + scope["query_string"].decode()
+        seen = {**headers, "method": scope["method"], "target": target, "body": body.decode()}
+        self.seen.append(seen)
+        ended = trio.Event()
+
+        async def send_noting_end(message: Message) -> None:
+            # The server tells of the connection's end while the last message is being sent.
+            if message["type"] == "http.response.body" and not message.get("more_body", False):
+                ended.set()
+            await send(message)
+
+        async with trio.open_nursery() as nursery:
+            scope_of_work = nursery.cancel_scope
+            nursery.start_soon(self._watch_departure, receive, headers, ended, scope_of_work)
+            await self._handle(scope, headers, body, send_noting_end)
+            nursery.cancel_scope.cancel()
+
+    async def _handle(
+        self, scope: Scope, headers: Mapping[str, str], body: bytes, send: Send
+    ) -> None:
+        if headers.get("x-chivehold-expect-instance", self.name) != self.name:
+            await respond(send, 421)
+            return
+        if self.refuse:
+            await respond(send, 503, headers=[NOT_RUN, (REQUEST_ID, headers[REQUEST_ID])])
+            return
+        await self._run(headers, send)
+
+    async def _run(self, headers: Mapping[str, str], send: Send) -> None:
+        request = headers[REQUEST_ID]
+        self.runs.append(request)
+        if self.silent:
+            await trio.sleep_forever()
+        await trio.sleep(self.work_s)
+        await self._answer(request, send)
+
+    async def _answer(self, request: str, send: Send) -> None:
+        signed = [] if self.unsigned else [(SIGNATURE, f"by.{self.name}")]
+        answered = [(REQUEST_ID, self.other_request or request), *signed]
+        body = f"{self.name} ran {request}".encode()
+        if self.cut:
+            raw = [(key.encode(), value.encode()) for key, value in answered]
+            raw.append((b"content-length", b"10000"))
+            await send({"type": "http.response.start", "status": self.status, "headers": raw})
+            await send({"type": "http.response.body", "body": body, "more_body": True})
+            return
+        await respond(send, self.status, body, "text/plain", answered)
+
+    async def _watch_departure(
+        self,
+        receive: Receive,
+        headers: Mapping[str, str],
+        ended: trio.Event,
+        scope: trio.CancelScope,
+    ) -> None:
+        await wait_disconnect(receive)
+        if ended.is_set():
+            return
+        self.given_up.append(headers.get(REQUEST_ID, ""))
+        scope.cancel()
+
+
+class ModelEngine(PlainUpstream):
+    """A model engine with memory, reservations, prefills and streams.
+
+    Args:
+        name: Its name in the store.
+        stage: ``prefill`` or ``decode``.
+        capacity: Tokens of memory.
+    """
+
+    def __init__(self, name: str, stage: str, capacity: int = 10_000) -> None:
+        super().__init__(name)
+        self.stage = stage
+        self.capacity = capacity
+        self.events = 5
+        self.event_s = 0.0
+        self.stop_after: int | None = None
+        """Breaks each stream off in the middle of the event after this one."""
+        self.freeze_after: int | None = None
+        """Sends nothing more after this event."""
+        self.lose_handles = False
+        self.held: dict[str, int] = {}
+        self.handles: set[str] = set()
+        self.dropped: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.fence = 0
+        self._numbers = itertools.count(1)
+
+    async def _handle(
+        self, scope: Scope, headers: Mapping[str, str], body: bytes, send: Send
+    ) -> None:
+        path, method = scope["path"], scope["method"]
+        if path == "/v1/hold-take":
+            await self._take(msgspec.json.decode(body), send)
+        elif path == "/v1/report":
+            await respond_json(send, 200, self._report())
+        elif path == "/v1/order":
+            await self._order(msgspec.json.decode(body), send)
+        elif method == "DELETE":
+            given = path.rpartition("/")[2]
+            self.dropped.append(given)
+            self.held.pop(given, None)
+            self.handles.discard(given)
+            await respond(send, 200)
+        else:
+            await super()._handle(scope, headers, body, send)
+
+    async def _run(self, headers: Mapping[str, str], send: Send) -> None:
+        request = headers[REQUEST_ID]
+        answered = [(REQUEST_ID, request)]
+        if headers.get("x-chivehold-stage") == "prefill":
+            if self.silent:
+                await trio.sleep_forever()
+            await trio.sleep(self.work_s)
+            handle = f"kv-{self.name}-{next(self._numbers)}"
+            self.handles.add(handle)
+            found = {"kvRef": handle, "tokens": 100, "version": 1}
+            await respond_json(send, 200, found, answered)
+            return
+        if self.stage != "decode":
+            await respond(send, 421, headers=answered)
+            return
+        if self.lose_handles and "x-chivehold-kv-from" in headers:
+            await respond(send, 503, headers=[NOT_RUN, *answered])
+            return
+        hold = headers.get("x-chivehold-hold", "")
+        tokens = self.held.pop(hold, 0)
+        self.held[request] = tokens
+        self.runs.append(request)
+        try:
+            await self._stream(request, int(headers.get("last-event-id", 0)), send)
+        finally:
+            del self.held[request]
+
+    async def _stream(self, request: str, last: int, send: Send) -> None:
+        headers = [
+            (b"content-type", b"text/event-stream"),
+            (REQUEST_ID.encode(), request.encode()),
+            (SIGNATURE.encode(), f"by.{self.name}".encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for number in range(last + 1, self.events + 1):
+            await trio.sleep(self.event_s)
+            if self.freeze_after is not None and number > self.freeze_after:
+                await trio.sleep_forever()
+            event = b"id: %d\ndata: %s\n\n" % (number, request.encode())
+            cut = self.stop_after is not None and number > self.stop_after
+            part = event[:7] if cut else event
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+            if cut:
+                return
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def _take(self, asked: Mapping[str, Any], send: Send) -> None:
+        if self.refuse or sum(self.held.values()) + asked["tokens"] > self.capacity:
+            await respond(send, 503, headers=[NOT_RUN])
+            return
+        hold = f"hold-{next(self._numbers)}"
+        self.held[hold] = asked["tokens"]
+        await respond_json(send, 200, {"hold": hold})
+
+    async def _order(self, order: dict[str, Any], send: Send) -> None:
+        if order["fenceToken"] < self.fence:
+            await respond(send, 412)
+            return
+        if order["expect"] != len(self.orders):
+            await respond(send, 409)
+            return
+        self.fence = order["fenceToken"]
+        self.orders.append(order)
+        self.stage = order["stage"]
+        await respond(send, 202)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "stage": self.stage,
+            "busy": False,
+            "seq": len(self.orders),
+            "queued": 0,
+            "running": len(self.held),
+            "kvUsed": sum(self.held.values()),
+            "kvTotal": self.capacity,
+        }
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -1,15 +1,18 @@
 """Headers and engine calls as the platform's callers and upstreams write them."""
 
 from collections.abc import Iterator, Mapping
+from typing import TypedDict
 
 import msgspec
 
 from chivehold.core.direct.messages import (
     AnswerFacts,
     EngineCall,
+    EngineReport,
     Forwarding,
     RawHeaders,
     RequestFacts,
+    Stage,
     StageOrder,
     UpstreamEntry,
 )
@@ -63,9 +66,23 @@
     )
 )
 """Headers that concern one connection; the body's length is written anew for each."""
+_STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 _PLAIN_HEADERS = frozenset((b"host", b"content-type", CONTENT_ENCODING, LAST_EVENT_ID))
 
 
+class _ReportJson(TypedDict):
+    stage: str
+    busy: bool
+    """An order is being carried out."""
+    seq: int
+    """Orders accepted since the engine's start."""
+    running: int
+    queued: int
+    kvUsed: int
+    """Tokens of memory that cannot yield."""
+    kvTotal: int
+
+
 class PlatformDialect:
     """Reads and writes the platform's headers and engine calls; implements ``Dialect``."""
 
@@ -130,16 +147,35 @@
         """Return the call that frees a prefilled KV cache."""
         return EngineCall("DELETE", f"/v1/kv-handle/{handle}")
 
+    def report_call(self) -> EngineCall:
+        """Return the call that asks an engine for its state."""
+        return EngineCall("GET", "/v1/report")
+
+    def read_report(self, body: bytes) -> EngineReport | None:
+        """Return the engine's state, or ``None`` where the body cannot be read."""
+        try:
+            found = msgspec.json.decode(body, type=_ReportJson)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        return EngineReport(
+            stage=_STAGES.get(found["stage"], Stage.NONE),
+            busy=found["busy"],
+            orders_accepted=found["seq"],
+            running=found["running"],
+            waiting=found["queued"],
+            tokens_used=found["kvUsed"],
+            tokens_total=found["kvTotal"],
+        )
+
     def stage_order_call(self, order: StageOrder) -> EngineCall:
         """Return the call that changes an engine's stage."""
-        body: dict[str, object] = {
+        body = {
             "opType": "stage",
             "stage": str(order.stage),
             "holder": order.holder,
             "fenceToken": order.fencing_number,
+            "expect": order.orders_accepted,
         }
-        if order.orders_accepted is not None:
-            body["expect"] = order.orders_accepted
         return EngineCall("POST", "/v1/order", msgspec.json.encode(body))
 
 
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -143,8 +143,8 @@
     """Time between SIGTERM and SIGKILL."""
     entries_most: int = 8
     """Entries that share ``retry_extra``."""
-    order_lease_s: float = 3.0
-    """Orders of two holders to one engine are at least this long apart."""
+    decode_per_prefill: float = 4.0
+    """Decode engines that one prefill engine keeps busy; the stages are ordered to fit."""
     idle_timeout_s: float = 60.0
     """An idle caller's connection is closed after this time."""
     max_requests: int = 1024
@@ -266,7 +266,9 @@
     """The settings file of an entry without sidecars."""
 
     entries_most: _Count
-    order_lease_s: _Seconds
+    decode_per_prefill: Annotated[
+        float, msgspec.Meta(ge=0.1, le=100, description="a number, 0.1 to 100")
+    ]
     idle_timeout_s: _Seconds
     max_requests: _Count
     log_lines_per_s: _Count
--- a/src/chivehold/store/leases.py
+++ b/src/chivehold/store/leases.py
@@ -44,6 +44,8 @@
         poll_s: Time between reads while none is held, in seconds.
         rng: Draws waiting times and the order in which free leases are tried.
         eligible: Tells whether this entry may try at all.
+        suspended_s: Returns how long this machine has been suspended so far, in seconds; the
+            steady clock stands still meanwhile, leases do not.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         poll_s: float,
         rng: Random,
         eligible: Callable[[], bool] = lambda: True,
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._entry = entry
@@ -61,6 +64,7 @@
         self._poll_s = poll_s
         self._rng = rng
         self._eligible = eligible
+        self._suspended_s = suspended_s
         self._writes = 0
         self._was_cut_off = False
 
@@ -72,7 +76,7 @@
 
     def current(self) -> HeldLease | None:
         """Return the lease held right now; ask right before each act done under it."""
-        now = trio.current_time()
+        now = self._now()
         held = (lease.held(now) for lease in self._leases.values())
         return next((one for one in held if one), None)
 
@@ -124,7 +128,7 @@
         if isinstance(listed, Failure):
             return False
         stored = {one.name: one for one in listed.unwrap().objects}
-        now = trio.current_time()
+        now = self._now()
         for name, lease in self._leases.items():
             found = stored.get(name)
             lease.observe(found.version if found else 0, found.value if found else b"", now)
@@ -132,7 +136,7 @@
 
     async def _write(self, lease: Lease) -> bool:
         sent = await self._send(lease, LeaseRecord(self._entry, TERM_S))
-        now = trio.current_time()
+        now = self._now()
         if isinstance(sent.result, Success):
             stored = sent.result.unwrap()
             lease.written(stored.version, stored.value, sent.sent_at, now)
@@ -150,7 +154,7 @@
             lease.version,
             f"{self._entry}/{self._writes}",
         )
-        sent_at = trio.current_time()
+        sent_at = self._now()
         return _Sent(await settle(self._store, write, self._rng, SETTLE_TRIES), sent_at)
 
     async def _give_back(self) -> None:
@@ -160,12 +164,15 @@
         if held:
             await self._send(held, LeaseRecord(EntryIncarnation(""), TERM_S))
 
+    def _now(self) -> float:
+        return trio.current_time() + self._suspended_s()
+
     def _renewable(self) -> Lease | None:
-        now = trio.current_time()
+        now = self._now()
         return next((one for one in self._leases.values() if one.may_renew(now)), None)
 
     def _free(self) -> Iterator[Lease]:
         leases = list(self._leases.values())
         self._rng.shuffle(leases)
         # Each is checked as its turn comes: a read in between may have shown another holder.
-        yield from (lease for lease in leases if lease.may_acquire(trio.current_time()))
+        yield from (lease for lease in leases if lease.may_acquire(self._now()))
--- /dev/null
+++ b/tests/core/direct/entries.py
@@ -0,0 +1,33 @@
+"""Upstreams and routes as the tests of the core name them."""
+
+from chivehold.core.direct.messages import Stage, UpstreamEntry
+from chivehold.core.direct.routes import CallKind, Route, Split
+
+
+def upstream(name: str, stage: Stage = Stage.NONE, **fields: object) -> UpstreamEntry:
+    """Return an upstream that takes work, as changed by the fields."""
+    entry = UpstreamEntry(
+        name=name,
+        started_ms=1,
+        service="s",
+        address=f"10.0.0.1:{8000 + sum(name.encode())}",
+        zone="a",
+        slots=8,
+        draining=False,
+        stage=stage,
+    )
+    return entry._replace(**fields)  # type: ignore[arg-type]
+
+
+def route(prefix: str, **fields: object) -> Route:
+    """Return a route of one host, as changed by the fields."""
+    made = Route(
+        name=prefix,
+        host="h.example",
+        path_prefix=prefix,
+        kind=CallKind.IDEMPOTENT,
+        splits=(Split("s", 1.0),),
+        timeout_s=1.0,
+        target_s=0.3,
+    )
+    return made._replace(**fields)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/core/direct/test_events.py
@@ -0,0 +1,56 @@
+"""Server-sent events are relayed whole, in order and once."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chivehold.core.direct.events import EVENT_BYTES_MOST, EventSplitter, EventTooLong, follows
+
+STREAM = b"".join(b"id: %d\ndata: %s\n\n" % (number, b"x" * number) for number in range(1, 9))
+
+
+class TestSplitter:
+    @settings(derandomize=True)
+    @given(st.lists(st.integers(1, len(STREAM) - 1), max_size=12))
+    def test_events_do_not_depend_on_the_parts(self, cuts: list[int]) -> None:
+        """However the bytes arrive, the same events come out, and nothing is left."""
+        edges = [0, *sorted(cuts), len(STREAM)]
+        splitter = EventSplitter()
+        parts = (STREAM[start:end] for start, end in zip(edges, edges[1:], strict=False))
+        events = [event for part in parts for event in splitter.feed(part)]
+        assert b"".join(event.raw for event in events) == STREAM
+        assert [event.number for event in events] == [str(number) for number in range(1, 9)]
+        assert splitter.rest == b""
+
+    def test_unfinished_event_stays_behind(self) -> None:
+        """An engine that stops in the middle of an event has not made that event."""
+        splitter = EventSplitter()
+        events = list(splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda"))
+        assert [event.number for event in events] == ["1"]
+        assert splitter.rest == b"id: 2\nda"
+
+    def test_carriage_returns(self) -> None:
+        """Lines may end with both characters."""
+        (event,) = EventSplitter().feed(b"id: 7\r\ndata: a\r\n\r\n")
+        assert event.number == "7"
+
+    def test_endless_event_is_refused(self) -> None:
+        """Memory stays bounded."""
+        splitter = EventSplitter()
+        with pytest.raises(EventTooLong):
+            list(splitter.feed(b"x" * (EVENT_BYTES_MOST + 1)))
+
+
+class TestFollows:
+    @pytest.mark.parametrize(
+        ("number", "last", "expected"),
+        [("2", "1", True), ("10", "9", True), ("9", "10", False), ("3", "3", False)],
+    )
+    def test_numbers_grow(self, number: str, last: str, expected: bool) -> None:
+        """Compared as numbers, not as text."""
+        assert follows(number, last) is expected
+
+    def test_unnumbered_events_pass(self) -> None:
+        """An event without an id, or before any, is relayed."""
+        assert follows(None, "3")
+        assert follows("1", None)
--- /dev/null
+++ b/tests/core/direct/test_fleet.py
@@ -0,0 +1,118 @@
+"""Which upstream is asked, from what was seen of each."""
+
+from random import Random
+
+import pytest
+
+from chivehold.core.direct.fleet import (
+    FIRST_SUSPENSION_S,
+    LONGEST_SUSPENSION_S,
+    Fleet,
+    Verdict,
+)
+from chivehold.core.direct.messages import Stage, UpstreamEntry
+from tests.core.direct.entries import upstream
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    made = Fleet("a", Random(1))
+    made.replace([upstream("x"), upstream("y"), upstream("z")])
+    return made
+
+
+def names(entries: list[UpstreamEntry]) -> list[str]:
+    return [entry.name for entry in entries]
+
+
+def fail(fleet: Fleet, name: str, now: float, times: int = 1) -> None:
+    for _ in range(times):
+        fleet.started(upstream(name))
+        fleet.ended(upstream(name), Verdict.FAILED, now)
+
+
+class TestRanking:
+    def test_idle_before_busy(self, fleet: Fleet) -> None:
+        """Work goes where least of it lies."""
+        fleet.started(upstream("x"))
+        fleet.started(upstream("y"))
+        assert names(fleet.ranked("s", Stage.NONE, 0.0))[0] == "z"
+
+    def test_slow_one_gets_less(self, fleet: Fleet) -> None:
+        """A burst before a slow upstream goes to the fast ones."""
+        for _ in range(20):
+            fleet.started(upstream("x"))
+            fleet.ended(upstream("x"), Verdict.SOUND, 0.0, latency_s=0.8)
+        got = []
+        for _ in range(12):
+            first = fleet.ranked("s", Stage.NONE, 0.0)[0]
+            fleet.started(first)
+            got.append(first.name)
+        assert got.count("x") <= 1
+
+    def test_near_zone_first(self) -> None:
+        """Among equals the same zone is asked first."""
+        fleet = Fleet("a", Random(1))
+        fleet.replace([upstream("far", zone="b"), upstream("near")])
+        firsts = [names(fleet.ranked("s", Stage.NONE, 0.0))[0] for _ in range(50)]
+        assert firsts.count("near") > firsts.count("far")
+
+    def test_leaving_and_foreign_ones_never(self) -> None:
+        """Neither draining ones nor those of another service or stage."""
+        fleet = Fleet("a", Random(1))
+        fleet.replace(
+            [
+                upstream("leaving", draining=True),
+                upstream("other", service="t"),
+                upstream("engine", Stage.DECODE),
+            ]
+        )
+        assert fleet.ranked("s", Stage.NONE, 0.0) == []
+        assert names(fleet.ranked("s", Stage.DECODE, 0.0)) == ["engine"]
+
+
+class TestSuspension:
+    def test_one_failure_is_no_pattern(self, fleet: Fleet) -> None:
+        """A single broken call suspends nobody."""
+        fail(fleet, "x", 0.0)
+        assert "x" in names(fleet.ranked("s", Stage.NONE, 0.0))
+
+    def test_failures_in_a_row_suspend(self, fleet: Fleet) -> None:
+        """For a growing time that is bounded."""
+        fail(fleet, "x", 0.0, times=2)
+        assert "x" not in names(fleet.ranked("s", Stage.NONE, 0.0))
+        assert "x" in names(fleet.ranked("s", Stage.NONE, FIRST_SUSPENSION_S + 0.01))
+        fail(fleet, "x", 1.0, times=30)
+        assert "x" not in names(fleet.ranked("s", Stage.NONE, LONGEST_SUSPENSION_S + 0.9))
+        assert "x" in names(fleet.ranked("s", Stage.NONE, LONGEST_SUSPENSION_S + 1.1))
+
+    def test_all_suspended_are_asked_all_the_same(self, fleet: Fleet) -> None:
+        """When nothing else is left, a doubtful upstream is better than none."""
+        for name in "xyz":
+            fail(fleet, name, 0.0, times=2)
+        assert sorted(names(fleet.ranked("s", Stage.NONE, 0.0))) == ["x", "y", "z"]
+
+    def test_refusals_do_not_suspend(self, fleet: Fleet) -> None:
+        """An upstream without room is sound."""
+        for _ in range(5):
+            fleet.started(upstream("x"))
+            fleet.ended(upstream("x"), Verdict.FULL, 0.0)
+        assert "x" in names(fleet.ranked("s", Stage.NONE, 0.0))
+
+
+class TestReplace:
+    def test_tells_what_changed(self, fleet: Fleet) -> None:
+        """By name: who came, who left, who says something else of itself."""
+        change = fleet.replace([upstream("x"), upstream("y", draining=True), upstream("new")])
+        assert [one.name for one in change.came] == ["new"]
+        assert [one.name for one in change.left] == ["z"]
+        assert [one.name for one in change.changed] == ["y"]
+
+    def test_new_start_under_the_same_name_is_unknown(self, fleet: Fleet) -> None:
+        """What was seen of the former start says nothing of the new one."""
+        fleet.started(upstream("x"))
+        fleet.ended(upstream("x"), Verdict.GONE, 0.0)
+        assert "x" not in names(fleet.ranked("s", Stage.NONE, 0.0))
+        fleet.replace([upstream("x", started_ms=2), upstream("y")])
+        assert "x" in names(fleet.ranked("s", Stage.NONE, 0.0))
+        assert fleet.in_flight(upstream("x", started_ms=2)) == 0
--- /dev/null
+++ b/tests/core/direct/test_replica.py
@@ -0,0 +1,134 @@
+"""A copy of the store that never goes back and outlives outages."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica, Versioned
+
+
+def names(replica: Replica[str]) -> list[str]:
+    return sorted(replica.values())
+
+
+def listed(revision: int, *values: str) -> list[tuple[str, Versioned[str]]]:
+    return [(value, Versioned(revision, value)) for value in values]
+
+
+class TestLapse:
+    def test_removed_at_once_while_the_store_is_sound(self) -> None:
+        """A removal that is told in calm times holds at once."""
+        replica: Replica[str] = Replica(LAPSE_GRACE_S)
+        replica.list_replaced(1, listed(1, "a", "b"), 0.0)
+        replica.changed(2, [("a", None)], 1.0)
+        assert names(replica) == ["b"]
+
+    def test_lapsed_in_an_outage_is_kept_until_the_grace_ends(self) -> None:
+        """Who lives writes itself again within the grace; who does not is gone after it."""
+        replica: Replica[str] = Replica(LAPSE_GRACE_S)
+        replica.list_replaced(1, listed(1, "a", "b", "c"), 0.0)
+        replica.lost_store()
+        replica.changed(5, [("a", None), ("b", None)], 10.0)
+        assert names(replica) == ["a", "b", "c"]
+        replica.changed(6, [("a", Versioned(6, "a"))], 11.0)
+        assert replica.expire(11.9) == []
+        assert replica.next_expiry() == 10.0 + LAPSE_GRACE_S
+        assert replica.expire(10.0 + LAPSE_GRACE_S) == ["b"]
+        assert names(replica) == ["a", "c"]
+
+    def test_relisted_after_an_outage_too(self) -> None:
+        """The same where the history was lost and everything is listed anew."""
+        replica: Replica[str] = Replica(LAPSE_GRACE_S)
+        replica.list_replaced(1, listed(1, "a", "b"), 0.0)
+        replica.lost_store()
+        replica.list_replaced(9, listed(9, "b"), 5.0)
+        assert names(replica) == ["a", "b"]
+        assert replica.expire(7.1) == ["a"]
+
+    def test_without_grace_removal_holds(self) -> None:
+        """What nobody lets lapse is removed when it is told so, outage or not."""
+        replica: Replica[str] = Replica()
+        replica.list_replaced(1, listed(1, "a"), 0.0)
+        replica.lost_store()
+        replica.changed(2, [("a", None)], 1.0)
+        assert names(replica) == []
+
+
+class ReplicaHistory(RuleBasedStateMachine):
+    """A store that changes, answers late, and loses its connection, beside a replica of it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.revision = 1
+        self.truth: dict[str, int] = {}
+        self.log: list[tuple[int, str, bool]] = []
+        self.replica: Replica[tuple[str, int]] = Replica(LAPSE_GRACE_S)
+        self.shown: dict[str, int] = {}
+        self.listed = False
+
+    @rule(name=st.sampled_from("abc"), remove=st.booleans())
+    def write(self, name: str, remove: bool) -> None:
+        """The store changes."""
+        self.revision += 1
+        if remove:
+            self.truth.pop(name, None)
+        else:
+            self.truth[name] = self.revision
+        self.log.append((self.revision, name, remove))
+
+    @rule()
+    def list_all(self) -> None:
+        """The replica lists."""
+        objects = [(name, Versioned(at, (name, at))) for name, at in self.truth.items()]
+        self.replica.list_replaced(self.revision, objects, self.now)
+        self.listed = True
+
+    @rule(repeat=st.integers(0, 2))
+    def watch(self, repeat: int) -> None:
+        """The replica watches, and may be told again what it knows already."""
+        if not self.listed:
+            return
+        since = self.replica.revision - repeat
+        changes = [
+            (name, None if removed else Versioned(at, (name, at)))
+            for at, name, removed in self.log
+            if at > since
+        ]
+        latest = dict(changes)
+        self.replica.changed(self.revision, latest.items(), self.now)
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes and lapses end."""
+        self.now += seconds
+        self.replica.expire(self.now)
+
+    @rule()
+    def lose(self) -> None:
+        """The store cannot be reached."""
+        self.replica.lost_store()
+
+    @invariant()
+    def never_goes_back(self) -> None:
+        """No object is shown in an older state than before."""
+        current = dict(self.replica.values())
+        for name, at in current.items():
+            assert at >= self.shown.get(name, 0)
+        self.shown.update(current)
+
+    @invariant()
+    def is_right_once_confirmed(self) -> None:
+        """What is shown beyond the truth is a lapse whose grace has not ended."""
+        if not self.listed or self.replica.revision != self.revision:
+            return
+        current = dict(self.replica.values())
+        assert all(current.get(name) == at for name, at in self.truth.items())
+        if set(current) != set(self.truth):
+            due = self.replica.next_expiry()
+            assert due is not None
+            assert due <= self.now + LAPSE_GRACE_S
+
+
+TestReplicaHistory = ReplicaHistory.TestCase
+TestReplicaHistory.settings = settings(max_examples=200, stateful_step_count=30, derandomize=True)
--- /dev/null
+++ b/tests/core/direct/test_shared_retries.py
@@ -0,0 +1,85 @@
+"""The sum of all entries' repeated calls stays within one bound, whatever happens to entries."""
+
+from collections import deque
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from chivehold.core.direct.shared_retries import SharedRetries
+
+SHARE, EXTRA, WINDOW_S, ENTRIES = 0.2, 54.0, 10.0, 8
+
+
+def entry() -> SharedRetries:
+    return SharedRetries(SHARE, EXTRA, WINDOW_S, ENTRIES)
+
+
+class TestOneEntry:
+    def test_extra_is_divided(self) -> None:
+        """A quiet entry has an equal part of the extra, and no more."""
+        one = entry()
+        assert sum(one.take("s", 0.0) for _ in range(100)) == int(EXTRA / ENTRIES)
+
+    def test_share_of_own_requests(self) -> None:
+        """A busy one has its share of the requests that it has seen."""
+        one = entry()
+        for _ in range(100):
+            one.saw_request("s", 0.0)
+        assert sum(one.take("s", 0.0) for _ in range(100)) == 20
+
+    def test_services_do_not_share(self) -> None:
+        """A service that fails spends nothing of another's budget."""
+        one = entry()
+        while one.take("failing", 0.0):
+            pass
+        assert one.take("sound", 0.0)
+
+    def test_reconfigured(self) -> None:
+        """A change of settings holds for budgets that exist already."""
+        one = entry()
+        one.take("s", 0.0)
+        one.configure(SHARE, EXTRA, entries=54)
+        assert not one.take("s", 0.0)
+
+
+class ManyEntries(RuleBasedStateMachine):
+    """Entries on one clock that start, die, are replaced and repeat as often as they may."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.entries = [entry() for _ in range(ENTRIES)]
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    @rule(index=st.integers(0, ENTRIES - 1), count=st.integers(1, 40))
+    def requests_come(self, index: int, count: int) -> None:
+        """Callers send requests to one entry."""
+        for _ in range(count):
+            self.entries[index].saw_request("s", self.now)
+            self.requests.append(self.now)
+
+    @rule(index=st.integers(0, ENTRIES - 1), count=st.integers(1, 30))
+    def repeat(self, index: int, count: int) -> None:
+        """One entry repeats as often as it may."""
+        for _ in range(count):
+            if self.entries[index].take("s", self.now):
+                self.repeats.append(self.now)
+
+    @rule(seconds=st.floats(0.1, 6.0))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes for all."""
+        self.now += seconds
+
+    @invariant()
+    def sum_is_bounded(self) -> None:
+        """Repeats of any window stay within the share of its requests plus the extra."""
+        since = self.now - WINDOW_S
+        repeats = sum(at > since for at in self.repeats)
+        requests = sum(at > since for at in self.requests)
+        assert repeats <= SHARE * requests + EXTRA
+
+
+TestManyEntries = ManyEntries.TestCase
+TestManyEntries.settings = settings(max_examples=150, stateful_step_count=30, derandomize=True)
--- /dev/null
+++ b/tests/core/direct/test_stages.py
@@ -0,0 +1,61 @@
+"""How many engines prefill, and which ones change: few prompts' readers, many decoders."""
+
+import pytest
+
+from chivehold.core.direct.messages import Stage
+from chivehold.core.direct.stages import prefill_engines_wanted, stage_changes
+from tests.core.direct.entries import upstream
+
+P, D = Stage.PREFILL, Stage.DECODE
+
+
+class TestWanted:
+    @pytest.mark.parametrize(
+        ("engines", "wanted"), [(0, 0), (1, 0), (2, 1), (5, 1), (8, 2), (22, 4), (23, 5)]
+    )
+    def test_one_for_four(self, engines: int, wanted: int) -> None:
+        """A lone engine decodes; of two or more at least one prefills and one decodes."""
+        assert prefill_engines_wanted(engines, 4.0) == wanted
+
+    def test_never_all(self) -> None:
+        """However many prefill engines are asked for, one engine decodes."""
+        assert prefill_engines_wanted(3, 0.1) == 2
+
+
+class TestChanges:
+    def test_none_when_it_fits(self) -> None:
+        """Engines that stand as wanted are left alone."""
+        engines = [upstream("a", P), upstream("b", D), upstream("c", D)]
+        assert list(stage_changes(engines, (), 1, 5)) == []
+
+    def test_surplus_prefill_decodes(self) -> None:
+        """At a start with too many prefill engines the surplus is turned."""
+        engines = [upstream(name, P) for name in "abc"] + [upstream("d", D)]
+        changes = list(stage_changes(engines, (), 1, 5))
+        assert [(one.upstream.name, one.stage) for one in changes] == [("a", D), ("b", D)]
+
+    def test_lost_prefill_engine_is_replaced(self) -> None:
+        """After the only prefill engine has crashed, one decoder takes its part."""
+        engines = [upstream(name, D) for name in "abc"]
+        (change,) = stage_changes(engines, (), 1, 5)
+        assert change.stage is P
+
+    def test_few_at_once(self) -> None:
+        """Engines that are changing already count against the bound and are not ordered again."""
+        engines = [upstream(name, P) for name in "abcd"]
+        assert len(list(stage_changes(engines, {"a"}, 1, 2))) == 1
+        assert list(stage_changes(engines, {"a", "b"}, 1, 2)) == []
+        (change,) = stage_changes(engines, {"a"}, 1, 2)
+        assert change.upstream.name != "a"
+
+    def test_zones_keep_what_they_can(self) -> None:
+        """What is left over lies in different zones."""
+        engines = [
+            upstream("a", P, zone="x"),
+            upstream("b", P, zone="x"),
+            upstream("c", P, zone="y"),
+            upstream("d", P, zone="z"),
+        ]
+        turned = {one.upstream.name for one in stage_changes(engines, (), 2, 5)}
+        left = [one for one in engines if one.name not in turned]
+        assert len({one.zone for one in left}) == 2
--- /dev/null
+++ b/tests/core/direct/test_waiting.py
@@ -0,0 +1,89 @@
+"""Who gets the next place in a burst: the pattern is more arrivals than decode memory for seconds.
+
+Each case drives the waiting room on its own clock; there is no engine and no network.
+"""
+
+from collections.abc import Iterator
+
+from chivehold.core.direct.waiting import Waiter, WaitingRoom
+
+TARGET_S = 0.7
+PATIENCE_S = 2.8
+
+
+def waiter(number: int, arrived_at: float, tokens: int = 4_000) -> Waiter:
+    return Waiter(
+        request=f"r{number}",
+        tokens=tokens,
+        arrived_at=arrived_at,
+        on_time_until=arrived_at + TARGET_S,
+        leaves_at=arrived_at + PATIENCE_S,
+    )
+
+
+def burst(places_per_s: float, arrivals_per_s: float, length_s: float) -> Iterator[float]:
+    """Play a burst and yield how long each served request waited, in seconds."""
+    room = WaitingRoom()
+    waiting: dict[str, Waiter] = {}
+    place_at = arrive_at = 0.0
+    number = 0
+    while place_at < length_s + PATIENCE_S:
+        if arrive_at <= place_at and arrive_at < length_s:
+            one = waiter(number, arrive_at)
+            room.enter(one)
+            waiting[one.request] = one
+            number += 1
+            arrive_at += 1 / arrivals_per_s
+            continue
+        now = place_at
+        place_at += 1 / places_per_s
+        for one in [one for one in waiting.values() if one.leaves_at < now]:
+            room.leave(one.request)
+            del waiting[one.request]
+        head = room.head(now)
+        if head is not None:
+            room.leave(head.request)
+            del waiting[head.request]
+            yield now - head.arrived_at
+
+
+class TestBurst:
+    def test_overload_serves_most_places_on_time(self) -> None:
+        """Half as many places again as arrivals: nine of ten places go to requests on time.
+
+        Served by arrival alone, the queue would grow past the target and all would be late.
+        """
+        waits = list(burst(places_per_s=10, arrivals_per_s=15, length_s=5))
+        during = waits[:50]
+        on_time = sum(one <= TARGET_S for one in during)
+        assert on_time >= 0.9 * len(during)
+
+    def test_light_load_waits_for_nothing(self) -> None:
+        """Arrivals below the rate of places get one at once."""
+        assert max(burst(places_per_s=10, arrivals_per_s=5, length_s=5)) <= 0.2
+
+
+class TestTurns:
+    def test_on_time_before_late(self) -> None:
+        """The one that can still be in time goes first, whoever came before."""
+        room = WaitingRoom()
+        room.enter(waiter(1, 0.0))
+        room.enter(waiter(2, 1.0))
+        assert getattr(room.head(0.5), "request", None) == "r1"
+        assert getattr(room.head(1.2), "request", None) == "r2"
+
+    def test_late_ones_by_arrival(self) -> None:
+        """Among late ones the longest wait ends first."""
+        room = WaitingRoom()
+        for number in (3, 1, 2):
+            room.enter(waiter(number, number / 10))
+        assert getattr(room.head(2.0), "request", None) == "r1"
+
+    def test_empty(self) -> None:
+        """Nobody waits, nobody is next."""
+        room = WaitingRoom()
+        room.enter(waiter(1, 0.0))
+        room.leave("r1")
+        room.leave("r1")
+        assert room.head(0.0) is None
+        assert len(room) == 0
--- /dev/null
+++ b/tests/direct/deployed.py
@@ -0,0 +1,204 @@
+"""One entry without sidecars before stand-ins of its store and upstreams, in one process."""
+
+import os
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from chivehold.direct.app import DirectEntry
+from chivehold.fakes.metadata_store import MetadataStore
+from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
+from chivehold.http_client import HttpAnswer, HttpClient, RawAnswer
+from chivehold.http_server import App, ServerLimits, serve_http
+from chivehold.logs import LogCounts, NonBlockingHandler, VolumeLimit
+from chivehold.platform import BINDING
+from chivehold.settings import DirectSettings
+
+HOST = "site.example"
+ENGINE_TRAITS = {
+    "kvCapacity": 10_000,
+    "stride": 13,
+    "holdMs": 2_000,
+    "handleTtlS": 0.5,
+    "reconfigS": 0.2,
+}
+
+
+def route(prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": prefix,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 400,
+        "maxAttempts": 2,
+    } | fields
+
+
+STREAM = {"sessionAffinity": True, "targetLatencyMs": 900}
+ROUTES = [
+    route("/get/", "idempotent", "plain"),
+    route("/post/", "non_idempotent", "plain", maxAttempts=1),
+    route("/short/", "non_idempotent", "plain", maxAttempts=1, timeoutMs=300),
+    route("/tell/", "stream", "model", resumable=False, maxAttempts=1, **STREAM),
+    route("/resume/", "stream", "model", resumable=True, **STREAM),
+]
+
+
+PLAIN_HEADERS = ServerLimits(date_header=False)
+
+
+class Deployed:
+    """The entry and everything around it."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._client = HttpClient()
+        self.store = MetadataStore()
+        self.address = ""
+        self.ready_address = ""
+        self.operator_address = ""
+        self.entry: DirectEntry
+
+    async def listen(self, app: App) -> str:
+        """Serve a stand-in and return its address."""
+        return await self._nursery.start(
+            partial(serve_http, app, "127.0.0.1:0", limits=PLAIN_HEADERS)
+        )
+
+    async def add(self, upstream: PlainUpstream, service: str) -> str:
+        """Start an upstream, list it in the store, and return its address."""
+        address = await self.listen(upstream)
+        self.announce(upstream, service, address)
+        return address
+
+    def announce(
+        self, upstream: PlainUpstream, of: str, at: str, fields: Mapping[str, Any] | None = None
+    ) -> None:
+        """Write an upstream's entry into the store."""
+        stage = {"stage": upstream.stage} if isinstance(upstream, ModelEngine) else {}
+        entry = {
+            "service": of,
+            "address": at,
+            "zone": "zone-a",
+            "slots": 8,
+            "state": "ready",
+            "born": 1,
+            "seq": 1,
+        }
+        self.store.put("servers", upstream.name, entry | stage | dict(fields or {}))
+
+    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+        """Write a configuration."""
+        services = [
+            {"name": "plain", "healthPath": "/health", "maxConnections": 100},
+            {"name": "model", "maxConnections": 100, "engine": ENGINE_TRAITS},
+        ]
+        spec = {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "limits": {"maxBodyBytes": 100_000},
+        }
+        self.store.put("config", "main", spec)
+
+    async def call(
+        self,
+        path: str,
+        request: str = "r1",
+        method: str = "GET",
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Send a request and read its whole answer."""
+        raw = [
+            (key.encode(), value.encode()) for key, value in self._headers(request, headers).items()
+        ]
+        with trio.fail_after(10.0):
+            async with self._client.relay(
+                self.address, method, path.encode(), step="call", headers=raw, body=body
+            ) as answer:
+                parts = [part async for part in answer.parts]
+        text = tuple((key.decode(), value.decode()) for key, value in answer.headers)
+        return HttpAnswer(answer.status, text, b"".join(parts))
+
+    @asynccontextmanager
+    async def stream(
+        self, path: str, request: str = "r1", headers: Mapping[str, str] | None = None
+    ) -> AsyncIterator[RawAnswer]:
+        """Send a request and give its answer as it arrives."""
+        tokens = {"x-chivehold-token-count": "100,200", "x-chivehold-length-hint": "100"}
+        raw = [
+            (key.encode(), value.encode())
+            for key, value in self._headers(request, {**tokens, **(headers or {})}).items()
+        ]
+        async with self._client.relay(
+            self.address, "POST", path.encode(), step="stream", headers=raw, body=b"prompt"
+        ) as answer:
+            yield answer
+
+    async def events(self, path: str, request: str = "r1", **headers: str) -> list[int]:
+        """Send a request for a stream and return the numbers of its events."""
+        async with self.stream(path, request, headers) as answer:
+            assert answer.status == 200, answer
+            body = b"".join([part async for part in answer.parts])
+        return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+
+    async def is_ready(self) -> bool:
+        """Ask as the load balancer does."""
+        answer = await self._client.call(
+            self.ready_address, "GET", "/v1/ready", step="ready", timeout_s=2.0
+        )
+        return answer.status == 200
+
+    async def aclose(self) -> None:
+        """Close the caller's connections."""
+        await self._client.aclose()
+
+    def _headers(self, request: str, headers: Mapping[str, str] | None) -> dict[str, str]:
+        given = {"host": HOST, "x-chivehold-request-id": request}
+        return {**given, "x-chivehold-deadline-ms": "5000", **(headers or {})}
+
+
+async def until(condition: Any, within_s: float = 3.0) -> None:
+    """Wait until a condition holds."""
+    with trio.fail_after(within_s):
+        while not condition():
+            await trio.sleep(0.005)
+
+
+@asynccontextmanager
+async def deployed(tmp_path: Path, **settings: Any) -> AsyncIterator[Deployed]:
+    """Run an entry before an empty store with the routes above."""
+    async with trio.open_nursery() as nursery:
+        one = Deployed(nursery)
+        one.configure(1, ROUTES)
+        made = DirectSettings(
+            name="entry-1",
+            zone="zone-a",
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            operator_address="127.0.0.1:0",
+            store_address=await one.listen(one.store),
+            retry_share=0.2,
+            retry_extra=54.0,
+            retry_window_s=10.0,
+            shutdown_s=8.0,
+        )._replace(**settings)
+        logs = LogCounts(VolumeLimit(1_000), NonBlockingHandler(os.open(os.devnull, os.O_WRONLY)))
+        one.entry = DirectEntry(made, tmp_path / "entry.toml", BINDING, logs, nursery)
+        addresses = await nursery.start(one.entry.run)
+        one.address, one.ready_address = addresses.callers, addresses.ready
+        one.operator_address = addresses.operator
+        await until(lambda: one.entry.dump()["configuration"] == 1)
+        yield one
+        nursery.cancel_scope.cancel()
+    await one.entry.close()
+    await one.aclose()
--- /dev/null
+++ b/tests/direct/test_app.py
@@ -0,0 +1,163 @@
+"""One entry as a whole: readiness, configuration in force, membership, the end."""
+
+from pathlib import Path
+
+import msgspec
+import trio
+
+from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
+from chivehold.http_client import HttpClient
+from tests.direct.deployed import ROUTES, Deployed, deployed, route, until
+
+IN_FORCE_WITHIN_S = 2.0
+
+
+async def answered_by(one: Deployed, path: str = "/get/a") -> str:
+    return (await one.call(path)).header("x-chivehold-server-stamp") or ""
+
+
+class TestReady:
+    async def test_with_routes_and_upstreams(self, tmp_path: Path) -> None:
+        """An entry that knows nobody to send to takes no callers."""
+        async with deployed(tmp_path) as one:
+            assert not await one.is_ready()
+            await one.add(PlainUpstream("x"), "plain")
+            await until(lambda: one.entry.dump()["upstreams"])
+            assert await one.is_ready()
+
+
+class TestConfiguration:
+    async def test_newer_one_is_in_force_at_once(self, tmp_path: Path) -> None:
+        """A changed route holds for the next request, and a dropped one is unknown."""
+        async with deployed(tmp_path) as one:
+            await one.add(PlainUpstream("x"), "plain")
+            await one.add(PlainUpstream("y"), "other")
+            await until(lambda: len(one.entry.dump()["upstreams"]) == 2)
+            assert await answered_by(one) == "by.x"
+            one.configure(3, [route("/get/", "idempotent", "other")])
+            await until(lambda: one.entry.dump()["configuration"] == 3, IN_FORCE_WITHIN_S)
+            assert await answered_by(one) == "by.y"
+            assert (await one.call("/post/a", method="POST")).status == 404
+
+    async def test_never_goes_back(self, tmp_path: Path) -> None:
+        """An older version that arrives later changes nothing."""
+        async with deployed(tmp_path) as one:
+            one.configure(5, ROUTES)
+            await until(lambda: one.entry.dump()["configuration"] == 5)
+            one.configure(4, [])
+            await trio.sleep(0.2)
+            assert one.entry.dump()["configuration"] == 5
+
+    async def test_unreadable_one_changes_nothing(self, tmp_path: Path) -> None:
+        """The last good configuration stays in force."""
+        async with deployed(tmp_path) as one:
+            await one.add(PlainUpstream("x"), "plain")
+            one.store.put("config", "main", {"version": "nine", "routes": 3})
+            await trio.sleep(0.2)
+            assert one.entry.dump()["configuration"] == 1
+            await until(lambda: one.entry.dump()["upstreams"])
+            assert await answered_by(one) == "by.x"
+
+    async def test_lost_history_is_listed_anew(self, tmp_path: Path) -> None:
+        """A change that falls into the lost part is in force all the same."""
+        async with deployed(tmp_path) as one:
+            one.configure(2, ROUTES)
+            one.store.forget_history()
+            await until(lambda: one.entry.dump()["configuration"] == 2, IN_FORCE_WITHIN_S)
+
+    async def test_change_during_an_outage(self, tmp_path: Path) -> None:
+        """In force soon after the store answers again."""
+        async with deployed(tmp_path) as one:
+            one.store.refuse_with = 503
+            one.store.forget_history()
+            await trio.sleep(0.3)
+            one.configure(2, ROUTES)
+            await trio.sleep(0.5)
+            one.store.refuse_with = None
+            await until(lambda: one.entry.dump()["configuration"] == 2, IN_FORCE_WITHIN_S)
+
+
+class TestMembership:
+    async def test_draining_one_gets_nothing_new(self, tmp_path: Path) -> None:
+        """From the moment at which the store says so."""
+        async with deployed(tmp_path) as one:
+            upstreams = [PlainUpstream("x"), PlainUpstream("y")]
+            address = await one.add(upstreams[0], "plain")
+            await one.add(upstreams[1], "plain")
+            await until(lambda: len(one.entry.dump()["upstreams"]) == 2)
+            one.announce(upstreams[0], "plain", address, {"state": "draining"})
+            await trio.sleep(0.1)
+            before = len(upstreams[0].seen)
+            for number in range(10):
+                assert (await one.call("/get/a", f"r{number}")).status == 200
+            assert len(upstreams[0].seen) == before
+
+    async def test_unreadable_entries_name_nobody(self, tmp_path: Path) -> None:
+        """Beside entries of any other form the good ones hold."""
+        async with deployed(tmp_path) as one:
+            await one.add(PlainUpstream("x"), "plain")
+            address = await one.listen(PlainUpstream("bad"))
+            for number, fields in enumerate(
+                (
+                    {"address": None},
+                    {"address": 7},
+                    {"state": "resting"},
+                    {"slots": "many"},
+                    {"stage": "thinking"},
+                    {"service": None},
+                )
+            ):
+                one.announce(PlainUpstream(f"bad-{number}"), "plain", address, fields)
+            one.store.put("servers", "bad-9", "not even a table")
+            await trio.sleep(0.2)
+            assert [found["upstream"] for found in one.entry.dump()["upstreams"]] == ["x"]
+            assert await answered_by(one) == "by.x"
+
+    async def test_survives_an_outage(self, tmp_path: Path) -> None:
+        """While the store is away, work goes on with what is known."""
+        async with deployed(tmp_path) as one:
+            await one.add(PlainUpstream("x"), "plain")
+            await until(lambda: one.entry.dump()["upstreams"])
+            one.store.refuse_with = 503
+            one.store.forget_history()
+            await trio.sleep(0.3)
+            assert await answered_by(one) == "by.x"
+            assert await one.is_ready()
+
+
+class TestStages:
+    async def test_surplus_prefill_engine_is_ordered_to_decode(self, tmp_path: Path) -> None:
+        """Under the lease's number, with the count of orders that was read."""
+        async with deployed(tmp_path) as one:
+            engines = [ModelEngine(name, "prefill") for name in "ab"]
+            engines += [ModelEngine(name, "decode") for name in "cde"]
+            for engine in engines:
+                await one.add(engine, "model")
+            await until(lambda: any(engine.orders for engine in engines), 6.0)
+            (order,) = [order for engine in engines for order in engine.orders]
+            assert (order["opType"], order["stage"], order["expect"]) == ("stage", "decode", 0)
+            assert order["fenceToken"] > 0
+            assert order["holder"].startswith("entry-1.")
+            await trio.sleep(1.2)
+            assert sum(len(engine.orders) for engine in engines) == 1
+
+
+class TestOperators:
+    async def test_metrics_and_dump(self, tmp_path: Path) -> None:
+        """Counts of what was served, and the state with the age of what it rests on."""
+        async with deployed(tmp_path) as one:
+            await one.add(PlainUpstream("x"), "plain")
+            await until(lambda: one.entry.dump()["upstreams"])
+            await one.call("/get/a")
+            client = HttpClient()
+
+            async def get(path: str) -> bytes:
+                address = one.operator_address
+                return (await client.call(address, "GET", path, step="get", timeout_s=2.0)).body
+
+            metrics = (await get("/metrics")).decode()
+            assert 'chivehold_requests_total{kind="idempotent",outcome="answered"} 1' in metrics
+            dump = msgspec.json.decode(await get("/dump"))
+            assert dump["configuration"] == 1
+            assert dump["upstreams_age_s"] < 5
+            await client.aclose()
--- /dev/null
+++ b/tests/direct/test_stream_calls.py
@@ -0,0 +1,209 @@
+"""Streams through one entry: a place, a prefill elsewhere, the events, and what may go wrong."""
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from chivehold.fakes.platform_upstream import ModelEngine
+from chivehold.http_client import LinkBroken
+from tests.direct.deployed import Deployed, deployed, until
+
+FIVE = [1, 2, 3, 4, 5]
+
+
+class Engines:
+    """One prefill and two decode engines."""
+
+    def __init__(self) -> None:
+        self.prefill = ModelEngine("p", "prefill")
+        self.decode = [ModelEngine("d1", "decode"), ModelEngine("d2", "decode")]
+
+    @property
+    def all(self) -> list[ModelEngine]:
+        return [self.prefill, *self.decode]
+
+    def runs(self, request: str = "r1") -> int:
+        return sum(engine.runs.count(request) for engine in self.decode)
+
+    def nothing_held(self) -> bool:
+        return not any(engine.held or engine.handles for engine in self.all)
+
+
+async def start(one: Deployed) -> Engines:
+    engines = Engines()
+    for engine in engines.all:
+        await one.add(engine, "model")
+    await until(lambda: len(one.entry.dump()["upstreams"]) == 3)
+    return engines
+
+
+class TestPath:
+    async def test_reserves_prefills_and_decodes(self, tmp_path: Path) -> None:
+        """Each engine sees its part: a reservation, the prompt, then the KV cache's source."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            assert await one.events("/tell/a") == FIVE
+            (prefilled,) = engines.prefill.seen
+            assert prefilled["x-chivehold-stage"] == "prefill"
+            (decoded,) = [
+                seen
+                for engine in engines.decode
+                for seen in engine.seen
+                if seen["target"] == "/tell/a"
+            ]
+            assert decoded["x-chivehold-kv-from"].endswith("/kv-p-1")
+            assert decoded["x-chivehold-hold"].startswith("hold-")
+            assert decoded["body"] == "prompt"
+
+    async def test_reserves_prompt_and_expected_output(self, tmp_path: Path) -> None:
+        """The place holds the prompt's tokens and the caller's estimate of the answer."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.event_s = 0.05
+            async with one.stream("/tell/a") as answer:
+                await anext(answer.parts)
+                held = [tokens for engine in engines.decode for tokens in engine.held.values()]
+                assert held == [200]
+
+    async def test_events_pass_as_they_come(self, tmp_path: Path) -> None:
+        """The first event does not wait for the second."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.event_s = 0.2
+            async with one.stream("/tell/a") as answer:
+                first = await anext(answer.parts)
+                assert first.count(b"id:") == 1
+
+    async def test_without_prefill_engine_the_decoder_reads(self, tmp_path: Path) -> None:
+        """The only prefill engine being gone delays, and refuses nobody."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            one.store.remove("servers", "p")
+            await until(lambda: len(one.entry.dump()["upstreams"]) == 2)
+            assert await one.events("/tell/a") == FIVE
+            assert engines.runs() == 1
+
+
+class TestFullEngines:
+    async def test_waits_for_memory(self, tmp_path: Path) -> None:
+        """A request that finds no memory gets the next that is freed."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.held["other"] = 9_900
+            with trio.fail_after(3):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(one.events, "/tell/a")
+                    await trio.sleep(0.3)
+                    assert engines.runs() == 0
+                    engines.decode[1].held.clear()
+            assert engines.decode[1].runs == ["r1"]
+
+    async def test_refused_when_it_would_be_too_late(self, tmp_path: Path) -> None:
+        """Told that it has not run, and when to come back; nothing was prefilled for it."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.held["other"] = 9_900
+            async with one.stream("/tell/a") as answer:
+                headers = dict(answer.headers)
+            assert answer.status == 503
+            assert float(headers[b"retry-after"]) > 0
+            assert engines.prefill.seen == []
+
+    async def test_no_decode_engine(self, tmp_path: Path) -> None:
+        """Known to be unservable: refused at once."""
+        async with deployed(tmp_path) as one:
+            await one.add(ModelEngine("p", "prefill"), "model")
+            started_at = trio.current_time()
+            async with one.stream("/tell/a") as answer:
+                assert answer.status == 503
+            assert trio.current_time() - started_at < 0.3
+
+
+class TestBroken:
+    @pytest.mark.parametrize("fault", ["stop_after", "freeze_after"])
+    async def test_resumable_goes_on_elsewhere(self, tmp_path: Path, fault: str) -> None:
+        """Within one answer, without gap or repeat, from the last whole event."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            setattr(engines.decode[0], fault, 2)
+            engines.decode[1].held["other"] = 9_900
+            async with trio.open_nursery() as nursery:
+
+                async def free_second() -> None:
+                    await until(lambda: engines.decode[0].runs)
+                    engines.decode[1].held.clear()
+
+                nursery.start_soon(free_second)
+                assert await one.events("/resume/a") == FIVE
+            assert engines.decode[1].runs == ["r1"]
+
+    async def test_other_streams_break_off(self, tmp_path: Path) -> None:
+        """A stream that may not be repeated runs once and never looks complete."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.stop_after = 2
+            with pytest.raises(LinkBroken):
+                await one.events("/tell/a")
+            assert engines.runs() == 1
+
+    async def test_caller_resumes(self, tmp_path: Path) -> None:
+        """A caller that names its last event gets the rest."""
+        async with deployed(tmp_path) as one:
+            await start(one)
+            assert await one.events("/resume/a", **{"last-event-id": "3"}) == [4, 5]
+
+    async def test_lost_handle_is_read_again(self, tmp_path: Path) -> None:
+        """A decoder that cannot fetch the KV cache has not run; it then reads the prompt."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.lose_handles = True
+            assert await one.events("/tell/a") == FIVE
+            assert engines.runs() == 1
+
+
+class TestDeparture:
+    async def test_while_waiting_for_a_place(self, tmp_path: Path) -> None:
+        """A caller that has left gets no place later."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.held["other"] = 9_900
+            with trio.move_on_after(0.2):
+                await one.events("/tell/a")
+            await trio.sleep(0.1)
+            for engine in engines.decode:
+                engine.held.clear()
+            await trio.sleep(0.3)
+            assert engines.prefill.seen == []
+            assert engines.nothing_held()
+
+    async def test_during_prefill(self, tmp_path: Path) -> None:
+        """The prefill is cancelled and the reservation given back."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            engines.prefill.work_s = 5.0
+            with trio.move_on_after(0.3):
+                await one.events("/tell/a")
+            await until(lambda: engines.prefill.given_up == ["r1"], 0.5)
+            await until(engines.nothing_held, 0.5)
+            assert engines.runs() == 0
+
+    async def test_in_mid_stream(self, tmp_path: Path) -> None:
+        """The engine learns of it and holds nothing any more."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            for engine in engines.decode:
+                engine.event_s = 0.3
+            async with one.stream("/tell/a") as answer:
+                await anext(answer.parts)
+            await until(
+                lambda: [leaver for one in engines.decode for leaver in one.given_up] == ["r1"], 0.5
+            )
+            await until(lambda: not any(engine.held for engine in engines.decode), 0.5)
