Prefill engines are shared by the number of entries; an unreachable decoder has run nothing

A decode engine that refused the connection counted as one that may have run the stream.

Change: entries count each other by an object each in the store (store/roster.py); an entry may use an equal part of the prefill engines, and more only while they look hardly used; the patience with a prefill follows its usual time. The extra of the retry budget is divided by the same number.

--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -36,6 +36,7 @@
 from chivehold.store.api import ObjectStore
 from chivehold.store.follower import Follower
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
+from chivehold.store.roster import EntryRoster
 
 CONNECT_TIMEOUT_S = 0.3
 STORE_CONNECT_TIMEOUT_S = 0.5
@@ -43,7 +44,7 @@
 """Idle connections to upstreams are used again within this time."""
 ACCEPT_WHILE_DRAINING_S = 3.0
 """The load balancer needs two failed checks, a second apart, to send callers elsewhere."""
-SHUTDOWN_MARGIN_S = 0.8
+SHUTDOWN_MARGIN_S = 1.2
 """What is left of the shutdown time when the last requests are cut off."""
 SETTINGS_POLL_S = 1.0
 INCARNATION_BYTES = 6
@@ -117,7 +118,9 @@
             StreamCalls(
                 self._fleet,
                 engines,
-                Prefills(self._fleet, engines, self._retries, self._metrics),
+                Prefills(
+                    self._fleet, engines, self._retries, self._metrics, lambda: self._roster.count
+                ),
                 self._places,
                 self._retries,
                 self._metrics,
@@ -146,6 +149,9 @@
         )
 
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._roster = EntryRoster(
+            store, settings.name, name, settings.entries_most, self._divide, rng
+        )
         self._control_lease = LeaseKeeper(
             store, name, CONTROL_LEASES, CONTROL_POLL_S, rng, self._may_order, suspended_s
         )
@@ -211,8 +217,9 @@
         await trio.sleep(ACCEPT_WHILE_DRAINING_S)
 
     async def _control(self) -> None:
-        """Do the duties of the control lease until this entry drains, then give it back."""
+        """Do the shared duties until this entry drains, then hand them on."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._roster.run)
             nursery.start_soon(self._control_lease.run)
             nursery.start_soon(self._stages.run)
             await self._drain_asked.wait()
@@ -254,7 +261,11 @@
         if changed or asked:
             log_event(_log, logging.INFO, "settings reloaded", changed=changed)
         self._settings = settings
-        self._retries.configure(settings.retry_share, settings.retry_extra, settings.entries_most)
+        self._divide(self._roster.count)
+
+    def _divide(self, entries: int) -> None:
+        """Divide what all entries share by their number."""
+        self._retries.configure(self._settings.retry_share, self._settings.retry_extra, entries)
 
     def _apply_routes(self) -> None:
         table = max(self._tables.values(), key=lambda one: one.version, default=None)
@@ -335,6 +346,7 @@
             "upstreams_age_s": self._upstreams.age_s(now),
             "upstreams": list(self._fleet.dump(now)),
             "in_progress": self._callers.in_progress,
+            "entries": self._roster.count,
             "control_lease": {
                 "held": self._control_lease.is_held(),
                 "holders": self._control_lease.holders,
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -1,9 +1,12 @@
 """Has prompts prefilled, at a prefill engine or, where that would take longer, by the decoder."""
 
+from collections.abc import Callable
+
 import trio
 
-from chivehold.core.direct.fleet import Fleet
+from chivehold.core.direct.fleet import Fleet, incarnation
 from chivehold.core.direct.messages import Stage, UpstreamEntry
+from chivehold.core.direct.prefill_load import PrefillLoad
 from chivehold.core.direct.shared_retries import SharedRetries
 from chivehold.direct.engines import EngineClient, Prefilled
 from chivehold.direct.exchange import Exchange
@@ -11,13 +14,10 @@
 from chivehold.exceptions import PeerRefused
 from chivehold.http_client import LinkError
 
-PREFILL_TIMEOUT_S = 0.8
-AT_ONCE = 1
-"""Prefills of this entry at one engine; more would only make each of them slower."""
+FAILED_PAUSE_S = 0.8
+"""An engine that failed a prefill is avoided for so long."""
 NOT_FETCHED_PAUSE_S = 2.0
 """An engine whose KV caches lapse or cannot be moved prefills nothing for so long."""
-QUEUE_S = 0.15
-"""A prompt that would wait longer is read by its decode engine, which takes about as long."""
 
 
 class Prefills:
@@ -28,6 +28,7 @@
         engines: Makes the calls.
         retries: Bounds the calls beyond the first of each request.
         metrics: Measures.
+        entries: Returns how many entries share the prefill engines.
     """
 
     def __init__(
@@ -36,18 +37,21 @@
         engines: EngineClient,
         retries: SharedRetries,
         metrics: DirectMetrics,
+        entries: Callable[[], int],
     ) -> None:
         self._fleet = fleet
         self._engines = engines
         self._retries = retries
         self._metrics = metrics
-        self._freed = trio.Event()
+        self._entries = entries
+        self._loads: dict[str, PrefillLoad] = {}
 
     async def run(self, exchange: Exchange) -> Prefilled | None:
         """Have a prompt prefilled; ``None`` where the decode engine has to read it."""
         tried: set[str] = set()
+        load = self._loads.setdefault(exchange.service, PrefillLoad())
         while True:
-            upstream = await self._free_engine(exchange.service, tried)
+            upstream = self._engine(load, exchange.service, exchange.facts.prompt_tokens, tried)
             if upstream is None:
                 exchange.log("prefill left to decode engine", tried=len(tried))
                 return None
@@ -55,7 +59,7 @@
                 exchange.log("retry budget spent", reason="prefill")
                 return None
             tried.add(upstream.name)
-            if (prefilled := await self._prefill_at(exchange, upstream)) is not None:
+            if (prefilled := await self._prefill_at(load, exchange, upstream)) is not None:
                 return prefilled
 
     def not_fetched(self, exchange: Exchange, prefilled: Prefilled) -> None:
@@ -63,38 +67,49 @@
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
         exchange.log("KV cache not fetched", peer=prefilled.upstream.name)
 
-    async def _free_engine(self, service: str, tried: set[str]) -> UpstreamEntry | None:
-        """Wait a moment for an engine that is free."""
-        with trio.move_on_after(QUEUE_S):
-            while True:
-                now = trio.current_time()
-                ranked = self._fleet.ranked(service, Stage.PREFILL, now, tried)
-                sound = [one for one in ranked if not self._fleet.is_suspended(one, now)]
-                if not sound:
-                    return None
-                free = (one for one in sound if self._fleet.in_flight(one) < AT_ONCE)
-                if (upstream := next(free, None)) is not None:
-                    return upstream
-                await self._freed.wait()
-        return None
+    def _engine(
+        self, load: PrefillLoad, service: str, tokens: int, tried: set[str]
+    ) -> UpstreamEntry | None:
+        """Return the engine to use, or ``None`` where the decode engine is as quick."""
+        now = trio.current_time()
+        ranked = self._fleet.ranked(service, Stage.PREFILL, now, tried)
+        sound = [one for one in ranked if not self._fleet.is_suspended(one, now)]
+        engines, entries = len(sound), self._entries()
+        usable = (
+            one for one in sound if load.may_use(incarnation(one), tokens, engines, entries, now)
+        )
+        return next(usable, None)
 
-    async def _prefill_at(self, exchange: Exchange, upstream: UpstreamEntry) -> Prefilled | None:
-        detail: object = f"no answer within {PREFILL_TIMEOUT_S} s"
+    async def _prefill_at(
+        self, load: PrefillLoad, exchange: Exchange, upstream: UpstreamEntry
+    ) -> Prefilled | None:
+        engine, tokens = incarnation(upstream), exchange.facts.prompt_tokens
+        began_at = trio.current_time()
+        patience_s = min(load.patience_s(engine, tokens, began_at), exchange.left_s())
+        detail: object = f"no answer within {patience_s:.2f} s"
+        load.began(engine, tokens, began_at)
         try:
-            with trio.move_on_after(min(PREFILL_TIMEOUT_S, exchange.left_s())):
+            with trio.move_on_after(patience_s):
                 prefilled = await self._engines.prefill(exchange, upstream)
-                self._metrics.prefilled(exchange.service, prefilled.took_s)
-                took_ms = round(prefilled.took_s * 1_000)
-                exchange.log("prefilled", peer=upstream.name, took_ms=took_ms)
+                self._took(load, exchange, prefilled)
                 return prefilled
+            load.gave_up(engine, trio.current_time())
         except (PeerRefused, LinkError) as error:
             detail = error
         finally:
-            self._wake()
-        self._fleet.suspend(upstream, trio.current_time() + PREFILL_TIMEOUT_S)
+            load.ended(engine, began_at)
+        self._fleet.suspend(upstream, trio.current_time() + FAILED_PAUSE_S)
         exchange.log("prefill failed", peer=upstream.name, detail=detail)
         return None
 
-    def _wake(self) -> None:
-        self._freed.set()
-        self._freed = trio.Event()
+    def _took(self, load: PrefillLoad, exchange: Exchange, prefilled: Prefilled) -> None:
+        tokens, now = exchange.facts.prompt_tokens, trio.current_time()
+        engine = incarnation(prefilled.upstream)
+        load.took(engine, tokens, prefilled.took_s, now)
+        self._metrics.prefilled(exchange.service, prefilled.took_s)
+        exchange.log(
+            "prefilled",
+            peer=prefilled.upstream.name,
+            took_ms=round(prefilled.took_s * 1_000),
+            crowd=round(load.prompts_at(engine, now), 1),
+        )
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -20,7 +20,7 @@
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.prefills import Prefills
 from chivehold.direct.refusals import Refusal, not_run, send_refusal, unknown
-from chivehold.http_client import LinkError, RawAnswer
+from chivehold.http_client import LinkError, NothingSent, RawAnswer
 
 FIRST_EVENT_ALLOWANCE_S = 0.35
 """From a place to the first event, when nothing waits."""
@@ -288,6 +288,8 @@
             return _Run(_End.BROKEN, Verdict.FAILED, f"silent for {SILENCE_S} s")
         except EventTooLong:
             return _Run(_End.BROKEN, Verdict.FAILED, "event too long")
+        except NothingSent as error:
+            return _Run(_End.NOT_RUN, Verdict.FAILED, error.detail)
         except LinkError as error:
             return _Run(_End.BROKEN, Verdict.FAILED, error.detail)
 
--- a/src/chivehold/platform/__init__.py
+++ b/src/chivehold/platform/__init__.py
@@ -11,12 +11,13 @@
 from chivehold.platform.engine_entries import UPSTREAM_KIND, decode_upstream
 from chivehold.platform.store import PlatformStore
 from chivehold.store.leases import LEASE_KIND
+from chivehold.store.roster import ENTRY_KIND
 
 __all__ = ["BINDING", "PlatformDialect", "PlatformStore", "decode_configuration", "decode_upstream"]
 
 
 def _open_store(address: str, client: HttpClient) -> PlatformStore:
-    return PlatformStore(address, client, own_kinds=frozenset((LEASE_KIND,)))
+    return PlatformStore(address, client, own_kinds=frozenset((LEASE_KIND, ENTRY_KIND)))
 
 
 BINDING = PlatformBinding(
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -142,8 +142,8 @@
     shutdown_s: float
     """Time between SIGTERM and SIGKILL."""
     entries_most: int = 8
-    """Entries that share ``retry_extra``."""
-    decode_per_prefill: float = 4.0
+    """Entries that share what is shared, until their number is known."""
+    decode_per_prefill: float = 3.0
     """Decode engines that one prefill engine keeps busy; the stages are ordered to fit."""
     idle_timeout_s: float = 60.0
     """An idle caller's connection is closed after this time."""
--- a/src/chivehold/store/follower.py
+++ b/src/chivehold/store/follower.py
@@ -15,7 +15,7 @@
 
 ValueT = TypeVar("ValueT")
 
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 3.0
 LONGEST_PAUSE_S = 0.5
 """Between tries while the store does not answer; what is missed meanwhile is work misrouted."""
 EMPTY_WATCH_LEAST_S = 0.05
--- /dev/null
+++ b/src/chivehold/store/roster.py
@@ -0,0 +1,123 @@
+"""Which entries there are: each writes an object of its own and lists the others now and then.
+
+What all entries share without asking each other, such as a retry budget, is divided by their
+number. Counting one that is gone is safe, it only leaves a part unused; so an object counts until
+it has not been renewed for a long time.
+"""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import trio
+from returns.result import Failure
+
+from chivehold.core.identity import EntryIncarnation
+from chivehold.logs import log_event
+from chivehold.store.api import Conflict, ObjectStore, Stored
+from chivehold.store.client import Write, settle
+
+ENTRY_KIND = "entry"
+POLL_S = 10.0
+ENTRIES_A_POLL = 50
+"""With more entries each lists less often, so that the volume per entry stays the same."""
+RENEW_S = 60.0
+STALE_S = 180.0
+RETRY_S = 2.0
+GIVE_BACK_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class _Seen(NamedTuple):
+    """When an entry's object was first seen as it is."""
+
+    version: int
+    since: float
+
+
+class EntryRoster:
+    """Counts the entries; ``run`` does the work.
+
+    Args:
+        store: The store.
+        name: The name of this entry, the same after a restart.
+        incarnation: This run of it.
+        assumed: How many there are until the first list.
+        publish: Called with the number whenever it has changed.
+        rng: Draws the pauses.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        name: str,
+        incarnation: EntryIncarnation,
+        assumed: int,
+        publish: Callable[[int], None],
+        rng: Random,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._incarnation = incarnation
+        self._publish = publish
+        self._rng = rng
+        self._count = assumed
+        self._writes = 0
+        self._version = 0
+        self._renewed_at: float | None = None
+        self._seen: dict[str, _Seen] = {}
+
+    @property
+    def count(self) -> int:
+        """How many entries there are, this one included."""
+        return self._count
+
+    async def run(self) -> None:
+        """Renew and list until cancelled, then remove this entry."""
+        try:
+            while True:
+                listed = await self._renew() and await self._list()
+                pause_s = POLL_S * max(1.0, self._count / ENTRIES_A_POLL) if listed else RETRY_S
+                await trio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+        finally:
+            with trio.move_on_after(GIVE_BACK_TIMEOUT_S, shield=True):
+                await self._store.delete(ENTRY_KIND, self._name, self._version, "")
+
+    async def _renew(self) -> bool:
+        now = trio.current_time()
+        if self._renewed_at is not None and now < self._renewed_at + RENEW_S:
+            return True
+        self._writes += 1
+        operation = f"{self._incarnation}/{self._writes}"
+        value = self._incarnation.encode()
+        write = Write(ENTRY_KIND, self._name, value, self._version, operation)
+        written = await settle(self._store, write, self._rng, tries=1)
+        if isinstance(written, Failure):
+            error = written.failure()
+            # An object that a former run left, or that was removed as stale, is taken over.
+            self._version = error.current_version if isinstance(error, Conflict) else 0
+            return False
+        self._version = written.unwrap().version
+        self._renewed_at = now
+        return True
+
+    async def _list(self) -> bool:
+        listed = await self._store.list(ENTRY_KIND)
+        if isinstance(listed, Failure):
+            return False
+        now = trio.current_time()
+        self._seen = {one.name: self._see(one, now) for one in listed.unwrap().objects}
+        count = sum(now - one.since < STALE_S for one in self._seen.values())
+        if count and count != self._count:
+            log_event(_log, logging.INFO, "entries counted", entries=count, before=self._count)
+            self._count = count
+            self._publish(count)
+        return True
+
+    def _see(self, stored: Stored, now: float) -> _Seen:
+        known = self._seen.get(stored.name)
+        if known is not None and known.version == stored.version:
+            return known
+        return _Seen(stored.version, now)
--- /dev/null
+++ b/tests/core/direct/test_prefill_load.py
@@ -0,0 +1,114 @@
+"""Five entries for each prefill engine, of which each knows only its own prompts.
+
+The pattern is a burst in which all entries together send more prompts than the engines can read in
+time. An engine that reads by turns is played on a clock of its own; there is no network.
+"""
+
+from random import Random
+
+import pytest
+
+from chivehold.core.direct.fleet import UpstreamIncarnation
+from chivehold.core.direct.prefill_load import (
+    CALM_PROMPTS,
+    LONGEST_PATIENCE_S,
+    SHORTEST_PATIENCE_S,
+    PrefillLoad,
+)
+
+ENGINE = UpstreamIncarnation("p", 1)
+TOKENS = 3_000
+ALONE_S = 0.1
+STEP_S = 0.005
+
+
+class Burst:
+    """Entries that share one engine, which divides its time among the prompts that it reads."""
+
+    def __init__(self, entries: int, arrivals_per_s: float, seed: int, aware: bool) -> None:
+        self.rng = Random(seed)
+        self.loads = [PrefillLoad() for _ in range(entries)]
+        self.aware = aware
+        self.arrivals_per_s = arrivals_per_s
+        self.left: list[tuple[int, float, float]] = []
+        self.took: list[float] = []
+        self.kept_away = 0
+
+    def play(self, length_s: float) -> None:
+        now = 0.0
+        while now < length_s or self.left:
+            now += STEP_S
+            if now < length_s and self.rng.random() < self.arrivals_per_s * STEP_S:
+                self.arrive(self.rng.randrange(len(self.loads)), now)
+            self.read(now)
+
+    def arrive(self, entry: int, now: float) -> None:
+        load = self.loads[entry]
+        if self.aware and not load.may_use(ENGINE, TOKENS, 1, len(self.loads), now):
+            self.kept_away += 1
+            return
+        self.loads[entry].began(ENGINE, TOKENS, now)
+        self.left.append((entry, now, ALONE_S))
+
+    def read(self, now: float) -> None:
+        share_s = STEP_S / max(1, len(self.left))
+        still = []
+        for entry, began_at, left_s in self.left:
+            if left_s > share_s:
+                still.append((entry, began_at, left_s - share_s))
+                continue
+            self.took.append(now - began_at)
+            self.loads[entry].ended(ENGINE, began_at)
+            self.loads[entry].took(ENGINE, TOKENS, now - began_at, now)
+        self.left = still
+
+
+@pytest.mark.parametrize("seed", range(4))
+class TestBurst:
+    def test_crowd_stays_bounded(self, seed: int) -> None:
+        """At twice the engine's capacity half of all prefills take no more than four alone."""
+        burst = Burst(entries=5, arrivals_per_s=20.0, seed=seed, aware=True)
+        burst.play(8.0)
+        assert sorted(burst.took)[len(burst.took) // 2] <= 4 * ALONE_S
+        unaware = Burst(entries=5, arrivals_per_s=20.0, seed=seed, aware=False)
+        unaware.play(8.0)
+        assert sorted(unaware.took)[len(unaware.took) // 2] > 10 * ALONE_S
+
+    def test_engine_is_used_all_the_same(self, seed: int) -> None:
+        """The engine reads at least half of what it could."""
+        burst = Burst(entries=5, arrivals_per_s=20.0, seed=seed, aware=True)
+        burst.play(8.0)
+        assert len(burst.took) * ALONE_S >= 0.5 * 8.0
+
+    def test_calm_engine_reads_everything(self, seed: int) -> None:
+        """At a third of its capacity hardly a prompt is kept away."""
+        burst = Burst(entries=4, arrivals_per_s=3.3, seed=seed, aware=True)
+        burst.play(20.0)
+        assert burst.kept_away <= 0.05 * len(burst.took)
+
+
+class TestPatience:
+    def test_is_bounded(self) -> None:
+        """Whatever was measured, a silent engine is given up within the bounds."""
+        load = PrefillLoad()
+        assert load.patience_s(ENGINE, 10, 0.0) == SHORTEST_PATIENCE_S
+        for _ in range(20):
+            load.took(ENGINE, TOKENS, 30.0, 0.0)
+        assert load.patience_s(ENGINE, TOKENS, 0.0) == LONGEST_PATIENCE_S
+
+    def test_crowd_is_forgotten(self) -> None:
+        """An engine that was given up counts as hardly used after some seconds."""
+        load = PrefillLoad()
+        load.gave_up(ENGINE, 0.0)
+        assert load.prompts_at(ENGINE, 0.0) > CALM_PROMPTS
+        assert load.prompts_at(ENGINE, 8.0) < CALM_PROMPTS
+
+
+class TestShare:
+    def test_equal_part_is_always_allowed(self) -> None:
+        """Whatever others do: of one engine and four entries, each may use a quarter."""
+        load = PrefillLoad()
+        for number in range(8):
+            load.gave_up(ENGINE, float(number))
+            assert load.may_use(ENGINE, TOKENS, 1, 4, float(number))
+            load.began(ENGINE, TOKENS, float(number))
--- a/tests/direct/deployed.py
+++ b/tests/direct/deployed.py
@@ -3,7 +3,6 @@
 import os
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -61,6 +60,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self._client = HttpClient()
+        self._scopes: dict[int, trio.CancelScope] = {}
         self.store = MetadataStore()
         self.address = ""
         self.ready_address = ""
@@ -69,9 +69,18 @@
 
     async def listen(self, app: App) -> str:
         """Serve a stand-in and return its address."""
-        return await self._nursery.start(
-            partial(serve_http, app, "127.0.0.1:0", limits=PLAIN_HEADERS)
-        )
+        scope = self._scopes[id(app)] = trio.CancelScope()
+
+        async def serve(task_status: trio.TaskStatus[str]) -> None:
+            with scope:
+                await serve_http(app, "127.0.0.1:0", limits=PLAIN_HEADERS, task_status=task_status)
+
+        return await self._nursery.start(serve)
+
+    async def stop(self, app: App) -> None:
+        """End a stand-in as a crash would: its address refuses connections."""
+        self._scopes[id(app)].cancel()
+        await trio.sleep(0.05)
 
     async def add(self, upstream: PlainUpstream, service: str) -> str:
         """Start an upstream, list it in the store, and return its address."""
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -152,6 +152,23 @@
                 await one.events("/tell/a")
             assert engines.runs() == 1
 
+    async def test_unreachable_decoder_has_run_nothing(self, tmp_path: Path) -> None:
+        """A stream that could not even be sent goes to another engine, though it runs once."""
+        async with deployed(tmp_path) as one:
+            engines = await start(one)
+            engines.decode[1].held["other"] = 9_900
+            async with trio.open_nursery() as nursery:
+                engines.prefill.work_s = 0.3
+
+                async def leave_during_prefill() -> None:
+                    await until(lambda: engines.prefill.seen)
+                    await one.stop(engines.decode[0])
+                    engines.decode[1].held.clear()
+
+                nursery.start_soon(leave_during_prefill)
+                assert await one.events("/tell/a") == FIVE
+            assert engines.decode[1].runs == ["r1"]
+
     async def test_caller_resumes(self, tmp_path: Path) -> None:
         """A caller that names its last event gets the rest."""
         async with deployed(tmp_path) as one:
