--- a/src/chivehold/commands/application.py
+++ b/src/chivehold/commands/application.py
@@ -9,7 +9,7 @@
 
 from chivehold.commands.change import ApplyCommand, DiffCommand
 from chivehold.commands.check import CheckSettingsCommand
-from chivehold.commands.daemons import EntryCommand, SidecarCommand
+from chivehold.commands.daemons import DirectCommand, EntryCommand, SidecarCommand
 from chivehold.commands.exits import ExitCode, exit_of_status
 from chivehold.commands.nodes import DrainCommand, DumpCommand
 from chivehold.commands.read import GetCommand, StatusCommand, WatchCommand
@@ -20,6 +20,7 @@
     ApplyCommand,
     CheckSettingsCommand,
     DiffCommand,
+    DirectCommand,
     DrainCommand,
     DumpCommand,
     EntryCommand,
--- a/src/chivehold/commands/check.py
+++ b/src/chivehold/commands/check.py
@@ -13,7 +13,7 @@
 from chivehold.commands.exits import ExitCode
 from chivehold.declaration_files import MAX_DECLARATION_BYTES, read_declarations
 from chivehold.exceptions import DeclarationInvalid, SettingsInvalid
-from chivehold.settings import read_entry_settings, read_sidecar_settings
+from chivehold.settings import read_direct_settings, read_entry_settings, read_sidecar_settings
 
 
 class FileKind(StrEnum):
@@ -21,12 +21,21 @@
 
     ENTRY = "entry settings"
     SIDECAR = "sidecar settings"
+    DIRECT = "settings of an entry without sidecars"
     DECLARATIONS = "declarations"
 
 
+_DIRECT_KEYS = ("ready_address", "store_address")
 _SIDECAR_KEYS = ("upstream_address", "data_address", "target", "role")
 
 
+_READERS: dict[FileKind, Callable[[Path], object]] = {
+    FileKind.ENTRY: read_entry_settings,
+    FileKind.SIDECAR: read_sidecar_settings,
+    FileKind.DIRECT: read_direct_settings,
+}
+
+
 class CheckSettingsCommand(PlainCommand):
     """Checks settings and declaration files, and names every fault."""
 
@@ -59,15 +68,15 @@
         return FileKind.ENTRY
     if "deployments" in table or "services" in table:
         return FileKind.DECLARATIONS
+    if any(key in table for key in _DIRECT_KEYS):
+        return FileKind.DIRECT
     return FileKind.SIDECAR if any(key in table for key in _SIDECAR_KEYS) else FileKind.ENTRY
 
 
 def _problems(kinds: dict[Path, FileKind]) -> Iterator[str]:
     for path, kind in kinds.items():
-        if kind is FileKind.ENTRY:
-            yield from _settings_problems(read_entry_settings, path)
-        elif kind is FileKind.SIDECAR:
-            yield from _settings_problems(read_sidecar_settings, path)
+        if (read := _READERS.get(kind)) is not None:
+            yield from _settings_problems(read, path)
     declared = [path for path, kind in kinds.items() if kind is FileKind.DECLARATIONS]
     yield from _declaration_problems(declared)
 
--- a/src/chivehold/commands/daemons.py
+++ b/src/chivehold/commands/daemons.py
@@ -1,4 +1,4 @@
-"""``entry`` and ``sidecar``: help texts; ``chivehold.cli`` runs them without this package."""
+"""Help texts of ``entry``, ``sidecar`` and ``direct``, which run without this package."""
 
 from typing import ClassVar
 
@@ -30,3 +30,11 @@
     name = "sidecar"
     description = "Runs the sidecar beside one upstream until SIGTERM or SIGINT"
     examples = ("chivehold sidecar --settings lector-d1.toml",)
+
+
+class DirectCommand(_DaemonCommand):
+    """Runs an entry that reaches its upstreams itself until SIGTERM or SIGINT."""
+
+    name = "direct"
+    description = "Runs an entry that needs no sidecars until SIGTERM or SIGINT"
+    examples = ("chivehold direct --settings /etc/chivehold/entry.toml",)
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -98,6 +98,7 @@
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_asked = trio.Event()
         self._reload_asked = trio.Event()
+        self._settings_fault = ""
         self._client = HttpClient(
             ClientLimits(connect_timeout_s=CONNECT_TIMEOUT_S, keep_alive_s=IDLE_CONNECTION_S)
         )
@@ -197,7 +198,9 @@
                 await listen(operator, settings.operator_address, side_limits),
                 await listen(self._callers, settings.caller_address, limits),
             )
-            log_event(_log, logging.INFO, "entry started", **settings._asdict())
+            log_event(
+                _log, logging.INFO, "entry started", None, **addresses._asdict(), **_told(settings)
+            )
             task_status.started(addresses)
             await self._drain_asked.wait()
             await self._drain()
@@ -251,8 +254,11 @@
         try:
             settings = read_direct_settings(self._path)
         except SettingsInvalid as error:
-            log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
+            if asked or str(error) != self._settings_fault:
+                log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
+            self._settings_fault = str(error)
             return
+        self._settings_fault = ""
         changed = [
             field
             for field, value in settings._asdict().items()
@@ -356,6 +362,13 @@
         }
 
 
+def _told(settings: DirectSettings) -> dict[str, object]:
+    """Return the settings as they are logged, without the addresses asked for."""
+    return {
+        key: value for key, value in settings._asdict().items() if not key.endswith("_address")
+    } | {"store": settings.store_address}
+
+
 async def run_direct_entry(
     settings: DirectSettings, path: Path, platform: PlatformBinding, logs: LogCounts
 ) -> None:
--- /dev/null
+++ b/tests/direct/test_process.py
@@ -0,0 +1,131 @@
+"""The program as a process: it starts from its settings file, drains on SIGTERM, reloads."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from chivehold.fakes.platform_upstream import PlainUpstream
+from tests.direct.deployed import ROUTES, Deployed, until
+
+SETTINGS = """
+name = "entry-1"
+zone = "zone-a"
+caller_address = "127.0.0.1:0"
+ready_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+store_address = "{store}"
+retry_share = 0.2
+retry_extra = 54
+retry_window_s = 10
+shutdown_s = {shutdown_s}
+"""
+
+
+class Program:
+    """A started entry and what it has logged."""
+
+    def __init__(self, settings: Path) -> None:
+        self.output = settings.with_suffix(".log")
+        with self.output.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "chivehold", "direct", "--settings", str(settings)],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env=dict(os.environ),
+            )
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        lines = self.output.read_text().splitlines()
+        found = [json.loads(line) for line in lines if line.startswith("{")]
+        return [one for one in found if one["event"] == event]
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+@asynccontextmanager
+async def program(
+    tmp_path: Path, shutdown_s: float = 8.0
+) -> AsyncIterator[tuple[Program, Deployed, PlainUpstream, Path]]:
+    settings = tmp_path / "entry.toml"
+    async with trio.open_nursery() as nursery:
+        one = Deployed(nursery)
+        one.configure(1, ROUTES)
+        upstream = PlainUpstream("x")
+        await one.add(upstream, "plain")
+        store = await one.listen(one.store)
+        settings.write_text(SETTINGS.format(store=store, shutdown_s=shutdown_s))
+        started = Program(settings)
+        try:
+            await until(lambda: started.logged("entry started"), 15.0)
+            (line,) = started.logged("entry started")
+            one.address, one.ready_address = line["callers"], line["ready"]
+            await until(lambda: started.logged("upstream listed"))
+            yield started, one, upstream, settings
+        finally:
+            started.end()
+        nursery.cancel_scope.cancel()
+    await one.aclose()
+
+
+class TestProcess:
+    async def test_drain_cuts_nothing(self, tmp_path: Path) -> None:
+        """After SIGTERM it is not ready, still serves, closes connections, and ends by itself."""
+        async with program(tmp_path) as (started, one, upstream, _):
+            assert await one.is_ready()
+            upstream.work_s = 1.0
+            async with trio.open_nursery() as nursery:
+                answers = []
+
+                async def call(request: str) -> None:
+                    answers.append(await one.call("/get/a", request))
+
+                nursery.start_soon(call, "before")
+                await until(lambda: upstream.runs == ["before"])
+                started.process.send_signal(signal.SIGTERM)
+                await until(lambda: started.logged("drain started"))
+                assert not await one.is_ready()
+                nursery.start_soon(call, "after")
+            assert [answer.status for answer in answers] == [200, 200]
+            assert {answer.header("connection") for answer in answers} == {"close"}
+            await until(lambda: started.process.poll() is not None, 8.0)
+            assert started.process.returncode == 0
+            assert started.logged("entry stopped")[0]["in_progress"] == 0
+
+    async def test_settings_are_read_again(self, tmp_path: Path) -> None:
+        """On SIGHUP, and when the file changes without one; a bad file changes nothing."""
+        async with program(tmp_path) as (started, _, _, settings):
+            started.process.send_signal(signal.SIGHUP)
+            await until(lambda: len(started.logged("settings reloaded")) == 1)
+            good = settings.read_text()
+            settings.write_text(good.replace("retry_extra = 54", "retry_extra = 7"))
+            await until(lambda: len(started.logged("settings reloaded")) == 2)
+            assert started.logged("settings reloaded")[1]["changed"] == ["retry_extra"]
+            settings.write_text("name = 3")
+            await until(lambda: started.logged("settings not reloaded"))
+            assert started.process.poll() is None
+
+    def test_bad_settings(self, tmp_path: Path) -> None:
+        """Every fault is told with file and key, and the exit code is 1."""
+        settings = tmp_path / "entry.toml"
+        settings.write_text('name = "entry-1"\nretry_share = 3\ncaller_adress = "x"\n')
+        ended = subprocess.run(
+            [sys.executable, "-m", "chivehold", "direct", "--settings", str(settings)],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert ended.returncode == 1
+        for problem in ("retry_share: expected a share", "did you mean 'caller_address'", "zone"):
+            assert problem in ended.stderr
+        assert str(settings) in ended.stderr
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,145 @@
+"""Headers and engine calls as the platform writes them."""
+
+import msgspec
+import pytest
+
+from chivehold.core.direct.messages import (
+    AnswerFacts,
+    EngineReport,
+    Forwarding,
+    KvSource,
+    Stage,
+    StageOrder,
+)
+from chivehold.platform.dialect import PlatformDialect
+from tests.core.direct.entries import upstream
+
+DIALECT = PlatformDialect()
+REQUEST = [
+    (b"host", b"ficu95.example"),
+    (b"x-chivehold-request-id", b"9c41d07be2a35f68"),
+    (b"x-chivehold-token-count", b"1460,80"),
+    (b"x-chivehold-length-hint", b"70"),
+    (b"x-chivehold-deadline-ms", b"14000"),
+    (b"last-event-id", b"3"),
+]
+
+
+class TestRequest:
+    def test_facts(self) -> None:
+        """Each header is read into the field that says what it holds."""
+        facts = DIALECT.read_request(REQUEST)
+        assert (facts.request, facts.deadline_s) == ("9c41d07be2a35f68", 14.0)
+        assert (facts.prompt_tokens, facts.output_most, facts.output_hint) == (1_460, 80, 70)
+        assert facts.last_event == "3"
+
+    @pytest.mark.parametrize("text", [b"soon", b"-5", b"nan", b"inf", b"1e400", b""])
+    def test_unreadable_numbers_are_absent(self, text: bytes) -> None:
+        """A deadline that is no number in range is none."""
+        assert DIALECT.read_request([(b"x-chivehold-deadline-ms", text)]).deadline_s is None
+
+    def test_first_of_doubled_headers_counts(self) -> None:
+        """A caller that names two ids is known by the first."""
+        doubled = [(b"x-chivehold-request-id", b"a"), (b"x-chivehold-request-id", b"b")]
+        assert DIALECT.read_request(doubled).request == "a"
+
+
+class TestForwarded:
+    def test_what_the_entry_adds(self) -> None:
+        """Deadline, expected upstream, source, reservation and last event."""
+        forwarding = Forwarding(1.5, False, KvSource("10.1.64.9:8080", "3fa0"), "h1", "7")
+        headers = dict(DIALECT.forwarded_headers(REQUEST, upstream("i-1"), forwarding))
+        assert headers[b"x-chivehold-deadline-ms"] == b"1500"
+        assert headers[b"x-chivehold-expect-instance"] == b"i-1"
+        assert headers[b"x-chivehold-kv-from"] == b"10.1.64.9:8080/3fa0"
+        assert headers[b"x-chivehold-hold"] == b"h1"
+        assert headers[b"last-event-id"] == b"7"
+        assert b"x-chivehold-stage" not in headers
+
+    def test_no_header_twice(self) -> None:
+        """What the entry sets replaces what the caller sent."""
+        headers = DIALECT.forwarded_headers(REQUEST, upstream("i-1"), Forwarding(1.0, True))
+        names = [name for name, _ in headers]
+        assert len(names) == len(set(names))
+        assert dict(headers)[b"x-chivehold-stage"] == b"prefill"
+
+    def test_connection_cannot_remove_what_identifies_a_request(self) -> None:
+        """Headers that a connection header names are dropped, but not the request's own."""
+        tricky = [
+            *REQUEST,
+            (b"connection", b"X-Chivehold-Request-Id, Host, X-Mine"),
+            (b"x-mine", b"1"),
+        ]
+        headers = dict(DIALECT.forwarded_headers(tricky, upstream("i-1"), Forwarding(1.0)))
+        assert headers[b"x-chivehold-request-id"] == b"9c41d07be2a35f68"
+        assert headers[b"host"] == b"ficu95.example"
+        assert b"x-mine" not in headers
+        assert b"connection" not in headers
+
+
+class TestAnswer:
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected"),
+        [
+            (200, {b"x-chivehold-server-stamp": b"s"}, (True, False, False)),
+            (503, {b"x-chivehold-not-run": b"1"}, (False, True, False)),
+            (503, {}, (False, False, False)),
+            (421, {}, (False, True, True)),
+            (200, {b"x-chivehold-not-run": b"1"}, (False, False, False)),
+        ],
+    )
+    def test_what_it_states(
+        self, status: int, headers: dict[bytes, bytes], expected: tuple[bool, bool, bool]
+    ) -> None:
+        """Signed, not run, another upstream's; a success never says that it has not run."""
+        facts = DIALECT.read_answer(status, list(headers.items()))
+        assert (facts.signed, facts.not_run, facts.misdirected) == expected
+
+    def test_request_that_it_answers(self) -> None:
+        """Told by the id, or by nothing."""
+        answer = [(b"x-chivehold-request-id", b"r1"), (b"content-encoding", b"gzip")]
+        assert DIALECT.read_answer(200, answer) == AnswerFacts("r1", False, False, False, True)
+        assert DIALECT.read_answer(200, []).request is None
+
+    def test_returned_headers(self) -> None:
+        """What concerns one connection stays there."""
+        answer = [
+            (b"x-chivehold-server-stamp", b"s"),
+            (b"transfer-encoding", b"chunked"),
+            (b"keep-alive", b"timeout=5"),
+            (b"connection", b"keep-alive"),
+            (b"content-length", b"3"),
+        ]
+        assert DIALECT.returned_headers(answer) == [(b"x-chivehold-server-stamp", b"s")]
+
+
+class TestEngineCalls:
+    def test_reservation(self) -> None:
+        """Tokens and time in the units of the wire; an unreadable answer grants nothing."""
+        call = DIALECT.hold_call(1_540, 2.0)
+        assert (call.method, call.path) == ("POST", "/v1/hold-take")
+        assert msgspec.json.decode(call.body) == {"tokens": 1_540, "ttlMs": 2_000}
+        assert DIALECT.read_hold(b'{"hold":"h-7"}') == "h-7"
+        for body in (b"", b"[]", b'{"hold":null}', b"\xff"):
+            assert DIALECT.read_hold(body) is None
+
+    def test_order(self) -> None:
+        """An order names stage, holder, fencing number and the orders accepted before."""
+        order = StageOrder(Stage.PREFILL, "node-7", 41, 2)
+        assert msgspec.json.decode(DIALECT.stage_order_call(order).body) == {
+            "opType": "stage",
+            "stage": "prefill",
+            "holder": "node-7",
+            "fenceToken": 41,
+            "expect": 2,
+        }
+
+    def test_report(self) -> None:
+        """The engine's own words become the product's fields."""
+        body = (
+            b'{"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,'
+            b'"seq":2,"queued":1,"running":12,"kvUsed":41000,"kvTotal":90000,"handles":0}'
+        )
+        expected = EngineReport(Stage.DECODE, False, 2, 12, 1, 41_000, 90_000)
+        assert DIALECT.read_report(body) == expected
+        assert DIALECT.read_report(b"{}") is None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,190 @@
+"""The platform's store as an object store, against its stand-in."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+
+import trio
+from returns.result import Failure
+
+from chivehold.core.identity import EntryIncarnation
+from chivehold.fakes.metadata_store import PAGE_ITEMS, MetadataStore
+from chivehold.http_client import HttpClient
+from chivehold.http_server import serve_http
+from chivehold.platform.store import PlatformStore
+from chivehold.store.api import Conflict, HistoryGone, NotFound, Unavailable, Unsure
+from chivehold.store.client import Write, settle
+from chivehold.store.leases import CONTROL_LEASES, LeaseKeeper
+from chivehold.store.roster import EntryRoster
+
+OWN = "own"
+
+
+@asynccontextmanager
+async def opened() -> AsyncIterator[tuple[MetadataStore, PlatformStore]]:
+    stand_in = MetadataStore()
+    client = HttpClient()
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(partial(serve_http, stand_in, "127.0.0.1:0"))
+        yield stand_in, PlatformStore(address, client, frozenset((OWN, "lease", "entry")))
+        nursery.cancel_scope.cancel()
+    await client.aclose()
+
+
+class TestReads:
+    async def test_list_goes_through_all_pages(self) -> None:
+        """Every object is listed, at the revision of the first page."""
+        async with opened() as (stand_in, store):
+            for number in range(PAGE_ITEMS * 2 + 5):
+                stand_in.put("servers", f"i-{number:04}", {"n": number})
+            listed = (await store.list("servers")).unwrap()
+            assert len(listed.objects) == PAGE_ITEMS * 2 + 5
+            assert listed.revision == stand_in.revision
+            assert listed.objects[0].value == b'{"n":0}'
+
+    async def test_watch_tells_changes_and_removals(self) -> None:
+        """Both come as objects, a removal marked as one."""
+        async with opened() as (stand_in, store):
+            since = stand_in.revision
+            stand_in.put("servers", "a", {})
+            stand_in.remove("servers", "a")
+            changes = (await store.watch(["servers"], since, 1.0)).unwrap()
+            assert [one.deleted for one in changes.objects] == [False, True]
+            assert changes.revision == stand_in.revision
+
+    async def test_lost_history(self) -> None:
+        """A watch from too far back is told to list anew."""
+        async with opened() as (stand_in, store):
+            stand_in.put("servers", "a", {})
+            stand_in.forget_history()
+            answer = await store.watch(["servers"], 1, 1.0)
+            assert isinstance(answer.failure(), HistoryGone)
+
+    async def test_outage(self) -> None:
+        """Refusals of any kind are outages for reads, and nothing was written."""
+        async with opened() as (stand_in, store):
+            for status in (429, 503):
+                stand_in.refuse_with = status
+                assert isinstance((await store.list("servers")).failure(), Unavailable)
+                written = await store.put(OWN, "a", b"v", 0, "op")
+                assert isinstance(written.failure(), Unavailable)
+
+    async def test_silence(self) -> None:
+        """A store that accepts and never answers is given up in time."""
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            accept = partial(trio.serve_listeners, lambda _: trio.sleep_forever(), listeners)
+            nursery.start_soon(accept)
+            port = listeners[0].socket.getsockname()[1]
+            client = HttpClient()
+            with trio.fail_after(2.5):
+                answer = await PlatformStore(f"127.0.0.1:{port}", client, frozenset()).list("k")
+            assert isinstance(answer, Failure)
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+
+class TestWrites:
+    async def test_condition_holds(self) -> None:
+        """One of two writers at the same version succeeds; the other learns the newer one."""
+        async with opened() as (_, store):
+            first = (await store.put(OWN, "a", b"1", 0, "op-1")).unwrap()
+            again = (await store.put(OWN, "a", b"2", 0, "op-2")).failure()
+            assert again == Conflict("post own/a", store.address, first.version)
+            second = (await store.put(OWN, "a", b"3", first.version, "op-3")).unwrap()
+            stale = (await store.put(OWN, "a", b"4", first.version, "op-4")).failure()
+            assert isinstance(stale, Conflict)
+            assert (await store.get(OWN, "a")).unwrap() == second
+            assert (second.value, second.operations) == (b"3", ("op-3",))
+
+    async def test_absent_object(self) -> None:
+        """Nothing is read of it."""
+        async with opened() as (_, store):
+            assert isinstance((await store.get(OWN, "a")).failure(), NotFound)
+
+    async def test_lost_answer_is_settled(self) -> None:
+        """A write that took effect without an answer is found by its operation."""
+        async with opened() as (stand_in, store):
+            stand_in.lose_writes = 1
+            unsure = await store.put(OWN, "a", b"1", 0, "op-1")
+            assert isinstance(unsure.failure(), Unsure)
+            stand_in.lose_writes = 1
+            stored = (await store.get(OWN, "a")).unwrap()
+            write = Write(OWN, "a", b"2", stored.version, "op-2")
+            settled = (await settle(store, write, Random(1))).unwrap()
+            assert (settled.value, settled.operations) == (b"2", ("op-2",))
+
+
+class TestShared:
+    async def test_one_entry_holds_the_lease(self) -> None:
+        """Of three that try at once one holds it, with a number that a later one exceeds."""
+        async with opened() as (_, store), trio.open_nursery() as nursery:
+            keepers = [
+                LeaseKeeper(store, EntryIncarnation(f"e{n}"), CONTROL_LEASES, 0.05, Random(n))
+                for n in range(3)
+            ]
+            scopes = []
+            for keeper in keepers:
+                scopes.append(trio.CancelScope())
+                nursery.start_soon(_run_in, scopes[-1], keeper)
+            await trio.sleep(0.5)
+            (holder,) = [keeper for keeper in keepers if keeper.is_held()]
+            number = getattr(holder.current(), "fencing_number", 0)
+            scopes[keepers.index(holder)].cancel()
+            with trio.fail_after(3):
+                while not (
+                    later := [one for one in keepers if one is not holder and one.is_held()]
+                ):
+                    await trio.sleep(0.02)
+            assert getattr(later[0].current(), "fencing_number", 0) > number
+            nursery.cancel_scope.cancel()
+
+    async def test_suspended_holder_knows_that_its_lease_has_ended(self) -> None:
+        """The steady clock stands still while a machine is suspended; the lease does not."""
+        async with opened() as (_, store), trio.open_nursery() as nursery:
+            suspended = [0.0]
+            keeper = LeaseKeeper(
+                store,
+                EntryIncarnation("e"),
+                CONTROL_LEASES,
+                0.05,
+                Random(1),
+                suspended_s=lambda: suspended[0],
+            )
+            nursery.start_soon(keeper.run)
+            with trio.fail_after(2):
+                while not keeper.is_held():
+                    await trio.sleep(0.02)
+            suspended[0] = 30.0
+            assert not keeper.is_held()
+            nursery.cancel_scope.cancel()
+
+    async def test_entries_count_each_other(self) -> None:
+        """Each that comes is counted; one that ends in order is no longer."""
+        async with opened() as (_, store), trio.open_nursery() as nursery:
+            counts: list[int] = []
+            made = [
+                EntryRoster(
+                    store, f"e{n}", EntryIncarnation(f"e{n}.1"), 8, counts.append, Random(n)
+                )
+                for n in range(3)
+            ]
+            scopes = []
+            for roster in made:
+                scopes.append(trio.CancelScope())
+                nursery.start_soon(_run_in, scopes[-1], roster)
+                await trio.sleep(0.2)
+            assert made[2].count == 3
+            scopes[0].cancel()
+            await trio.sleep(0.2)
+            fourth = EntryRoster(store, "e3", EntryIncarnation("e3.1"), 8, counts.append, Random(9))
+            nursery.start_soon(fourth.run)
+            await trio.sleep(0.3)
+            assert fourth.count == 3
+            nursery.cancel_scope.cancel()
+
+
+async def _run_in(scope: trio.CancelScope, task: LeaseKeeper | EntryRoster) -> None:
+    with scope:
+        await task.run()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,12 @@
 from chivehold.core.identity import Role
 from chivehold.core.policy import DecodeChoiceKind, Policy
 from chivehold.exceptions import SettingsInvalid
-from chivehold.settings import PolicyTable, read_entry_settings, read_sidecar_settings
+from chivehold.settings import (
+    PolicyTable,
+    read_direct_settings,
+    read_entry_settings,
+    read_sidecar_settings,
+)
 
 ENTRY = """
 name = "entry-1"
@@ -18,6 +23,18 @@
 platform_address = "127.0.0.1:9000"
 token = "0123456789abcdef"
 """
+DIRECT = """
+name = "entry-1"
+zone = "sjo-a"
+caller_address = "127.0.0.1:8080"
+ready_address = "127.0.0.1:8081"
+operator_address = "127.0.0.1:8082"
+store_address = "127.0.0.1:9000"
+retry_share = 0.2
+retry_extra = 54
+retry_window_s = 10
+shutdown_s = 8
+"""
 SIDECAR = """
 name = "lector-decode-1"
 target = "lector"
@@ -102,3 +119,23 @@
         """A missing file is a typed error as well."""
         with pytest.raises(SettingsInvalid, match="cannot be read"):
             read_sidecar_settings(tmp_path / "none.toml")
+
+
+class TestDirect:
+    def test_whole_numbers_are_numbers(self, tmp_path: Path) -> None:
+        """A platform that fills in whole numbers gives the same settings as one with fractions."""
+        path = tmp_path / "entry.toml"
+        path.write_text(DIRECT)
+        settings = read_direct_settings(path)
+        assert (settings.retry_extra, settings.shutdown_s) == (54.0, 8.0)
+        assert settings.decode_per_prefill == 3.0
+
+    def test_every_fault_is_named(self, tmp_path: Path) -> None:
+        """A value out of range, an unknown key and a missing one, each with file and key."""
+        path = tmp_path / "entry.toml"
+        path.write_text(DIRECT.replace('zone = "sjo-a"', "decode_per_prefill = 0\nextra = 1"))
+        with pytest.raises(SettingsInvalid) as error:
+            read_direct_settings(path)
+        problems = "\n".join(error.value.problems)
+        for fault in ("decode_per_prefill: expected a number", "extra: unknown", "zone: missing"):
+            assert f"{path}: {fault}" in problems
