--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -153,7 +153,7 @@
 class _Line:
     """The requests of one service that wait, and the task that serves them."""
 
-    RETRY_S = (2.0, 4.0)
+    RETRY_S = (3.0, 4.5)
     """Range of the times to come back."""
 
     def __init__(self) -> None:
--- a/src/chivehold/store/roster.py
+++ b/src/chivehold/store/roster.py
@@ -25,7 +25,8 @@
 RENEW_S = 60.0
 STALE_S = 180.0
 RETRY_S = 2.0
-GIVE_BACK_TIMEOUT_S = 0.5
+SETTLING_S = 3.0
+"""All entries of a new deployment have written their objects by then."""
 
 _log = logging.getLogger(__name__)
 
@@ -75,15 +76,19 @@
         return self._count
 
     async def run(self) -> None:
-        """Renew and list until cancelled, then remove this entry."""
-        try:
-            while True:
-                listed = await self._renew() and await self._list()
-                pause_s = POLL_S * max(1.0, self._count / ENTRIES_A_POLL) if listed else RETRY_S
-                await trio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
-        finally:
-            with trio.move_on_after(GIVE_BACK_TIMEOUT_S, shield=True):
-                await self._store.delete(ENTRY_KIND, self._name, self._version, "")
+        """Renew and list until cancelled.
+
+        The object stays: an entry that drains still has requests, and one that starts again under
+        its name would not be counted meanwhile.
+        """
+        started_at = trio.current_time()
+        while True:
+            listed = await self._renew() and await self._list()
+            settled = trio.current_time() > started_at + SETTLING_S
+            pause_s = POLL_S * max(1.0, self._count / ENTRIES_A_POLL)
+            await trio.sleep(
+                (pause_s if listed and settled else RETRY_S) * self._rng.uniform(0.8, 1.2)
+            )
 
     async def _renew(self) -> bool:
         now = trio.current_time()
