--- a/src/chivehold/core/direct/shared_retries.py
+++ b/src/chivehold/core/direct/shared_retries.py
@@ -1,8 +1,8 @@
 """A retry budget that all entries share without agreeing on anything.
 
 Upstreams are protected by one bound over all entries: a share of their requests and a fixed extra.
-Each entry spends the share of the requests that it has itself seen, or an equal part of the extra,
-whichever is more. The parts of any number of entries add up to no more than the bound, as long as
+Each entry spends the share of the requests that it has itself seen, and an equal part of the extra.
+The parts of any number of entries add up to no more than the bound, as long as
 they assume at least as many entries as there are.
 """
 
@@ -48,5 +48,7 @@
 
     def _of(self, service: str) -> RetryBudget:
         if service not in self._budgets:
-            self._budgets[service] = RetryBudget(self._share, self._floor, self._window_s)
+            self._budgets[service] = RetryBudget(
+                self._share, self._floor, self._window_s, adds_up=True
+            )
         return self._budgets[service]
--- a/src/chivehold/core/retries.py
+++ b/src/chivehold/core/retries.py
@@ -1,5 +1,6 @@
 """The budget of further attempts, so that failures never multiply the load."""
 
+import math
 from collections import deque
 
 
@@ -10,12 +11,14 @@
         share: Further attempts per recent request, 0 to 1.
         floor: Further attempts allowed at any rate within the window.
         window_s: Length of the window in seconds.
+        adds_up: Allow the floor and the share together; else whichever is more.
     """
 
-    def __init__(self, share: float, floor: int, window_s: float) -> None:
+    def __init__(self, share: float, floor: int, window_s: float, adds_up: bool = False) -> None:
         self._share = share
         self._floor = floor
         self._window_s = window_s
+        self._adds_up = adds_up
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -37,11 +40,15 @@
     def take(self, now: float) -> bool:
         """Spend one further attempt, or return ``False`` when the budget is spent."""
         self._drop_old(now)
-        if len(self._retries) >= max(self._floor, self._share * len(self._requests)):
+        if len(self._retries) + 1 > self._allowed():
             return False
         self._retries.append(now)
         return True
 
+    def _allowed(self) -> float:
+        share = self._share * len(self._requests)
+        return self._floor + share if self._adds_up else max(self._floor, math.ceil(share))
+
     def _drop_old(self, now: float) -> None:
         oldest = now - self._window_s
         for times in (self._requests, self._retries):
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -119,9 +119,7 @@
             StreamCalls(
                 self._fleet,
                 engines,
-                Prefills(
-                    self._fleet, engines, self._retries, self._metrics, lambda: self._roster.count
-                ),
+                Prefills(self._fleet, engines, self._metrics, lambda: self._roster.count),
                 self._places,
                 self._retries,
                 self._metrics,
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -7,7 +7,6 @@
 from chivehold.core.direct.fleet import Fleet, incarnation
 from chivehold.core.direct.messages import Stage, UpstreamEntry
 from chivehold.core.direct.prefill_load import PrefillLoad
-from chivehold.core.direct.shared_retries import SharedRetries
 from chivehold.direct.engines import EngineClient, Prefilled
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import DirectMetrics
@@ -26,7 +25,6 @@
     Args:
         fleet: The engines.
         engines: Makes the calls.
-        retries: Bounds the calls beyond the first of each request.
         metrics: Measures.
         entries: Returns how many entries share the prefill engines.
     """
@@ -35,44 +33,36 @@
         self,
         fleet: Fleet,
         engines: EngineClient,
-        retries: SharedRetries,
         metrics: DirectMetrics,
         entries: Callable[[], int],
     ) -> None:
         self._fleet = fleet
         self._engines = engines
-        self._retries = retries
         self._metrics = metrics
         self._entries = entries
         self._loads: dict[str, PrefillLoad] = {}
 
     async def run(self, exchange: Exchange) -> Prefilled | None:
-        """Have a prompt prefilled; ``None`` where the decode engine has to read it."""
-        tried: set[str] = set()
+        """Have a prompt prefilled; ``None`` where the decode engine has to read it.
+
+        A second prefill engine is not asked: the decode engine spends nothing of the retry budget.
+        """
         load = self._loads.setdefault(exchange.service, PrefillLoad())
-        while True:
-            upstream = self._engine(load, exchange.service, exchange.facts.prompt_tokens, tried)
-            if upstream is None:
-                exchange.log("prefill left to decode engine", tried=len(tried))
-                return None
-            if tried and not self._retries.take(exchange.service, trio.current_time()):
-                exchange.log("retry budget spent", reason="prefill")
-                return None
-            tried.add(upstream.name)
-            if (prefilled := await self._prefill_at(load, exchange, upstream)) is not None:
-                return prefilled
+        upstream = self._engine(load, exchange.service, exchange.facts.prompt_tokens)
+        if upstream is None:
+            exchange.log("prefill left to decode engine")
+            return None
+        return await self._prefill_at(load, exchange, upstream)
 
     def not_fetched(self, exchange: Exchange, prefilled: Prefilled) -> None:
         """Take note that a decode engine could not fetch a KV cache: its source is avoided."""
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
         exchange.log("KV cache not fetched", peer=prefilled.upstream.name)
 
-    def _engine(
-        self, load: PrefillLoad, service: str, tokens: int, tried: set[str]
-    ) -> UpstreamEntry | None:
+    def _engine(self, load: PrefillLoad, service: str, tokens: int) -> UpstreamEntry | None:
         """Return the engine to use, or ``None`` where the decode engine is as quick."""
         now = trio.current_time()
-        ranked = self._fleet.ranked(service, Stage.PREFILL, now, tried)
+        ranked = self._fleet.ranked(service, Stage.PREFILL, now)
         sound = [one for one in ranked if not self._fleet.is_suspended(one, now)]
         engines, entries = len(sound), self._entries()
         usable = (
--- a/src/chivehold/direct/stage_duty.py
+++ b/src/chivehold/direct/stage_duty.py
@@ -30,8 +30,10 @@
 
 One that has crashed is usually back sooner, and decode engines read prompts themselves meanwhile.
 """
-TOLERATED_SHARE = 0.25
-"""Of the wanted prefill engines, how many may be missing or too many before any is changed."""
+TOLERATED_SURPLUS = 0.25
+"""Of the wanted prefill engines, how many there may be too many before any is changed."""
+LEAST_SHARE = 0.5
+"""Of the wanted prefill engines, how many there must be; decode engines read what they cannot."""
 REFUSED_PAUSE_S = 2.0
 UNANSWERED_PAUSE_S = 3.0
 CHANGES_MOST_SHARE = 0.25
@@ -121,12 +123,12 @@
     def _may_change(self, service: str, engines: list[UpstreamEntry], wanted: int) -> bool:
         """Tell whether the stages of a service have been wrong for long enough."""
         now = trio.current_time()
-        missing = wanted - sum(one.stage is Stage.PREFILL for one in engines)
-        if abs(missing) <= wanted * TOLERATED_SHARE:
-            return False
-        if missing < 0:
-            self._short_since.pop(service, None)
+        prefilling = sum(one.stage is Stage.PREFILL for one in engines)
+        if prefilling > wanted * (1 + TOLERATED_SURPLUS):
             return True
+        if prefilling >= wanted * LEAST_SHARE:
+            self._short_since.pop(service, None)
+            return False
         return now - self._short_since.setdefault(service, now) >= SHORTAGE_S
 
     def _as_ordered(self, entry: UpstreamEntry) -> UpstreamEntry:
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -28,7 +28,7 @@
 """How long after a first request has become late a place is still waited for."""
 LATEST_PLACE_S = 2.8
 """A caller that came back waits so long; later it would leave before its first event."""
-NOT_IN_SERVICE_S = 1.0
+NOT_IN_SERVICE_S = 3.0
 """A decode engine that refuses what it has granted gets nothing new for so long."""
 SILENCE_S = 1.5
 """A resumable stream without an event for so long goes on at another engine."""
