A broken stream never goes back to the engine that broke it; the end of the process is certain

Cause: a test that failed once (test_resumable_goes_on_elsewhere[stop_after]) showed a stream resumed at the engine that had just broken it, since the other one was full for another 5 ms.

Ruled out: luck of the test; the engine is now left out by name. A shorter stall of the socket; a peer that acknowledges and does not read keeps it open.

Change: a waiter names the engines that have failed it; the process ends 0.5 s before its time is over whatever blocks, with a line that says so.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -135,9 +135,11 @@
         """Tell whether an upstream gets no new work where others can take it."""
         return self._of(entry).suspended_until > now
 
-    def roomiest(self, service: str, now: float) -> list[UpstreamEntry]:
+    def roomiest(
+        self, service: str, now: float, without: Collection[str] = ()
+    ) -> list[UpstreamEntry]:
         """Return a service's decode engines, those with the least memory in use here first."""
-        ranked = self.ranked(service, Stage.DECODE, now)
+        ranked = self.ranked(service, Stage.DECODE, now, without)
         return sorted(ranked, key=lambda one: self._of(one).tokens * self._rng.uniform(1, 1.1))
 
     def started(self, entry: UpstreamEntry, tokens: int = 0) -> None:
--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -20,6 +20,8 @@
     """A place got after this comes too late for the target."""
     leaves_at: float
     """Not worth a place after this."""
+    without: frozenset[str] = frozenset()
+    """Names of the engines that must not get it: they have failed it already."""
 
 
 class WaitingRoom:
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -1,6 +1,7 @@
 """An entry without sidecars as a process: builds its parts, serves, and drains when told to."""
 
 import logging
+import os
 import secrets
 import signal
 from collections.abc import Callable
@@ -46,6 +47,8 @@
 """The load balancer needs two failed checks, a second apart, to send callers elsewhere."""
 SHUTDOWN_MARGIN_S = 1.2
 """What is left of the shutdown time when the last requests are cut off."""
+LAST_MARGIN_S = 0.5
+EXIT_OVERRAN = 3
 SETTINGS_POLL_S = 1.0
 INCARNATION_BYTES = 6
 
@@ -201,6 +204,7 @@
             )
             task_status.started(addresses)
             await self._drain_asked.wait()
+            self._nursery.start_soon(self._end_at_last)
             await self._drain()
             shutdown.set()
         log_event(_log, logging.INFO, "entry stopped", in_progress=self._callers.in_progress)
@@ -217,6 +221,16 @@
         self._callers.drain()
         await trio.sleep(ACCEPT_WHILE_DRAINING_S)
 
+    async def _end_at_last(self) -> None:
+        """End the process if a caller that reads nothing keeps the server from ending.
+
+        The server shields its writes, so that no cancellation reaches them.
+        """
+        await trio.sleep(self._settings.shutdown_s - LAST_MARGIN_S)
+        in_progress = self._callers.in_progress
+        log_event(_log, logging.WARNING, "drain overran", in_progress=in_progress)
+        os._exit(EXIT_OVERRAN)
+
     async def _control(self) -> None:
         """Do the shared duties until this entry drains, then hand them on."""
         async with trio.open_nursery() as nursery:
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -108,9 +108,11 @@
         """Ask for the head of the line until nobody waits."""
         try:
             while (waiter := line.room.head(trio.current_time())) is not None:
-                if not self._fleet.serving(service, Stage.DECODE):
-                    line.refuse_all(PlaceRefused("no_engine", NO_ENGINE_RETRY_S))
-                    return
+                serving = self._fleet.serving(service, Stage.DECODE)
+                if all(one.name in waiter.without for one in serving):
+                    line.settle(waiter.request, PlaceRefused("no_engine", NO_ENGINE_RETRY_S))
+                    line.room.leave(waiter.request)
+                    continue
                 if not await self._grant(service, line, waiter):
                     is_late = waiter.on_time_until < trio.current_time()
                     poll_s = LATE_POLL_S if is_late else POLL_S
@@ -122,7 +124,7 @@
         """Ask each engine once for a waiter; tells whether it got a place or has left."""
         traits = self._traits(service)
         ttl_s = traits.hold_most_s if traits else 1.0
-        for upstream in self._fleet.roomiest(service, trio.current_time()):
+        for upstream in self._fleet.roomiest(service, trio.current_time(), waiter.without):
             hold = await self._hold(upstream, waiter.tokens, ttl_s)
             if hold is None:
                 continue
@@ -180,10 +182,6 @@
         pending.settle(result)
         return True
 
-    def refuse_all(self, refused: PlaceRefused) -> None:
-        for request in list(self._pending):
-            self.settle(request, refused)
-
     async def pause(self, pause_s: float) -> None:
         """Wait for a time, or until something changes."""
         self.wake = trio.Event()
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -99,11 +99,18 @@
         return refusal.reason
 
     async def place(
-        self, exchange: Exchange, traits: EngineTraits, has_begun: bool
+        self, exchange: Exchange, traits: EngineTraits, has_begun: bool, without: frozenset[str]
     ) -> Place | PlaceRefused:
-        """Wait for memory at a decode engine; a stream that has begun goes before all others."""
+        """Wait for memory at a decode engine.
+
+        Args:
+            exchange: The request.
+            traits: What the service's engines have in common.
+            has_begun: Its caller has got events already; it goes before all others.
+            without: Names of the engines that have failed it.
+        """
         asked_at = trio.current_time()
-        waiter = self._waiter(exchange, traits)
+        waiter = self._waiter(exchange, traits)._replace(without=without)
         if has_begun:
             leaves_at = min(asked_at + LATEST_PLACE_S, exchange.expires_at)
             waiter = waiter._replace(on_time_until=asked_at, leaves_at=leaves_at)
@@ -205,6 +212,7 @@
         self._traits = traits
         self._runs = 0
         self._refusals = 0
+        self._broken_at: set[str] = set()
         self.last_event = exchange.facts.last_event
 
     async def run(self) -> Refusal | None:
@@ -212,7 +220,9 @@
         while True:
             if self._exchange.left_s() < LEAST_TIME_LEFT_S:
                 return self._given_up("timeout", "no time is left", 504)
-            place = await self._calls.place(self._exchange, self._traits, self._reply.started)
+            place = await self._calls.place(
+                self._exchange, self._traits, self._reply.started, frozenset(self._broken_at)
+            )
             if isinstance(place, PlaceRefused):
                 return self._refused(place)
             run = await self._use(place)
@@ -225,6 +235,8 @@
                 detail=run.detail,
                 last_event=self.last_event,
             )
+            if run.end is _End.BROKEN:
+                self._broken_at.add(place.upstream.name)
             if refusal := self._after(run):
                 return refusal
 
--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -42,6 +42,8 @@
         self.other_request = ""
         """Answers in the name of this request."""
         self.unsigned = False
+        self.body: bytes | None = None
+        """Answered in place of a line that names the upstream and the request."""
         self.refuse = False
         self.seen: list[dict[str, str]] = []
         """Headers of each request that reached it, with method, target and body."""
@@ -95,7 +97,7 @@
     async def _answer(self, request: str, send: Send) -> None:
         signed = [] if self.unsigned else [(SIGNATURE, f"by.{self.name}")]
         answered = [(REQUEST_ID, self.other_request or request), *signed]
-        body = f"{self.name} ran {request}".encode()
+        body = self.body or f"{self.name} ran {request}".encode()
         if self.cut:
             raw = [(key.encode(), value.encode()) for key, value in answered]
             raw.append((b"content-length", b"10000"))
--- a/tests/direct/test_process.py
+++ b/tests/direct/test_process.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -102,6 +103,22 @@
             assert started.process.returncode == 0
             assert started.logged("entry stopped")[0]["in_progress"] == 0
 
+    async def test_ends_in_time_before_a_caller_that_reads_nothing(self, tmp_path: Path) -> None:
+        """Its answer is cut before the time to end is over; the process never has to be killed."""
+        async with program(tmp_path, shutdown_s=5.0) as (started, one, upstream, _):
+            upstream.body = b"x" * 4_000_000
+            host, _, port = one.address.rpartition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            await stream.send_all(
+                b"GET /get/a HTTP/1.1\r\nhost: site.example\r\nx-chivehold-request-id: r\r\n\r\n"
+            )
+            await until(lambda: upstream.runs)
+            started.process.send_signal(signal.SIGTERM)
+            await until(lambda: started.process.poll() is not None, 5.0)
+            assert started.logged("drain overran")
+            await stream.aclose()
+
     async def test_settings_are_read_again(self, tmp_path: Path) -> None:
         """On SIGHUP, and when the file changes without one; a bad file changes nothing."""
         async with program(tmp_path) as (started, _, _, settings):
--- /dev/null
+++ b/tests/direct/test_stage_duty.py
@@ -0,0 +1,133 @@
+"""Orders of stages on a paused clock: few, under the lease, and never for what mends itself."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import trio
+import trio.testing
+
+from chivehold.core.control_lease import HeldLease
+from chivehold.core.direct.fleet import Fleet
+from chivehold.core.direct.messages import EngineReport, Stage, StageOrder, UpstreamEntry
+from chivehold.core.direct.routes import EngineTraits, RouteTable, ServiceTraits
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.stage_duty import SHORTAGE_S, StageDuty
+from chivehold.http_client import LinkBroken
+from tests.core.direct.entries import upstream
+
+P, D = Stage.PREFILL, Stage.DECODE
+TRAITS = EngineTraits(10_000, 13, 2.0, 0.5, 6.0)
+TABLE = RouteTable(1, (), {"s": ServiceTraits("s", 100, engine=TRAITS)}, 1_000)
+
+
+class Lease:
+    def __init__(self) -> None:
+        self.held: HeldLease | None = HeldLease("control", 41, 5.0)
+
+    def current(self) -> HeldLease | None:
+        return self.held
+
+
+class Engines:
+    """Engines that change at once, or do not answer orders."""
+
+    def __init__(self, lease: Lease) -> None:
+        self._lease = lease
+        self.ordered: list[tuple[str, StageOrder]] = []
+        self.answers = True
+        self.loses_lease = False
+
+    async def report(self, entry: UpstreamEntry) -> EngineReport:
+        await trio.sleep(0.01)
+        if self.loses_lease:
+            self._lease.held = None
+        return EngineReport(entry.stage, False, 2, 0, 0, 0, 10_000)
+
+    async def order_stage(self, entry: UpstreamEntry, order: StageOrder) -> int:
+        self.ordered.append((entry.name, order))
+        if not self.answers:
+            raise LinkBroken("order stage", entry.name, "no answer")
+        return 202
+
+
+class Case:
+    def __init__(self) -> None:
+        self.fleet = Fleet("a", Random(1))
+        self.lease = Lease()
+        self.engines = Engines(self.lease)
+        self.duty = StageDuty(
+            self.lease,
+            "e.1",
+            self.fleet,
+            self.engines,  # type: ignore[arg-type]
+            lambda: TABLE,
+            lambda: 3.0,
+            DirectMetrics(),
+        )
+
+    def list(self, prefill: int, decode: int) -> None:
+        engines = [upstream(f"p{number}", P) for number in range(prefill)]
+        self.fleet.replace(engines + [upstream(f"d{number}", D) for number in range(decode)])
+
+
+@asynccontextmanager
+async def running() -> AsyncIterator[Case]:
+    case = Case()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(case.duty.run)
+        yield case
+        nursery.cancel_scope.cancel()
+
+
+class TestOrders:
+    async def test_surplus_is_turned_once(self, autojump_clock: trio.testing.MockClock) -> None:
+        """One of two prefill engines of five is ordered, with number and count, and not again."""
+        async with running() as case:
+            case.list(prefill=2, decode=3)
+            await trio.sleep(5.0)
+            ((_, order),) = case.engines.ordered
+            assert order == StageOrder(D, "e.1", 41, 2)
+
+    async def test_crash_is_waited_out(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A prefill engine that is back before the shortage has lasted costs no decode engine."""
+        async with running() as case:
+            case.list(prefill=0, decode=4)
+            await trio.sleep(SHORTAGE_S - 1)
+            case.list(prefill=1, decode=4)
+            await trio.sleep(1.0)
+            case.list(prefill=0, decode=4)
+            await trio.sleep(SHORTAGE_S - 1)
+            assert case.engines.ordered == []
+            await trio.sleep(2.0)
+            ((_, order),) = case.engines.ordered
+            assert order.stage is P
+
+    async def test_some_missing_are_missed(self, autojump_clock: trio.testing.MockClock) -> None:
+        """Three of the wanted five are enough: the decode engines read what they cannot."""
+        async with running() as case:
+            case.list(prefill=3, decode=17)
+            await trio.sleep(60.0)
+            assert case.engines.ordered == []
+
+    async def test_without_the_lease_nothing(self, autojump_clock: trio.testing.MockClock) -> None:
+        """Neither without it, nor when it is lost between reading and ordering."""
+        async with running() as case:
+            case.engines.loses_lease = True
+            case.list(prefill=2, decode=3)
+            await trio.sleep(5.0)
+            assert case.lease.held is None
+            assert case.engines.ordered == []
+
+    async def test_unanswered_order_is_not_hurried(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """It may still be carried out; it is repeated later, under the same condition."""
+        async with running() as case:
+            case.engines.answers = False
+            case.list(prefill=2, decode=3)
+            await trio.sleep(2.5)
+            assert len(case.engines.ordered) == 1
+            await trio.sleep(5.0)
+            assert len(case.engines.ordered) in (2, 3)
+            assert {order.orders_accepted for _, order in case.engines.ordered} == {2}
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -152,6 +152,17 @@
                 await one.events("/tell/a")
             assert engines.runs() == 1
 
+    async def test_never_at_the_engine_that_broke_it(self, tmp_path: Path) -> None:
+        """With no other engine the stream is broken off at once, instead of failing twice."""
+        async with deployed(tmp_path) as one:
+            engines = Engines()
+            await one.add(engines.decode[0], "model")
+            await until(lambda: one.entry.dump()["upstreams"])
+            engines.decode[0].stop_after = 2
+            with pytest.raises(LinkBroken):
+                await one.events("/resume/a")
+            assert engines.decode[0].runs == ["r1"]
+
     async def test_unreachable_decoder_has_run_nothing(self, tmp_path: Path) -> None:
         """A stream that could not even be sent goes to another engine, though it runs once."""
         async with deployed(tmp_path) as one:
