An upstream that was changing its stage takes work again; refusals cost rank; bounds of the log are tested

An upstream that refused quickly kept its good rank. The settings file was parsed each second.

Change: 4 s without work instead of for ever; a refusal counts as a failure for the rank alone; the file is read when its time or size has changed, or on SIGHUP.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -18,6 +18,11 @@
 LONGEST_SUSPENSION_S = 4.0
 REMOTE_ZONE_COST_S = 0.002
 """A near upstream goes before an equally loaded one of another zone."""
+GONE_S = 4.0
+"""How long an upstream that refused work as not meant for it gets none.
+
+Its entry is corrected or removed meanwhile; one whose stage was changing then takes work again.
+"""
 FAILURE_COST_S = 0.5
 """What a failed try costs the caller, times the share of tries that fail."""
 JITTER = 0.1
@@ -57,8 +62,7 @@
         self.failing = Average(FAILURE_WEIGHT)
         self.failures = 0
         self.suspended_until = 0.0
-        self.full_until = 0.0
-        self.gone = False
+        self.gone_until = 0.0
 
 
 class FleetChange(NamedTuple):
@@ -105,7 +109,7 @@
             ),
         )
 
-    def serving(self, service: str, stage: Stage = Stage.NONE) -> list[UpstreamEntry]:
+    def serving(self, service: str, stage: Stage, now: float) -> list[UpstreamEntry]:
         """Return the upstreams of a service and stage that take new work."""
         return [
             entry
@@ -113,7 +117,7 @@
             if entry.service == service
             and entry.stage is stage
             and not entry.draining
-            and not self._of(entry).gone
+            and self._of(entry).gone_until <= now
         ]
 
     def ranked(
@@ -127,7 +131,7 @@
             now: Monotonic time in seconds.
             without: Names of upstreams that are not to be asked.
         """
-        able = [one for one in self.serving(service, stage) if one.name not in without]
+        able = [one for one in self.serving(service, stage, now) if one.name not in without]
         sound = [one for one in able if not self.is_suspended(one, now)]
         return sorted(sound or able, key=lambda one: self._cost(one, now))
 
@@ -208,7 +212,7 @@
                 "service": entry.service,
                 "stage": entry.stage,
                 "draining": entry.draining,
-                "gone": seen.gone,
+                "gone": seen.gone_until > now,
                 "in_flight": seen.in_flight,
                 "tokens": seen.tokens,
                 "latency_s": round(seen.latency.or_else(0.0), 3),
@@ -229,11 +233,11 @@
 
     def _judge(self, seen: _Seen, verdict: Verdict, now: float) -> None:
         if verdict is Verdict.GONE:
-            seen.gone = True
+            seen.gone_until = now + GONE_S
         elif verdict is Verdict.SOUND:
             seen.failures = 0
             seen.failing.add(0.0)
-        elif verdict is Verdict.ERROR:
+        elif verdict in (Verdict.ERROR, Verdict.FULL):
             seen.failing.add(1.0)
         elif verdict is Verdict.FAILED:
             seen.failing.add(1.0)
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -101,7 +101,7 @@
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_asked = trio.Event()
         self._reload_asked = trio.Event()
-        self._settings_fault = ""
+        self._settings_written = _written_at(path)
         self._client = HttpClient(
             ClientLimits(connect_timeout_s=CONNECT_TIMEOUT_S, keep_alive_s=IDLE_CONNECTION_S)
         )
@@ -149,10 +149,9 @@
             self._apply_upstreams,
             rng,
         )
-
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._roster = EntryRoster(
-            store, settings.name, name, settings.entries_most, self._divide, rng
+            store, settings.name, name, settings.entries_most, self._share_out, rng
         )
         self._control_lease = LeaseKeeper(
             store, name, CONTROL_LEASES, CONTROL_POLL_S, rng, self._may_order, suspended_s
@@ -200,7 +199,12 @@
                 await listen(self._callers, settings.caller_address, limits),
             )
             log_event(
-                _log, logging.INFO, "entry started", None, **addresses._asdict(), **_told(settings)
+                _log,
+                logging.INFO,
+                "entry started",
+                None,
+                **addresses._asdict(),
+                **_logged(settings),
             )
             task_status.started(addresses)
             await self._drain_asked.wait()
@@ -263,14 +267,15 @@
             self._reload(asked)
 
     def _reload(self, asked: bool) -> None:
+        written = _written_at(self._path)
+        if not asked and written == self._settings_written:
+            return
+        self._settings_written = written
         try:
             settings = read_direct_settings(self._path)
         except SettingsInvalid as error:
-            if asked or str(error) != self._settings_fault:
-                log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
-            self._settings_fault = str(error)
+            log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
             return
-        self._settings_fault = ""
         changed = [
             field
             for field, value in settings._asdict().items()
@@ -279,9 +284,9 @@
         if changed or asked:
             log_event(_log, logging.INFO, "settings reloaded", changed=changed)
         self._settings = settings
-        self._divide(self._roster.count)
+        self._share_out(self._roster.count)
 
-    def _divide(self, entries: int) -> None:
+    def _share_out(self, entries: int) -> None:
         """Divide what all entries share by their number."""
         self._retries.configure(self._settings.retry_share, self._settings.retry_extra, entries)
 
@@ -374,7 +379,16 @@
         }
 
 
-def _told(settings: DirectSettings) -> dict[str, object]:
+def _written_at(path: Path) -> tuple[int, int]:
+    """Return when a file was written, in nanoseconds, and its size; zeros where it is missing."""
+    try:
+        found = path.stat()
+    except OSError:
+        return (0, 0)
+    return (found.st_mtime_ns, found.st_size)
+
+
+def _logged(settings: DirectSettings) -> dict[str, object]:
     """Return the settings as they are logged, without the addresses asked for."""
     return {
         key: value for key, value in settings._asdict().items() if not key.endswith("_address")
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -108,7 +108,7 @@
         """Ask for the head of the line until nobody waits."""
         try:
             while (waiter := line.room.head(trio.current_time())) is not None:
-                serving = self._fleet.serving(service, Stage.DECODE)
+                serving = self._fleet.serving(service, Stage.DECODE, trio.current_time())
                 if all(one.name in waiter.without for one in serving):
                     line.settle(waiter.request, PlaceRefused("no_engine", NO_ENGINE_RETRY_S))
                     line.room.leave(waiter.request)
--- a/src/chivehold/direct/stage_duty.py
+++ b/src/chivehold/direct/stage_duty.py
@@ -104,9 +104,10 @@
                     await self._order(change, traits)
 
     def _changes(self, service: str, traits: EngineTraits) -> list[StageChange]:
+        now = trio.current_time()
         listed = [
-            *self._fleet.serving(service, Stage.PREFILL),
-            *self._fleet.serving(service, Stage.DECODE),
+            *self._fleet.serving(service, Stage.PREFILL, now),
+            *self._fleet.serving(service, Stage.DECODE, now),
         ]
         engines = [self._as_ordered(one) for one in listed]
         changing = {
--- a/tests/core/direct/test_fleet.py
+++ b/tests/core/direct/test_fleet.py
@@ -6,6 +6,7 @@
 
 from chivehold.core.direct.fleet import (
     FIRST_SUSPENSION_S,
+    GONE_S,
     LONGEST_SUSPENSION_S,
     Fleet,
     Verdict,
@@ -99,6 +100,20 @@
             fleet.ended(upstream("x"), Verdict.FULL, 0.0)
         assert "x" in names(fleet.ranked("s", Stage.NONE, 0.0))
 
+    def test_wrong_address_is_avoided_for_a_while(self, fleet: Fleet) -> None:
+        """One that says the work was not meant for it may only have been changing its stage."""
+        fleet.started(upstream("x"))
+        fleet.ended(upstream("x"), Verdict.GONE, 0.0)
+        assert "x" not in names(fleet.ranked("s", Stage.NONE, GONE_S - 0.1))
+        assert "x" in names(fleet.ranked("s", Stage.NONE, GONE_S + 0.1))
+
+    def test_refusing_one_is_asked_after_the_others(self, fleet: Fleet) -> None:
+        """One that refuses quickly does not win by being quick."""
+        for _ in range(5):
+            fleet.started(upstream("x"))
+            fleet.ended(upstream("x"), Verdict.FULL, 0.0)
+        assert names(fleet.ranked("s", Stage.NONE, 0.0))[-1] == "x"
+
 
 class TestReplace:
     def test_tells_what_changed(self, fleet: Fleet) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,8 +3,17 @@
 import io
 import json
 import logging
+import os
+from contextlib import suppress
 
-from chivehold.logs import LogFormat, LogLevel, log_event, set_up_logging
+from chivehold.logs import (
+    LogFormat,
+    LogLevel,
+    NonBlockingHandler,
+    VolumeLimit,
+    log_event,
+    set_up_logging,
+)
 
 LOGGER = logging.getLogger("chivehold.test")
 
@@ -30,3 +39,51 @@
         assert record["event"] == "link lost"
         assert (record["node"], record["request"], record["peer"]) == ("entry-1", "r-1", "x:1")
         assert "reason" not in record
+
+
+class TestBounds:
+    def test_volume_is_bounded_and_counted(self) -> None:
+        """In a storm as many lines as allowed are let through, and the rest is counted."""
+        now = [0.0]
+        limit = VolumeLimit(10.0, lambda: now[0])
+        record = logging.LogRecord("chivehold", logging.INFO, "", 0, "event", None, None)
+        assert sum(limit.filter(record) for _ in range(100)) == 10
+        now[0] = 0.5
+        assert sum(limit.filter(record) for _ in range(100)) == 5
+        assert limit.dropped == 185
+
+    def test_slow_reader_is_not_waited_for(self) -> None:
+        """Lines that the reader has no room for are dropped whole; those written are never cut."""
+        reader, writer = os.pipe()
+        try:
+            handler = NonBlockingHandler(writer)
+            for number in range(2_000):
+                text = f"line {number} " + "x" * 200
+                record = logging.LogRecord("chivehold", logging.INFO, "", 0, text, None, None)
+                handler.emit(record)
+            assert handler.dropped > 0
+            os.set_blocking(reader, False)
+            received = b""
+            with suppress(BlockingIOError):
+                while part := os.read(reader, 65_536):
+                    received += part
+            *lines, rest = received.split(b"\n")
+            assert all(line.startswith(b"line ") and line.endswith(b"x") for line in lines)
+            assert [int(line.split()[1]) for line in lines] == list(range(len(lines)))
+            assert len(rest) < 300
+        finally:
+            os.close(reader)
+            os.close(writer)
+
+    def test_reader_that_is_gone_is_no_error(self) -> None:
+        """A closed pipe drops lines, and nothing else happens."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        try:
+            handler = NonBlockingHandler(writer)
+            record = logging.LogRecord("chivehold", logging.INFO, "", 0, "event", None, None)
+            handler.emit(record)
+            handler.emit(record)
+            assert handler.dropped == 1
+        finally:
+            os.close(writer)
