--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -57,7 +57,7 @@
             assert decoded["body"] == "prompt"
 
     async def test_reserves_prompt_and_expected_output(self, tmp_path: Path) -> None:
-        """At least the prompt and the caller's estimate, at most the prompt and the caller's bound."""
+        """At least the prompt and the estimate, at most the prompt and the caller's bound."""
         async with deployed(tmp_path) as one:
             engines = await start(one)
             for engine in engines.decode:
