The core's reports and dumps of a sidecar no longer need its state machine

Ruled out: passing single ledgers, nine arguments for the dump. Change: the ledgers are a class of their own, core/sidecar_ledgers.py, that the state machine extends and reports and dumps read. Before and after: 558 tests of tests/core and tests/sidecar pass, mypy clean. Conclusion: no module of the core imports another in a circle here.

--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -3,18 +3,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from chivehold.core.attempts import AttemptLedger, Phase
-from chivehold.core.availability import Availability
-from chivehold.core.cancellations import Cancellations
+from chivehold.core.attempts import Phase
 from chivehold.core.identity import AttemptId, EntryIncarnation, Role
-from chivehold.core.keys import KeyHome
-from chivehold.core.leases import EntryLeases
 from chivehold.core.load_report import load_report
-from chivehold.core.orders import OrderGate
-from chivehold.core.place_admission import PlaceAdmission
 from chivehold.core.policy import Policy
-from chivehold.core.prefill_admission import PrefillAdmission
 from chivehold.core.sidecar_dump import SidecarDump, dump_sidecar
+from chivehold.core.sidecar_ledgers import SidecarLedgers
 from chivehold.core.sidecar_messages import (
     CallEnded,
     CancelSettled,
@@ -63,7 +57,7 @@
 )
 
 
-class SidecarCore:
+class SidecarCore(SidecarLedgers):
     """Decides for one upstream; implements ``DecisionCore[SidecarEvent, SidecarCommand]``.
 
     A decode engine's places are granted only after its first ``EngineStatus``, which tells what an
@@ -75,20 +69,7 @@
     """
 
     def __init__(self, config: SidecarConfig, policy: Policy) -> None:
-        self.config = config
-        self.attempts = AttemptLedger()
-        self.availability = Availability()
-        self.cancellations = Cancellations()
-        self.leases = EntryLeases(config.entry_lease_s)
-        self.keys = KeyHome(config.key_retention_s)
-        self.orders = OrderGate()
-        shared = (self.attempts, self.availability, self.cancellations)
-        self.places = PlaceAdmission(config, policy, *shared)
-        self.prefills = PrefillAdmission(config, policy, *shared)
-        self._started_at: float | None = None
-        self._now = 0.0
-        self._revision = 0
-        self._prefix_blocks: tuple[int, ...] = ()
+        super().__init__(config, policy)
         self._wakeup: float | None = None
         self._handlers: dict[type, Callable[[Any, float], Iterator[SidecarCommand]]] = {
             OfferArrived: self._on_offer,
@@ -116,16 +97,6 @@
             Tick: self._on_tick,
         }
 
-    @property
-    def prefix_blocks(self) -> tuple[int, ...]:
-        """Digests of blocks that the engine last said it caches, most recent first."""
-        return self._prefix_blocks
-
-    @property
-    def revision(self) -> int:
-        """The revision of the newest declarations kept beside this sidecar."""
-        return self._revision
-
     def handle(self, event: SidecarEvent, now: float) -> Iterator[SidecarCommand]:
         """Take one event and yield the commands that follow from it.
 
@@ -148,10 +119,6 @@
         """Return the time in seconds at which a ``Tick`` is due, or ``None``."""
         return self._wakeup
 
-    def up_for_s(self, now: float) -> float:
-        """Return the age of this run in seconds."""
-        return 0.0 if self._started_at is None else now - self._started_at
-
     def report(self, now: float) -> LoadReport:
         """Return the upstream's load as the ledgers have it."""
         return load_report(self, now)
--- a/src/chivehold/core/sidecar_dump.py
+++ b/src/chivehold/core/sidecar_dump.py
@@ -1,11 +1,10 @@
 """The whole state of a sidecar's core in types that JSON knows."""
 
-from typing import TYPE_CHECKING, TypedDict
+from typing import TypedDict
 
 from chivehold.core.identity import AttemptId, Urgency
-
-if TYPE_CHECKING:
-    from chivehold.core.sidecar import SidecarCore
+from chivehold.core.load_report import load_report
+from chivehold.core.sidecar_ledgers import SidecarLedgers
 
 
 class AttemptDump(TypedDict):
@@ -100,18 +99,18 @@
     orders: OrdersDump
 
 
-def dump_sidecar(core: "SidecarCore", now: float) -> SidecarDump:
+def dump_sidecar(ledgers: SidecarLedgers, now: float) -> SidecarDump:
     """Return a sidecar's state at a time in seconds."""
-    report = core.report(now)
+    report = load_report(ledgers, now)
     return SidecarDump(
-        incarnation=core.config.incarnation,
-        role=core.config.role.value,
+        incarnation=ledgers.config.incarnation,
+        role=ledgers.config.role.value,
         state=report.state.value,
         up_for_s=report.up_for_s,
         revision=report.revision,
         places=report.places,
         places_free=report.places_free,
-        patient_floor_places=core.places.slots.floor_places,
+        patient_floor_places=ledgers.places.slots.floor_places,
         expected_wait_urgent_s=report.wait_urgent_s,
         expected_wait_patient_s=report.wait_patient_s,
         token_interval_s=report.token_interval_s,
@@ -119,25 +118,25 @@
         prefill_backlog_s=report.prefill_backlog_s,
         attempts=[
             AttemptDump(attempt=_label(live.attempt), entry=live.entry, phase=live.phase.value)
-            for live in core.attempts
+            for live in ledgers.attempts
         ],
-        attempts_remembered=core.attempts.remembered,
-        holds=_holds(core, now),
-        cancelling=[_label(attempt) for attempt in core.cancellations],
-        waiting=_waiting(core, now),
+        attempts_remembered=ledgers.attempts.remembered,
+        holds=_holds(ledgers, now),
+        cancelling=[_label(attempt) for attempt in ledgers.cancellations],
+        waiting=_waiting(ledgers, now),
         leases=[
             LeaseDump(entry=entry, left_s=round(left_s, 3))
-            for entry, left_s in core.leases.left(now)
+            for entry, left_s in ledgers.leases.left(now)
         ],
-        prefills=_prefills(core),
+        prefills=_prefills(ledgers),
         link=LinkDump(
-            reserved_bytes=core.places.link.reserved_bytes,
+            reserved_bytes=ledgers.places.link.reserved_bytes,
             backlog_s=report.link_backlog_s,
         ),
-        keys=KeysDump(in_progress=core.keys.in_progress, committed=core.keys.committed),
+        keys=KeysDump(in_progress=ledgers.keys.in_progress, committed=ledgers.keys.committed),
         orders=OrdersDump(
-            highest_number=core.orders.highest_number,
-            running_operation=core.orders.running.operation_id if core.orders.running else "",
+            highest_number=ledgers.orders.highest_number,
+            running_operation=ledgers.orders.running.operation_id if ledgers.orders.running else "",
         ),
     )
 
@@ -150,19 +149,19 @@
     return "" if urgency is None else urgency.value
 
 
-def _holds(core: "SidecarCore", now: float) -> list[HoldDump]:
+def _holds(ledgers: SidecarLedgers, now: float) -> list[HoldDump]:
     return [
         HoldDump(
             attempt=_label(attempt),
             urgency=_urgency(hold.urgency),
             held_s=round(now - hold.since, 3),
-            cancelling=attempt in core.cancellations,
+            cancelling=attempt in ledgers.cancellations,
         )
-        for attempt, hold in core.places.slots
+        for attempt, hold in ledgers.places.slots
     ]
 
 
-def _waiting(core: "SidecarCore", now: float) -> list[WaitingDump]:
+def _waiting(ledgers: SidecarLedgers, now: float) -> list[WaitingDump]:
     return [
         WaitingDump(
             attempt=_label(waiting.offer.attempt),
@@ -170,13 +169,13 @@
             urgency=waiting.offer.urgency.value,
             waited_s=round(now - waiting.since, 3),
         )
-        for waiting in core.places.waitlist
+        for waiting in ledgers.places.waitlist
     ]
 
 
-def _prefills(core: "SidecarCore") -> list[PrefillDump]:
-    running = [(run.order, True) for run in core.prefills.queue.running]
-    queued = [(order, False) for order in core.prefills.queue]
+def _prefills(ledgers: SidecarLedgers) -> list[PrefillDump]:
+    running = [(run.order, True) for run in ledgers.prefills.queue.running]
+    queued = [(order, False) for order in ledgers.prefills.queue]
     return [
         PrefillDump(
             attempt=_label(order.attempt),
