An entry that starts anew has no extra retries for one window; settings reload is a module

Cause: the extra of the shared retry budget is divided by the number of entries, but a process that is killed and starts again had its part at once, whatever the one before it had spent. Entries that restart together, or one that restarts in a series, could spend it several times within a window. Found by reading; the state machine of the budget had no restart although its docstring said so. Ruled out: noting what was spent in the store (a write for each retry); a token bucket per entry (holds in each window by itself, but an entry whose part is below one could never retry). Change: SharedRetries is told when its process began, and gives out the extra only after a window; the share of its own requests counts from the start.

--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -26,14 +26,14 @@
 from chivehold.direct.plain_calls import PlainCalls
 from chivehold.direct.prefills import Prefills
 from chivehold.direct.reservations import EngineReservations
+from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.stage_duty import StageDuty, suspended_s
 from chivehold.direct.stream_calls import StreamCalls
-from chivehold.exceptions import SettingsInvalid
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import App, ServerLimits, serve_http
 from chivehold.logs import LogCounts, log_event
 from chivehold.metrics import RenderedMetrics
-from chivehold.settings import DirectSettings, read_direct_settings
+from chivehold.settings import DirectSettings
 from chivehold.store.api import ObjectStore
 from chivehold.store.follower import Follower
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
@@ -49,7 +49,6 @@
 """What is left of the shutdown time when the last requests are cut off."""
 LAST_MARGIN_S = 0.5
 EXIT_OVERRAN = 3
-SETTINGS_POLL_S = 1.0
 INCARNATION_BYTES = 6
 
 _log = logging.getLogger(__name__)
@@ -95,13 +94,11 @@
         nursery: trio.Nursery,
     ) -> None:
         self._settings = settings
-        self._path = path
         self._logs = logs
         self._nursery = nursery
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_asked = trio.Event()
-        self._reload_asked = trio.Event()
-        self._settings_written = _written_at(path)
+        self._settings_file = SettingsFile(path, settings, self._apply_settings)
         self._client = HttpClient(
             ClientLimits(connect_timeout_s=CONNECT_TIMEOUT_S, keep_alive_s=IDLE_CONNECTION_S)
         )
@@ -113,6 +110,7 @@
             settings.retry_extra,
             settings.retry_window_s,
             settings.entries_most,
+            trio.current_time(),
         )
         engines = EngineClient(self._fleet, self._client, platform.dialect, nursery)
         self._places = EngineReservations(self._fleet, engines, self._traits, nursery, rng)
@@ -174,7 +172,7 @@
         self._nursery.start_soon(self._membership.run)
         self._nursery.start_soon(self._control)
         await self._nursery.start(self._await_signals)
-        self._nursery.start_soon(self._follow_settings)
+        self._nursery.start_soon(self._settings_file.run)
         settings = self._settings
         shutdown = trio.Event()
         cut_s = settings.shutdown_s - ACCEPT_WHILE_DRAINING_S - SHUTDOWN_MARGIN_S
@@ -254,35 +252,11 @@
             task_status.started()
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._reload_asked.set()
+                    self._settings_file.ask()
                 else:
                     self._drain_asked.set()
 
-    async def _follow_settings(self) -> None:
-        """Read the settings again on a signal, or when the file has changed without one."""
-        while True:
-            with trio.move_on_after(SETTINGS_POLL_S):
-                await self._reload_asked.wait()
-            asked, self._reload_asked = self._reload_asked.is_set(), trio.Event()
-            self._reload(asked)
-
-    def _reload(self, asked: bool) -> None:
-        written = _written_at(self._path)
-        if not asked and written == self._settings_written:
-            return
-        self._settings_written = written
-        try:
-            settings = read_direct_settings(self._path)
-        except SettingsInvalid as error:
-            log_event(_log, logging.ERROR, "settings not reloaded", detail=error)
-            return
-        changed = [
-            field
-            for field, value in settings._asdict().items()
-            if value != getattr(self._settings, field)
-        ]
-        if changed or asked:
-            log_event(_log, logging.INFO, "settings reloaded", changed=changed)
+    def _apply_settings(self, settings: DirectSettings) -> None:
         self._settings = settings
         self._share_out(self._roster.count)
 
@@ -379,15 +353,6 @@
         }
 
 
-def _written_at(path: Path) -> tuple[int, int]:
-    """Return when a file was written, in nanoseconds, and its size; zeros where it is missing."""
-    try:
-        found = path.stat()
-    except OSError:
-        return (0, 0)
-    return (found.st_mtime_ns, found.st_size)
-
-
 def _logged(settings: DirectSettings) -> dict[str, object]:
     """Return the settings as they are logged, without the addresses asked for."""
     return {
--- a/src/chivehold/fakes/metadata_store.py
+++ b/src/chivehold/fakes/metadata_store.py
@@ -65,6 +65,10 @@
         self._changes.clear()
         self._wake()
 
+    def names(self) -> frozenset[tuple[str, str]]:
+        """Return kind and name of each object."""
+        return frozenset(self._objects)
+
     def spec(self, kind: str, name: str) -> Any:
         """Return what an object holds."""
         return self._objects[kind, name]["spec"]
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,86 @@
+"""Plays seeds: ``python -m tests.soak --seeds 1-50``, or fresh ones for some minutes."""
+
+import argparse
+import secrets
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import trio
+
+from tests.soak.plan import draw_plan
+from tests.soak.run import Result, play
+
+SEED_BITS = 31
+EXIT_VIOLATED = 1
+
+
+def main() -> int:
+    """Play one seed here, or many, each in a process of its own."""
+    asked = _arguments()
+    if asked.seed is not None:
+        return _one(asked)
+    failed = 0
+    with ThreadPoolExecutor(asked.jobs) as pool:
+        for seed, code, output in pool.map(lambda seed: _in_process(asked, seed), _seeds(asked)):
+            failed += code != 0
+            print(f"seed {seed}: {'ok' if code == 0 else 'FAILED'} {output}", flush=True)
+    print(f"{failed} seeds failed")
+    return EXIT_VIOLATED if failed else 0
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--seed", type=int, help="play this one seed here")
+    parser.add_argument("--seeds", default="", help="FIRST-LAST")
+    parser.add_argument("--minutes", type=float, default=2.0, help="of fresh seeds")
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--faults", type=int, default=10)
+    parser.add_argument("--load-s", type=float, default=12.0)
+    parser.add_argument("--rate", type=float, default=25.0, help="requests a second")
+    parser.add_argument("--directory", type=Path, default=Path("target/soak"))
+    return parser.parse_args()
+
+
+def _seeds(asked: argparse.Namespace) -> Iterator[int]:
+    if asked.seeds:
+        first, _, last = asked.seeds.partition("-")
+        yield from range(int(first), int(last or first) + 1)
+        return
+    # A thread pool takes all its work at once: the number of seeds follows from the time.
+    for _ in range(max(1, int(asked.minutes * 60 * asked.jobs / (asked.load_s + 20)))):
+        yield secrets.randbits(SEED_BITS)
+
+
+def _in_process(asked: argparse.Namespace, seed: int) -> tuple[int, int, str]:
+    fields = ("entries", "faults", "load_s", "rate", "directory")
+    options = [f"--{field.replace('_', '-')}={getattr(asked, field)}" for field in fields]
+    command = [sys.executable, "-m", "tests.soak", f"--seed={seed}", *options]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    return seed, ended.returncode, ended.stdout + ended.stderr
+
+
+def _one(asked: argparse.Namespace) -> int:
+    directory = asked.directory.resolve() / f"{asked.seed}-{time.time_ns() // 1_000_000}"
+    directory.mkdir(parents=True)
+    plan = draw_plan(asked.seed, asked.entries, asked.load_s, asked.faults)
+    result = trio.run(play, plan, directory, asked.rate)
+    _print(result, directory)
+    return EXIT_VIOLATED if result.violations else 0
+
+
+def _print(result: Result, directory: Path) -> None:
+    print(" ".join(f"{end}={count}" for end, count in sorted(result.ends.items())), directory)
+    if result.violations:
+        for fault in result.plan.faults:
+            print("  planned", fault)
+        for violation in result.violations:
+            print("  VIOLATED", violation)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/entries.py
@@ -0,0 +1,170 @@
+"""The entries of a run: processes of the real program, each behind links of its own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from chivehold.history.events import Shutdown
+from tests.soak.link import LOOPBACK, Link
+
+START_S = 20.0
+POLL_S = 0.02
+GRACE_S = 8.0
+EXIT_SLACK_S = 0.5
+RETRY_SHARE = 0.2
+RETRY_EXTRA = 8
+RETRY_WINDOW_S = 10.0
+
+SETTINGS = """
+name = "{name}"
+zone = "zone-a"
+caller_address = "127.0.0.1:0"
+ready_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+store_address = "{store}"
+retry_share = {share}
+retry_extra = {extra}
+retry_window_s = {window_s}
+shutdown_s = {shutdown_s}
+entries_most = {entries}
+idle_timeout_s = {idle_s}
+log_lines_per_s = 2000
+"""
+
+
+class Entry:
+    """One entry; it may be killed and started again many times.
+
+    Args:
+        name: Its name, the same after a restart.
+        count: How many entries there are.
+        store: The link to its store.
+        callers: The link that callers use; its target follows the process.
+        directory: Where its settings and logs go.
+    """
+
+    def __init__(self, name: str, count: int, store: Link, callers: Link, directory: Path) -> None:
+        self.name = name
+        self.store = store
+        self.callers = callers
+        self.ready_address = ""
+        self.operator_address = ""
+        self.runs = 0
+        self.unexpected: list[str] = []
+        """Ends of the process that nobody asked for."""
+        self._count = count
+        self._directory = directory
+        self._process: subprocess.Popen[bytes] | None = None
+        self._may_end = False
+        self._starting = trio.Lock()
+
+    @property
+    def run(self) -> str:
+        """The name of the present process."""
+        return f"{self.name}#{self.runs}"
+
+    @property
+    def is_running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def logs(self) -> list[Path]:
+        return [self._log(number) for number in range(1, self.runs + 1)]
+
+    def write_settings(self, idle_s: float = 60.0) -> None:
+        text = SETTINGS.format(
+            name=self.name,
+            store=self.store.address,
+            share=RETRY_SHARE,
+            extra=RETRY_EXTRA,
+            window_s=RETRY_WINDOW_S,
+            shutdown_s=GRACE_S,
+            entries=self._count,
+            idle_s=idle_s,
+        )
+        self._settings.write_text(text)
+
+    async def start(self) -> None:
+        """Start the process if it does not run, and wait until it listens."""
+        async with self._starting:
+            if self.is_running:
+                return
+            self._note_end()
+            self.runs += 1
+            self._may_end = False
+            self.write_settings()
+            with self._log(self.runs).open("wb") as output:
+                self._process = subprocess.Popen(
+                    [sys.executable, "-m", "chivehold", "direct", "--settings", self._settings],
+                    stdout=output,
+                    stderr=subprocess.STDOUT,
+                    env=dict(os.environ),
+                )
+            await self._await_addresses()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self.is_running:
+            self._may_end = self._may_end or number in (signal.SIGKILL, signal.SIGTERM)
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    async def terminate(self) -> Shutdown | None:
+        """Ask the process to end, and tell how it did; ``None`` where it did not run."""
+        process, began_at_s = self._process, time.time()
+        if process is None or not self.is_running:
+            return None
+        self.signal(signal.SIGTERM)
+        with trio.move_on_after(GRACE_S + EXIT_SLACK_S):
+            while process.poll() is None:
+                await trio.sleep(POLL_S)
+        ended_at_s = None if process.poll() is None else time.time()
+        return Shutdown(self.name, began_at_s, ended_at_s, process.poll(), is_entry=True)
+
+    def end(self) -> None:
+        """Kill the process, at the end of a run."""
+        self._note_end()
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+        if self._process is not None:
+            self._process.wait()
+
+    def _note_end(self) -> None:
+        if self._process is not None and self._process.poll() is not None and not self._may_end:
+            self.unexpected.append(f"{self.run} ended with {self._process.returncode}")
+            self._may_end = True
+
+    async def _await_addresses(self) -> None:
+        with trio.move_on_after(START_S):
+            while self.is_running:
+                if line := self._started_line():
+                    self.callers.target = line["callers"]
+                    self.ready_address = line["ready"]
+                    self.operator_address = line["operator"]
+                    return
+                await trio.sleep(POLL_S)
+
+    def _started_line(self) -> dict[str, Any] | None:
+        for line in self._log(self.runs).read_text(errors="replace").splitlines():
+            if '"entry started"' in line:
+                return json.loads(line)
+        return None
+
+    def _log(self, number: int) -> Path:
+        return self._directory / f"{self.name}-{number}.log"
+
+    @property
+    def _settings(self) -> Path:
+        return self._directory / f"{self.name}.toml"
+
+
+def loopback(address: str) -> tuple[str, int]:
+    """Split an address."""
+    return LOOPBACK, int(address.rpartition(":")[2])
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,151 @@
+"""What happens in one run: a pure function of its seed."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from random import Random
+from typing import NamedTuple
+
+PLAIN = ("plain-1", "plain-2")
+ENGINES = ("prefill-1", "prefill-2", "decode-1", "decode-2", "decode-3", "decode-4")
+SERIES_SHARE = 0.3
+"""Of the faults, how many come several times in short succession."""
+SERIES_MOST = 4
+
+
+class FaultKind(StrEnum):
+    """Faults by what they strike."""
+
+    KILL = "kill"
+    HERD_KILL = "herd_kill"
+    PAUSE = "pause"
+    TERMINATE = "terminate"
+    HANGUP = "hangup"
+    REWRITE_SETTINGS = "rewrite_settings"
+
+    CALLERS_SLOW = "callers_slow"
+    CALLERS_RESET = "callers_reset"
+    CALLERS_SILENT = "callers_silent"
+
+    STORE_LINK_SLOW = "store_link_slow"
+    STORE_LINK_RESET = "store_link_reset"
+    STORE_LINK_SILENT = "store_link_silent"
+    STORE_LINK_DEAF = "store_link_deaf"
+    """The store's answers are lost."""
+    STORE_OUT = "store_out"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_FORGETS = "store_forgets"
+    """Watches from before now have to list anew."""
+    STORE_LAPSE = "store_lapse"
+    """Entries lapse in an outage and are written again after its end."""
+    STORE_GARBAGE = "store_garbage"
+    CONFIGURATIONS = "configurations"
+
+    UPSTREAM_SLOW = "upstream_slow"
+    UPSTREAM_RESET = "upstream_reset"
+    UPSTREAM_SILENT = "upstream_silent"
+    UPSTREAM_DEAF = "upstream_deaf"
+    """Requests arrive, answers are lost until the end of the fault."""
+    CRASH = "crash"
+    """Starts again under its name, and knows nothing of before."""
+    LEAVE = "leave"
+    REFUSES = "refuses"
+    LABOURS = "labours"
+    """Takes several times as long for everything."""
+    FREEZES = "freezes"
+    """Runs and never answers; an engine's streams stop in the middle."""
+    CUTS = "cuts"
+    LOSES_KV = "loses_kv"
+    NOT_IN_SERVICE = "not_in_service"
+
+
+ON_ENTRIES = (
+    FaultKind.KILL,
+    FaultKind.PAUSE,
+    FaultKind.TERMINATE,
+    FaultKind.HANGUP,
+    FaultKind.REWRITE_SETTINGS,
+    FaultKind.CALLERS_SLOW,
+    FaultKind.CALLERS_RESET,
+    FaultKind.CALLERS_SILENT,
+    FaultKind.STORE_LINK_SLOW,
+    FaultKind.STORE_LINK_RESET,
+    FaultKind.STORE_LINK_SILENT,
+    FaultKind.STORE_LINK_DEAF,
+)
+ON_ALL = (
+    FaultKind.HERD_KILL,
+    FaultKind.STORE_OUT,
+    FaultKind.STORE_LOSES_ANSWERS,
+    FaultKind.STORE_FORGETS,
+    FaultKind.STORE_LAPSE,
+    FaultKind.STORE_GARBAGE,
+    FaultKind.CONFIGURATIONS,
+)
+ON_UPSTREAMS = (
+    FaultKind.UPSTREAM_SLOW,
+    FaultKind.UPSTREAM_RESET,
+    FaultKind.UPSTREAM_SILENT,
+    FaultKind.UPSTREAM_DEAF,
+    FaultKind.CRASH,
+    FaultKind.LEAVE,
+    FaultKind.REFUSES,
+    FaultKind.LABOURS,
+    FaultKind.FREEZES,
+    FaultKind.CUTS,
+)
+ON_ENGINES = (FaultKind.LOSES_KV, FaultKind.NOT_IN_SERVICE)
+
+
+class Fault(NamedTuple):
+    """One fault, or a series of it."""
+
+    kind: FaultKind
+    at_s: float
+    """From the start of the load."""
+    subject: str = ""
+    """An entry's or an upstream's name; empty for what concerns all."""
+    for_s: float = 1.0
+    times: int = 1
+    gap_s: float = 0.3
+    """Pause between the times of a series."""
+    x: float = 0.1
+    """Delay in seconds, where the fault has one."""
+
+
+class Plan(NamedTuple):
+    """One run."""
+
+    seed: int
+    entries: tuple[str, ...]
+    load_s: float
+    faults: tuple[Fault, ...]
+
+
+def draw_plan(seed: int, entries: int, load_s: float, faults: int) -> Plan:
+    """Return the plan of a seed; the same arguments give the same plan."""
+    rng = Random(seed)
+    names = tuple(f"entry-{number}" for number in range(1, entries + 1))
+    drawn = sorted(_faults(rng, names, load_s, faults), key=lambda fault: fault.at_s)
+    return Plan(seed, names, load_s, tuple(drawn))
+
+
+def _faults(rng: Random, entries: tuple[str, ...], load_s: float, count: int) -> Iterator[Fault]:
+    for _ in range(count):
+        kind = rng.choice((*ON_ENTRIES, *ON_ALL, *ON_UPSTREAMS, *ON_ENGINES))
+        yield Fault(
+            kind=kind,
+            at_s=round(rng.uniform(0.5, load_s * 0.8), 2),
+            subject=_subject(rng, kind, entries),
+            for_s=round(rng.uniform(0.2, 3.0), 2),
+            times=rng.randint(2, SERIES_MOST) if rng.random() < SERIES_SHARE else 1,
+            gap_s=round(rng.uniform(0.05, 0.6), 2),
+            x=round(rng.uniform(0.02, 0.4), 3),
+        )
+
+
+def _subject(rng: Random, kind: FaultKind, entries: tuple[str, ...]) -> str:
+    if kind in ON_ENTRIES:
+        return rng.choice(entries)
+    if kind in ON_UPSTREAMS:
+        return rng.choice((*PLAIN, *ENGINES))
+    return rng.choice(ENGINES) if kind in ON_ENGINES else ""
