A fault soak of chivehold direct: processes, loopback proxies, seeded faults, a judge

Change: tests/soak. A seed draws a plan of faults; a run starts entries as processes, puts a proxy before each entry, each entry's store and each upstream, and judges what callers and upstreams saw with the checkers of chivehold.history and four of its own. A stream cut within an event and passed on as whole is not found: the stand-ins end no answer by closing its connection; tests/core has that case.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup test check demo measure slopes bench proto
+.PHONY: setup test check demo measure slopes bench proto soak
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
@@ -33,3 +33,6 @@
 
 bench: setup
 	$(PY) -m examples.bench
+
+soak: setup
+	$(PY) -m tests.soak --minutes $(or $(MINUTES),3)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -39,7 +39,7 @@
     parser.add_argument("--minutes", type=float, default=2.0, help="of fresh seeds")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--entries", type=int, default=4)
-    parser.add_argument("--faults", type=int, default=10)
+    parser.add_argument("--faults", type=int, default=14)
     parser.add_argument("--load-s", type=float, default=12.0)
     parser.add_argument("--rate", type=float, default=25.0, help="requests a second")
     parser.add_argument("--directory", type=Path, default=Path("target/soak"))
@@ -74,7 +74,8 @@
 
 
 def _print(result: Result, directory: Path) -> None:
-    print(" ".join(f"{end}={count}" for end, count in sorted(result.ends.items())), directory)
+    print(" ".join(f"{end}={count}" for end, count in sorted(result.ends.items())))
+    print(f"  late by {result.own_lag_s:.2f} s at most; logs in {directory}")
     if result.violations:
         for fault in result.plan.faults:
             print("  planned", fault)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -35,6 +35,10 @@
 CONTACT_S = 4.0
 """An entry is in touch again so long after the end of a trouble."""
 FINAL_SLACK_S = 0.5
+GONE_S = 0.5
+GONE_SHARE = 0.25
+GONE_LEAST = 3
+LAG_POLL_S = 0.05
 TWICE_RUNNING_S = 0.4
 """How long an engine may go on with a request that another has taken over."""
 
@@ -48,12 +52,20 @@
 )
 
 
+class Lag(NamedTuple):
+    """The judge's own process was late by so much; what it saw then is dated too late."""
+
+    at_s: float
+    late_s: float
+
+
 class Record(NamedTuple):
     """All that was seen of a run."""
 
     history: History
     arrivals: tuple[Arrival, ...]
     troubles: tuple[Trouble, ...]
+    lags: tuple[Lag, ...]
     found: tuple[Violation, ...]
     """Violations that were seen on the way."""
 
@@ -76,25 +88,44 @@
     history, troubles = record.history, record.troubles
     in_touch = tuple(seen for seen in history.seen if not _is_troubled(seen, troubles))
     yield from check_in_force(history._replace(seen=in_touch))
-    yield from check_memory_released(_with_visible_closes(history, troubles))
+    visible = _with_visible_closes(history, troubles)
+    yield from check_memory_released(visible)
+    yield from check_gone(visible)
     yield from check_leaving(_with_known_leaving(history, troubles))
     yield from check_shutdown(_with_calm_shutdowns(history, troubles))
-    yield from check_final_answers(history, troubles)
+    yield from check_final_answers(record)
     yield from check_one_engine(history, troubles)
     yield from check_budget(record.arrivals, history.calls)
 
 
-def check_final_answers(history: History, troubles: tuple[Trouble, ...]) -> Iterator[Violation]:
+def check_final_answers(record: Record) -> Iterator[Violation]:
     """Each request of an entry in touch has its final answer when its time is over."""
-    for call in history.calls:
+    for call in record.history.calls:
         most_ms = PLAIN_TIMEOUT_MS if call.prompt is None else STREAM_TIMEOUT_MS
         until_s = call.invoked_at_s + most_ms / 1_000 + FINAL_SLACK_S
         if call.completed_at_s is not None and call.completed_at_s <= until_s:
             continue
-        if not _overlaps(troubles, (call.entry,), call.invoked_at_s - CONTACT_S, until_s):
+        if call.completed_at_s is not None:
+            late_s = _own_lag_s(record.lags, call.invoked_at_s, call.completed_at_s)
+            if call.completed_at_s <= until_s + late_s:
+                continue
+        if not _overlaps(record.troubles, (call.entry,), call.invoked_at_s - CONTACT_S, until_s):
             yield Violation("final_answer", call.request, f"none in time: {call}")
 
 
+def check_gone(history: History) -> Iterator[Violation]:
+    """Of the work that callers leave behind, little goes on for longer than half a second."""
+    left = {call.request: call.completed_at_s for call in history.calls if call.end is End.LEFT}
+    work = [
+        (hold, departed_at_s)
+        for hold in holds(history)
+        if (departed_at_s := left.get(hold.attempt.request)) and hold.until_s > departed_at_s
+    ]
+    late = [hold for hold, departed_at_s in work if hold.until_s > departed_at_s + GONE_S]
+    if len(late) > max(GONE_LEAST, GONE_SHARE * len(work)):
+        yield Violation("gone", "all", f"{len(late)} of {len(work)} went on, such as {late[0]}")
+
+
 def check_one_engine(history: History, troubles: tuple[Trouble, ...]) -> Iterator[Violation]:
     """No two engines go on with one request for longer than a close takes."""
     running: dict[str, list[Hold]] = {}
@@ -219,6 +250,13 @@
     return run.partition("#")[0]
 
 
+def _own_lag_s(lags: tuple[Lag, ...], from_s: float, until_s: float) -> float:
+    """Return by how much the judge was late at most within a time."""
+    return max(
+        (one.late_s for one in lags if from_s <= one.at_s <= until_s + LAG_POLL_S), default=0
+    )
+
+
 def _overlaps(
     troubles: tuple[Trouble, ...], subjects: tuple[str, ...], from_s: float, until_s: float
 ) -> bool:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Plays one plan and returns what was found."""
 
 import json
+import time
 from collections import Counter
 from pathlib import Path
 from random import Random
@@ -13,7 +14,7 @@
 from tests.soak.callers import PATHS, Callers
 from tests.soak.entries import Entry, loopback
 from tests.soak.faults import Faults
-from tests.soak.judge import Record, judge
+from tests.soak.judge import LAG_POLL_S, Lag, Record, judge
 from tests.soak.plan import Plan
 from tests.soak.upstreams import SoakEngine
 from tests.soak.world import World
@@ -32,6 +33,8 @@
     violations: tuple[Violation, ...]
     ends: dict[str, int]
     """How many requests ended in which way."""
+    own_lag_s: float
+    """By how much the run itself was late at most."""
 
 
 async def play(plan: Plan, directory: Path, rate: float) -> Result:
@@ -45,6 +48,8 @@
     found: list[Violation] = []
     async with trio.open_nursery() as nursery:
         world = World(plan, directory, nursery)
+        lags: list[Lag] = []
+        nursery.start_soon(_note_own_lag, lags)
         try:
             await world.start()
             callers = Callers(world, Random(plan.seed), rate)
@@ -58,13 +63,23 @@
                 entry.end()
         found += _unexpected(world)
         nursery.cancel_scope.cancel()
-    record = _record(world, found)
+    record = _record(world, lags, found)
     (directory / "troubles.json").write_text(json.dumps(record.troubles, indent=1))
     ends = Counter(f"{call.path and call.target} {call.end}" for call in record.history.calls)
-    return Result(plan, judge(record), dict(ends))
+    most_late_s = max((lag.late_s for lag in lags), default=0.0)
+    return Result(plan, judge(record), dict(ends), most_late_s)
 
 
-def _record(world: World, found: list[Violation]) -> Record:
+async def _note_own_lag(lags: list[Lag]) -> None:
+    while True:
+        due_at = trio.current_time() + LAG_POLL_S
+        await trio.sleep_until(due_at)
+        late_s = trio.current_time() - due_at
+        if late_s > LAG_POLL_S:
+            lags.append(Lag(time.time(), late_s))
+
+
+def _record(world: World, lags: list[Lag], found: list[Violation]) -> Record:
     history = world.recorder.history()._replace(
         work=tuple(sorted(world.ledger.work, key=lambda work: work.at_s)),
         shutdowns=tuple(world.shutdowns),
@@ -73,6 +88,7 @@
         history,
         tuple(world.ledger.arrivals),
         tuple(world.troubles),
+        tuple(lags),
         (*found, *world.ledger.violations),
     )
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -16,7 +16,7 @@
     Work,
     WorkKind,
 )
-from tests.soak.judge import Record, judge
+from tests.soak.judge import Lag, Record, judge
 from tests.soak.plan import FaultKind
 from tests.soak.upstreams import Arrival
 from tests.soak.world import STORE, Trouble
@@ -67,8 +67,9 @@
     *troubles: Trouble,
     arrivals: tuple[Arrival, ...] = (),
     earlier: tuple[Violation, ...] = (),
+    lags: tuple[Lag, ...] = (),
 ) -> set[str]:
-    record = Record(history, arrivals, troubles, earlier)
+    record = Record(history, arrivals, troubles, lags, earlier)
     return {violation.promise for violation in judge(record)}
 
 
@@ -184,6 +185,34 @@
         """The kernel closes the connections of a dead process."""
         assert "memory_released" in found(LEFT, Trouble("entry-1", FaultKind.KILL, 9.9, 11.0))
 
+    def test_own_lag_is_taken_off(self) -> None:
+        """An answer is not late by what the judge itself was late when it saw it."""
+        late = History(calls=(stream(completed_at_s=16.7),))
+        assert found(late) == {"final_answer"}
+        assert not found(late, lags=(Lag(16.68, 0.3),))
+        assert found(late, lags=(Lag(16.68, 0.1),)) == {"final_answer"}
+        assert found(late, lags=(Lag(9.0, 0.3),)) == {"final_answer"}
+
+    def test_work_for_the_departed_is_rare(self) -> None:
+        """Some of it may go on for longer than half a second, most may not."""
+
+        def run(late: int) -> History:
+            calls, done = [], []
+            for number in range(12):
+                request = RequestId(f"r{number}")
+                calls.append(stream(request=request, end=End.LEFT, text="", outcome=None))
+                attempt = AttemptId(request, 1)
+                ended_at_s = 11.8 if number < late else 11.2
+                for kind, at_s in (
+                    (WorkKind.DECODE_STARTED, 10.1),
+                    (WorkKind.CANCELLED, ended_at_s),
+                ):
+                    done.append(Work(UpstreamName("decode-1#1"), kind, at_s, attempt))
+            return History(calls=tuple(calls), work=tuple(done))
+
+        assert not found(run(3))
+        assert found(run(4)) == {"gone"}
+
     def test_retry_budget(self) -> None:
         calls = tuple(plain(request=RequestId(f"r{number}")) for number in range(10))
         repeated = [Arrival(10.5, "plain", f"r{number % 10}", False) for number in range(20)]
--- /dev/null
+++ b/tests/soak/test_link.py
@@ -0,0 +1,91 @@
+"""The proxy's faults, seen from both of its ends."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from tests.soak.link import LOOPBACK, Link
+
+HELD_BACK_S = 0.2
+
+
+@asynccontextmanager
+async def echo() -> AsyncIterator[Link]:
+    async def answer(stream: trio.SocketStream) -> None:
+        async for part in stream:
+            await stream.send_all(part)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        link = Link(nursery, f"{LOOPBACK}:{port}")
+        await link.accept()
+        yield link
+        nursery.cancel_scope.cancel()
+
+
+async def connect(link: Link) -> trio.SocketStream:
+    return await trio.open_tcp_stream(LOOPBACK, int(link.address.rpartition(":")[2]))
+
+
+async def hears(stream: trio.SocketStream, within_s: float) -> bytes:
+    with trio.move_on_after(within_s):
+        return await stream.receive_some()
+    return b""
+
+
+class TestLink:
+    async def test_carries(self) -> None:
+        async with echo() as link:
+            stream = await connect(link)
+            await stream.send_all(b"a")
+            assert await hears(stream, 2.0) == b"a"
+
+    @pytest.mark.parametrize("direction", ["to_server", "to_client"])
+    async def test_silence_holds_back_and_then_delivers(self, direction: str) -> None:
+        async with echo() as link:
+            stream = await connect(link)
+            getattr(link, direction).silence()
+            await stream.send_all(b"a")
+            assert await hears(stream, HELD_BACK_S) == b""
+            link.heal()
+            assert await hears(stream, 2.0) == b"a"
+
+    async def test_delay(self) -> None:
+        async with echo() as link:
+            stream = await connect(link)
+            link.to_client.delay_s = 2 * HELD_BACK_S
+            await stream.send_all(b"a")
+            assert await hears(stream, HELD_BACK_S) == b""
+            assert await hears(stream, 2.0) == b"a"
+
+    async def test_reset(self) -> None:
+        async with echo() as link:
+            stream = await connect(link)
+            await stream.send_all(b"a")
+            assert await hears(stream, 2.0) == b"a"
+            link.reset()
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some()
+
+    async def test_refuses_and_accepts_at_one_address(self) -> None:
+        async with echo() as link:
+            address = link.address
+            link.refuse()
+            await trio.sleep(0.05)
+            with pytest.raises(OSError):
+                await connect(link)
+            await link.accept()
+            assert link.address == address
+            stream = await connect(link)
+            await stream.send_all(b"a")
+            assert await hears(stream, 2.0) == b"a"
+
+    async def test_a_close_passes(self) -> None:
+        async with echo() as link:
+            stream = await connect(link)
+            await stream.send_eof()
+            assert await hears(stream, 2.0) == b""
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -13,8 +13,8 @@
 from chivehold.http_server import Scope, Send, respond
 
 EXPECTED = "x-chivehold-expect-instance"
-STREAM_EVENTS = 15
-EVENT_S = 0.06
+STREAM_EVENTS = 40
+EVENT_S = 0.08
 PREFILL_S = 0.05
 PLAIN_S = 0.04
 HANDLE_TTL_S = 1.0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -237,10 +237,10 @@
         probe = f"probe-{self.configuration % PROBES}"
         return [
             _route("/get/", "idempotent", "plain", maxAttempts=2),
-            _route("/post/", "non_idempotent", "plain"),
+            _route("/post/", "non_idempotent", "plain", maxAttempts=3),
             _route("/probe/", "idempotent", probe),
             _stream("/resume/", resumable=True, maxAttempts=3),
-            _stream("/tell/", resumable=False),
+            _stream("/tell/", resumable=False, maxAttempts=3),
         ]
 
 
