The bodies of all requests in progress have one bound in chivehold direct too

Cause: each body was bounded, their sum was not: 1,024 requests of 4 MiB do not fit a machine of 128 MB. Ruled out: setting the greatest size aside for a body of unknown length, as the entry with sidecars does: eight chunked bodies would then refuse all others. Change: bodies.py moves out of entry/ and serves both; a body counts by its announced length, or as it comes. max_held_bytes, 32 MiB. What finds no room is refused at once, not run, with a time to come back.

--- a/src/chivehold/entry/bodies.py
+++ b/src/chivehold/bodies.py
@@ -40,16 +40,19 @@
         Raises:
             BudgetSpent: There is no room for so many.
         """
-        if self._held + size > self._most:
-            detail = f"bodies in progress exceed {self._most} bytes"
-            raise BudgetSpent("read body", "caller", detail)
-        self._held += size
+        self._take(size)
         reservation = Reservation(self, size)
         try:
             yield reservation
         finally:
             reservation.shrink_to(0)
 
+    def _take(self, size: int) -> None:
+        if self._held + size > self._most:
+            detail = f"bodies in progress exceed {self._most} bytes"
+            raise BudgetSpent("read body", "caller", detail)
+        self._held += size
+
     def _give_back(self, size: int) -> None:
         self._held -= size
 
@@ -61,6 +64,16 @@
         self._budget = budget
         self._size = size
 
+    def grow_to(self, size: int) -> None:
+        """Set aside so many bytes in all.
+
+        Raises:
+            BudgetSpent: There is no room for so many.
+        """
+        if size > self._size:
+            self._budget._take(size - self._size)
+            self._size = size
+
     def shrink_to(self, size: int) -> None:
         """Give back all but these bytes."""
         kept = min(size, self._size)
@@ -73,7 +86,12 @@
 
     A body without an announced size may come up to that.
     """
+    if header(scope, "transfer-encoding") is not None:
+        return most
+    return announced_bytes(scope, most)
+
+
+def announced_bytes(scope: Scope, most: int) -> int:
+    """Return the size that a request announces for its body, at most ``most``; 0 where none."""
     announced = header(scope, "content-length")
-    if announced is not None and announced.isdecimal():
-        return min(int(announced), most)
-    return 0 if header(scope, "transfer-encoding") is None else most
+    return min(int(announced), most) if announced is not None and announced.isdecimal() else 0
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -13,6 +13,7 @@
 import trio
 from returns.result import Result
 
+from chivehold.bodies import BodyBudget
 from chivehold.core.direct.fleet import Fleet, FleetChange
 from chivehold.core.direct.messages import Dialect, UpstreamEntry
 from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica
@@ -127,6 +128,7 @@
             ),
             self._retries,
             self._metrics,
+            BodyBudget(settings.max_held_bytes),
         )
         store = platform.open_store(settings.store_address, self._store_client)
         self._tables: Replica[RouteTable] = Replica()
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -4,9 +4,10 @@
 
 import trio
 
-from chivehold.core.direct.messages import Dialect, RawHeaders
+from chivehold.bodies import BodyBudget, announced_bytes
+from chivehold.core.direct.messages import Dialect, RawHeaders, RequestFacts
 from chivehold.core.direct.returns import FirstDeadlines
-from chivehold.core.direct.routes import CallKind, RouteIndex, choose_service
+from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
 from chivehold.core.direct.shared_retries import SharedRetries
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
@@ -19,10 +20,12 @@
     send_refusal,
 )
 from chivehold.direct.stream_calls import StreamCalls
+from chivehold.exceptions import BudgetSpent
 from chivehold.http_server import Receive, Scope, Send, read_body, wait_disconnect
 from chivehold.logs import log_event
 
 NOT_READY_RETRY_S = 0.5
+BODIES_FULL_RETRY_S = 1.0
 DEPARTED = "departed"
 
 _log = logging.getLogger(__name__)
@@ -37,6 +40,7 @@
         streams: Serves model services.
         retries: Is told of each request.
         metrics: Counts them.
+        bodies: Bounds what all requests in progress hold.
     """
 
     def __init__(
@@ -46,12 +50,14 @@
         streams: StreamCalls,
         retries: SharedRetries,
         metrics: DirectMetrics,
+        bodies: BodyBudget,
     ) -> None:
         self._dialect = dialect
         self._plain = plain
         self._streams = streams
         self._retries = retries
         self._metrics = metrics
+        self._bodies = bodies
         self._deadlines = FirstDeadlines()
         self._routes: RouteIndex | None = None
         self._is_draining = False
@@ -103,25 +109,43 @@
             self._log_refusal(facts.request, refusal, routes)
             await send_refusal(reply, refusal)
             return
-        body = await read_body(receive, routes.table.body_bytes_most)
+        most = routes.table.body_bytes_most
+        try:
+            with self._bodies.reserve(announced_bytes(scope, most)) as reserved:
+                body = await read_body(receive, most, growing=reserved.grow_to)
+                exchange = self._exchange(scope, facts, route, routes, body, arrived_at)
+                await self._serve_until_departure(exchange, receive, reply, routes)
+        except BudgetSpent as error:
+            refusal = not_run("bodies_full", error.detail, BODIES_FULL_RETRY_S)
+            self._log_refusal(facts.request, refusal, routes)
+            await send_refusal(reply, refusal)
+
+    def _exchange(
+        self,
+        scope: Scope,
+        facts: RequestFacts,
+        route: Route,
+        routes: RouteIndex,
+        body: bytes,
+        arrived_at: float,
+    ) -> Exchange:
         query = scope["query_string"]
         limit_s = route.timeout_s
         if facts.deadline_s is not None:
             limit_s = min(limit_s, facts.deadline_s)
-        exchange = Exchange(
+        return Exchange(
             facts=facts,
             route=route,
             service=choose_service(route.splits, facts.request),
             configuration=routes.table.version,
             method=scope["method"],
             target=scope["raw_path"] + (b"?" + query if query else b""),
-            headers=headers,
+            headers=scope["headers"],
             body=body,
             arrived_at=arrived_at,
             expires_at=arrived_at + limit_s,
             waited_before_s=self._deadlines.waited_before_s(route.name, facts.deadline_s),
         )
-        await self._serve_until_departure(exchange, receive, reply, routes)
 
     async def _serve_until_departure(
         self, exchange: Exchange, receive: Receive, reply: Reply, routes: RouteIndex
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -9,13 +9,13 @@
 
 import trio
 
+from chivehold.bodies import CallerLimits
 from chivehold.core.declarations import DeclarationReplica
 from chivehold.core.declared import Declarations, Upstream
 from chivehold.core.entry import EntryCore
 from chivehold.core.entry_messages import DeclarationsChanged, DrainStarted, LeavingListed
 from chivehold.core.identity import EntryIncarnation, UpstreamName
 from chivehold.entry.attempts import AttemptClient
-from chivehold.entry.bodies import CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds
 from chivehold.entry.callers import CallerApp
 from chivehold.entry.control import EngineControl
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -9,6 +9,11 @@
 import msgspec
 import trio
 
+from chivehold.bodies import (
+    BodyBudget,
+    CallerLimits,
+    expected_bytes,
+)
 from chivehold.core.entry_messages import Finish, RequestArrived
 from chivehold.core.identity import EntryIncarnation, Outcome, RequestId
 from chivehold.entry.answers import (
@@ -24,11 +29,6 @@
     finish_reason,
     stream_event,
 )
-from chivehold.entry.bodies import (
-    BodyBudget,
-    CallerLimits,
-    expected_bytes,
-)
 from chivehold.entry.caller_headers import HeaderBounds, read_headers
 from chivehold.entry.caller_requests import (
     HOP_BY_HOP,
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -143,13 +143,19 @@
     return None
 
 
-async def read_body(receive: Receive, most: int, within_s: float = BODY_TIMEOUT_S) -> bytes:
+async def read_body(
+    receive: Receive,
+    most: int,
+    within_s: float = BODY_TIMEOUT_S,
+    growing: Callable[[int], None] = lambda size: None,
+) -> bytes:
     """Read a request's whole body.
 
     Args:
         receive: The ASGI callable of the request.
         most: Bytes allowed.
         within_s: Time allowed, in seconds.
+        growing: Called with the bytes read so far before more are kept; may raise.
 
     Raises:
         BodyTooLarge: It is longer than ``most``.
@@ -166,6 +172,7 @@
             size += len(part)
             if size > most:
                 raise BodyTooLarge(most)
+            growing(size)
             parts.append(part)
             if not message.get("more_body", False):
                 return b"".join(parts)
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -145,6 +145,8 @@
     """Entries that share what is shared, until their number is known."""
     decode_per_prefill: float = 3.0
     """Decode engines that one prefill engine keeps busy; the stages are ordered to fit."""
+    max_held_bytes: int = 32 * MIB
+    """Bound of the bodies of all requests in progress together."""
     idle_timeout_s: float = 60.0
     """An idle caller's connection is closed after this time."""
     max_requests: int = 1024
@@ -269,6 +271,7 @@
     decode_per_prefill: Annotated[
         float, msgspec.Meta(ge=0.1, le=100, description="a number, 0.1 to 100")
     ]
+    max_held_bytes: _Bytes
     idle_timeout_s: _Seconds
     max_requests: _Count
     log_lines_per_s: _Count
--- a/tests/direct/test_app.py
+++ b/tests/direct/test_app.py
@@ -142,6 +142,54 @@
             assert sum(len(engine.orders) for engine in engines) == 1
 
 
+class TestBodies:
+    """Pattern: many long bodies at once, on a machine with little memory."""
+
+    BODY = b"x" * 40_000
+
+    async def test_no_more_are_held_than_allowed(self, tmp_path: Path) -> None:
+        """A request whose body finds no room is refused at once; it has room when others end."""
+        async with deployed(tmp_path, max_held_bytes=100_000) as one:
+            upstream = PlainUpstream("x")
+            upstream.work_s = 0.5
+            await one.add(upstream, "plain")
+            await until(lambda: len(one.entry.dump()["upstreams"]) == 1)
+            async with trio.open_nursery() as nursery:
+                for name in ("a", "b"):
+                    nursery.start_soon(one.call, "/post/a", name, "POST", self.BODY)
+                await until(lambda: sorted(upstream.runs) == ["a", "b"])
+                refused = await one.call("/post/a", "c", "POST", self.BODY)
+            assert refused.status == 503
+            assert refused.header("retry-after")
+            assert msgspec.json.decode(refused.body)["reason"] == "bodies_full"
+            assert (await one.call("/post/a", "d", "POST", self.BODY)).status == 200
+            assert sorted(upstream.runs) == ["a", "b", "d"]
+
+    async def test_unannounced_ones_count_as_they_come(self, tmp_path: Path) -> None:
+        """A chunked body is cut off where the room ends, and the room is given back."""
+        async with deployed(tmp_path, max_held_bytes=50_000) as one:
+            upstream = PlainUpstream("x")
+            await one.add(upstream, "plain")
+            await until(lambda: len(one.entry.dump()["upstreams"]) == 1)
+            assert await self._chunked(one, parts=8) == b"HTTP/1.1 503"
+            assert await self._chunked(one, parts=4) == b"HTTP/1.1 200"
+            assert len(upstream.runs) == 1
+
+    @staticmethod
+    async def _chunked(one: Deployed, parts: int) -> bytes:
+        host, _, port = one.address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        head = b"POST /post/a HTTP/1.1\r\nhost: site.example\r\nx-chivehold-request-id: r\r\n"
+        await stream.send_all(head + b"transfer-encoding: chunked\r\n\r\n")
+        for _ in range(parts):
+            await stream.send_all(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
+        await stream.send_all(b"0\r\n\r\n")
+        with trio.fail_after(5.0):
+            answer = await stream.receive_some()
+        await stream.aclose()
+        return answer[:12]
+
+
 class TestOperators:
     async def test_metrics_and_dump(self, tmp_path: Path) -> None:
         """Counts of what was served, and the state with the age of what it rests on."""
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -7,9 +7,9 @@
 import pytest
 import trio
 
+from chivehold.bodies import BodyBudget, CallerLimits
 from chivehold.core.entry_messages import Finish, RequestArrived
 from chivehold.core.identity import EntryIncarnation, Outcome, RequestId
-from chivehold.entry.bodies import BodyBudget, CallerLimits
 from chivehold.entry.caller_headers import HeaderBounds, read_headers
 from chivehold.entry.callers import CallerApp
 from chivehold.entry.pending import PendingRequest
