A stream that its engine ends within an event is tested to stay cut

Cause: the soak with the check of an unfinished last event removed found nothing, and no other test did: all stand-ins broke the connection. Change: an engine's stand-in that ends its answer properly in the middle of an event; both tests of broken streams are run with it. Before and after: without the check 2 of these tests fail, with it all pass.

--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -141,6 +141,8 @@
         self.event_s = 0.0
         self.stop_after: int | None = None
         """Breaks each stream off in the middle of the event after this one."""
+        self.end_after: int | None = None
+        """Ends each stream as if it were whole, in the middle of the event after this one."""
         self.freeze_after: int | None = None
         """Sends nothing more after this event."""
         self.lose_handles = False
@@ -230,9 +232,10 @@
                 await trio.sleep_forever()
             event = f"id: {number}\ndata: {self._data(request, number, asked)}\n\n".encode()
             cut = self.stop_after is not None and number > self.stop_after
-            part = event[:7] if cut else event
-            await send({"type": "http.response.body", "body": part, "more_body": True})
-            if cut:
+            ends = self.end_after is not None and number > self.end_after
+            part = event[:7] if cut or ends else event
+            await send({"type": "http.response.body", "body": part, "more_body": not ends})
+            if cut or ends:
                 return
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -125,7 +125,7 @@
 
 
 class TestBroken:
-    @pytest.mark.parametrize("fault", ["stop_after", "freeze_after"])
+    @pytest.mark.parametrize("fault", ["stop_after", "end_after", "freeze_after"])
     async def test_resumable_goes_on_elsewhere(self, tmp_path: Path, fault: str) -> None:
         """Within one answer, without gap or repeat, from the last whole event."""
         async with deployed(tmp_path) as one:
@@ -142,12 +142,13 @@
                 assert await one.events("/resume/a") == FIVE
             assert engines.decode[1].runs == ["r1"]
 
-    async def test_other_streams_break_off(self, tmp_path: Path) -> None:
+    @pytest.mark.parametrize("fault", ["stop_after", "end_after"])
+    async def test_other_streams_break_off(self, tmp_path: Path, fault: str) -> None:
         """A stream that may not be repeated runs once and never looks complete."""
         async with deployed(tmp_path) as one:
             engines = await start(one)
             for engine in engines.decode:
-                engine.stop_after = 2
+                setattr(engine, fault, 2)
             with pytest.raises(LinkBroken):
                 await one.events("/tell/a")
             assert engines.runs() == 1
