--- /dev/null
+++ b/tests/core/test_control_lease_explored.py
@@ -0,0 +1,177 @@
+"""All short histories of a lease: three entries, one store that loses answers, two engines."""
+
+import copy
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from chivehold.core.control_lease import TERM_S, Lease, LeaseRecord, encode_lease
+from chivehold.core.identity import EntryIncarnation
+
+ENTRIES = 3
+ENGINES = 2
+TICK_S = 3.3
+"""Two make a term end for its successors."""
+STEPS = 8
+
+
+class Written(NamedTuple):
+    """A write that was carried out and whose answer is still on its way."""
+
+    version: int
+    value: bytes
+    sent_at: float
+
+
+class Order(NamedTuple):
+    """An order on its way to an engine."""
+
+    holder: int
+    fencing_number: int
+
+
+class World:
+    """One state; every step makes a new one."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        names = [EntryIncarnation(f"e{number}") for number in range(ENTRIES)]
+        self.leases = [Lease("control", name) for name in names]
+        self.records: list[tuple[int, bytes]] = [(0, b"")]
+        """All versions of the record that the store has had."""
+        self.answers: list[Written | None] = [None] * ENTRIES
+        self.orders: list[Order | None] = [None] * ENGINES
+        self.accepted: list[list[Order]] = [[] for _ in range(ENGINES)]
+
+    def key(self) -> tuple[object, ...]:
+        """What decides how a state can go on; versions and times count from the present."""
+        version = len(self.records) - 1
+        leases = tuple(
+            (
+                lease._version - version,
+                lease._record,
+                lease._fencing_number - version,
+                round(max(-TERM_S, lease._free_at - self.now), 2),
+                round(max(-TERM_S, lease._held_until - self.now), 2),
+            )
+            for lease in self.leases
+        )
+        answers = tuple(
+            one and (one.version - version, one.value, round(one.sent_at - self.now, 2))
+            for one in self.answers
+        )
+        orders = tuple(one and (one.holder, one.fencing_number - version) for one in self.orders)
+        accepted = tuple(
+            (one[-1].holder, one[-1].fencing_number - version) if one else None
+            for one in self.accepted
+        )
+        return (leases, answers, orders, accepted, tuple(value for _, value in self.records[-2:]))
+
+    def steps(self) -> Iterator["World"]:
+        """Yield every state that one step leads to."""
+        yield self._with(_tick)
+        for entry in range(ENTRIES):
+            for age in (0, 1):
+                yield self._with(_read, entry, age)
+            if self.answers[entry] is not None:
+                yield self._with(_hear, entry)
+                yield self._with(_lose, entry)
+            elif self._may_write(entry):
+                yield self._with(_write, entry)
+            if self.leases[entry].held(self.now) is not None:
+                for engine in range(ENGINES):
+                    if self.orders[engine] is None:
+                        yield self._with(_send, entry, engine)
+        for engine in range(ENGINES):
+            if self.orders[engine] is not None:
+                yield self._with(_arrive, engine)
+
+    def check(self) -> None:
+        holders = [lease for lease in self.leases if lease.held(self.now) is not None]
+        assert len(holders) <= 1
+        for orders in self.accepted:
+            numbers = [order.fencing_number for order in orders]
+            assert numbers == sorted(numbers)
+            assert len({(one.holder, one.fencing_number) for one in orders}) == len(set(numbers))
+
+    def _may_write(self, entry: int) -> bool:
+        lease = self.leases[entry]
+        return lease.may_renew(self.now) or (
+            lease.held(self.now) is None and lease.may_acquire(self.now)
+        )
+
+    def _with(self, step: object, *arguments: int) -> "World":
+        after = copy.copy(self)
+        after.leases = [copy.copy(lease) for lease in self.leases]
+        after.records, after.answers = list(self.records), list(self.answers)
+        after.orders = list(self.orders)
+        after.accepted = [list(orders) for orders in self.accepted]
+        step(after, *arguments)  # type: ignore[operator]
+        return after
+
+
+def _tick(world: World) -> None:
+    world.now += TICK_S
+
+
+def _read(world: World, entry: int, age: int) -> None:
+    version, value = world.records[max(0, len(world.records) - 1 - age)]
+    world.leases[entry].observe(version, value, world.now)
+
+
+def _write(world: World, entry: int) -> None:
+    """A write is carried out, if the store still has the version that it expects."""
+    version, _ = world.records[-1]
+    if world.leases[entry].version == version:
+        value = encode_lease(LeaseRecord(EntryIncarnation(f"e{entry}"), TERM_S))
+        world.records.append((version + 1, value))
+        world.answers[entry] = Written(version + 1, value, world.now)
+
+
+def _hear(world: World, entry: int) -> None:
+    """The answer arrives, late or not."""
+    answer = world.answers[entry]
+    assert answer is not None
+    world.leases[entry].written(answer.version, answer.value, answer.sent_at, world.now)
+    world.answers[entry] = None
+
+
+def _lose(world: World, entry: int) -> None:
+    world.answers[entry] = None
+
+
+def _send(world: World, entry: int, engine: int) -> None:
+    held = world.leases[entry].held(world.now)
+    assert held is not None
+    world.orders[engine] = Order(entry, held.fencing_number)
+
+
+def _arrive(world: World, engine: int) -> None:
+    """An engine refuses numbers lower than the highest that it has seen."""
+    order = world.orders[engine]
+    assert order is not None
+    world.orders[engine] = None
+    accepted = world.accepted[engine]
+    if not accepted or order.fencing_number >= accepted[-1].fencing_number:
+        accepted.append(order)
+
+
+def explored(steps: int) -> int:
+    """Check every state that can be reached within some steps, and return how many there are."""
+    seen, reached = {World().key()}, [World()]
+    for _ in range(steps):
+        found = []
+        for world in reached:
+            for after in world.steps():
+                key = after.key()
+                if key not in seen:
+                    seen.add(key)
+                    after.check()
+                    found.append(after)
+        reached = found
+    return len(seen)
+
+
+class TestEveryHistory:
+    def test_one_holder_and_growing_numbers(self) -> None:
+        """At no time do two entries hold the lease, and no engine obeys a former holder."""
+        assert explored(STEPS) > 1_000
