--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,57 @@
+"""Bounds of the bodies that are held at once."""
+
+import pytest
+
+from chivehold.bodies import BodyBudget, announced_bytes, expected_bytes
+from chivehold.exceptions import BudgetSpent
+from chivehold.http_server import Scope
+
+
+def scope(*headers: tuple[bytes, bytes]) -> Scope:
+    return {"headers": headers}
+
+
+class TestBodyBudget:
+    def test_is_given_back_at_the_end(self) -> None:
+        budget = BodyBudget(100)
+        with budget.reserve(80), pytest.raises(BudgetSpent), budget.reserve(30):
+            pytest.fail("no room for both")
+        assert budget.held == 0
+
+    def test_grows_as_a_body_comes(self) -> None:
+        """What was announced counts once, and a body that finds no room keeps what it had."""
+        budget = BodyBudget(100)
+        with budget.reserve(40) as reserved:
+            reserved.grow_to(30)
+            assert budget.held == 40
+            reserved.grow_to(90)
+            assert budget.held == 90
+            with pytest.raises(BudgetSpent):
+                reserved.grow_to(101)
+            assert budget.held == 90
+        assert budget.held == 0
+
+    def test_shrinks_to_what_came(self) -> None:
+        budget = BodyBudget(100)
+        with budget.reserve(90) as reserved:
+            reserved.shrink_to(10)
+            assert budget.held == 10
+
+
+class TestAnnounced:
+    @pytest.mark.parametrize(
+        ("headers", "announced", "expected"),
+        [
+            ((), 0, 0),
+            (((b"content-length", b"7"),), 7, 7),
+            (((b"content-length", b"70"),), 50, 50),
+            (((b"content-length", b"-1"),), 0, 0),
+            (((b"transfer-encoding", b"chunked"),), 0, 50),
+        ],
+    )
+    def test_sizes(
+        self, headers: tuple[tuple[bytes, bytes], ...], announced: int, expected: int
+    ) -> None:
+        """A body of unknown length may come up to the bound, 50 here."""
+        assert announced_bytes(scope(*headers), 50) == announced
+        assert expected_bytes(scope(*headers), 50) == expected
