--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -1,5 +1,7 @@
 """Streams through one entry: a place, a prefill elsewhere, the events, and what may go wrong."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -38,11 +40,17 @@
     return engines
 
 
+@asynccontextmanager
+async def model_service(tmp_path: Path) -> AsyncIterator[tuple[Deployed, Engines]]:
+    """Run an entry before one prefill and two decode engines."""
+    async with deployed(tmp_path) as one:
+        yield one, await start(one)
+
+
 class TestPath:
     async def test_reserves_prefills_and_decodes(self, tmp_path: Path) -> None:
         """Each engine sees its part: a reservation, the prompt, then the KV cache's source."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             assert await one.events("/tell/a") == FIVE
             (prefilled,) = engines.prefill.seen
             assert prefilled["x-chivehold-stage"] == "prefill"
@@ -58,8 +66,7 @@
 
     async def test_reserves_prompt_and_expected_output(self, tmp_path: Path) -> None:
         """At least the prompt and the estimate, at most the prompt and the caller's bound."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.event_s = 0.05
             async with one.stream("/tell/a") as answer:
@@ -69,8 +76,7 @@
 
     async def test_events_pass_as_they_come(self, tmp_path: Path) -> None:
         """The first event does not wait for the second."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.event_s = 0.2
             async with one.stream("/tell/a") as answer:
@@ -79,8 +85,7 @@
 
     async def test_without_prefill_engine_the_decoder_reads(self, tmp_path: Path) -> None:
         """The only prefill engine being gone delays, and refuses nobody."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             one.store.remove("servers", "p")
             await until(lambda: len(one.entry.dump()["upstreams"]) == 2)
             assert await one.events("/tell/a") == FIVE
@@ -90,8 +95,7 @@
 class TestFullEngines:
     async def test_waits_for_memory(self, tmp_path: Path) -> None:
         """A request that finds no memory gets the next that is freed."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.held["other"] = 9_900
             with trio.fail_after(3):
@@ -104,8 +108,7 @@
 
     async def test_refused_when_it_would_be_too_late(self, tmp_path: Path) -> None:
         """Told that it has not run, and when to come back; nothing was prefilled for it."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.held["other"] = 9_900
             async with one.stream("/tell/a") as answer:
@@ -128,8 +131,7 @@
     @pytest.mark.parametrize("fault", ["stop_after", "end_after", "freeze_after"])
     async def test_resumable_goes_on_elsewhere(self, tmp_path: Path, fault: str) -> None:
         """Within one answer, without gap or repeat, from the last whole event."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             setattr(engines.decode[0], fault, 2)
             engines.decode[1].held["other"] = 9_900
             async with trio.open_nursery() as nursery:
@@ -145,8 +147,7 @@
     @pytest.mark.parametrize("fault", ["stop_after", "end_after"])
     async def test_other_streams_break_off(self, tmp_path: Path, fault: str) -> None:
         """A stream that may not be repeated runs once and never looks complete."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 setattr(engine, fault, 2)
             with pytest.raises(LinkBroken):
@@ -166,8 +167,7 @@
 
     async def test_unreachable_decoder_has_run_nothing(self, tmp_path: Path) -> None:
         """A stream that could not even be sent goes to another engine, though it runs once."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             engines.decode[1].held["other"] = 9_900
             async with trio.open_nursery() as nursery:
                 engines.prefill.work_s = 0.3
@@ -189,8 +189,7 @@
 
     async def test_lost_handle_is_read_again(self, tmp_path: Path) -> None:
         """A decoder that cannot fetch the KV cache has not run; it then reads the prompt."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.lose_handles = True
             assert await one.events("/tell/a") == FIVE
@@ -200,8 +199,7 @@
 class TestLapsingHandles:
     async def test_source_is_avoided(self, tmp_path: Path) -> None:
         """After the first KV cache that could not be fetched no further prompt is read in vain."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.lose_handles = True
             for number in range(6):
@@ -210,8 +208,7 @@
 
     async def test_unused_reservation_is_given_back(self, tmp_path: Path) -> None:
         """A reservation whose request was refused serves nobody and is freed at once."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.lose_handles = True
             assert await one.events("/tell/a") == FIVE
@@ -221,8 +218,7 @@
 class TestRefusingEngine:
     async def test_is_avoided(self, tmp_path: Path) -> None:
         """One that grants places and then refuses, as during a change of stage, wastes little."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             engines.decode[0].out_of_service = True
             for number in range(8):
                 assert await one.events("/tell/a", f"r{number}") == FIVE
@@ -235,8 +231,7 @@
 class TestDeparture:
     async def test_while_waiting_for_a_place(self, tmp_path: Path) -> None:
         """A caller that has left gets no place later."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.held["other"] = 9_900
             with trio.move_on_after(0.2):
@@ -250,8 +245,7 @@
 
     async def test_during_prefill(self, tmp_path: Path) -> None:
         """The prefill is cancelled and the reservation given back."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             engines.prefill.work_s = 5.0
             with trio.move_on_after(0.3):
                 await one.events("/tell/a")
@@ -261,8 +255,7 @@
 
     async def test_in_mid_stream(self, tmp_path: Path) -> None:
         """The engine learns of it and holds nothing any more."""
-        async with deployed(tmp_path) as one:
-            engines = await start(one)
+        async with model_service(tmp_path) as (one, engines):
             for engine in engines.decode:
                 engine.event_s = 0.3
             async with one.stream("/tell/a") as answer:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -190,6 +190,8 @@
 
     async def _crash(self, fault: Fault) -> None:
         name = fault.subject
+        if self._hosted(fault).is_down:
+            return
         with self._world.trouble(name, fault.kind):
             await self._world.crash(name)
             await trio.sleep(fault.for_s)
@@ -201,6 +203,10 @@
             return
         self._world.leave(name)
         await trio.sleep(LEAVE_S)
+        if self._hosted(fault).is_down:
+            # Whoever ended it starts it again.
+            self._world.returned(name)
+            return
         with self._world.trouble(name, fault.kind):
             self._world.lapse(name)
             await self._world.crash(name)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -46,6 +46,7 @@
         self._ledger = ledger
         self._runs = 0
         self.link = link
+        self.is_down = False
         self.serving = trio.CancelScope()
         self.reborn()
 
@@ -175,6 +176,7 @@
     async def crash(self, name: str) -> None:
         """End an upstream at once: connections break, memory is lost."""
         hosted = self.upstreams[name]
+        hosted.is_down = True
         hosted.link.refuse()
         hosted.serving.cancel()
         hosted.link.reset()
@@ -184,6 +186,7 @@
         """Start an upstream again under its name; it knows nothing of before."""
         self.upstreams[name].reborn()
         await self._serve(self.upstreams[name])
+        self.upstreams[name].is_down = False
         self.announce(name)
 
     async def _follow_stages(self) -> None:
