A deleted declaration does not come back through a peer that never held it

Cause: a full list tells which objects exist, not which were deleted. A replica that learned of the store by a list has no tombstones of what it never held, but its changes claimed to be all changes after any revision. A replica with an old copy, or one that held the object rightly, kept it. Ruled out: the watch of the store (it sends tombstones), the order of versions. Change: a replica knows above which version it has all tombstones, and sends its whole state to a peer below that; within the range that received changes cover, a missing object is deleted; a copy at or below the replica's own revision is outdated. A pull's answer says whether it is the whole state (proto: whole_state). DeclarationSync claimed 'all changes after 0' for a watch; it now names what its cursor covers. One type for changes between replicas (DeclarationChanges).

--- a/examples/slopes/revisions.py
+++ b/examples/slopes/revisions.py
@@ -9,13 +9,13 @@
 import trio
 import trio.testing
 
-from chivehold.core.declarations import DeclarationReplica
+from chivehold.core.declarations import DeclarationChanges, DeclarationReplica
 from chivehold.core.declared import Declarations, Service, TrafficClass, Upstream
 from chivehold.core.identity import EntryIncarnation, Role, TargetName, UpstreamName, Urgency
 from chivehold.entry.heartbeats import subset
 from chivehold.fakes.object_store import MemoryObjectStore
 from chivehold.store.declaration_apply import ACCEPTED, ApplyRequest
-from chivehold.store.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.store.declaration_sync import DeclarationSync
 from chivehold.store.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from examples.slopes.fit import Slope, fit_line
 
@@ -86,13 +86,12 @@
                 sync.record_revision(peer, self.sidecars[peer].revision)
             await trio.sleep(HEARTBEAT_S)
 
-    async def pull(self, peer: str, after_revision: int) -> PeerChanges | None:
+    async def pull(self, peer: str, after_revision: int) -> DeclarationChanges | None:
         await trio.sleep(CALL_DELAY_S)
         replica = self.sidecars[peer]
-        changes = replica.changed_after(after_revision)
-        return PeerChanges(after_revision, replica.revision, changes)
+        return replica.changes_for(after_revision)
 
-    async def push(self, peer: str, changes: PeerChanges) -> int | None:
+    async def push(self, peer: str, changes: DeclarationChanges) -> int | None:
         await trio.sleep(CALL_DELAY_S)
         self.pushed += len(changes.changes)
         replica = self.sidecars[peer]
--- a/src/chivehold/core/declarations.py
+++ b/src/chivehold/core/declarations.py
@@ -3,10 +3,14 @@
 The store takes all versions, those of deletions included, from one counter. Therefore a higher
 version is always later, and a copy of a deleted object always has a lower version than a new object
 of the same name.
+
+A full list shows which objects exist, but not which were deleted. A replica that learned from a
+list therefore lacks the tombstones of objects that it never held. Peers that may still hold such an
+object get its whole state, in which a missing name means that the object was deleted.
 """
 
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from chivehold.core.declared import Declarations, Deployment, Service
@@ -24,6 +28,14 @@
     spec: DeclaredSpec | None
 
 
+class DeclarationChanges(NamedTuple):
+    """All changes after ``after_revision`` up to ``revision``, as exchanged between replicas."""
+
+    after_revision: int
+    revision: int
+    changes: tuple[DeclarationVersion, ...]
+
+
 class DeclarationReplica:
     """Keeps the newest version of each name and never reverts to an older one.
 
@@ -33,6 +45,8 @@
     def __init__(self) -> None:
         self._newest: dict[TargetName, DeclarationVersion] = {}
         self._revision = 0
+        self._deletions_known_after = 0
+        """Above this version the replica has the tombstones of all deletions."""
 
     @property
     def revision(self) -> int:
@@ -61,6 +75,14 @@
         )
         return tuple(sorted(newer, key=lambda declaration: declaration.version))
 
+    def changes_for(self, revision: int) -> DeclarationChanges:
+        """Return what a replica at this revision lacks.
+
+        This is the whole state if the replica cannot name all deletions after the revision.
+        """
+        after = revision if revision >= self._deletions_known_after else 0
+        return DeclarationChanges(after, self._revision, self.changed_after(after))
+
     def declarations(self) -> Declarations:
         """Return the declarations in force, sorted by name."""
         specs = [declaration.spec for _, declaration in sorted(self._newest.items())]
@@ -77,42 +99,68 @@
 
         Args:
             changes: Versions of declarations, in any order.
-            after_revision: ``changes`` contains every change after this revision.
+            after_revision: ``changes`` contains the newest version of each object that changed
+                after this revision. Only deleted objects may be missing.
             revision: ``changes`` contains every change up to this revision. The replica's own
                 revision advances to it only if no change in between is missing.
 
         Returns:
             Whether anything changed.
         """
+        changes = tuple(changes)
         merged = [self._merge_version(change) for change in changes]
         advances = after_revision <= self._revision < revision
         if advances:
+            self._delete_missing({change.name for change in changes}, after_revision, revision)
+            if after_revision == 0:
+                self._deletions_known_after = max(self._deletions_known_after, revision)
             self._revision = revision
         return advances or any(merged)
 
     def merge_list(self, listed: Iterable[DeclarationVersion], revision: int) -> bool:
         """Merge a full list as of a revision of the store; names missing from it are deleted.
 
+        The replica's own revision advances only to the newest version of a declaration, so that
+        changes of other kinds of objects do not make all peers synchronise.
+
         Returns:
             Whether anything changed.
         """
         present = {change.name: change for change in listed}
-        missing = self._missing(present.keys(), revision)
-        changes = [*present.values(), *missing]
-        newest = max((change.version for change in changes), default=0)
-        return self.merge(changes, 0, newest)
-
-    def _missing(
-        self, present: Iterable[TargetName], revision: int
-    ) -> Iterator[DeclarationVersion]:
-        for name in self._newest.keys() - set(present):
-            declaration = self._newest[name]
-            if declaration.spec is not None and declaration.version <= revision:
-                yield declaration._replace(version=revision, spec=None)
+        merged = [self._merge_version(change) for change in present.values()]
+        deleted = self._delete_missing(present.keys(), 0, revision)
+        newest = max(
+            (held.version for held in self._newest.values() if held.version <= revision), default=0
+        )
+        advances = newest > self._revision
+        self._revision = max(self._revision, newest)
+        self._deletions_known_after = max(self._deletions_known_after, revision)
+        return advances or deleted or any(merged)
+
+    def _delete_missing(
+        self, present: Collection[TargetName], after_revision: int, revision: int
+    ) -> bool:
+        """Delete the objects last changed in a range of revisions, except those present.
+
+        Returns:
+            Whether any was deleted.
+        """
+        missing = [
+            held
+            for name, held in self._newest.items()
+            if name not in present
+            and held.spec is not None
+            and after_revision < held.version <= revision
+        ]
+        for held in missing:
+            self._newest[held.name] = held._replace(version=revision, spec=None)
+        return bool(missing)
 
     def _merge_version(self, change: DeclarationVersion) -> bool:
-        declaration = self._newest.get(change.name)
-        if declaration is not None and change.version <= declaration.version:
+        """Store a version if it is newer; one that the replica's revision covers is outdated."""
+        held = self._newest.get(change.name)
+        known_up_to = self._revision if held is None else max(self._revision, held.version)
+        if change.version <= known_up_to:
             return False
         self._newest[change.name] = change
         return True
--- a/src/chivehold/entry/declaration_peers.py
+++ b/src/chivehold/entry/declaration_peers.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure
 
-from chivehold.core.declarations import DeclarationVersion
+from chivehold.core.declarations import DeclarationChanges, DeclarationVersion
 from chivehold.core.identity import UpstreamName
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.exceptions import Malformed
@@ -15,7 +15,6 @@
     declaration_version_from_proto,
     declaration_version_to_proto,
 )
-from chivehold.store.declaration_sync import PeerChanges
 
 _log = logging.getLogger(__name__)
 
@@ -26,7 +25,7 @@
     def __init__(self, calls: SidecarCalls) -> None:
         self._calls = calls
 
-    async def pull(self, peer: str, after_revision: int) -> PeerChanges | None:
+    async def pull(self, peer: str, after_revision: int) -> DeclarationChanges | None:
         """Fetch a peer's changes after a revision; ``None`` if it does not answer."""
         try:
             answer = await self._calls.pull(UpstreamName(peer), after_revision)
@@ -34,9 +33,10 @@
         except (RpcFailed, Malformed) as error:
             _log_failure(peer, error)
             return None
-        return PeerChanges(after_revision, answer.revision, changes)
+        complete_after = 0 if answer.whole_state else after_revision
+        return DeclarationChanges(complete_after, answer.revision, changes)
 
-    async def push(self, peer: str, changes: PeerChanges) -> int | None:
+    async def push(self, peer: str, changes: DeclarationChanges) -> int | None:
         """Send changes to a peer and return its new revision; ``None`` if it does not answer."""
         request = pb.PushDeclarationsRequest(
             declarations=map(declaration_version_to_proto, changes.changes),
--- a/src/chivehold/sidecar/declarations.py
+++ b/src/chivehold/sidecar/declarations.py
@@ -49,11 +49,12 @@
         return pb.PushDeclarationsResponse(revision=self._replica.revision)
 
     def pull(self, request: pb.PullDeclarationsRequest) -> pb.PullDeclarationsResponse:
-        """Return the declarations that changed after a revision."""
-        changed = self._replica.changed_after(request.after_revision)
+        """Return the declarations that changed after a revision, or the whole state."""
+        lacking = self._replica.changes_for(request.after_revision)
         return pb.PullDeclarationsResponse(
-            declarations=[declaration_version_to_proto(version) for version in changed],
-            revision=self._replica.revision,
+            declarations=map(declaration_version_to_proto, lacking.changes),
+            revision=lacking.revision,
+            whole_state=lacking.after_revision == 0,
         )
 
     def _effective_patient_floor(self) -> float:
--- a/src/chivehold/store/declaration_sync.py
+++ b/src/chivehold/store/declaration_sync.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import trio
 from returns.result import Failure
 
-from chivehold.core.declarations import DeclarationReplica, DeclarationVersion
+from chivehold.core.declarations import DeclarationChanges, DeclarationReplica
 from chivehold.core.declared import Declarations
 from chivehold.store.api import ObjectStore, Snapshot
 from chivehold.store.backoff import backoff_delays
@@ -28,22 +28,14 @@
 MAX_WAIT_S = 30.0
 
 
-class PeerChanges(NamedTuple):
-    """All changes after ``after_revision`` up to ``revision``, as exchanged between peers."""
-
-    after_revision: int
-    revision: int
-    changes: tuple[DeclarationVersion, ...]
-
-
 class DeclarationPeers(Protocol):
     """Exchanges declarations with sidecars; the implementation chooses the names of the peers."""
 
-    async def pull(self, peer: str, after_revision: int) -> PeerChanges | None:
+    async def pull(self, peer: str, after_revision: int) -> DeclarationChanges | None:
         """Request a peer's changes after a revision; return ``None`` if it does not answer."""
         ...
 
-    async def push(self, peer: str, changes: PeerChanges) -> int | None:
+    async def push(self, peer: str, changes: DeclarationChanges) -> int | None:
         """Send changes to a peer; return its new revision, or ``None`` if it does not answer."""
         ...
 
@@ -97,16 +89,15 @@
         """Stop exchanging with a peer that does not answer or is no longer declared."""
         self._peer_revisions.pop(peer, None)
 
-    def merge_received(self, received: PeerChanges) -> int:
+    def merge_received(self, received: DeclarationChanges) -> int:
         """Merge changes received from a peer and return the resulting revision in force."""
         if self._replica.merge(received.changes, received.after_revision, received.revision):
             self._publish_change()
         return self._replica.revision
 
-    def changes_after(self, revision: int) -> PeerChanges:
+    def changes_after(self, revision: int) -> DeclarationChanges:
         """Return the changes that a peer at this revision does not have yet."""
-        changes = self._replica.changed_after(revision)
-        return PeerChanges(revision, self._replica.revision, changes)
+        return self._replica.changes_for(revision)
 
     async def apply(self, request: ApplyRequest) -> ApplyResult:
         """Carry out an operator's request and immediately publish the changes."""
@@ -117,7 +108,7 @@
             if self._replica.digest != before:
                 self._publish_change()
 
-    async def wait_for_newer(self, after_revision: int, wait_s: float) -> PeerChanges:
+    async def wait_for_newer(self, after_revision: int, wait_s: float) -> DeclarationChanges:
         """Wait up to ``wait_s`` seconds for a higher revision and return the changes after it."""
         with trio.move_on_after(min(wait_s, MAX_WAIT_S)):
             while self._replica.revision <= after_revision:
@@ -167,7 +158,9 @@
         changes = await self._store.watch([DECLARATION_KIND], self._cursor, wait_s)
         if isinstance(changes, Failure):
             return False
-        self._merge_changes(changes.unwrap())
+        snapshot = changes.unwrap()
+        self._merge_changes(snapshot, after_cursor=self._cursor)
+        self._cursor = snapshot.revision
         return True
 
     def _merge_list(self, snapshot: Snapshot) -> None:
@@ -176,12 +169,15 @@
         if self._replica.merge_list(versions, snapshot.revision):
             self._publish_change()
 
-    def _merge_changes(self, snapshot: Snapshot) -> None:
-        """Merge the changes of a watch; the replica already has everything up to the cursor."""
+    def _merge_changes(self, snapshot: Snapshot, after_cursor: int) -> None:
+        """Merge the changes of a watch; the replica already has everything up to the cursor.
+
+        Its own revision may be lower, as the cursor also counts changes of other kinds.
+        """
         changes = tuple(decode_declarations(snapshot.objects, self._replica))
         newest = max((change.version for change in changes), default=0)
-        self._cursor = snapshot.revision
-        self.merge_received(PeerChanges(0, newest, changes))
+        complete_after = min(after_cursor, self._replica.revision)
+        self.merge_received(DeclarationChanges(complete_after, newest, changes))
 
     def _publish_change(self) -> None:
         self._publish(self._replica.declarations())
--- a/tests/core/test_declarations.py
+++ b/tests/core/test_declarations.py
@@ -109,3 +109,53 @@
             '-  "default_class": ""',
             '+  "default_class": "hook"',
         ]
+
+
+def version(name, number, spec=None):
+    return DeclarationVersion(name, f"u-{name}", number, spec)
+
+
+class TestDeletionsUnknownToPeer:
+    """A peer that learned of the store by a list has no tombstones of what it never held."""
+
+    def peer(self):
+        """The store deleted ``forja`` before the peer's list at 7, then wrote ``loandesk``."""
+        peer = DeclarationReplica()
+        peer.merge_list([version("lector", 2, service())], 7)
+        peer.merge([version("loandesk", 8, service())], peer.revision, 8)
+        return peer
+
+    def test_held_before(self):
+        """A replica that holds the deleted object gets the whole state and drops the object."""
+        replica = DeclarationReplica()
+        replica.merge([version("lector", 2, service()), version("forja", 4, service())], 0, 5)
+        lacking = self.peer().changes_for(replica.revision)
+        assert lacking.after_revision == 0
+        replica.merge(lacking.changes, lacking.after_revision, lacking.revision)
+        assert replica.get("forja").spec is None
+        assert (replica.revision, replica.digest) == (8, self.peer().digest)
+
+    def test_old_copy_before_changes(self):
+        """An old copy that arrives before the peer's changes is dropped with them."""
+        replica = DeclarationReplica()
+        replica.merge([version("forja", 4, service())], 3, 5)
+        assert replica.revision == 0
+        lacking = self.peer().changes_for(0)
+        replica.merge(lacking.changes, lacking.after_revision, lacking.revision)
+        assert replica.digest == self.peer().digest
+
+    def test_old_copy_after_changes(self):
+        """An old copy that arrives after the peer's changes is ignored."""
+        replica = DeclarationReplica()
+        lacking = self.peer().changes_for(0)
+        replica.merge(lacking.changes, lacking.after_revision, lacking.revision)
+        replica.merge([version("forja", 4, service())], 3, 5)
+        assert replica.digest == self.peer().digest
+
+    def test_changes_alone_where_deletions_are_known(self):
+        """A replica that is only a few changes behind does not get the whole state."""
+        lacking = self.peer().changes_for(7)
+        assert (lacking.after_revision, [change.name for change in lacking.changes]) == (
+            7,
+            ["loandesk"],
+        )
--- a/tests/store/test_declaration_sync.py
+++ b/tests/store/test_declaration_sync.py
@@ -9,7 +9,7 @@
 from chivehold.fakes.object_store import NO_FAULTS, Faults, MemoryObjectStore
 from chivehold.rpc.convert_declarations import encode_declaration
 from chivehold.store.declaration_apply import ACCEPTED, ApplyRequest
-from chivehold.store.declaration_sync import DeclarationSync, PeerChanges
+from chivehold.store.declaration_sync import DeclarationSync
 from chivehold.store.leases import POLL_S, WATCH_LEASES, LeaseKeeper
 from tests.core.declared_examples import service
 
@@ -65,8 +65,7 @@
         if not await self.simulate_call(peer):
             return None
         replica = self.sidecars[peer]
-        changes = replica.changed_after(after_revision)
-        return PeerChanges(after_revision, replica.revision, changes)
+        return replica.changes_for(after_revision)
 
     async def push(self, peer, changes):
         if not await self.simulate_call(peer):
