--- a/src/chivehold/core/direct/stages.py
+++ b/src/chivehold/core/direct/stages.py
@@ -11,6 +11,18 @@
 
 from chivehold.core.direct.messages import Stage, UpstreamRecord
 
+SHORTAGE_GRACE_S = 8.0
+"""How long prefill engines must be missing before a decode engine replaces one.
+
+A crashed engine is usually back sooner, and decode engines prefill prompts themselves meanwhile.
+"""
+TOLERATED_SURPLUS = 0.25
+"""Surplus of prefill engines tolerated without a change, as a share of the wanted number."""
+TOLERATED_SURPLUS_IN_USE = 1
+"""Surplus tolerated while engines are in use: a change takes one away for seconds."""
+MIN_SHARE = 0.5
+"""Share of the wanted prefill engines that must exist; decode engines do the other prefills."""
+
 
 class StageChange(NamedTuple):
     """An engine that should change its stage."""
@@ -31,6 +43,38 @@
     return min(engines - 1, max(1, round(engines / (1 + decode_per_prefill))))
 
 
+class PrefillSupply(NamedTuple):
+    """The prefill engines of one service at a moment."""
+
+    prefilling: int
+    """Number of engines that prefill or are changing to it, without draining ones."""
+    wanted: int
+    """Number of engines that should prefill."""
+    is_draining: bool
+    """Whether a prefill engine is draining, which will not come back."""
+    is_in_use: bool
+    """Whether requests are running at the engines."""
+
+
+class StageBalance:
+    """Decides when a service has had too many or too few prefill engines for long enough."""
+
+    def __init__(self) -> None:
+        self._short_since: float | None = None
+        self._is_loss_final = False
+
+    def may_change(self, supply: PrefillSupply, now: float) -> bool:
+        """Return whether engines may change their stage at monotonic time ``now``, in seconds."""
+        if supply.prefilling >= supply.wanted * MIN_SHARE:
+            self._short_since = None
+            self._is_loss_final = False
+            return supply.prefilling > supply.wanted + _tolerated_surplus(supply)
+        if self._short_since is None:
+            self._short_since = now
+        self._is_loss_final |= supply.is_draining
+        return self._is_loss_final or now - self._short_since >= SHORTAGE_GRACE_S
+
+
 def stage_changes(
     engines: Sequence[UpstreamRecord],
     changing: Collection[str],
@@ -56,6 +100,11 @@
         yield StageChange(upstream, stage)
 
 
+def _tolerated_surplus(supply: PrefillSupply) -> float:
+    tolerated = supply.wanted * TOLERATED_SURPLUS
+    return max(tolerated, TOLERATED_SURPLUS_IN_USE) if supply.is_in_use else tolerated
+
+
 def _fullest_zones_first(engines: Sequence[UpstreamRecord]) -> list[UpstreamRecord]:
     """Order engines so that each is taken from the zone with the most engines left.
 
--- a/src/chivehold/direct/stage_controller.py
+++ b/src/chivehold/direct/stage_controller.py
@@ -16,7 +16,13 @@
 from chivehold.core.direct.fleet import Fleet, UpstreamIncarnation, incarnation_of
 from chivehold.core.direct.messages import Stage, StageOrder, UpstreamRecord
 from chivehold.core.direct.routes import EngineConfig, RouteTable
-from chivehold.core.direct.stages import StageChange, prefill_engines_wanted, stage_changes
+from chivehold.core.direct.stages import (
+    PrefillSupply,
+    StageBalance,
+    StageChange,
+    prefill_engines_wanted,
+    stage_changes,
+)
 from chivehold.direct.engines import ORDER_TIMEOUT_S, EngineClient
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.http_client import LinkError
@@ -25,15 +31,6 @@
 ROUND_INTERVAL_S = 0.5
 STAGE_CHANGE_MARGIN_S = 4.0
 """How long after an engine's stage change the list of upstreams may still show the former stage."""
-SHORTAGE_GRACE_S = 8.0
-"""How long prefill engines must be missing before a decode engine replaces one.
-
-A crashed engine is usually back sooner, and decode engines prefill prompts themselves meanwhile.
-"""
-TOLERATED_SURPLUS = 0.25
-"""Surplus of prefill engines tolerated without a change, as a share of the wanted number."""
-MIN_SHARE = 0.5
-"""Share of the wanted prefill engines that must exist; decode engines do the other prefills."""
 REFUSED_PAUSE_S = 2.0
 NO_ANSWER_PAUSE_S = 3.0
 MAX_CHANGING_SHARE = 0.25
@@ -89,7 +86,7 @@
         self._metrics = metrics
         self._pending_orders: dict[UpstreamIncarnation, _PendingOrder] = {}
         self._paused: dict[UpstreamIncarnation, float] = {}
-        self._short_since: dict[str, float] = {}
+        self._balances: dict[str, StageBalance] = {}
 
     async def run(self) -> None:
         """Check the stages and order changes until cancelled."""
@@ -124,14 +121,15 @@
 
     def _may_change(self, service: str, engines: list[UpstreamRecord], wanted: int) -> bool:
         """Return whether there are too many prefill engines, or have long been too few."""
-        now = trio.current_time()
-        prefilling = sum(engine.stage is Stage.PREFILL for engine in engines)
-        if prefilling > wanted * (1 + TOLERATED_SURPLUS):
-            return True
-        if prefilling >= wanted * MIN_SHARE:
-            self._short_since.pop(service, None)
-            return False
-        return now - self._short_since.setdefault(service, now) >= SHORTAGE_GRACE_S
+        listed = [engine for engine in self._fleet.upstreams if engine.service == service]
+        supply = PrefillSupply(
+            prefilling=sum(engine.stage is Stage.PREFILL for engine in engines),
+            wanted=wanted,
+            is_draining=any(engine.draining and engine.stage is Stage.PREFILL for engine in listed),
+            is_in_use=any(self._fleet.in_flight(engine) for engine in listed),
+        )
+        balance = self._balances.setdefault(service, StageBalance())
+        return balance.may_change(supply, trio.current_time())
 
     def _with_pending_stage(self, upstream: UpstreamRecord) -> UpstreamRecord:
         pending = self._pending_orders.get(incarnation_of(upstream))
--- a/tests/direct/test_stage_controller.py
+++ b/tests/direct/test_stage_controller.py
@@ -11,8 +11,9 @@
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.messages import EngineReport, Stage, StageOrder, UpstreamRecord
 from chivehold.core.direct.routes import EngineConfig, RouteTable, ServiceConfig
+from chivehold.core.direct.stages import SHORTAGE_GRACE_S
 from chivehold.direct.metrics import DirectMetrics
-from chivehold.direct.stage_controller import SHORTAGE_GRACE_S, StageController
+from chivehold.direct.stage_controller import StageController
 from chivehold.http_client import LinkBroken
 from tests.core.direct.factories import upstream
 
@@ -107,6 +108,32 @@
             ((_, order),) = case.engines.ordered
             assert order.stage is P
 
+    async def test_draining_prefill_engine_is_replaced_at_once(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """The only prefill engine drains, so it will not come back: another one takes over."""
+        async with running() as case:
+            case.fleet.replace(
+                [upstream("p", P)._replace(draining=True)]
+                + [upstream(f"d{number}", D) for number in range(4)]
+            )
+            await trio.sleep(2.0)
+            ((name, order),) = case.engines.ordered
+            assert (name[0], order.stage) == ("d", P)
+
+    async def test_one_more_is_kept_while_in_use(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """With requests running, a single surplus prefill engine is worth no change, two are."""
+        async with running() as case:
+            case.list(prefill=2, decode=3)
+            case.fleet.record_start(upstream("d0", D))
+            await trio.sleep(30.0)
+            assert case.engines.ordered == []
+            case.list(prefill=3, decode=2)
+            await trio.sleep(1.0)
+            assert [order.stage for _, order in case.engines.ordered] == [D]
+
     async def test_small_shortage_is_tolerated(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
