Prompts wait for a prefill engine where reading them at decode engines makes streams late

Prompts were left to decode engines as soon as this entry had used its equal share. Change: a prompt goes to the prefill engine that is expected to be first, as long as it takes at most 0.3 of the latency target there, 0.8 once streams at two engines have missed their gap target (core/direct/pace.py). The longest gap of a stream is in its last log line, with a histogram and a counter.

--- a/src/chivehold/core/direct/prefill_load.py
+++ b/src/chivehold/core/direct/prefill_load.py
@@ -1,10 +1,10 @@
 """Limits on how much one entry uses the prefill engines, and how long it waits for a prefill.
 
 An engine interleaves its prompts, so that with n prompts each takes n times as long. An entry only
-sees its own prompts. It may always use an equal share of the engines' capacity; beyond that it uses
-an engine only while the durations of its own prefills show that the engine is lightly loaded. All
-other prompts are prefilled by decode engines, which take about as long as a prefill engine with two
-prompts.
+sees its own prompts; it learns of others from the durations of its own prefills. It may always use
+an equal share of the engines' capacity; beyond that it uses an engine while a prefill there is
+expected to take no longer than the caller of this module has patience for. All other prompts are
+prefilled by decode engines.
 """
 
 import math
@@ -18,10 +18,8 @@
 """The fastest tenth of all prefills is taken to have had the engine to itself."""
 NEWEST_WEIGHT = 0.5
 """Weight of the newest prefill in the load estimate."""
-LIGHT_LOAD_PROMPTS = 1.4
-"""An engine with an estimated load of up to this many prompts counts as lightly loaded."""
 LOAD_HALF_LIFE_S = 1.5
-"""Half-life of a load estimate; an older one no longer shows that an engine is lightly loaded."""
+"""Half-life of what a load estimate says about the prompts of other entries."""
 TIMED_OUT_PROMPTS = 6.0
 """Minimum load assumed of an engine whose prefill timed out."""
 BURST_PROMPTS = 2.0
@@ -53,7 +51,13 @@
         self._refilled_at = -math.inf
 
     def may_use(
-        self, engine: UpstreamIncarnation, tokens: int, engines: int, entries: int, now: float
+        self,
+        engine: UpstreamIncarnation,
+        tokens: int,
+        engines: int,
+        entries: int,
+        patience_s: float,
+        now: float,
     ) -> bool:
         """Return whether a prompt may be sent to an engine.
 
@@ -62,6 +66,7 @@
             tokens: Length of the prompt in tokens.
             engines: Number of prefill engines that the entries share.
             entries: Number of entries that share them.
+            patience_s: How long a prefill may take beyond this entry's share, in seconds.
             now: Monotonic time in seconds.
         """
         unshared_s = self._unshared_s(tokens)
@@ -70,7 +75,12 @@
         self._refilled_at = now
         if self._credit_s >= unshared_s:
             return True
-        return not self._running.get(engine) and self._is_lightly_loaded(engine, now)
+        return self.expected_s(engine, tokens, now) <= patience_s
+
+    def expected_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
+        """Return how long a prefill engine would take for a prompt sent now, in seconds."""
+        others = max(self.estimated_prompts(engine, now) - 1.0, len(self._running.get(engine, ())))
+        return self._unshared_s(tokens) * (1.0 + others)
 
     def record_start(self, engine: UpstreamIncarnation, tokens: int, now: float) -> None:
         """Record that a prefill was sent, and charge its time to this entry's share."""
@@ -107,15 +117,9 @@
 
     def timeout_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
         """Return the timeout of a prefill, in seconds."""
-        expected_s = self._unshared_s(tokens) * self.estimated_prompts(engine, now)
+        expected_s = self.expected_s(engine, tokens, now)
         return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s))
 
-    def _is_lightly_loaded(self, engine: UpstreamIncarnation, now: float) -> bool:
-        estimate = self._estimates.get(engine)
-        if estimate is None or now - estimate.updated_at > LOAD_HALF_LIFE_S:
-            return False
-        return estimate.prompts <= LIGHT_LOAD_PROMPTS
-
     def _unshared_s(self, tokens: int) -> float:
         """Return the duration of a prefill that has the engine to itself, in seconds."""
         if not self._s_per_token:
--- a/src/chivehold/core/direct/shared_retries.py
+++ b/src/chivehold/core/direct/shared_retries.py
@@ -55,6 +55,10 @@
         budget.set_limits(self._share * UNCOORDINATED_SHARE, self._own_extra(now))
         return budget.try_spend(now)
 
+    def charge(self, service: str, now: float) -> None:
+        """Charge one retry that has already been made, whether or not the budget allows it."""
+        self._budget_of(service).charge(now)
+
     def _budget_of(self, service: str) -> RetryBudget:
         if service not in self._budgets:
             self._budgets[service] = RetryBudget(
--- a/src/chivehold/core/retries.py
+++ b/src/chivehold/core/retries.py
@@ -47,6 +47,11 @@
         self._retries.append(now)
         return True
 
+    def charge(self, now: float) -> None:
+        """Count a retry that has already been made, even beyond the budget."""
+        self._drop_old(now)
+        self._retries.append(now)
+
     def _allowed(self) -> float:
         share = self._share * len(self._requests)
         return (
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -124,7 +124,13 @@
             StreamCalls(
                 self._fleet,
                 engines,
-                PrefillScheduler(self._fleet, engines, self._metrics, lambda: self._roster.count),
+                PrefillScheduler(
+                    self._fleet,
+                    engines,
+                    self._metrics,
+                    lambda: self._roster.count,
+                    self._retries,
+                ),
                 self._reserver,
                 self._retries,
                 self._metrics,
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -46,6 +46,18 @@
             registry=registry,
             buckets=WAIT_BUCKETS_S,
         )
+        self._longest_gaps = Histogram(
+            "chivehold_longest_gap_seconds",
+            "Longest time between two events of a stream, by service.",
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
+        self._late_gaps = Counter(
+            "chivehold_late_gaps_total",
+            "Times between two events that exceeded the route's target, by service.",
+            None,
+            registry,
+        )
         self._in_progress = Gauge(
             "chivehold_in_progress_requests", "Requests that have not ended.", None, registry
         )
@@ -86,6 +98,11 @@
         """Record how long a prefill took, in seconds."""
         self._prefill_times.observe({"service": service}, float(took_s))
 
+    def observe_event_gaps(self, service: str, longest_s: float, late: int) -> None:
+        """Record the longest gap of a stream, in seconds, and how many exceeded the target."""
+        self._longest_gaps.observe({"service": service}, longest_s)
+        self._late_gaps.add({"service": service}, late)
+
     def render(
         self,
         accepted: Sequence[str],
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -1,20 +1,35 @@
 """Prefills of prompts at prefill engines, unless the decode engine would be as fast."""
 
+import logging
 from collections.abc import Callable
 
 import trio
 
 from chivehold.core.direct.fleet import Fleet, incarnation_of
 from chivehold.core.direct.messages import Stage, UpstreamRecord
+from chivehold.core.direct.pace import PaceMonitor
 from chivehold.core.direct.prefill_load import PrefillLoad
+from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.direct.engines import EngineClient, PrefilledCache
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.exceptions import PeerRefused
 from chivehold.http_client import LinkError
+from chivehold.logs import log_event
 
+_log = logging.getLogger(__name__)
+
+PATIENT_SHARE = 0.3
+"""Share of a route's latency target that a prompt may spend at a prefill engine.
+
+It applies while decode engines can prefill without making their streams late.
+"""
+DISTURBED_PATIENT_SHARE = 0.8
+"""The same share while such prefills make streams late; the first event can still be on time."""
 FAILED_PAUSE_S = 0.8
 """How long an engine is avoided after a failed prefill."""
+REFUSED_PAUSE_S = 3.0
+"""How long an engine is avoided that refused a prefill, as it does during a change of its stage."""
 NOT_FETCHED_PAUSE_S = 2.0
 """How long an engine is avoided after one of its KV caches expired or could not be fetched."""
 
@@ -27,6 +42,7 @@
         engines: Client of the engines.
         metrics: Records the durations.
         entries: Returns the number of entries that share the prefill engines.
+        retries: Charged for refused prefills, which count as retries.
     """
 
     def __init__(
@@ -35,12 +51,15 @@
         engines: EngineClient,
         metrics: DirectMetrics,
         entries: Callable[[], int],
+        retries: SharedRetryBudget,
     ) -> None:
         self._fleet = fleet
         self._engines = engines
         self._metrics = metrics
         self._entries = entries
+        self._retries = retries
         self._loads: dict[str, PrefillLoad] = {}
+        self._paces: dict[str, PaceMonitor] = {}
 
     async def run(self, exchange: Exchange) -> PrefilledCache | None:
         """Prefill a prompt, or return ``None`` if the decode engine has to prefill it.
@@ -48,8 +67,8 @@
         No second prefill engine is tried after a failure, because falling back to the decode engine
         does not use the retry budget.
         """
-        load = self._loads.setdefault(exchange.service, PrefillLoad())
-        upstream = self._choose_engine(load, exchange.service, exchange.metadata.prompt_tokens)
+        load = self._load_of(exchange.service)
+        upstream = self._choose_engine(load, exchange)
         if upstream is None:
             exchange.log("prefill left to decode engine")
             return None
@@ -60,18 +79,46 @@
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
         exchange.log("KV cache not fetched", peer=prefilled.upstream.name)
 
-    def _choose_engine(self, load: PrefillLoad, service: str, tokens: int) -> UpstreamRecord | None:
-        """Return the engine to use, or ``None`` if the decode engine would be as fast."""
+    def record_pace(self, upstream: UpstreamRecord, is_late: bool) -> None:
+        """Record a stream that finished on time, or one whose first late gap has just ended."""
+        pace, now = self._pace_of(upstream.service), trio.current_time()
+        was_disturbed = pace.is_disturbed(now)
+        pace.record_stream(upstream.name, is_late, now)
+        if pace.is_disturbed(now) and not was_disturbed:
+            log_event(
+                _log,
+                logging.INFO,
+                "streams disturbed",
+                service=upstream.service,
+                peer=upstream.name,
+            )
+
+    def _choose_engine(self, load: PrefillLoad, exchange: Exchange) -> UpstreamRecord | None:
+        """Return the engine to use, or ``None`` to leave the prompt to the decode engine."""
         now = trio.current_time()
-        ranked = self._fleet.ranked(service, Stage.PREFILL, now)
-        healthy = [engine for engine in ranked if not self._fleet.is_suspended(engine, now)]
-        engines, entries = len(healthy), self._entries()
+        ranked = self._fleet.ranked(exchange.service, Stage.PREFILL, now)
+        healthy = {
+            incarnation_of(engine): engine
+            for engine in ranked
+            if not self._fleet.is_suspended(engine, now)
+        }
+        tokens, entries = exchange.metadata.prompt_tokens, self._entries()
+        is_disturbed = self._pace_of(exchange.service).is_disturbed(now)
+        share = DISTURBED_PATIENT_SHARE if is_disturbed else PATIENT_SHARE
+        patience_s = share * exchange.route.latency_target_s
         usable = (
             engine
-            for engine in healthy
-            if load.may_use(incarnation_of(engine), tokens, engines, entries, now)
+            for engine in sorted(healthy, key=lambda engine: load.expected_s(engine, tokens, now))
+            if load.may_use(engine, tokens, len(healthy), entries, patience_s, now)
         )
-        return next(usable, None)
+        chosen = next(usable, None)
+        return healthy[chosen] if chosen else None
+
+    def _pace_of(self, service: str) -> PaceMonitor:
+        return self._paces.setdefault(service, PaceMonitor())
+
+    def _load_of(self, service: str) -> PrefillLoad:
+        return self._loads.setdefault(service, PrefillLoad())
 
     async def _prefill_at(
         self, load: PrefillLoad, exchange: Exchange, upstream: UpstreamRecord
@@ -80,6 +127,7 @@
         started_at = trio.current_time()
         timeout_s = min(load.timeout_s(engine, tokens, started_at), exchange.time_left_s())
         detail: object = f"no answer within {timeout_s:.2f} s"
+        pause_s = FAILED_PAUSE_S
         load.record_start(engine, tokens, started_at)
         try:
             with trio.move_on_after(timeout_s):
@@ -87,11 +135,14 @@
                 self._record_duration(load, exchange, prefilled)
                 return prefilled
             load.record_timeout(engine, trio.current_time())
-        except (PeerRefused, LinkError) as error:
+        except PeerRefused as error:
+            detail, pause_s = error, REFUSED_PAUSE_S
+            self._retries.charge(exchange.service, trio.current_time())
+        except LinkError as error:
             detail = error
         finally:
             load.record_end(engine, started_at)
-        self._fleet.suspend(upstream, trio.current_time() + FAILED_PAUSE_S)
+        self._fleet.suspend(upstream, trio.current_time() + pause_s)
         exchange.log("prefill failed", peer=upstream.name, detail=detail)
         return None
 
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -1,15 +1,10 @@
 """Streams of model services: reserve decode memory, prefill at another engine, relay the events."""
 
-import math
-from collections.abc import AsyncIterator
-from enum import StrEnum
-from typing import NamedTuple
-
 import trio
 
-from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, is_newer_event
+from chivehold.core.direct.event_gaps import GapPosition
 from chivehold.core.direct.fleet import Fleet, Verdict
-from chivehold.core.direct.messages import ForwardingOptions, KvSource, RawHeaders
+from chivehold.core.direct.messages import ForwardingOptions, KvSource, UpstreamRecord
 from chivehold.core.direct.output_estimate import OutputLengthEstimator
 from chivehold.core.direct.reservations import MemoryReservation, MemoryReserver, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
@@ -25,7 +20,13 @@
     send_refusal,
     unknown_outcome_refusal,
 )
-from chivehold.http_client import LinkError, NothingSent, RawResponse
+from chivehold.direct.stream_relay import (
+    AttemptEnd,
+    AttemptResult,
+    StreamRelay,
+    event_timeout_s,
+)
+from chivehold.http_client import LinkError, NothingSent
 
 FIRST_EVENT_ALLOWANCE_S = 0.35
 """Time from a reservation to the first event on idle engines."""
@@ -38,31 +39,8 @@
 """
 REFUSING_ENGINE_PAUSE_S = 3.0
 """Suspension of a decode engine that refuses a request for which it granted memory."""
-EVENT_TIMEOUT_S = 1.5
-"""A resumable stream without data for this time is resumed at another engine."""
 MIN_TIME_LEFT_S = 0.1
 FULL_RETRY_S = 2.0
-NO_ENGINE_RETRY_S = 1.0
-OK_STATUS = 200
-MAX_ERROR_BODY_BYTES = 1 << 16
-
-
-class _AttemptEnd(StrEnum):
-    """How an attempt to serve a stream at one engine ended."""
-
-    WHOLE = "whole"
-    NOT_RUN = "not run"
-    BROKEN = "broken"
-    ANSWERED = "answered"
-    """The engine sent an error response instead of a stream, which was relayed."""
-
-
-class _AttemptResult(NamedTuple):
-    """Result of an attempt to serve a stream at one engine."""
-
-    end: _AttemptEnd
-    verdict: Verdict
-    detail: str = ""
 
 
 class StreamCalls:
@@ -101,7 +79,7 @@
         if refusal is None:
             return "answered"
         if reply.started:
-            exchange.log("stream broken off", reason=refusal.reason, last_event=stream.last_event)
+            stream.relay.log_end("stream broken off", reason=refusal.reason)
             return "broken_off"
         await send_refusal(reply, refusal)
         return refusal.reason
@@ -147,7 +125,7 @@
         """Release an unused reservation."""
         self._reserver.release(reservation)
 
-    def record_result(self, reservation: MemoryReservation, result: _AttemptResult) -> None:
+    def record_result(self, reservation: MemoryReservation, result: AttemptResult) -> None:
         """Record the result of an attempt that used a reservation."""
         now = trio.current_time()
         self._fleet.record_end(reservation.upstream, result.verdict, now, tokens=reservation.tokens)
@@ -169,13 +147,24 @@
         if by_engine:
             self._fleet.suspend(reservation.upstream, trio.current_time() + REFUSING_ENGINE_PAUSE_S)
 
-    def record_length(self, exchange: Exchange, engine_config: EngineConfig, events: int) -> None:
-        """Record the output length of a finished stream for the length estimator."""
-        if exchange.metadata.output_tokens_hint is not None:
+    def record_stream(
+        self,
+        exchange: Exchange,
+        engine_config: EngineConfig,
+        upstream: UpstreamRecord,
+        relay: StreamRelay,
+    ) -> None:
+        """Record the length and the pace of a finished stream for later estimates."""
+        if not relay.has_late_gap:
+            self.record_pace(upstream, is_late=False)
+        hint, last_event = exchange.metadata.output_tokens_hint, relay.last_event
+        if hint is not None and last_event is not None and last_event.isdigit():
             estimator = self._length_estimator(exchange.service)
-            estimator.record(
-                exchange.metadata.output_tokens_hint, events * engine_config.tokens_per_event
-            )
+            estimator.record(hint, int(last_event) * engine_config.tokens_per_event)
+
+    def record_pace(self, upstream: UpstreamRecord, is_late: bool) -> None:
+        """Record a stream that finished on time, or one whose first late gap has just ended."""
+        self._prefill_scheduler.record_pace(upstream, is_late)
 
     def free_kv_cache(self, exchange: Exchange, prefilled: PrefilledCache, refused: bool) -> None:
         """Free an unused KV cache.
@@ -236,12 +225,19 @@
     ) -> None:
         self._calls = calls
         self._exchange = exchange
-        self._reply = reply
         self._engine_config = engine_config
+        self._relay = StreamRelay(
+            exchange, reply, calls.engines.dialect, calls.metrics, self._record_late_gap
+        )
+        self._upstream: UpstreamRecord | None = None
         self._broken_attempts = 0
         self._refusals = 0
         self._failed_engines: set[str] = set()
-        self.last_event = exchange.metadata.last_event
+
+    @property
+    def relay(self) -> StreamRelay:
+        """Relays the events to the caller."""
+        return self._relay
 
     async def run(self) -> Refusal | None:
         """Relay the complete stream, or return why it could not be started or completed."""
@@ -251,30 +247,34 @@
             reservation = await self._calls.reserve(
                 self._exchange,
                 self._engine_config,
-                self._reply.started,
+                self._relay.has_started,
                 frozenset(self._failed_engines),
             )
             if isinstance(reservation, ReservationRefused):
                 return self._reservation_refusal(reservation)
             result = await self._attempt(reservation)
-            if result.end in (_AttemptEnd.WHOLE, _AttemptEnd.ANSWERED):
+            if result.end is AttemptEnd.WHOLE:
+                self._calls.record_stream(
+                    self._exchange, self._engine_config, reservation.upstream, self._relay
+                )
+            if result.end in (AttemptEnd.WHOLE, AttemptEnd.ANSWERED):
                 return None
             self._exchange.log(
                 "attempt failed",
                 peer=reservation.upstream.name,
                 outcome=result.end,
                 detail=result.detail,
-                last_event=self.last_event,
+                last_event=self._relay.last_event,
             )
-            if result.end is _AttemptEnd.BROKEN:
+            if result.end is AttemptEnd.BROKEN:
                 self._failed_engines.add(reservation.upstream.name)
             if refusal := self._refusal_after(result):
                 return refusal
 
-    def _refusal_after(self, result: _AttemptResult) -> Refusal | None:
+    def _refusal_after(self, result: AttemptResult) -> Refusal | None:
         """Return the refusal that ends the request, or ``None`` if another engine may be tried."""
         route = self._exchange.route
-        if result.end is _AttemptEnd.BROKEN:
+        if result.end is AttemptEnd.BROKEN:
             self._broken_attempts += 1
             if not route.retryable or self._broken_attempts >= route.max_upstreams:
                 return self._refusal("broken", "the engine's stream broke off", 502)
@@ -296,10 +296,15 @@
             )
         return not_run_refusal(reservation.reason, "no engine has room", reservation.retry_after_s)
 
-    async def _attempt(self, reservation: MemoryReservation) -> _AttemptResult:
+    def _record_late_gap(self, position: GapPosition) -> None:
+        """Record that the stream is late; at a resumption the engine is not the cause."""
+        if position is not GapPosition.RESUMED and self._upstream is not None:
+            self._calls.record_pace(self._upstream, is_late=True)
+
+    async def _attempt(self, reservation: MemoryReservation) -> AttemptResult:
         """Prefill and decode; the reservation is used or released in any case."""
         prefilled: PrefilledCache | None = None
-        result = _AttemptResult(_AttemptEnd.BROKEN, Verdict.UNKNOWN, "cancelled")
+        result = AttemptResult(AttemptEnd.BROKEN, Verdict.UNKNOWN, "cancelled")
         sent = False
         try:
             if self._should_prefill():
@@ -313,11 +318,11 @@
                 self._calls.record_result(reservation, result)
             else:
                 self._calls.release(reservation)
-            if result.end is _AttemptEnd.NOT_RUN:
+            if result.end is AttemptEnd.NOT_RUN:
                 self._calls.release_refused(reservation, by_engine=sent and prefilled is None)
-            if prefilled is not None and result.end is not _AttemptEnd.WHOLE:
+            if prefilled is not None and result.end is not AttemptEnd.WHOLE:
                 self._calls.free_kv_cache(
-                    self._exchange, prefilled, result.end is _AttemptEnd.NOT_RUN
+                    self._exchange, prefilled, result.end is AttemptEnd.NOT_RUN
                 )
 
     def _should_prefill(self) -> bool:
@@ -333,115 +338,23 @@
 
     async def _decode(
         self, reservation: MemoryReservation, source: KvSource | None
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
+        self._upstream = reservation.upstream
         forwarding = ForwardingOptions(
             self._exchange.time_left_s(),
             kv_source=source,
             hold=reservation.hold,
-            last_event=self.last_event,
+            last_event=self._relay.last_event,
         )
         try:
             with trio.move_on_at(self._exchange.expires_at):
                 async with self._calls.engines.decode(
                     self._exchange, reservation.upstream, forwarding
                 ) as response:
-                    return await self._handle_response(response)
-            return _AttemptResult(_AttemptEnd.BROKEN, Verdict.UNKNOWN, "out of time")
-        except _EventTimeout:
-            return _AttemptResult(
-                _AttemptEnd.BROKEN, Verdict.FAILED, f"silent for {EVENT_TIMEOUT_S} s"
-            )
-        except EventTooLong:
-            return _AttemptResult(_AttemptEnd.BROKEN, Verdict.FAILED, "event too long")
+                    timeout_s = event_timeout_s(self._exchange, self._broken_attempts)
+                    return await self._relay.relay(response, timeout_s)
+            return AttemptResult(AttemptEnd.BROKEN, Verdict.UNKNOWN, "out of time")
         except NothingSent as error:
-            return _AttemptResult(_AttemptEnd.NOT_RUN, Verdict.FAILED, error.detail)
+            return AttemptResult(AttemptEnd.NOT_RUN, Verdict.FAILED, error.detail)
         except LinkError as error:
-            return _AttemptResult(_AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
-
-    async def _handle_response(self, response: RawResponse) -> _AttemptResult:
-        metadata = self._calls.engines.dialect.read_response(response.status, response.headers)
-        if metadata.request_id is not None and not self._exchange.matches(metadata):
-            return _AttemptResult(_AttemptEnd.BROKEN, Verdict.FAILED, "response to another request")
-        if metadata.not_run:
-            # The engine had granted the reservation, so a refusal means it is out of service.
-            verdict = Verdict.GONE if metadata.misdirected else Verdict.FAILED
-            return _AttemptResult(_AttemptEnd.NOT_RUN, verdict, f"status {response.status}")
-        if not metadata.signed or metadata.content_encoded or metadata.request_id is None:
-            return _AttemptResult(
-                _AttemptEnd.BROKEN, Verdict.FAILED, f"unsigned response, status {response.status}"
-            )
-        if response.status != OK_STATUS:
-            return await self._relay_error(response)
-        return await self._relay_stream(response)
-
-    async def _relay_error(self, response: RawResponse) -> _AttemptResult:
-        """Relay a response other than a stream."""
-        if self._reply.started:
-            return _AttemptResult(
-                _AttemptEnd.BROKEN, Verdict.ERROR, f"status {response.status} on resuming"
-            )
-        body = b""
-        async for chunk in response.chunks:
-            body += chunk
-            if len(body) > MAX_ERROR_BODY_BYTES:
-                return _AttemptResult(_AttemptEnd.BROKEN, Verdict.FAILED, "response too long")
-        headers = self._calls.engines.dialect.response_headers(response.headers)
-        await self._reply.send_full(response.status, headers, body)
-        return _AttemptResult(_AttemptEnd.ANSWERED, Verdict.ERROR, f"status {response.status}")
-
-    async def _relay_stream(self, response: RawResponse) -> _AttemptResult:
-        """Relay complete events as they arrive."""
-        splitter = EventSplitter()
-        async for chunk in _with_timeout(response.chunks, self._event_timeout_s()):
-            events = [
-                event
-                for event in splitter.feed(chunk)
-                if is_newer_event(event.event_id, self.last_event)
-            ]
-            if events:
-                await self._relay_events(response.headers, events)
-        if splitter.remainder:
-            # The unfinished event is not relayed; the caller never sees part of an event.
-            return _AttemptResult(_AttemptEnd.BROKEN, Verdict.FAILED, "ended within an event")
-        if not self._reply.started:
-            await self._start_reply(response.headers)
-        await self._reply.send_end()
-        self._exchange.log("stream ended", last_event=self.last_event)
-        if self.last_event is not None and self.last_event.isdigit():
-            self._calls.record_length(self._exchange, self._engine_config, int(self.last_event))
-        return _AttemptResult(_AttemptEnd.WHOLE, Verdict.SOUND)
-
-    async def _relay_events(self, headers: RawHeaders, events: list[StreamEvent]) -> None:
-        if not self._reply.started:
-            await self._start_reply(headers)
-        await self._reply.send_chunk(b"".join(event.raw for event in events))
-        self.last_event = events[-1].event_id or self.last_event
-
-    async def _start_reply(self, headers: RawHeaders) -> None:
-        first_s = self._exchange.age_s()
-        self._calls.metrics.observe_response_time("stream", first_s)
-        self._exchange.log("first event", event_id=self.last_event)
-        await self._reply.send_head(
-            OK_STATUS, self._calls.engines.dialect.response_headers(headers)
-        )
-
-    def _event_timeout_s(self) -> float:
-        route = self._exchange.route
-        may_resume = route.retryable and self._broken_attempts + 1 < route.max_upstreams
-        return EVENT_TIMEOUT_S if may_resume else math.inf
-
-
-class _EventTimeout(Exception):  # noqa: N818
-    """The engine sent no data within the timeout."""
-
-
-async def _with_timeout(chunks: AsyncIterator[bytes], timeout_s: float) -> AsyncIterator[bytes]:
-    while True:
-        chunk: bytes | None = None
-        with trio.move_on_after(timeout_s) as scope:
-            chunk = await anext(chunks, None)
-        if scope.cancelled_caught:
-            raise _EventTimeout
-        if chunk is None:
-            return
-        yield chunk
+            return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
--- /dev/null
+++ b/src/chivehold/direct/stream_relay.py
@@ -0,0 +1,202 @@
+"""Relays one stream to its caller, from one engine after the other."""
+
+import logging
+import math
+from collections.abc import AsyncIterator, Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.event_gaps import EventGaps, GapPosition
+from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, is_newer_event
+from chivehold.core.direct.fleet import Verdict
+from chivehold.core.direct.messages import Dialect, RawHeaders
+from chivehold.direct.exchange import Exchange, Reply
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.http_client import RawResponse
+
+EVENT_TIMEOUT_S = 1.5
+"""A resumable stream without data for this time is resumed at another engine."""
+OK_STATUS = 200
+MAX_ERROR_BODY_BYTES = 1 << 16
+
+
+class AttemptEnd(StrEnum):
+    """How an attempt to serve a stream at one engine ended."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not run"
+    BROKEN = "broken"
+    ANSWERED = "answered"
+    """The engine sent an error response instead of a stream, which was relayed."""
+
+
+class AttemptResult(NamedTuple):
+    """Result of an attempt to serve a stream at one engine."""
+
+    end: AttemptEnd
+    verdict: Verdict
+    detail: str = ""
+
+
+class StreamRelay:
+    """Relays the responses of one or more engines to one caller as a single stream.
+
+    Args:
+        exchange: The request.
+        reply: The reply to the caller.
+        dialect: The wire format of responses.
+        metrics: Records the time to the first event and the gaps between events.
+        on_late: Called at the first gap that exceeds the route's target, with its position.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        reply: Reply,
+        dialect: Dialect,
+        metrics: DirectMetrics,
+        on_late: Callable[[GapPosition], None],
+    ) -> None:
+        self._exchange = exchange
+        self._reply = reply
+        self._dialect = dialect
+        self._metrics = metrics
+        self._on_late = on_late
+        self._gaps = EventGaps(exchange.route.event_gap_target_s)
+        self._last_event = exchange.metadata.last_event
+
+    @property
+    def last_event(self) -> str | None:
+        """Id of the last event that the caller has received."""
+        return self._last_event
+
+    @property
+    def has_late_gap(self) -> bool:
+        """Whether a gap between two events was longer than the route's target."""
+        return self._gaps.late > 0
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the caller has received status and headers."""
+        return self._reply.started
+
+    async def relay(self, response: RawResponse, event_timeout_s: float) -> AttemptResult:
+        """Relay an engine's response.
+
+        Args:
+            response: The response.
+            event_timeout_s: Longest time without data before the engine counts as failed, in
+                seconds; may be infinite.
+
+        Raises:
+            LinkError: The connection to the engine broke.
+        """
+        metadata = self._dialect.read_response(response.status, response.headers)
+        if metadata.request_id is not None and not self._exchange.matches(metadata):
+            return _failed("response to another request")
+        if metadata.not_run:
+            # The engine had granted the reservation, so a refusal means it is out of service.
+            verdict = Verdict.GONE if metadata.misdirected else Verdict.FAILED
+            return AttemptResult(AttemptEnd.NOT_RUN, verdict, f"status {response.status}")
+        if not metadata.signed or metadata.content_encoded or metadata.request_id is None:
+            return _failed(f"unsigned response, status {response.status}")
+        if response.status != OK_STATUS:
+            return await self._relay_error(response)
+        try:
+            return await self._relay_stream(response, event_timeout_s)
+        except _EventTimeout:
+            return _failed(f"silent for {event_timeout_s} s")
+        except EventTooLong:
+            return _failed("event too long")
+
+    def log_end(self, event: str, reason: str | None = None) -> None:
+        """Log the end of a stream that has started, with its longest gap, and count its gaps."""
+        longest = self._gaps.longest
+        self._metrics.observe_event_gaps(self._exchange.service, longest.length_s, self._gaps.late)
+        fields: dict[str, object] = {
+            "last_event": self._last_event,
+            "longest_gap_ms": round(longest.length_s * 1_000),
+            "gap_position": longest.position,
+            "late_gaps": self._gaps.late,
+        }
+        if reason is not None:
+            fields["reason"] = reason
+        self._exchange.log(event, logging.INFO, **fields)
+
+    async def _relay_error(self, response: RawResponse) -> AttemptResult:
+        """Relay a response other than a stream."""
+        if self._reply.started:
+            detail = f"status {response.status} on resuming"
+            return AttemptResult(AttemptEnd.BROKEN, Verdict.ERROR, detail)
+        body = b""
+        async for chunk in response.chunks:
+            body += chunk
+            if len(body) > MAX_ERROR_BODY_BYTES:
+                return _failed("response too long")
+        headers = self._dialect.response_headers(response.headers)
+        await self._reply.send_full(response.status, headers, body)
+        return AttemptResult(AttemptEnd.ANSWERED, Verdict.ERROR, f"status {response.status}")
+
+    async def _relay_stream(self, response: RawResponse, event_timeout_s: float) -> AttemptResult:
+        """Relay complete events as they arrive."""
+        self._gaps.record_resumption()
+        splitter = EventSplitter()
+        async for chunk in _with_timeout(response.chunks, event_timeout_s):
+            events = [
+                event
+                for event in splitter.feed(chunk)
+                if is_newer_event(event.event_id, self._last_event)
+            ]
+            if events:
+                await self._relay_events(response.headers, events)
+        if splitter.remainder:
+            # The unfinished event is not relayed; the caller never sees part of an event.
+            return _failed("ended within an event")
+        if not self._reply.started:
+            await self._start_reply(response.headers)
+        await self._reply.send_end()
+        self.log_end("stream ended")
+        return AttemptResult(AttemptEnd.WHOLE, Verdict.SOUND)
+
+    async def _relay_events(self, headers: RawHeaders, events: list[StreamEvent]) -> None:
+        if not self._reply.started:
+            await self._start_reply(headers)
+        gap = self._gaps.record_event(trio.current_time())
+        if self._gaps.late == 1 and self._gaps.is_late(gap):
+            self._on_late(gap.position)
+        await self._reply.send_chunk(b"".join(event.raw for event in events))
+        self._last_event = events[-1].event_id or self._last_event
+
+    async def _start_reply(self, headers: RawHeaders) -> None:
+        self._metrics.observe_response_time("stream", self._exchange.age_s())
+        self._exchange.log("first event", event_id=self._last_event)
+        await self._reply.send_head(OK_STATUS, self._dialect.response_headers(headers))
+
+
+def event_timeout_s(exchange: Exchange, broken_attempts: int) -> float:
+    """Return how long an engine may send nothing, in seconds; infinite if no other may go on."""
+    route = exchange.route
+    may_resume = route.retryable and broken_attempts + 1 < route.max_upstreams
+    return EVENT_TIMEOUT_S if may_resume else math.inf
+
+
+class _EventTimeout(Exception):  # noqa: N818
+    """The engine sent no data within the timeout."""
+
+
+def _failed(detail: str) -> AttemptResult:
+    return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, detail)
+
+
+async def _with_timeout(chunks: AsyncIterator[bytes], timeout_s: float) -> AsyncIterator[bytes]:
+    while True:
+        chunk: bytes | None = None
+        with trio.move_on_after(timeout_s) as scope:
+            chunk = await anext(chunks, None)
+        if scope.cancelled_caught:
+            raise _EventTimeout
+        if chunk is None:
+            return
+        yield chunk
--- a/tests/core/direct/test_prefill_load.py
+++ b/tests/core/direct/test_prefill_load.py
@@ -9,16 +9,13 @@
 import pytest
 
 from chivehold.core.direct.fleet import UpstreamIncarnation
-from chivehold.core.direct.prefill_load import (
-    LIGHT_LOAD_PROMPTS,
-    MAX_TIMEOUT_S,
-    MIN_TIMEOUT_S,
-    PrefillLoad,
-)
+from chivehold.core.direct.prefill_load import MAX_TIMEOUT_S, MIN_TIMEOUT_S, PrefillLoad
 
 ENGINE = UpstreamIncarnation("p", 1)
 TOKENS = 3_000
 UNSHARED_S = 0.1
+PATIENCE_S = 0.27
+LIGHT_LOAD_PROMPTS = 1.4
 STEP_S = 0.005
 
 
@@ -44,7 +41,7 @@
 
     def arrive(self, entry: int, now: float) -> None:
         load = self.loads[entry]
-        if self.limited and not load.may_use(ENGINE, TOKENS, 1, len(self.loads), now):
+        if self.limited and not load.may_use(ENGINE, TOKENS, 1, len(self.loads), PATIENCE_S, now):
             self.rejected += 1
             return
         self.loads[entry].record_start(ENGINE, TOKENS, now)
@@ -110,5 +107,26 @@
         load = PrefillLoad()
         for number in range(8):
             load.record_timeout(ENGINE, float(number))
-            assert load.may_use(ENGINE, TOKENS, 1, 4, float(number))
+            assert load.may_use(ENGINE, TOKENS, 1, 4, PATIENCE_S, float(number))
             load.record_start(ENGINE, TOKENS, float(number))
+
+
+class TestPatience:
+    def test_bounded(self) -> None:
+        """In a burst prompts are sent until the next would take longer than there is patience."""
+        load, sent = PrefillLoad(), 0
+        while load.may_use(ENGINE, TOKENS, 1, 100, PATIENCE_S, 0.0):
+            load.record_start(ENGINE, TOKENS, 0.0)
+            sent += 1
+        assert load.expected_s(ENGINE, TOKENS, 0.0) > PATIENCE_S
+        load.record_end(ENGINE, 0.0)
+        assert load.expected_s(ENGINE, TOKENS, 0.0) <= PATIENCE_S
+
+    def test_more_patience(self) -> None:
+        """With more patience, an engine at which prefills take long is used as well."""
+        load = PrefillLoad()
+        assert load.may_use(ENGINE, TOKENS, 1, 100, PATIENCE_S, 0.0)
+        for _ in range(4):
+            load.record_start(ENGINE, TOKENS, 0.0)
+        assert not load.may_use(ENGINE, TOKENS, 1, 100, PATIENCE_S, 0.0)
+        assert load.may_use(ENGINE, TOKENS, 1, 100, MAX_TIMEOUT_S, 0.0)
--- a/tests/core/direct/test_shared_retries.py
+++ b/tests/core/direct/test_shared_retries.py
@@ -35,6 +35,15 @@
             pass
         assert budget.try_spend("sound", 0.0)
 
+    def test_charged(self) -> None:
+        """A retry that was charged leaves one less; charges may exceed the budget."""
+        budget = entry()
+        for _ in range(3):
+            budget.charge("s", 0.0)
+        assert sum(budget.try_spend("s", 0.0) for _ in range(100)) == int(EXTRA / ENTRIES) - 3
+        budget.charge("s", 0.0)
+        assert not budget.try_spend("s", 0.0)
+
     def test_reconfigured(self) -> None:
         """Changed limits also apply to existing budgets."""
         budget = entry()
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -48,6 +48,7 @@
     route("/post/", "non_idempotent", "plain", maxAttempts=1),
     route("/short/", "non_idempotent", "plain", maxAttempts=1, timeoutMs=300),
     route("/tell/", "stream", "model", resumable=False, maxAttempts=1, **STREAM),
+    route("/paced/", "stream", "model", gapAimMs=100, **STREAM),
     route("/resume/", "stream", "model", resumable=True, **STREAM),
 ]
 
@@ -168,6 +169,13 @@
         )
         return response.status == 200
 
+    async def metrics(self) -> bytes:
+        """Return the entry's metrics as text."""
+        response = await self._client.call(
+            self.operator_address, "GET", "/metrics", step="metrics", timeout_s=2.0
+        )
+        return response.body
+
     async def aclose(self) -> None:
         """Close the caller's connections."""
         await self._client.aclose()
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -92,6 +92,43 @@
             assert engines.runs() == 1
 
 
+class TestPace:
+    async def test_prompts_wait_for_prefill_engine(self, tmp_path: Path) -> None:
+        """Once streams have missed their gap target, no prompt is left to the decode engines."""
+        async with model_service(tmp_path) as (harness, engines):
+            engines.prefill.work_s = 0.1
+            for number, engine in enumerate(engines.decode):
+                engine.event_s = 0.15
+                engines.decode[1 - number].held["other"] = 9_900
+                assert await harness.events("/paced/a", f"slow{number}") == ALL_EVENTS
+                engines.decode[1 - number].held.clear()
+            before = len(engines.prefill.received)
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(harness.events, "/paced/a", f"r{number}")
+            assert len(engines.prefill.received) - before == 8
+
+    async def test_prompts_are_left_while_streams_keep_pace(self, tmp_path: Path) -> None:
+        """While streams are on time, prompts of a burst are spread over all engines."""
+        async with model_service(tmp_path) as (harness, engines):
+            engines.prefill.work_s = 0.1
+            await harness.events("/paced/a", "first")
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(harness.events, "/paced/a", f"r{number}")
+            assert len(engines.prefill.received) - 1 < 8
+
+    async def test_gaps_are_measured(self, tmp_path: Path) -> None:
+        """The longest gap of a stream and the number of late gaps are in the metrics."""
+        async with model_service(tmp_path) as (harness, engines):
+            for engine in engines.decode:
+                engine.event_s = 0.15
+            await harness.events("/paced/a")
+            text = (await harness.metrics()).decode()
+            assert 'chivehold_longest_gap_seconds_count{service="model"} 1' in text
+            assert 'chivehold_late_gaps_total{service="model"} 4' in text
+
+
 class TestFullEngines:
     async def test_waits_for_memory(self, tmp_path: Path) -> None:
         """A request waits for memory and gets it when some is freed."""
