The store is asked as rarely as the deadlines allow, and its calls are counted by purpose

Ruled out: the control lease and the list of entries (stale reads, a tenth of the price each). Change: a watch waits as long as changes may take after a connection has gone silent (two settings, filled in by the platform), and after a change a quarter of the deadline passes before the next call, so that changes that come together are read together. chivehold_store_calls_total counts the calls by call and kind.

--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -36,7 +36,8 @@
 from chivehold.metrics import RenderedMetrics
 from chivehold.settings import DirectSettings
 from chivehold.store.api import ObjectStore
-from chivehold.store.follower import Follower
+from chivehold.store.counted import CountedStore
+from chivehold.store.follower import Follower, watch_timing
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
 from chivehold.store.roster import EntryRoster
 
@@ -51,6 +52,7 @@
 EXIT_MARGIN_S = 0.5
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
+MS_PER_S = 1_000
 INCARNATION_BYTES = 6
 
 _log = logging.getLogger(__name__)
@@ -139,7 +141,13 @@
             self._metrics,
             BodyBudget(settings.max_held_bytes),
         )
-        store = platform.open_store(settings.store_address, self._store_client)
+        store = CountedStore(
+            platform.open_store(settings.store_address, self._store_client),
+            self._metrics.count_store_call,
+        )
+        timing = watch_timing(
+            settings.change_deadline_ms / MS_PER_S, settings.silence_allowance_ms / MS_PER_S
+        )
         self._route_tables: Replica[RouteTable] = Replica()
         self._upstreams: Replica[UpstreamRecord] = Replica(LAPSE_GRACE_S)
         self._configuration_follower = Follower(
@@ -149,6 +157,7 @@
             self._route_tables,
             self._apply_routes,
             rng,
+            timing,
         )
         self._upstream_follower = Follower(
             store,
@@ -157,6 +166,7 @@
             self._upstreams,
             self._apply_upstreams,
             rng,
+            timing,
         )
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._roster = EntryRoster(
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -28,6 +28,12 @@
         self._orders = Counter(
             "chivehold_orders_total", "Orders to engines, by service.", None, registry
         )
+        self._store_calls = Counter(
+            "chivehold_store_calls_total",
+            "Calls to the store, by call and kind of object.",
+            None,
+            registry,
+        )
         self._response_times = Histogram(
             "chivehold_answer_seconds",
             "Time from a request's arrival to its answer, for streams to the first event.",
@@ -78,6 +84,10 @@
         """Count an order to an engine."""
         self._orders.inc({"service": service, "accepted": str(accepted).lower()})
 
+    def count_store_call(self, call: str, kind: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.inc({"call": call, "kind": kind})
+
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request that has ended."""
         self._requests.inc({"kind": kind, "outcome": outcome})
--- a/src/chivehold/store/follower.py
+++ b/src/chivehold/store/follower.py
@@ -3,27 +3,64 @@
 import logging
 from collections.abc import Callable, Iterator
 from random import Random
-from typing import Generic, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 import trio
 from returns.result import Failure, Result
 
 from chivehold.core.direct.replica import Replica, Versioned
 from chivehold.logs import log_event
-from chivehold.store.api import HistoryGone, ObjectStore, Snapshot, StoredObject, Unavailable
+from chivehold.store.api import (
+    MAX_WATCH_WAIT_S,
+    HistoryGone,
+    ObjectStore,
+    Snapshot,
+    StoredObject,
+    Unavailable,
+)
 from chivehold.store.backoff import backoff_delays
 
 ValueT = TypeVar("ValueT")
 
-WATCH_WAIT_S = 3.0
 MAX_RETRY_DELAY_S = 0.5
 """Kept short since requests may be misrouted by changes missed while the store is unreachable."""
 MIN_EMPTY_WATCH_S = 0.05
 """If a watch returns no changes within this time, the next one is delayed by the same time."""
 
+MIN_WATCH_WAIT_S = 1.0
+RECOVERY_S = 2.0
+"""Time from the end of an unanswered watch until a repeated one has brought what was missed."""
+CHANGE_PAUSE_SHARE = 0.25
+"""Share of the deadline for changes that passes after one before the next ones are asked for."""
+
 _log = logging.getLogger(__name__)
 
 
+class WatchTiming(NamedTuple):
+    """How often a kind is asked for; each call costs the store work for every follower."""
+
+    wait_s: float
+    """How long a watch waits for a change, in seconds."""
+    pause_s: float
+    """Pause after a change, in seconds; the changes of that time arrive together."""
+
+
+def watch_timing(change_deadline_s: float, silence_allowance_s: float) -> WatchTiming:
+    """Return the rarest calls with which changes are in force in time.
+
+    A connection that has gone silent is noticed only when its watch is overdue.
+
+    Args:
+        change_deadline_s: Time within which a change must be in force.
+        silence_allowance_s: Additional time that is allowed after a connection has gone silent.
+    """
+    longest_s = change_deadline_s + silence_allowance_s - RECOVERY_S
+    return WatchTiming(
+        wait_s=min(MAX_WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, longest_s)),
+        pause_s=CHANGE_PAUSE_SHARE * change_deadline_s,
+    )
+
+
 class Follower(Generic[ValueT]):
     """Keeps a replica of one kind up to date while ``run`` is running.
 
@@ -34,6 +71,7 @@
         replica: Updated with the objects read.
         publish: Called after each change of the replica.
         rng: Source of jitter for retry delays.
+        timing: How often to ask.
     """
 
     def __init__(
@@ -44,6 +82,7 @@
         replica: Replica[ValueT],
         publish: Callable[[], None],
         rng: Random,
+        timing: WatchTiming,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -51,6 +90,7 @@
         self._replica = replica
         self._publish = publish
         self._rng = rng
+        self._timing = timing
         self._must_list = True
         self._is_store_lost = False
 
@@ -92,7 +132,7 @@
 
     async def _watch(self) -> bool:
         started_at = trio.current_time()
-        watched = await self._store.watch([self._kind], self._replica.revision, WATCH_WAIT_S)
+        watched = await self._store.watch([self._kind], self._replica.revision, self._timing.wait_s)
         if isinstance(watched, Failure):
             error = watched.failure()
             if isinstance(error, HistoryGone):
@@ -107,6 +147,7 @@
         self._replica.apply_changes(snapshot.revision, changes, trio.current_time())
         if changes:
             self._publish()
+            await trio.sleep(self._timing.pause_s)
         elif trio.current_time() - started_at < MIN_EMPTY_WATCH_S:
             await trio.sleep(MIN_EMPTY_WATCH_S)
         return True
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -1,6 +1,7 @@
 """A follower of a store that fails, answers slowly, loses history and returns stale lists."""
 
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from random import Random
 from typing import NamedTuple
 
@@ -11,8 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica
-from chivehold.store.api import HistoryGone, Snapshot, StoredObject, Unavailable
-from chivehold.store.follower import Follower
+from chivehold.store.api import MAX_WATCH_WAIT_S, HistoryGone, Snapshot, StoredObject, Unavailable
+from chivehold.store.follower import Follower, watch_timing
 
 KIND = "kind"
 NAMES = "abcd"
@@ -69,6 +70,12 @@
 )
 
 
+CHANGE_DEADLINE_S = 2.0
+SILENCE_ALLOWANCE_S = 3.0
+WATCH_MARGIN_S = 0.6
+TIMING = watch_timing(CHANGE_DEADLINE_S, SILENCE_ALLOWANCE_S)
+
+
 class FaultyStore:
     """Implements the calls of ``ObjectStore`` that a follower uses."""
 
@@ -77,6 +84,9 @@
         self._is_history_gone = False
         self._changed = trio.Event()
         self.is_unavailable = False
+        self.is_silent = False
+        """Watches get no answer; as the client would, they fail some time after their wait."""
+        self.watches = 0
         self.answer_delay_s = 0.0
         self.stale_changes = 0
 
@@ -111,6 +121,10 @@
     async def watch(
         self, kinds: Sequence[str], after_revision: int, wait_s: float
     ) -> Result[Snapshot, Unavailable | HistoryGone]:
+        self.watches += 1
+        if self.is_silent:
+            await trio.sleep(wait_s + WATCH_MARGIN_S)
+            return Failure(Unavailable("watch", "store", "no answer"))
         with trio.move_on_after(wait_s):
             while (
                 after_revision >= self.revision
@@ -143,7 +157,9 @@
     def publish() -> None:
         revisions.append(replica.revision)
 
-    follower = Follower(store, KIND, decode, replica, publish, Random(1))  # type: ignore[arg-type]
+    follower = Follower(
+        store, KIND, decode, replica, publish, Random(1), TIMING  # type: ignore[arg-type]
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         await trio.sleep(1.0)
@@ -183,3 +199,65 @@
     def test_never_goes_back_and_catches_up(self, steps: list[Step]) -> None:
         """The replica's revision never decreases, and the replica finally equals the store."""
         trio.run(run_steps, steps, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class TestCalls:
+    """The store's work grows with the number of followers, so each asks as rarely as it can."""
+
+    async def test_few_calls_while_nothing_changes(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """A minute without a change costs one call per waiting time."""
+        async with following(FaultyStore()) as (store, _):
+            await trio.sleep(60.0)
+            assert store.watches <= 60.0 / TIMING.wait_s + 1
+
+    async def test_herd_of_changes(self, autojump_clock: trio.testing.MockClock) -> None:
+        """Sixty upstreams that start within ten seconds do not wake every follower sixty times."""
+        async with following(FaultyStore()) as (store, replica):
+            for number in range(60):
+                store.write(Write(f"u{number}", b"1"))
+                await trio.sleep(10.0 / 60)
+            assert store.watches <= 10.0 / TIMING.pause_s + 1
+            await trio.sleep(CHANGE_DEADLINE_S)
+            assert len(list(replica.values())) == 60
+
+    async def test_change_is_in_force_in_time(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A change is known at once, one right after it within half of the deadline."""
+        async with following(FaultyStore()) as (store, replica):
+            store.write(Write("a", b"1"))
+            await trio.sleep(0.1)
+            assert list(replica.values()) == ["a1"]
+            store.write(Write("a", b"2"))
+            await trio.sleep(CHANGE_DEADLINE_S / 2)
+            assert list(replica.values()) == ["a2"]
+
+    async def test_silent_connection(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A change after a connection has gone silent is in force within deadline and allowance."""
+        async with following(FaultyStore()) as (store, replica):
+            store.is_silent = True
+            await trio.sleep(TIMING.wait_s)
+            await trio.sleep(0.01)
+            store.is_silent = False
+            store.write(Write("a", b"1"))
+            await trio.sleep(CHANGE_DEADLINE_S + SILENCE_ALLOWANCE_S)
+            assert list(replica.values()) == ["a1"]
+
+    def test_longer_deadlines_allow_fewer_calls(self) -> None:
+        """The waiting time follows the deadlines and stays within the store's limits."""
+        assert watch_timing(4.0, 5.0).wait_s > TIMING.wait_s
+        assert watch_timing(1.0, 0.0).wait_s > 0
+        assert watch_timing(600.0, 600.0).wait_s <= MAX_WATCH_WAIT_S
+
+
+@asynccontextmanager
+async def following(store: FaultyStore) -> AsyncIterator[tuple[FaultyStore, Replica[str]]]:
+    replica = Replica[str](LAPSE_GRACE_S)
+    follower = Follower(
+        store, KIND, decode, replica, lambda: None, Random(1), TIMING  # type: ignore[arg-type]
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(1.0)
+        yield store, replica
+        nursery.cancel_scope.cancel()
