Decode engines that have just refused are asked last; started streams wait ahead of all others

An entry asks the engines in turn, in the order of its own use of them; on a large fleet it uses few of them, so that order says nothing, and full engines were asked again first in each round. Change: engines that refused this size or a smaller one within 0.5 s come last, the latest at the end. A stream that has started and lost its engine goes before all others; before, it ranked as late one tick after it asked (has_started instead of a time that has passed). A notification between two waits of a queue is no longer lost until the next poll. Unused: Fleet.typical_latency_s, WaitQueue.ahead_of. Tests of the started stream and the lost notification fail before.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -1,5 +1,6 @@
 """Upstreams known to an entry, statistics on their calls, and the ranking used to choose one."""
 
+import math
 from collections.abc import Collection, Iterable, Iterator
 from enum import StrEnum
 from random import Random
@@ -27,6 +28,8 @@
 Meanwhile its record in the store is corrected or removed. An upstream that rejected the request
 because its stage was changing accepts work again after the pause.
 """
+FULL_MEMORY_S = 0.5
+"""How long a decode engine that had no room is asked after the others."""
 FAILURE_COST_S = 0.5
 """Cost of a failed attempt to the caller; weighted by the upstream's failure rate."""
 COST_JITTER = 0.1
@@ -68,6 +71,8 @@
         self.consecutive_failures = 0
         self.suspended_until = 0.0
         self.gone_until = 0.0
+        self.full_for_tokens = 0
+        self.full_at = -math.inf
 
 
 class FleetChange(NamedTuple):
@@ -151,18 +156,29 @@
         return self._stats_of(upstream).suspended_until > now
 
     def decode_engines_by_load(
-        self, service: str, now: float, excluded: Collection[str] = ()
+        self, service: str, tokens: int, now: float, excluded: Collection[str] = ()
     ) -> list[UpstreamRecord]:
-        """Return a service's decode engines, those with the least memory used by this entry first.
+        """Return a service's decode engines, those most likely to have room for a request first.
 
-        A random factor spreads entries that see the same load.
+        Engines that have just refused a request of this size or a smaller one come last, the latest
+        refusal at the end: their memory is freed only when a stream ends. Among the others, those
+        with the least memory used by this entry come first. A random factor spreads entries that
+        see the same load.
+
+        Args:
+            service: The service.
+            tokens: Memory that the request needs, in tokens.
+            now: Monotonic time in seconds.
+            excluded: Names of upstreams to leave out.
         """
         ranked = self.ranked(service, Stage.DECODE, now, excluded)
-        return sorted(
-            ranked,
-            key=lambda upstream: self._stats_of(upstream).reserved_tokens
-            * self._rng.uniform(1, 1.1),
-        )
+        return sorted(ranked, key=lambda upstream: self._fullness(upstream, tokens, now))
+
+    def record_full(self, upstream: UpstreamRecord, tokens: int, now: float) -> None:
+        """Record that a decode engine had no room for a number of tokens."""
+        stats = self._stats_of(upstream)
+        stats.full_for_tokens = tokens
+        stats.full_at = now
 
     def record_start(self, upstream: UpstreamRecord, tokens: int = 0) -> None:
         """Record a call to an upstream and the tokens of memory reserved for it."""
@@ -218,10 +234,6 @@
         """Return the number of this entry's calls in progress at an upstream."""
         return self._stats_of(upstream).in_flight
 
-    def typical_latency_s(self, upstream: UpstreamRecord) -> float:
-        """Return the average time to a response, in seconds."""
-        return self._stats_of(upstream).latency.value_or(DEFAULT_LATENCY_S)
-
     def dump(self, now: float) -> Iterator[dict[str, object]]:
         """Yield the state of each upstream for the operators' dump."""
         for upstream in self._upstreams.values():
@@ -242,6 +254,11 @@
     def _stats_of(self, upstream: UpstreamRecord) -> _UpstreamStats:
         return self._stats.setdefault(incarnation_of(upstream), _UpstreamStats())
 
+    def _fullness(self, upstream: UpstreamRecord, tokens: int, now: float) -> tuple[float, float]:
+        stats = self._stats_of(upstream)
+        refused_until = stats.full_at + FULL_MEMORY_S if tokens >= stats.full_for_tokens else now
+        return max(0.0, refused_until - now), stats.reserved_tokens * self._rng.uniform(1, 1.1)
+
     def _cost(self, upstream: UpstreamRecord, now: float) -> float:
         stats = self._stats_of(upstream)
         latency_s = stats.latency.value_or(DEFAULT_LATENCY_S)
--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -2,7 +2,8 @@
 
 In a burst more requests arrive than the engines can decode. Requests that can still be answered on
 time are served before late ones: serving a late one first would make both late. On-time requests
-are ordered by the time they have left, late ones by arrival. A request that its caller is about to
+are ordered by the time they have left, late ones by arrival. A stream that has started and lost its
+engine goes before all others. A request that its caller is about to
 abandon is refused early enough for the caller to retry.
 """
 
@@ -23,6 +24,12 @@
     """When the request stops waiting and is refused."""
     excluded_engines: frozenset[str] = frozenset()
     """Names of engines that have already failed this request and must not get it again."""
+    has_started: bool = False
+    """The caller has received events, and would notice any wait as a gap."""
+
+    def is_late(self, now: float) -> bool:
+        """Return whether memory granted now misses the target; never for a started stream."""
+        return not self.has_started and self.on_time_until < now
 
 
 class WaitQueue:
@@ -46,15 +53,7 @@
         """Return the request to serve next, or ``None`` if the queue is empty."""
         return min(self._waiters.values(), key=lambda waiter: _priority(waiter, now), default=None)
 
-    def ahead_of(self, arrival: float, now: float) -> int:
-        """Return the number of waiting on-time requests that arrived before a time."""
-        return sum(
-            1
-            for waiter in self._waiters.values()
-            if waiter.on_time_until >= now and waiter.arrived_at < arrival
-        )
-
 
-def _priority(waiter: Waiter, now: float) -> tuple[bool, float]:
-    late = waiter.on_time_until < now
-    return (late, waiter.arrived_at if late else waiter.on_time_until)
+def _priority(waiter: Waiter, now: float) -> tuple[bool, bool, float]:
+    late = waiter.is_late(now)
+    return (not waiter.has_started, late, waiter.arrived_at if late else waiter.on_time_until)
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -118,8 +118,9 @@
                     queue.waiters.remove(waiter.request)
                     continue
                 if not await self._grant(service, queue, waiter):
-                    is_late = waiter.on_time_until < trio.current_time()
-                    poll_s = LATE_POLL_INTERVAL_S if is_late else POLL_INTERVAL_S
+                    poll_s = POLL_INTERVAL_S
+                    if waiter.is_late(trio.current_time()):
+                        poll_s = LATE_POLL_INTERVAL_S
                     await queue.wait(poll_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
         finally:
             queue.is_served = False
@@ -132,7 +133,7 @@
         engine_config = self._engine_config(service)
         ttl_s = engine_config.max_hold_s if engine_config else 1.0
         for upstream in self._fleet.decode_engines_by_load(
-            service, trio.current_time(), waiter.excluded_engines
+            service, waiter.tokens, trio.current_time(), waiter.excluded_engines
         ):
             hold = await self._reserve_at(upstream, waiter.tokens, ttl_s)
             if hold is None:
@@ -146,7 +147,10 @@
 
     async def _reserve_at(self, upstream: UpstreamRecord, tokens: int, ttl_s: float) -> str | None:
         try:
-            return await self._engines.reserve_memory(upstream, tokens, ttl_s)
+            hold = await self._engines.reserve_memory(upstream, tokens, ttl_s)
+            if hold is None:
+                self._fleet.record_full(upstream, tokens, trio.current_time())
+            return hold
         except LinkError as error:
             suspended_s = self._fleet.record_no_answer(
                 upstream, trio.current_time(), NO_ANSWER_PAUSE_S
@@ -194,10 +198,13 @@
         return True
 
     async def wait(self, pause_s: float) -> None:
-        """Wait for a time, or until memory is freed or a request is added."""
-        self.wake = trio.Event()
+        """Wait for a time, or until memory is freed or a request is added.
+
+        Returns at once if that has happened since the last call.
+        """
         with trio.move_on_after(pause_s):
             await self.wake.wait()
+        self.wake = trio.Event()
 
     def retry_after_s(self, rng: Random) -> float:
         return rng.uniform(*self.RETRY_AFTER_RANGE_S)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -104,7 +104,7 @@
         waiter = self._waiter(exchange, engine_config)._replace(excluded_engines=excluded_engines)
         if has_started:
             gives_up_at = min(requested_at + MAX_WAIT_S, exchange.expires_at)
-            waiter = waiter._replace(on_time_until=requested_at, gives_up_at=gives_up_at)
+            waiter = waiter._replace(has_started=True, gives_up_at=gives_up_at)
         result = await self._reserver.reserve(exchange.service, waiter)
         waited_s = trio.current_time() - requested_at
         self._metrics.observe_reservation_wait(exchange.service, waited_s)
--- a/tests/core/direct/test_fleet.py
+++ b/tests/core/direct/test_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chivehold.core.direct.fleet import (
+    FULL_MEMORY_S,
     GONE_PAUSE_S,
     MAX_SUSPENSION_S,
     MIN_SUSPENSION_S,
@@ -32,6 +33,37 @@
         fleet.record_end(upstream(name), Verdict.FAILED, now)
 
 
+class TestFullEngines:
+    """A burst in which most decode engines have no room; asking each of them again takes long."""
+
+    @pytest.fixture
+    def engines(self) -> Fleet:
+        made = Fleet("a", Random(1))
+        made.replace([upstream(name, Stage.DECODE) for name in "xyz"])
+        return made
+
+    def test_refusing_engines_come_last(self, engines: Fleet) -> None:
+        """The engines that refused come after the others, the latest refusal at the end."""
+        engines.record_full(upstream("x", Stage.DECODE), 4_000, 1.0)
+        engines.record_full(upstream("z", Stage.DECODE), 4_000, 1.1)
+        assert names(engines.decode_engines_by_load("s", 4_000, 1.2)) == ["y", "x", "z"]
+
+    def test_smaller_request_may_fit(self, engines: Fleet) -> None:
+        """A refusal says nothing about smaller requests: the least used engine comes first."""
+        engines.record_start(upstream("y", Stage.DECODE), 5_000)
+        engines.record_start(upstream("z", Stage.DECODE), 9_000)
+        engines.record_full(upstream("x", Stage.DECODE), 4_000, 1.0)
+        assert names(engines.decode_engines_by_load("s", 1_000, 1.1)) == ["x", "y", "z"]
+
+    def test_refusal_is_forgotten(self, engines: Fleet) -> None:
+        """After some time the engine is asked as if it had not refused."""
+        engines.record_start(upstream("y", Stage.DECODE), 5_000)
+        engines.record_start(upstream("z", Stage.DECODE), 9_000)
+        engines.record_full(upstream("x", Stage.DECODE), 4_000, 1.0)
+        after = 1.0 + FULL_MEMORY_S
+        assert names(engines.decode_engines_by_load("s", 4_000, after)) == ["x", "y", "z"]
+
+
 class TestRanking:
     def test_idle_before_busy(self, fleet: Fleet) -> None:
         """An idle upstream ranks before busy ones."""
--- a/tests/core/direct/test_waiting.py
+++ b/tests/core/direct/test_waiting.py
@@ -89,3 +89,15 @@
         queue.remove("r1")
         assert queue.next_waiter(0.0) is None
         assert len(queue) == 0
+
+
+class TestStartedStream:
+    def test_goes_first(self) -> None:
+        """A stream that has lost its engine goes before all others, as long as it waits."""
+        queue = WaitQueue()
+        queue.add(waiter(1, arrived_at=10.0))
+        queue.add(waiter(2, arrived_at=0.0)._replace(has_started=True))
+        queue.add(waiter(3, arrived_at=0.0))
+        for now in (10.0, 10.5, 12.0):
+            first = queue.next_waiter(now)
+            assert first is not None and first.request == "r2"
--- a/tests/direct/test_reservations.py
+++ b/tests/direct/test_reservations.py
@@ -133,3 +133,18 @@
                 )
             nursery.cancel_scope.cancel()
         assert 1 <= engine.unanswered_calls <= 6
+
+
+class TestFreedMemory:
+    async def test_freed_between_two_waits(self, autojump_clock: trio.testing.MockClock) -> None:
+        """Memory freed while the engines are being asked is noticed before the next poll."""
+        engine = Engine()
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(engine, nursery, 1)
+            late = make_waiter("r", on_time_for_s=-1.0)
+            nursery.start_soon(reserver.reserve, "s", late)
+            await trio.sleep(0.0005)
+            reserver.notify_freed("s")
+            await trio.sleep(0.01)
+            assert engine.calls >= 2
+            nursery.cancel_scope.cancel()
