A surplus prefill engine is kept in use only while most engines decode

Change: the surplus of one is kept only where more engines decode than prefill. Test: TestBalance::test_surplus_after_engines_were_lost (kept before).

--- a/src/chivehold/core/direct/stages.py
+++ b/src/chivehold/core/direct/stages.py
@@ -19,7 +19,10 @@
 TOLERATED_SURPLUS = 0.25
 """Surplus of prefill engines tolerated without a change, as a share of the wanted number."""
 TOLERATED_SURPLUS_IN_USE = 1
-"""Surplus tolerated while engines are in use: a change takes one away for seconds."""
+"""Surplus tolerated while engines are in use: a change takes one away for seconds.
+
+Not where it leaves half of the engines or fewer for decoding.
+"""
 MIN_SHARE = 0.5
 """Share of the wanted prefill engines that must exist; decode engines do the other prefills."""
 
@@ -48,6 +51,8 @@
 
     prefilling: int
     """Number of engines that prefill or are changing to it, without draining ones."""
+    decoding: int
+    """Number of engines that decode or are changing to it, without draining ones."""
     wanted: int
     """Number of engines that should prefill."""
     is_draining: bool
@@ -102,7 +107,9 @@
 
 def _tolerated_surplus(supply: PrefillSupply) -> float:
     tolerated = supply.wanted * TOLERATED_SURPLUS
-    return max(tolerated, TOLERATED_SURPLUS_IN_USE) if supply.is_in_use else tolerated
+    if supply.is_in_use and supply.decoding > supply.prefilling:
+        return max(tolerated, TOLERATED_SURPLUS_IN_USE)
+    return tolerated
 
 
 def _fullest_zones_first(engines: Sequence[UpstreamRecord]) -> list[UpstreamRecord]:
--- a/src/chivehold/direct/stage_controller.py
+++ b/src/chivehold/direct/stage_controller.py
@@ -124,6 +124,7 @@
         listed = [engine for engine in self._fleet.upstreams if engine.service == service]
         supply = PrefillSupply(
             prefilling=sum(engine.stage is Stage.PREFILL for engine in engines),
+            decoding=sum(engine.stage is Stage.DECODE for engine in engines),
             wanted=wanted,
             is_draining=any(engine.draining and engine.stage is Stage.PREFILL for engine in listed),
             is_in_use=any(self._fleet.in_flight(engine) for engine in listed),
--- a/tests/core/direct/test_stages.py
+++ b/tests/core/direct/test_stages.py
@@ -76,7 +76,7 @@
     def test_loss_by_crash_is_waited_for(self, wanted: int) -> None:
         """Engines that vanished are replaced only after the grace time, counted from the loss."""
         balance = StageBalance()
-        missing = PrefillSupply(0, wanted, is_draining=False, is_in_use=True)
+        missing = PrefillSupply(0, 4 * wanted, wanted, is_draining=False, is_in_use=True)
         assert not balance.may_change(missing, 0.0)
         assert not balance.may_change(missing, SHORTAGE_GRACE_S - 0.1)
         assert balance.may_change(missing, SHORTAGE_GRACE_S)
@@ -84,7 +84,7 @@
     def test_recovery_ends_the_wait(self) -> None:
         """An engine that came back and is lost again is waited for anew."""
         balance = StageBalance()
-        missing = PrefillSupply(0, self.SMALL, is_draining=False, is_in_use=True)
+        missing = PrefillSupply(0, 4, self.SMALL, is_draining=False, is_in_use=True)
         balance.may_change(missing, 0.0)
         balance.may_change(missing._replace(prefilling=1), 7.0)
         assert not balance.may_change(missing, 9.0)
@@ -93,19 +93,25 @@
     def test_final_loss(self, wanted: int) -> None:
         """A draining engine is replaced at once, also after it has left the list."""
         balance = StageBalance()
-        draining = PrefillSupply(0, wanted, is_draining=True, is_in_use=True)
+        draining = PrefillSupply(0, 4 * wanted, wanted, is_draining=True, is_in_use=True)
         assert balance.may_change(draining, 0.0)
         assert balance.may_change(draining._replace(is_draining=False), 1.0)
 
     def test_drain_of_one_of_many(self) -> None:
         """On a large fleet one draining engine is no shortage."""
-        supply = PrefillSupply(self.LARGE - 1, self.LARGE, is_draining=True, is_in_use=True)
+        supply = PrefillSupply(self.LARGE - 1, 60, self.LARGE, is_draining=True, is_in_use=True)
         assert not StageBalance().may_change(supply, 0.0)
 
     def test_surplus(self) -> None:
         """A surplus is removed while nothing runs; in use, one engine more is kept."""
-        idle = PrefillSupply(2, self.SMALL, is_draining=False, is_in_use=False)
+        idle = PrefillSupply(2, 3, self.SMALL, is_draining=False, is_in_use=False)
         assert StageBalance().may_change(idle, 0.0)
         assert not StageBalance().may_change(idle._replace(is_in_use=True), 0.0)
-        large = PrefillSupply(self.LARGE + 4, self.LARGE, is_draining=False, is_in_use=True)
+        large = PrefillSupply(self.LARGE + 4, 60, self.LARGE, is_draining=False, is_in_use=True)
         assert StageBalance().may_change(large, 0.0)
+
+    def test_surplus_after_engines_were_lost(self) -> None:
+        """Two prefill engines before a single decode engine left are too many, also in use."""
+        supply = PrefillSupply(2, 1, self.SMALL, is_draining=False, is_in_use=True)
+        assert StageBalance().may_change(supply, 0.0)
+        assert StageBalance().may_change(supply._replace(decoding=2), 0.0)
