--- a/src/chivehold/store/claims.py
+++ b/src/chivehold/store/claims.py
@@ -37,6 +37,7 @@
     UpstreamName,
 )
 from chivehold.core.wire import RevokeResult
+from chivehold.logs import log_event
 from chivehold.store.api import NotFound, ObjectStore, StoredObject, Unavailable, Unsure
 from chivehold.store.backoff import backoff_delays
 
@@ -245,8 +246,12 @@
     def _enqueue_completion(self, completion: ClaimCompletion) -> None:
         if self.pending_count >= MAX_PENDING_CHANGES:
             # The claim stays in state CLAIMED; a retry gets the outcome known to its sidecar.
-            _log.warning(
-                "step=end_claim request=%s detail=too many pending changes", completion.request
+            log_event(
+                _log,
+                logging.WARNING,
+                "claim not ended",
+                request=completion.request,
+                detail="too many pending changes",
             )
             return
         self._enqueue(completion.key, _PendingChange(completion))
@@ -345,7 +350,7 @@
         try:
             claims = decode_claims(stored.value)
         except msgspec.DecodeError as error:
-            _log.error("step=read_claims shard=%s detail=%s", stored.name, error)
+            log_event(_log, logging.ERROR, "claims unreadable", name=stored.name, detail=error)
             return None
         return _ShardState(stored.version, claims)
 
--- a/src/chivehold/store/declaration_objects.py
+++ b/src/chivehold/store/declaration_objects.py
@@ -7,6 +7,7 @@
 
 from chivehold.core.declarations import DeclarationReplica, DeclarationVersion
 from chivehold.core.identity import TargetName
+from chivehold.logs import log_event
 from chivehold.rpc.convert_declarations import decode_declaration
 from chivehold.store.api import StoredObject
 
@@ -32,6 +33,13 @@
         if isinstance(decoded, Success):
             yield DeclarationVersion(name, stored.uid, stored.version, decoded.unwrap())
             continue
-        _log.warning("step=read_declaration version=%d %s", stored.version, decoded.failure())
+        log_event(
+            _log,
+            logging.WARNING,
+            "declaration unreadable",
+            name=stored.name,
+            revision=stored.version,
+            detail=decoded.failure(),
+        )
         if known := replica.get(name):
             yield known
