A stream that its caller leaves is logged with its gaps, and counted

Callers leave because of a gap, so these are the streams whose gaps matter most; until now only streams that ended or were broken off told them. Test: the gaps of an abandoned stream are in the metrics.

--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -75,7 +75,12 @@
     async def serve(self, exchange: Exchange, reply: Reply, engine_config: EngineConfig) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
         stream = _StreamRequest(self, exchange, reply, engine_config)
-        refusal = await stream.run()
+        try:
+            refusal = await stream.run()
+        except trio.Cancelled:
+            if reply.started:
+                stream.relay.log_end("stream abandoned")
+            raise
         if refusal is None:
             return "answered"
         if reply.started:
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -292,6 +292,17 @@
             await wait_until(engines.nothing_held, 0.5)
             assert engines.runs() == 0
 
+    async def test_gaps_until_then_are_measured(self, tmp_path: Path) -> None:
+        """The gaps of a stream count even if its caller has left because of them."""
+        async with model_service(tmp_path) as (harness, engines):
+            for engine in engines.decode:
+                engine.event_s = 0.15
+            async with harness.stream("/paced/a") as response:
+                await anext(response.chunks)
+                await anext(response.chunks)
+            await wait_until(lambda: not harness.entry.dump()["in_progress"])
+            assert b'chivehold_late_gaps_total{service="model"} 1' in await harness.metrics()
+
     async def test_during_decode(self, tmp_path: Path) -> None:
         """The engine's call is cancelled and its memory is released."""
         async with model_service(tmp_path) as (harness, engines):
