--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -145,9 +145,7 @@
             platform.open_store(settings.store_address, self._store_client),
             self._metrics.count_store_call,
         )
-        timing = watch_timing(
-            settings.change_deadline_ms / MS_PER_S, settings.silence_allowance_ms / MS_PER_S
-        )
+        silence_s = settings.silence_allowance_ms / MS_PER_S
         self._route_tables: Replica[RouteTable] = Replica()
         self._upstreams: Replica[UpstreamRecord] = Replica(LAPSE_GRACE_S)
         self._configuration_follower = Follower(
@@ -157,7 +155,7 @@
             self._route_tables,
             self._apply_routes,
             rng,
-            timing,
+            watch_timing(settings.routes_deadline_ms / MS_PER_S, silence_s),
         )
         self._upstream_follower = Follower(
             store,
@@ -166,7 +164,7 @@
             self._upstreams,
             self._apply_upstreams,
             rng,
-            timing,
+            watch_timing(settings.upstreams_deadline_ms / MS_PER_S, silence_s),
         )
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._roster = EntryRoster(
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -1,4 +1,4 @@
-"""Prefills of prompts at prefill engines, unless the decode engine would be as fast."""
+"""Choice of a prefill engine for each prompt, and the prefill there."""
 
 import logging
 from collections.abc import Callable
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -142,10 +142,12 @@
     retry_window_s: float
     shutdown_s: float
     """Time between SIGTERM and SIGKILL."""
-    change_deadline_ms: int = 2_000
-    """Time within which changes in the store must be in force at every entry."""
+    routes_deadline_ms: int = 2_000
+    """Time within which a change of the routes must be in force at every entry."""
+    upstreams_deadline_ms: int = 2_000
+    """Time within which a change of the list of upstreams must be in force at every entry."""
     silence_allowance_ms: int = 3_000
-    """Additional time for a change after a connection to the store has gone silent."""
+    """Additional time for both after a connection to the store has gone silent."""
     entries_most: int = 8
     """Number of entries assumed to share common budgets until the actual number is known."""
     decode_per_prefill: float = 3.0
@@ -272,7 +274,8 @@
 class DirectTable(_DirectRequired, total=False):
     """Schema of the settings file of an entry without sidecars."""
 
-    change_deadline_ms: _Count
+    routes_deadline_ms: _Count
+    upstreams_deadline_ms: _Count
     silence_allowance_ms: _Count
     entries_most: _Count
     decode_per_prefill: Annotated[
--- a/src/chivehold/store/follower.py
+++ b/src/chivehold/store/follower.py
@@ -29,7 +29,7 @@
 
 MIN_WATCH_WAIT_S = 1.0
 RECOVERY_S = 2.0
-"""Time from the end of an unanswered watch until a repeated one has brought what was missed."""
+"""Time from when a watch is overdue until a repeated one has brought what was missed."""
 CHANGE_PAUSE_SHARE = 0.25
 """Share of the deadline for changes that passes after one before the next ones are asked for."""
 
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -209,7 +209,8 @@
             retry_extra=54.0,
             retry_window_s=RETRY_WINDOW_S,
             shutdown_s=8.0,
-            change_deadline_ms=200,
+            routes_deadline_ms=200,
+            upstreams_deadline_ms=200,
         )._replace(**settings)
         logs = DroppedLogLines(
             RateLimitFilter(1_000), NonBlockingHandler(os.open(os.devnull, os.O_WRONLY))
