A replica that could not read an object never sends its whole state

Found by reading: in a fleet of mixed versions the whole state of a replica that skipped an object it cannot decode would delete that object at replicas that can. Test fails before (deleted).

--- a/src/chivehold/core/declarations.py
+++ b/src/chivehold/core/declarations.py
@@ -47,6 +47,7 @@
         self._revision = 0
         self._deletions_known_after = 0
         """Above this version the replica has the tombstones of all deletions."""
+        self._lacks_unreadable = False
 
     @property
     def revision(self) -> int:
@@ -78,11 +79,18 @@
     def changes_for(self, revision: int) -> DeclarationChanges:
         """Return what a replica at this revision lacks.
 
-        This is the whole state if the replica cannot name all deletions after the revision.
+        This is the whole state if the replica cannot name all deletions after the revision. A
+        replica that could not read an object never sends its whole state: to others, which may
+        read it, the object would seem deleted.
         """
-        after = revision if revision >= self._deletions_known_after else 0
+        knows_deletions = revision >= self._deletions_known_after
+        after = revision if knows_deletions or self._lacks_unreadable else 0
         return DeclarationChanges(after, self._revision, self.changed_after(after))
 
+    def record_unreadable(self) -> None:
+        """Record that an object of the store is missing here because it could not be decoded."""
+        self._lacks_unreadable = True
+
     def declarations(self) -> Declarations:
         """Return the declarations in force, sorted by name."""
         specs = [declaration.spec for _, declaration in sorted(self._newest.items())]
--- a/src/chivehold/store/declaration_objects.py
+++ b/src/chivehold/store/declaration_objects.py
@@ -41,5 +41,8 @@
             revision=stored.version,
             detail=decoded.failure(),
         )
-        if known := replica.get(name):
+        known = replica.get(name)
+        if known is None:
+            replica.record_unreadable()
+        else:
             yield known
--- a/tests/core/test_declarations.py
+++ b/tests/core/test_declarations.py
@@ -152,6 +152,17 @@
         replica.merge([version("forja", 4, service())], 3, 5)
         assert replica.digest == self.peer().digest
 
+    def test_unreadable_object(self):
+        """A peer that could not read an object does not make others take it for deleted."""
+        replica = DeclarationReplica()
+        replica.merge([version("forja", 4, service())], 0, 5)
+        peer = self.peer()
+        peer.record_unreadable()
+        lacking = peer.changes_for(replica.revision)
+        assert [change.name for change in lacking.changes] == ["loandesk"]
+        replica.merge(lacking.changes, lacking.after_revision, lacking.revision)
+        assert replica.get("forja").spec is not None
+
     def test_changes_alone_where_deletions_are_known(self):
         """A replica that is only a few changes behind does not get the whole state."""
         lacking = self.peer().changes_for(7)
