--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -4,19 +4,15 @@
 import os
 import secrets
 import signal
-from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
 
 import trio
-from returns.result import Result
 
 from chivehold.bodies import BodyBudget
 from chivehold.core.direct.fleet import Fleet, FleetChange
-from chivehold.core.direct.messages import Dialect, UpstreamRecord
-from chivehold.core.direct.replica import LAPSE_GRACE_S, Replica
 from chivehold.core.direct.routes import EngineConfig, RouteIndex, RouteTable
 from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.core.identity import EntryIncarnation
@@ -25,19 +21,19 @@
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.operator_app import OperatorApp, ReadyApp
 from chivehold.direct.plain_calls import PlainCalls
+from chivehold.direct.platform_binding import PlatformBinding
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.reservations import EngineMemoryReserver
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.stage_controller import StageController, suspended_s
+from chivehold.direct.store_replicas import ChangeHandlers, StoreReplicas
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import App, ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, log_event
 from chivehold.metrics import RenderedMetrics
 from chivehold.settings import DirectSettings
-from chivehold.store.api import ObjectStore
 from chivehold.store.counted import CountedStore
-from chivehold.store.follower import Follower, watch_timing
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
 from chivehold.store.roster import EntryRoster
 
@@ -52,24 +48,11 @@
 EXIT_MARGIN_S = 0.5
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
-MS_PER_S = 1_000
 INCARNATION_BYTES = 6
 
 _log = logging.getLogger(__name__)
 
 
-class PlatformBinding(NamedTuple):
-    """The parts of a platform's adapter that an entry uses, including its kinds of objects."""
-
-    dialect: Dialect
-    open_store: Callable[[str, HttpClient], ObjectStore]
-    """Creates the client of the store at an address."""
-    configuration_kind: str
-    decode_configuration: Callable[[str, bytes], Result[RouteTable, str]]
-    upstream_kind: str
-    decode_upstream: Callable[[str, bytes], Result[UpstreamRecord, str]]
-
-
 class DirectAddresses(NamedTuple):
     """The addresses that an entry listens on, each as ``host:port``."""
 
@@ -145,26 +128,13 @@
             platform.open_store(settings.store_address, self._store_client),
             self._metrics.count_store_call,
         )
-        silence_s = settings.silence_allowance_ms / MS_PER_S
-        self._route_tables: Replica[RouteTable] = Replica()
-        self._upstreams: Replica[UpstreamRecord] = Replica(LAPSE_GRACE_S)
-        self._configuration_follower = Follower(
+        self._replicas = StoreReplicas(
             store,
-            platform.configuration_kind,
-            platform.decode_configuration,
-            self._route_tables,
-            self._apply_routes,
-            rng,
-            watch_timing(settings.routes_deadline_ms / MS_PER_S, silence_s),
-        )
-        self._upstream_follower = Follower(
-            store,
-            platform.upstream_kind,
-            platform.decode_upstream,
-            self._upstreams,
-            self._apply_upstreams,
+            platform,
+            settings,
+            self._fleet,
+            ChangeHandlers(self._apply_routes, self._apply_fleet_change),
             rng,
-            watch_timing(settings.upstreams_deadline_ms / MS_PER_S, silence_s),
         )
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._roster = EntryRoster(
@@ -193,8 +163,7 @@
         self, task_status: trio.TaskStatus[DirectAddresses] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until stopped by a signal, then drain."""
-        self._nursery.start_soon(self._configuration_follower.run)
-        self._nursery.start_soon(self._upstream_follower.run)
+        self._nursery.start_soon(self._replicas.run)
         self._nursery.start_soon(self._run_control_tasks)
         await self._nursery.start(self._await_signals)
         self._nursery.start_soon(self._settings_file.run)
@@ -294,49 +263,15 @@
         """Apply the retry settings, with the extra divided by the number of entries."""
         self._retries.configure(self._settings.retry_share, self._settings.retry_extra, entries)
 
-    def _apply_routes(self) -> None:
-        table = max(self._route_tables.values(), key=lambda table: table.version, default=None)
-        if table is None or table.version <= self._callers.configuration:
-            return
-        log_event(
-            _log,
-            logging.INFO,
-            "routes in force",
-            configuration=table.version,
-            before=self._callers.configuration,
-            routes=len(table.routes),
-            revision=self._route_tables.revision,
-        )
+    def _apply_routes(self, table: RouteTable) -> None:
         self._callers.apply_routes(RouteIndex(table))
 
-    def _apply_upstreams(self) -> None:
-        change = self._fleet.replace(self._upstreams.values())
-        self._log_fleet_change(change)
+    def _apply_fleet_change(self, change: FleetChange) -> None:
         for upstream in change.removed:
             self._client.discard_pool(upstream.address)
         for service in {upstream.service for upstream in (*change.added, *change.changed)}:
             self._reserver.notify_freed(service)
 
-    def _log_fleet_change(self, change: FleetChange) -> None:
-        for event, upstreams in (
-            ("upstream listed", change.added),
-            ("upstream gone", change.removed),
-            ("upstream changed", change.changed),
-        ):
-            for upstream in upstreams:
-                log_event(
-                    _log,
-                    logging.INFO,
-                    event,
-                    peer=upstream.name,
-                    service=upstream.service,
-                    address=upstream.address,
-                    stage=upstream.stage,
-                    draining=upstream.draining,
-                    started_ms=upstream.started_ms,
-                    revision=self._upstreams.revision,
-                )
-
     def _route_table(self) -> RouteTable | None:
         routes = self._callers.routes
         return routes.table if routes else None
@@ -357,7 +292,7 @@
             accepted,
             self._callers.in_progress,
             self._callers.configuration,
-            self._configuration_follower.is_store_lost or self._upstream_follower.is_store_lost,
+            self._replicas.is_store_lost,
             self._logs.dropped,
         )
 
@@ -368,9 +303,7 @@
             "name": self._settings.name,
             "unready": self._unready_reason(),
             "configuration": self._callers.configuration,
-            "configuration_age_s": self._route_tables.age_s(now),
-            "upstreams_revision": self._upstreams.revision,
-            "upstreams_age_s": self._upstreams.age_s(now),
+            **self._replicas.dump(now),
             "upstreams": list(self._fleet.dump(now)),
             "in_progress": self._callers.in_progress,
             "entries": self._roster.count,
--- a/src/chivehold/platform/__init__.py
+++ b/src/chivehold/platform/__init__.py
@@ -4,7 +4,7 @@
 appear; each is decoded once into the product's own types.
 """
 
-from chivehold.direct.app import PlatformBinding
+from chivehold.direct.platform_binding import PlatformBinding
 from chivehold.http_client import HttpClient
 from chivehold.platform.configuration import CONFIGURATION_KIND, decode_configuration
 from chivehold.platform.dialect import PlatformDialect
