The relay of a stream reports the pace of its engine itself

Cause: the relay reported a late gap through a callback with a position, the request kept the engine of the moment in a field for it and judged the position, and the end of a stream on time went another way. One mechanism stood in three places. Change: the relay is given the engine and reports to one handler, late at the first late gap, on time at the end. stream_calls.py keeps the length of outputs only. Same decisions; the tests of direct, core and docs pass.

--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -2,9 +2,8 @@
 
 import trio
 
-from chivehold.core.direct.event_gaps import GapPosition
 from chivehold.core.direct.fleet import Fleet, Verdict
-from chivehold.core.direct.messages import ForwardingOptions, KvSource, UpstreamRecord
+from chivehold.core.direct.messages import ForwardingOptions, KvSource
 from chivehold.core.direct.output_estimate import OutputLengthEstimator
 from chivehold.core.direct.reservations import MemoryReservation, MemoryReserver, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
@@ -23,6 +22,7 @@
 from chivehold.direct.stream_relay import (
     AttemptEnd,
     AttemptResult,
+    PaceHandler,
     StreamRelay,
     event_timeout_s,
 )
@@ -152,25 +152,15 @@
         if by_engine:
             self._fleet.suspend(reservation.upstream, trio.current_time() + REFUSING_ENGINE_PAUSE_S)
 
-    def record_stream(
-        self,
-        exchange: Exchange,
-        engine_config: EngineConfig,
-        upstream: UpstreamRecord,
-        relay: StreamRelay,
+    def record_length(
+        self, exchange: Exchange, engine_config: EngineConfig, last_event: str | None
     ) -> None:
-        """Record the length and the pace of a finished stream for later estimates."""
-        if not relay.has_late_gap:
-            self.record_pace(upstream, is_late=False)
-        hint, last_event = exchange.metadata.output_tokens_hint, relay.last_event
+        """Record the output length of a finished stream for the length estimator."""
+        hint = exchange.metadata.output_tokens_hint
         if hint is not None and last_event is not None and last_event.isdigit():
             estimator = self._length_estimator(exchange.service)
             estimator.record(hint, int(last_event) * engine_config.tokens_per_event)
 
-    def record_pace(self, upstream: UpstreamRecord, is_late: bool) -> None:
-        """Record a stream that finished on time, or one whose first late gap has just ended."""
-        self._prefill_scheduler.record_pace(upstream, is_late)
-
     def free_kv_cache(self, exchange: Exchange, prefilled: PrefilledCache, refused: bool) -> None:
         """Free an unused KV cache.
 
@@ -187,6 +177,11 @@
         """Spend one retry, or return ``False`` if the shared budget is exhausted."""
         return self._retries.try_spend(exchange.service, trio.current_time())
 
+    @property
+    def record_pace(self) -> PaceHandler:
+        """Records whether a stream kept its pace."""
+        return self._prefill_scheduler.record_pace
+
     @property
     def engines(self) -> EngineClient:
         """Client of the engines."""
@@ -232,9 +227,8 @@
         self._exchange = exchange
         self._engine_config = engine_config
         self._relay = StreamRelay(
-            exchange, reply, calls.engines.dialect, calls.metrics, self._record_late_gap
+            exchange, reply, calls.engines.dialect, calls.metrics, calls.record_pace
         )
-        self._upstream: UpstreamRecord | None = None
         self._broken_attempts = 0
         self._refusals = 0
         self._failed_engines: set[str] = set()
@@ -259,9 +253,8 @@
                 return self._reservation_refusal(reservation)
             result = await self._attempt(reservation)
             if result.end is AttemptEnd.WHOLE:
-                self._calls.record_stream(
-                    self._exchange, self._engine_config, reservation.upstream, self._relay
-                )
+                last_event = self._relay.last_event
+                self._calls.record_length(self._exchange, self._engine_config, last_event)
             if result.end in (AttemptEnd.WHOLE, AttemptEnd.ANSWERED):
                 return None
             self._exchange.log(
@@ -301,11 +294,6 @@
             )
         return not_run_refusal(reservation.reason, "no engine has room", reservation.retry_after_s)
 
-    def _record_late_gap(self, position: GapPosition) -> None:
-        """Record that the stream is late; at a resumption the engine is not the cause."""
-        if position is not GapPosition.RESUMED and self._upstream is not None:
-            self._calls.record_pace(self._upstream, is_late=True)
-
     async def _attempt(self, reservation: MemoryReservation) -> AttemptResult:
         """Prefill and decode; the reservation is used or released in any case."""
         prefilled: PrefilledCache | None = None
@@ -344,7 +332,6 @@
     async def _decode(
         self, reservation: MemoryReservation, source: KvSource | None
     ) -> AttemptResult:
-        self._upstream = reservation.upstream
         forwarding = ForwardingOptions(
             self._exchange.time_left_s(),
             kv_source=source,
@@ -357,7 +344,7 @@
                     self._exchange, reservation.upstream, forwarding
                 ) as response:
                     timeout_s = event_timeout_s(self._exchange, self._broken_attempts)
-                    return await self._relay.relay(response, timeout_s)
+                    return await self._relay.relay(response, reservation.upstream, timeout_s)
             return AttemptResult(AttemptEnd.BROKEN, Verdict.UNKNOWN, "out of time")
         except NothingSent as error:
             return AttemptResult(AttemptEnd.NOT_RUN, Verdict.FAILED, error.detail)
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -11,11 +11,14 @@
 from chivehold.core.direct.event_gaps import EventGaps, GapPosition
 from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, is_newer_event
 from chivehold.core.direct.fleet import Verdict
-from chivehold.core.direct.messages import Dialect, RawHeaders
+from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.http_client import RawResponse
 
+PaceHandler = Callable[[UpstreamRecord, bool], None]
+"""Called with the engine of a stream and whether the stream is late."""
+
 EVENT_TIMEOUT_S = 1.5
 """A resumable stream without data for this time is resumed at another engine."""
 OK_STATUS = 200
@@ -48,7 +51,8 @@
         reply: The reply to the caller.
         dialect: The wire format of responses.
         metrics: Records the time to the first event and the gaps between events.
-        on_late: Called at the first gap that exceeds the route's target, with its position.
+        on_pace: Called once for each stream that ended whole or was late: with ``True`` at its
+            first gap that exceeds the route's target, with ``False`` at its end without any.
     """
 
     def __init__(
@@ -57,13 +61,13 @@
         reply: Reply,
         dialect: Dialect,
         metrics: DirectMetrics,
-        on_late: Callable[[GapPosition], None],
+        on_pace: PaceHandler,
     ) -> None:
         self._exchange = exchange
         self._reply = reply
         self._dialect = dialect
         self._metrics = metrics
-        self._on_late = on_late
+        self._on_pace = on_pace
         self._gaps = EventGaps(exchange.route.event_gap_target_s)
         self._last_event = exchange.metadata.last_event
 
@@ -72,21 +76,19 @@
         """Id of the last event that the caller has received."""
         return self._last_event
 
-    @property
-    def has_late_gap(self) -> bool:
-        """Whether a gap between two events was longer than the route's target."""
-        return self._gaps.late > 0
-
     @property
     def has_started(self) -> bool:
         """Whether the caller has received status and headers."""
         return self._reply.started
 
-    async def relay(self, response: RawResponse, event_timeout_s: float) -> AttemptResult:
+    async def relay(
+        self, response: RawResponse, upstream: UpstreamRecord, event_timeout_s: float
+    ) -> AttemptResult:
         """Relay an engine's response.
 
         Args:
             response: The response.
+            upstream: The engine.
             event_timeout_s: Longest time without data before the engine counts as failed, in
                 seconds; may be infinite.
 
@@ -105,7 +107,7 @@
         if response.status != OK_STATUS:
             return await self._relay_error(response)
         try:
-            return await self._relay_stream(response, event_timeout_s)
+            return await self._relay_stream(response, upstream, event_timeout_s)
         except _EventTimeout:
             return _failed(f"silent for {event_timeout_s} s")
         except EventTooLong:
@@ -139,7 +141,9 @@
         await self._reply.send_full(response.status, headers, body)
         return AttemptResult(AttemptEnd.ANSWERED, Verdict.ERROR, f"status {response.status}")
 
-    async def _relay_stream(self, response: RawResponse, event_timeout_s: float) -> AttemptResult:
+    async def _relay_stream(
+        self, response: RawResponse, upstream: UpstreamRecord, event_timeout_s: float
+    ) -> AttemptResult:
         """Relay complete events as they arrive."""
         self._gaps.record_resumption()
         splitter = EventSplitter()
@@ -150,7 +154,7 @@
                 if is_newer_event(event.event_id, self._last_event)
             ]
             if events:
-                await self._relay_events(response.headers, events)
+                await self._relay_events(response.headers, upstream, events)
         if splitter.remainder:
             # The unfinished event is not relayed; the caller never sees part of an event.
             return _failed("ended within an event")
@@ -158,14 +162,19 @@
             await self._start_reply(response.headers)
         await self._reply.send_end()
         self.log_end("stream ended")
+        if not self._gaps.late:
+            self._on_pace(upstream, False)
         return AttemptResult(AttemptEnd.WHOLE, Verdict.SOUND)
 
-    async def _relay_events(self, headers: RawHeaders, events: list[StreamEvent]) -> None:
+    async def _relay_events(
+        self, headers: RawHeaders, upstream: UpstreamRecord, events: list[StreamEvent]
+    ) -> None:
         if not self._reply.started:
             await self._start_reply(headers)
         gap = self._gaps.record_event(trio.current_time())
-        if self._gaps.late == 1 and self._gaps.is_late(gap):
-            self._on_late(gap.position)
+        is_first_late = self._gaps.late == 1 and self._gaps.is_late(gap)
+        if is_first_late and gap.position is not GapPosition.RESUMED:
+            self._on_pace(upstream, True)
         await self._reply.send_chunk(b"".join(event.raw for event in events))
         self._last_event = events[-1].event_id or self._last_event
 
