Logs tell the end of an upstream from a broken connection, and what had just begun there

Each request now has keys of its content and of the parts of its prompt. One line per suspect request says so, with its keys, how long it ran and the age of the break; a counter counts them. Nothing is decided by it yet.

Whether an address refuses is asked by a bare connection, not by a request, so that the upstream's slots and health checks are not used.

--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -52,6 +52,8 @@
     """The caller's estimate of the tokens to generate."""
     last_event: str | None = None
     """Id of the last event received by a caller that resumes a stream."""
+    prompt_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt, in order; the last one belongs to this request alone."""
 
 
 class ResponseMetadata(NamedTuple):
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -19,6 +19,7 @@
 from chivehold.core.direct.upstream_limits import UpstreamLimits
 from chivehold.core.identity import EntryIncarnation
 from chivehold.direct.caller_app import CallerApp
+from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.operator_app import OperatorApp, ReadyApp
@@ -108,10 +109,17 @@
         self._reserver = EngineMemoryReserver(
             self._fleet, engines, self._engine_config, nursery, rng
         )
+        crashes = CrashWatch(nursery, self._metrics)
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
-                self._fleet, self._client, platform.dialect, signals, self._retries, self._metrics
+                self._fleet,
+                self._client,
+                platform.dialect,
+                signals,
+                self._retries,
+                self._metrics,
+                crashes,
             ),
             StreamCalls(
                 self._fleet,
@@ -126,6 +134,7 @@
                 self._reserver,
                 self._retries,
                 self._metrics,
+                crashes,
             ),
             self._retries,
             self._metrics,
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -5,6 +5,7 @@
 import trio
 
 from chivehold.bodies import BodyBudget, declared_body_bytes
+from chivehold.core.direct.crash_keys import prompt_part_keys, request_key
 from chivehold.core.direct.messages import Dialect, RawHeaders, RequestMetadata
 from chivehold.core.direct.returning_callers import ReturnDetector
 from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
@@ -134,6 +135,9 @@
         arrived_at: float,
     ) -> Exchange:
         query = scope["query_string"]
+        target = scope["raw_path"] + (b"?" + query if query else b"")
+        host = _host(scope["headers"]).encode("latin-1")
+        content_key = request_key(host, target, scope["headers"], body)
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
@@ -143,12 +147,13 @@
             service=choose_service(route.splits, metadata.request_id),
             configuration=routes.table.version,
             method=scope["method"],
-            target=scope["raw_path"] + (b"?" + query if query else b""),
+            target=target,
             headers=scope["headers"],
             body=body,
             arrived_at=arrived_at,
             expires_at=arrived_at + limit_s,
             waited_before_s=self._return_detector.waited_before_s(route.name, metadata.deadline_s),
+            crash_keys=(content_key, *prompt_part_keys(metadata.prompt_parts)),
         )
 
     async def _serve_until_disconnect(
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from chivehold.core.direct.crash_keys import CrashKey
 from chivehold.core.direct.messages import RawHeaders, RequestMetadata, ResponseMetadata
 from chivehold.core.direct.routes import Route
 from chivehold.http_server import Send
@@ -32,6 +33,8 @@
     """When the caller's deadline or the route's timeout expires, whichever is earlier."""
     waited_before_s: float
     """How long the caller waited before this retry, in seconds; 0 for a first request."""
+    crash_keys: tuple[CrashKey, ...] = ()
+    """The key of the request's content, then those of the parts of its prompt."""
 
     @property
     def request_id(self) -> str:
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -40,6 +40,12 @@
             None,
             registry,
         )
+        self._ends_under_requests = Counter(
+            "chivehold_ends_under_requests_total",
+            "Requests that had just begun at an upstream when it ended, by service.",
+            None,
+            registry,
+        )
         self._response_times = Histogram(
             "chivehold_answer_seconds",
             "Time from a request's arrival to its answer, for streams to the first event.",
@@ -98,6 +104,10 @@
         """Count a change that an upstream told of in a response."""
         self._upstream_signals.inc({"service": service, "signal": signal})
 
+    def count_end_under_request(self, service: str) -> None:
+        """Count a request that had just begun at an upstream when the upstream ended."""
+        self._ends_under_requests.inc({"service": service})
+
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request that has ended."""
         self._requests.inc({"kind": kind, "outcome": outcome})
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -15,6 +15,7 @@
     UpstreamRecord,
 )
 from chivehold.core.direct.shared_retries import SharedRetryBudget
+from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.refusals import (
@@ -79,6 +80,7 @@
         signals: Reads the headers of all responses.
         retries: Limits the retries.
         metrics: Counts attempts.
+        crashes: Watches the attempts for those that end their upstream.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         signals: SignalReader,
         retries: SharedRetryBudget,
         metrics: DirectMetrics,
+        crashes: CrashWatch,
     ) -> None:
         self._fleet = fleet
         self._client = client
@@ -96,6 +99,7 @@
         self._signals = signals
         self._retries = retries
         self._metrics = metrics
+        self._crashes = crashes
 
     async def serve(self, exchange: Exchange, reply: Reply) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
@@ -162,6 +166,7 @@
         forwarding = ForwardingOptions(exchange.time_left_s())
         sent_at = trio.current_time()
         headers = self._dialect.forwarded_headers(exchange.headers, upstream, forwarding)
+        watch = self._crashes.start_attempt(exchange, upstream)
         try:
             async with self._client.relay(
                 upstream.address,
@@ -180,6 +185,7 @@
         except NothingSent as error:
             return NotRun(upstream, error.detail, sent=False)
         except LinkBroken as error:
+            watch.record_break()
             return BrokenCall(upstream, error.detail)
         if metadata.not_run:
             return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -9,6 +9,7 @@
 from chivehold.core.direct.routes import EngineConfig
 from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.core.direct.waiting import Waiter
+from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.engines import EngineClient, PrefilledCache
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
@@ -53,6 +54,7 @@
         reserver: Reserves memory at decode engines.
         retries: Limits the retries.
         metrics: Counts attempts and records durations.
+        crashes: Watches the attempts for those that end their engine.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         reserver: MemoryReserver,
         retries: SharedRetryBudget,
         metrics: DirectMetrics,
+        crashes: CrashWatch,
     ) -> None:
         self._fleet = fleet
         self._engines = engines
@@ -70,6 +73,7 @@
         self._reserver = reserver
         self._retries = retries
         self._metrics = metrics
+        self._crashes = crashes
         self._length_estimators: dict[str, OutputLengthEstimator] = {}
 
     async def serve(self, exchange: Exchange, reply: Reply, engine_config: EngineConfig) -> str:
@@ -187,6 +191,11 @@
         """Client of the engines."""
         return self._engines
 
+    @property
+    def crashes(self) -> CrashWatch:
+        """Watches the attempts for those that end their engine."""
+        return self._crashes
+
     @property
     def metrics(self) -> DirectMetrics:
         """The entry's metrics."""
@@ -338,15 +347,17 @@
             hold=reservation.hold,
             last_event=self._relay.last_event,
         )
+        watch = self._calls.crashes.start_attempt(self._exchange, reservation.upstream)
         try:
             with trio.move_on_at(self._exchange.expires_at):
                 async with self._calls.engines.decode(
                     self._exchange, reservation.upstream, forwarding
                 ) as response:
                     timeout_s = event_timeout_s(self._exchange, self._broken_attempts)
-                    return await self._relay.relay(response, reservation.upstream, timeout_s)
+                    return await self._relay.relay(response, reservation.upstream, timeout_s, watch)
             return AttemptResult(AttemptEnd.BROKEN, Verdict.UNKNOWN, "out of time")
         except NothingSent as error:
             return AttemptResult(AttemptEnd.NOT_RUN, Verdict.FAILED, error.detail)
         except LinkError as error:
+            watch.record_break()
             return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -12,6 +12,7 @@
 from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, is_newer_event
 from chivehold.core.direct.fleet import Verdict
 from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord
+from chivehold.direct.crash_watch import AttemptWatch
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.http_client import RawResponse
@@ -82,7 +83,11 @@
         return self._reply.started
 
     async def relay(
-        self, response: RawResponse, upstream: UpstreamRecord, event_timeout_s: float
+        self,
+        response: RawResponse,
+        upstream: UpstreamRecord,
+        event_timeout_s: float,
+        watch: AttemptWatch,
     ) -> AttemptResult:
         """Relay an engine's response.
 
@@ -91,6 +96,7 @@
             upstream: The engine.
             event_timeout_s: Longest time without data before the engine counts as failed, in
                 seconds; may be infinite.
+            watch: Watches the attempt.
 
         Raises:
             LinkError: The connection to the engine broke.
@@ -107,7 +113,7 @@
         if response.status != OK_STATUS:
             return await self._relay_error(response)
         try:
-            return await self._relay_stream(response, upstream, event_timeout_s)
+            return await self._relay_stream(response, upstream, event_timeout_s, watch)
         except _EventTimeout:
             return _failed(f"silent for {event_timeout_s} s")
         except EventTooLong:
@@ -142,7 +148,11 @@
         return AttemptResult(AttemptEnd.ANSWERED, Verdict.ERROR, f"status {response.status}")
 
     async def _relay_stream(
-        self, response: RawResponse, upstream: UpstreamRecord, event_timeout_s: float
+        self,
+        response: RawResponse,
+        upstream: UpstreamRecord,
+        event_timeout_s: float,
+        watch: AttemptWatch,
     ) -> AttemptResult:
         """Relay complete events as they arrive."""
         self._gaps.record_resumption()
@@ -154,8 +164,10 @@
                 if is_newer_event(event.event_id, self._last_event)
             ]
             if events:
+                watch.record_output()
                 await self._relay_events(response.headers, upstream, events)
         if splitter.remainder:
+            watch.record_break()
             # The unfinished event is not relayed; the caller never sees part of an event.
             return _failed("ended within an event")
         if not self._reply.started:
--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -314,6 +314,26 @@
         }
 
 
+async def refuses_connections(peer: str, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address.
+
+    Args:
+        peer: ``host:port`` with an IP address.
+        timeout_s: Time for the attempt in seconds; no answer within it is no refusal.
+    """
+    host, _, port = peer.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with trio.move_on_after(timeout_s), trio.socket.socket(family, socket.SOCK_STREAM) as sock:
+        try:
+            await sock.connect((host.strip("[]"), int(port)))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            # Any other failure lies on the way and says nothing about the process.
+            return False
+    return False
+
+
 def _request(
     peer: str, method: str, path: str, body: bytes, headers: Iterable[tuple[str, str]]
 ) -> httpcore.Request:
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -27,6 +27,8 @@
 TOKEN_COUNT = b"x-chivehold-token-count"
 """Prompt tokens and maximum output tokens, separated by a comma."""
 LENGTH_HINT = b"x-chivehold-length-hint"
+PROMPT_PARTS = b"x-chivehold-prompt-prefix"
+"""The parts of the whole prompt, as ``id:tokens`` separated by commas."""
 EXPECTED_UPSTREAM = b"x-chivehold-expect-instance"
 STAGE = b"x-chivehold-stage"
 KV_SOURCE = b"x-chivehold-kv-from"
@@ -113,6 +115,7 @@
             max_output_tokens=int(counts[1] or 0) if len(counts) > 1 else 0,
             output_tokens_hint=None if hint is None else int(hint),
             last_event=None if last_event is None else last_event.decode("latin-1"),
+            prompt_parts=_parse_prompt_parts(headers_by_name.get(PROMPT_PARTS, b"")),
         )
 
     def forwarded_headers(
@@ -258,6 +261,12 @@
     return value if 0 <= value < 1e12 else None
 
 
+def _parse_prompt_parts(text: bytes) -> tuple[str, ...]:
+    """Return the ids in a list of prompt parts; parts without an id are left out."""
+    ids = (part.partition(b":")[0].strip() for part in text.split(b","))
+    return tuple(part_id.decode("latin-1") for part_id in ids if part_id)
+
+
 def _parse_pause_s(text: bytes | None) -> float | None:
     """Return the seconds in a ``Retry-After``; one that cannot be read counts as a short pause."""
     if text is None:
