Failing test: prompts with one part end engine after engine

Four entries, three engines that are back half a second after an end, a prompt with the part every 0.3 s at the entries in turn, sound prompts with the same first part beside them.

--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform's upstreams over HTTP: a plain service and a model engine."""
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -49,6 +49,12 @@
         """Refuse each request without running it."""
         self.response_headers: list[tuple[str, str]] = []
         """Further headers of each response."""
+        self.is_crashed_by: Callable[[Mapping[str, str], bytes], bool] = lambda headers, body: False
+        """Whether a request with these headers and this body ends the process that runs it."""
+        self.crash_after_s = 0.05
+        """Time from the start of such a run to the end of the process."""
+        self.on_crash: Callable[[], None] = lambda: None
+        """Called at the end of the process; it has to close the listener and all connections."""
         self.received_at: list[float] = []
         """When each request was received, on the trio clock."""
         self.received: list[dict[str, str]] = []
@@ -101,11 +107,18 @@
     async def _run(self, headers: Mapping[str, str], body: bytes, send: Send) -> None:
         request = headers[REQUEST_ID_HEADER]
         self.runs.append(request)
+        await self._crash_if_due(headers, body)
         if self.silent:
             await trio.sleep_forever()
         await trio.sleep(self.work_s)
         await self._respond(request, body, send)
 
+    async def _crash_if_due(self, headers: Mapping[str, str], body: bytes) -> None:
+        if self.is_crashed_by(headers, body):
+            await trio.sleep(self.crash_after_s)
+            self.on_crash()
+            await trio.sleep_forever()
+
     def _response_body(self, request: str, request_body: bytes) -> bytes:
         """Return the body of the response to a request."""
         return self.body or f"{self.name} ran {request}".encode()
@@ -212,6 +225,7 @@
         self.held[request] = tokens
         self.runs.append(request)
         try:
+            await self._crash_if_due(headers, body)
             await self._stream(request, body, int(headers.get("last-event-id", 0)), send)
         finally:
             self.held.pop(request, None)
