--- /dev/null
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -0,0 +1,204 @@
+"""Finds the content that ends upstreams, from what was running there when they ended.
+
+An upstream that ends takes all its requests with it, and upstreams end for other reasons as well.
+So the end of an upstream makes suspects of the requests that had just begun there, and only of
+their content: the parts of their prompts, or the whole request. Content that runs without harm
+afterwards is cleared. What has been suspect at several ends in a row, never cleared in between, is
+what ends upstreams.
+
+A part that many prompts share is suspect whenever a bad part is. So content that was seen to run
+without harm before needs more ends, among several explanations the narrowest one counts, and ends
+that it explains count against nothing else.
+"""
+
+import math
+from collections.abc import Collection, Iterable, Iterator
+from typing import NamedTuple
+
+from chivehold.core.direct.crash_keys import CrashKey, KeyKind
+from chivehold.core.direct.messages import UpstreamIncarnation
+
+HERD_S = 0.25
+"""Ends within this time may have one common cause and count once."""
+ORDER_TOLERANCE_S = 0.05
+"""Uncertainty of times that other entries have told."""
+MAX_ENDS = 500
+MAX_CLEARED = 8_192
+"""Keys remembered as cleared; those that ran longest ago are forgotten first."""
+
+
+class CrashPolicy(NamedTuple):
+    """What is needed to quarantine content."""
+
+    ends: int = 3
+    """Ends under content that was never seen to run without harm."""
+    ends_if_sound_before: int = 6
+    """Ends in a row under content that once ran without harm."""
+    evidence_s: float = 300.0
+    """Age in seconds at which an end no longer counts."""
+    quarantine_s: float = 3_600.0
+    """Duration of a quarantine in seconds."""
+    settled_s: float = 0.5
+    """A stream that has sent events for this time has not ended its engine."""
+
+
+class Suspect(NamedTuple):
+    """Content of a request that had just begun when its upstream ended."""
+
+    key: CrashKey
+    sound_at: float | None
+    """When the reporting entry last saw it run without harm; monotonic seconds."""
+
+
+class UpstreamEnd(NamedTuple):
+    """An upstream's process ended under one request. Times are in monotonic seconds."""
+
+    upstream: UpstreamIncarnation
+    suspects: tuple[Suspect, ...]
+    """The keys of the request; those of the parts of its prompt in their order."""
+    sent_at: float
+    """When the request was sent to the upstream."""
+    ended_at: float
+
+
+class CrashFinding(NamedTuple):
+    """Content that ends upstreams, with what shows it."""
+
+    key: CrashKey
+    ends: int
+    """Number of ends that count."""
+    first_ended_at: float
+    last_ended_at: float
+    was_sound_before: bool
+
+
+class _Candidate(NamedTuple):
+    finding: CrashFinding
+    position: int
+    """Position among the keys of its requests; later ones are narrower."""
+    upstreams: frozenset[UpstreamIncarnation]
+
+
+class CrashEvidence:
+    """The ends of upstreams and what ran without harm, as far as this entry knows.
+
+    Args:
+        policy: What is needed for a finding.
+    """
+
+    def __init__(self, policy: CrashPolicy) -> None:
+        self._policy = policy
+        self._ends: list[UpstreamEnd] = []
+        self._cleared_at: dict[CrashKey, float] = {}
+
+    def record_end(self, end: UpstreamEnd) -> None:
+        """Record an end; one that is reported again, in any order, counts once."""
+        self._ends.append(end)
+        if len(self._ends) > MAX_ENDS:
+            self._ends.remove(min(self._ends, key=lambda known: known.ended_at))
+        for suspect in end.suspects:
+            if suspect.sound_at is not None:
+                self.record_sound(suspect.key, suspect.sound_at)
+
+    def record_sound(self, key: CrashKey, at: float) -> None:
+        """Record that content ran without harm; earlier ends no longer count against it."""
+        self._cleared_at[key] = max(at, self._cleared_at.pop(key, -math.inf))
+        if len(self._cleared_at) > MAX_CLEARED:
+            del self._cleared_at[next(iter(self._cleared_at))]
+
+    def sound_at(self, key: CrashKey) -> float | None:
+        """Return when content last ran without harm, or ``None`` if it was not seen to."""
+        return self._cleared_at.get(key)
+
+    def is_suspect(self, key: CrashKey, now: float) -> bool:
+        """Return whether an upstream ended under content that has not been cleared since."""
+        return any(
+            suspect.key == key and self._counts_against(key, end)
+            for end in self._recent(now)
+            for suspect in end.suspects
+        )
+
+    def find(self, known: Collection[CrashKey], now: float) -> Iterator[CrashFinding]:
+        """Yield the content that explains the ends so far.
+
+        Args:
+            known: Content found before; it explains its ends first.
+            now: Monotonic time in seconds.
+        """
+        ends = list(self._recent(now))
+        explained = {end.upstream for end in ends if any(s.key in known for s in end.suspects)}
+        while True:
+            ends = [end for end in ends if end.upstream not in explained]
+            candidates = [c for c in self._candidates(ends) if self._is_sufficient(c.finding)]
+            if not candidates:
+                return
+            narrowest = min(candidates, key=_narrowness)
+            yield narrowest.finding
+            explained |= narrowest.upstreams
+
+    def _recent(self, now: float) -> Iterable[UpstreamEnd]:
+        self._ends = [end for end in self._ends if now < end.ended_at + self._policy.evidence_s]
+        return self._ends
+
+    def _counts_against(self, key: CrashKey, end: UpstreamEnd) -> bool:
+        return end.ended_at > self._cleared_at.get(key, -math.inf)
+
+    def _candidates(self, ends: Iterable[UpstreamEnd]) -> Iterator[_Candidate]:
+        ends_by_key: dict[CrashKey, list[UpstreamEnd]] = {}
+        positions: dict[CrashKey, int] = {}
+        for end in ends:
+            for position, suspect in enumerate(end.suspects):
+                if self._counts_against(suspect.key, end):
+                    ends_by_key.setdefault(suspect.key, []).append(end)
+                    positions[suspect.key] = max(position, positions.get(suspect.key, 0))
+        for key, key_ends in ends_by_key.items():
+            counted = list(_independent(key_ends))
+            finding = CrashFinding(
+                key,
+                len(counted),
+                counted[0].ended_at,
+                counted[-1].ended_at,
+                key in self._cleared_at,
+            )
+            upstreams = frozenset(end.upstream for end in key_ends)
+            yield _Candidate(finding, positions[key], upstreams)
+
+    def _is_sufficient(self, finding: CrashFinding) -> bool:
+        policy = self._policy
+        needed = policy.ends_if_sound_before if finding.was_sound_before else policy.ends
+        return finding.ends >= needed
+
+
+def _independent(ends: Iterable[UpstreamEnd]) -> Iterator[UpstreamEnd]:
+    """Yield ends, oldest first, that have no common cause with the one before.
+
+    Those that come shortly after one another may have one, as when several upstreams lose power,
+    unless the request was sent only after the end before.
+    """
+    last: UpstreamEnd | None = None
+    seen: set[UpstreamIncarnation] = set()
+    for end in sorted(ends, key=lambda end: end.ended_at):
+        if end.upstream in seen:
+            continue
+        if last is None or _is_independent(last, end):
+            seen.add(end.upstream)
+            last = end
+            yield end
+
+
+def _is_independent(before: UpstreamEnd, end: UpstreamEnd) -> bool:
+    if end.ended_at >= before.ended_at + HERD_S:
+        return True
+    return end.sent_at >= before.ended_at - ORDER_TOLERANCE_S
+
+
+def _narrowness(candidate: _Candidate) -> tuple[bool, bool, int, int, str]:
+    finding = candidate.finding
+    is_part = finding.key.kind is KeyKind.PROMPT_PART
+    return (
+        finding.was_sound_before,
+        is_part,
+        -candidate.position,
+        -finding.ends,
+        finding.key.value,
+    )
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -12,7 +12,9 @@
 import trio
 
 from chivehold.bodies import BodyBudget
+from chivehold.core.direct.crash_evidence import CrashPolicy
 from chivehold.core.direct.fleet import Fleet, FleetChange
+from chivehold.core.direct.gossip import Gossip
 from chivehold.core.direct.routes import EngineConfig, RouteIndex, RouteTable
 from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
@@ -21,11 +23,13 @@
 from chivehold.direct.caller_app import CallerApp
 from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.engines import EngineClient
+from chivehold.direct.gossip_socket import GossipSocket
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.operator_app import OperatorApp, ReadyApp
 from chivehold.direct.plain_calls import PlainCalls
 from chivehold.direct.platform_binding import PlatformBinding
 from chivehold.direct.prefills import PrefillScheduler
+from chivehold.direct.quarantines import QuarantineHandlers, Quarantines
 from chivehold.direct.reservations import EngineMemoryReserver
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.signals import SignalReader
@@ -39,6 +43,7 @@
 from chivehold.settings import DirectSettings
 from chivehold.store.counted import CountedStore
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
+from chivehold.store.quarantine_records import QuarantineRecords
 from chivehold.store.roster import EntryRoster
 
 CONNECT_TIMEOUT_S = 0.3
@@ -53,6 +58,8 @@
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
 INCARNATION_BYTES = 6
+QUARANTINE_WAIT_S = 2.0
+"""How long after its start an entry waits for the stored quarantines before it is ready."""
 
 _log = logging.getLogger(__name__)
 
@@ -87,6 +94,7 @@
         self._settings = settings
         self._logs = logs
         self._nursery = nursery
+        self._started_at = trio.current_time()
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_requested = trio.Event()
         self._settings_file = SettingsFile(path, settings, self._apply_settings)
@@ -109,7 +117,18 @@
         self._reserver = EngineMemoryReserver(
             self._fleet, engines, self._engine_config, nursery, rng
         )
-        crashes = CrashWatch(nursery, self._metrics)
+        name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._gossip = Gossip(settings.name, rng)
+        self._exchange = GossipSocket(self._gossip, lambda item: self._quarantines.learn(item))
+        self._quarantines = Quarantines(
+            name,
+            _crash_policy(settings),
+            QuarantineHandlers(
+                self._exchange.tell, lambda: self._quarantine_records.notify_changed()
+            ),
+            self._metrics,
+        )
+        crashes = CrashWatch(nursery, self._quarantines, settings.crash_settled_s, self._metrics)
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
@@ -152,9 +171,23 @@
             ChangeHandlers(self._apply_routes, self._apply_fleet_change),
             rng,
         )
-        name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._quarantine_records = QuarantineRecords(
+            store,
+            name,
+            self._quarantines.orders,
+            lambda order: self._quarantines.learn_order(order, "store"),
+            lambda: self._roster.count,
+            rng,
+        )
         self._roster = EntryRoster(
-            store, settings.name, name, settings.entries_most, self._configure_retries, rng
+            store,
+            settings.name,
+            name,
+            settings.entries_most,
+            self._configure_retries,
+            rng,
+            lambda: self._gossip.address,
+            self._gossip.set_peers,
         )
         self._control_lease = LeaseKeeper(
             store,
@@ -175,10 +208,18 @@
             self._metrics,
         )
 
+    @property
+    def quarantines(self) -> Quarantines:
+        """The content that is refused."""
+        return self._quarantines
+
     async def run(
         self, task_status: trio.TaskStatus[DirectAddresses] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until stopped by a signal, then drain."""
+        if self._settings.exchange_address is not None:
+            await self._nursery.start(self._exchange.run, self._settings.exchange_address)
+        self._nursery.start_soon(self._quarantine_records.run)
         self._nursery.start_soon(self._replicas.run)
         self._nursery.start_soon(self._run_control_tasks)
         await self._nursery.start(self._await_signals)
@@ -301,7 +342,12 @@
             return "draining"
         if not self._callers.configuration:
             return "no routes known yet"
-        return "" if self._fleet.upstreams else "no upstreams known yet"
+        if not self._fleet.upstreams:
+            return "no upstreams known yet"
+        waits = trio.current_time() < self._started_at + QUARANTINE_WAIT_S
+        if waits and not self._quarantine_records.is_loaded:
+            return "quarantines not read yet"
+        return ""
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
         return self._metrics.render(
@@ -327,11 +373,22 @@
                 "held": self._control_lease.is_held(),
                 "holders": self._control_lease.holders,
             },
+            "quarantines": list(self._quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
             "log_lines_dropped": self._logs.dropped,
         }
 
 
+def _crash_policy(settings: DirectSettings) -> CrashPolicy:
+    return CrashPolicy(
+        settings.crash_ends,
+        settings.crash_ends_if_sound_before,
+        settings.crash_evidence_s,
+        settings.quarantine_s,
+        settings.crash_settled_s,
+    )
+
+
 def _settings_to_log(settings: DirectSettings) -> dict[str, object]:
     """Return the settings to log, without the configured listen addresses."""
     return {
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -2,62 +2,136 @@
 
 import trio
 
+from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.messages import UpstreamRecord
+from chivehold.core.direct.quarantine import Quarantine
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.quarantines import Quarantines
+from chivehold.direct.refusals import Refusal, not_run_refusal
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
 
-SETTLED_AFTER_S = 0.5
-"""A stream that has sent events for this time is not what ends its engine afterwards."""
+SUSPECT_KINDS = frozenset((KeyKind.PROMPT_PART,))
+"""Kinds of content that are looked for."""
 
 
 class CrashWatch:
-    """Collects which requests were running at upstreams that ended.
+    """Tells which requests were running at upstreams that ended, and refuses their like.
 
     Args:
         nursery: Runs the probes of upstreams.
+        quarantines: Gets the evidence and decides.
+        settled_s: A stream that has sent events for this time is no suspect, in seconds.
         metrics: Counts the ends.
     """
 
-    def __init__(self, nursery: trio.Nursery, metrics: DirectMetrics) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        quarantines: Quarantines,
+        settled_s: float,
+        metrics: DirectMetrics,
+    ) -> None:
+        self._quarantines = quarantines
+        self._settled_s = settled_s
         self._metrics = metrics
         self._ends = UpstreamEndDetector(nursery, self._record_end)
 
-    def start_attempt(self, exchange: Exchange, upstream: UpstreamRecord) -> "AttemptWatch":
-        """Return the watch of an attempt that is about to be sent."""
-        return AttemptWatch(self, exchange, upstream)
+    @property
+    def settled_s(self) -> float:
+        """A stream that has sent events for this time is no suspect, in seconds."""
+        return self._settled_s
+
+    def refusal(self, exchange: Exchange) -> Refusal | None:
+        """Return the refusal of a request whose content is quarantined, or ``None``."""
+        order = self._quarantines.find(exchange.crash_keys)
+        if order is None:
+            return None
+        exchange.log("request quarantined", key=str(order.key), version=order.version)
+        return _refusal(order)
+
+    def is_quarantined(self, exchange: Exchange) -> bool:
+        """Return whether requests with this content are refused now."""
+        return self._quarantines.find(exchange.crash_keys) is not None
+
+    def start_attempt(
+        self, exchange: Exchange, upstream: UpstreamRecord, has_settled: bool = False
+    ) -> "AttemptWatch":
+        """Return the watch of an attempt that is about to be sent.
+
+        Args:
+            exchange: The request.
+            upstream: The upstream.
+            has_settled: Whether an earlier attempt has shown that the content is harmless.
+        """
+        return AttemptWatch(self, exchange, upstream, has_settled)
 
     def record_break(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
         """Record that the connection of an attempt broke before it had settled."""
         if not upstream.draining:
             self._ends.record_break(upstream, broken)
 
+    def record_sound(self, keys: tuple[CrashKey, ...]) -> None:
+        """Record that an attempt at a request with these keys ran without harm."""
+        self._quarantines.record_sound(keys)
+
     def _record_end(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
         self._metrics.count_end_under_request(upstream.service)
+        self._quarantines.record_end(upstream, broken)
 
 
 class AttemptWatch:
     """One attempt at one upstream."""
 
-    def __init__(self, crashes: CrashWatch, exchange: Exchange, upstream: UpstreamRecord) -> None:
+    def __init__(
+        self,
+        crashes: CrashWatch,
+        exchange: Exchange,
+        upstream: UpstreamRecord,
+        has_settled: bool,
+    ) -> None:
         self._crashes = crashes
-        self._exchange = exchange
+        self._request_id = exchange.request_id
+        self._keys = tuple(key for key in exchange.crash_keys if key.kind in SUSPECT_KINDS)
         self._upstream = upstream
         self._sent_at = trio.current_time()
         self._first_output_at: float | None = None
+        self._has_settled = has_settled
+        self._is_suspect = False
+
+    @property
+    def has_settled(self) -> bool:
+        """Whether the attempt, or one before it, has run without harm for long enough."""
+        return self._has_settled
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether its connection broke before it had settled."""
+        return self._is_suspect
 
     def record_output(self) -> None:
         """Record that the upstream has sent a part of its output."""
+        now = trio.current_time()
         if self._first_output_at is None:
-            self._first_output_at = trio.current_time()
+            self._first_output_at = now
+        if now >= self._first_output_at + self._crashes.settled_s:
+            self.record_sound()
+
+    def record_sound(self) -> None:
+        """Record that the attempt ran without harm to its upstream."""
+        if not self._has_settled:
+            self._has_settled = True
+            self._crashes.record_sound(self._keys)
 
     def record_break(self) -> None:
-        """Record that the connection broke; a settled attempt is no suspect."""
-        now = trio.current_time()
-        if not self._has_settled(now):
-            exchange = self._exchange
-            broken = BrokenRequest(exchange.request_id, exchange.crash_keys, self._sent_at, now)
+        """Record that the connection broke; an attempt that has settled is no suspect."""
+        if not self._has_settled:
+            self._is_suspect = True
+            now = trio.current_time()
+            broken = BrokenRequest(self._request_id, self._keys, self._sent_at, now)
             self._crashes.record_break(self._upstream, broken)
 
-    def _has_settled(self, now: float) -> bool:
-        return self._first_output_at is not None and now >= self._first_output_at + SETTLED_AFTER_S
+
+def _refusal(order: Quarantine) -> Refusal:
+    left_s = max(0.0, order.until - trio.current_time())
+    return not_run_refusal("quarantined", "such requests end upstreams", left_s)
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -46,6 +46,15 @@
             None,
             registry,
         )
+        self._quarantine_orders = Counter(
+            "chivehold_quarantine_orders_total",
+            "Orders to refuse content that ends upstreams, or to refuse it no longer.",
+            None,
+            registry,
+        )
+        self._quarantines = Gauge(
+            "chivehold_quarantines", "Content that is refused now.", None, registry
+        )
         self._response_times = Histogram(
             "chivehold_answer_seconds",
             "Time from a request's arrival to its answer, for streams to the first event.",
@@ -108,6 +117,14 @@
         """Count a request that had just begun at an upstream when the upstream ended."""
         self._ends_under_requests.inc({"service": service})
 
+    def count_quarantine_order(self, is_active: bool) -> None:
+        """Count an order that begins or lifts a quarantine."""
+        self._quarantine_orders.inc({"order": "begin" if is_active else "lift"})
+
+    def set_quarantines(self, count: int) -> None:
+        """Record the number of quarantines in force."""
+        self._quarantines.set({}, count)
+
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request that has ended."""
         self._requests.inc({"kind": kind, "outcome": outcome})
--- /dev/null
+++ b/src/chivehold/direct/quarantines.py
@@ -0,0 +1,205 @@
+"""Refuses content that ends upstreams: gathers evidence, decides, and tells the other entries."""
+
+import logging
+from collections.abc import Callable, Collection, Iterator
+from typing import NamedTuple
+
+import trio
+
+from chivehold.core.direct.crash_evidence import (
+    CrashEvidence,
+    CrashFinding,
+    CrashPolicy,
+    Suspect,
+    UpstreamEnd,
+)
+from chivehold.core.direct.crash_facts import CrashFact, SoundRun
+from chivehold.core.direct.crash_keys import CrashKey
+from chivehold.core.direct.gossip import GossipItem
+from chivehold.core.direct.messages import UpstreamRecord, incarnation_of
+from chivehold.core.direct.quarantine import Quarantine, QuarantineList
+from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.upstream_ends import BrokenRequest
+from chivehold.exceptions import Malformed
+from chivehold.logs import log_event
+from chivehold.rpc.convert_gossip import decode_fact, encode_fact
+
+MS_PER_S = 1_000
+
+_log = logging.getLogger(__name__)
+
+
+class QuarantineHandlers(NamedTuple):
+    """Where new facts go."""
+
+    tell: Callable[[GossipItem], None]
+    """Tells a fact to the other entries."""
+    store: Callable[[], None]
+    """Called when there is a new order that has to outlast the entries."""
+
+
+class Quarantines:
+    """What this entry knows of content that ends upstreams.
+
+    Args:
+        incarnation: This run of the entry; part of the ids of its facts.
+        policy: What is needed to quarantine content, and for how long.
+        handlers: Where new facts go.
+        metrics: Counts quarantines.
+    """
+
+    def __init__(
+        self,
+        incarnation: EntryIncarnation,
+        policy: CrashPolicy,
+        handlers: QuarantineHandlers,
+        metrics: DirectMetrics,
+    ) -> None:
+        self._incarnation = incarnation
+        self._policy = policy
+        self._handlers = handlers
+        self._metrics = metrics
+        self._evidence = CrashEvidence(policy)
+        self._list = QuarantineList()
+        self._told = 0
+
+    def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
+        """Return an active quarantine of a request with these keys, or ``None``."""
+        return self._list.find(keys, trio.current_time())
+
+    def orders(self) -> Iterator[Quarantine]:
+        """Yield all orders in force, also those that lift a quarantine."""
+        return self._list.orders(trio.current_time())
+
+    def record_end(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
+        """Record that an upstream ended under a request of this entry."""
+        suspects = tuple(Suspect(key, self._evidence.sound_at(key)) for key in broken.keys)
+        if not suspects:
+            return
+        end = UpstreamEnd(incarnation_of(upstream), suspects, broken.sent_at, broken.broken_at)
+        self._evidence.record_end(end)
+        self._tell("end", end, self._policy.evidence_s)
+        self._decide()
+
+    def record_sound(self, keys: Collection[CrashKey]) -> None:
+        """Record that a request with these keys ran without harm."""
+        now = trio.current_time()
+        cleared = [key for key in keys if self._evidence.is_suspect(key, now)]
+        for key in keys:
+            self._evidence.record_sound(key, now)
+        for key in cleared:
+            self._tell("sound", SoundRun(key, now), self._policy.evidence_s)
+            log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
+        for key in keys:
+            if self._list.find((key,), now) is not None:
+                self.order(key, False, "ran without harm")
+
+    def learn(self, item: GossipItem) -> None:
+        """Take in a fact that another entry has told."""
+        try:
+            fact = decode_fact(item)
+        except Malformed as error:
+            log_event(_log, logging.WARNING, "fact unreadable", error, item=item.item_id)
+            return
+        if isinstance(fact, UpstreamEnd):
+            self._learn_end(fact)
+        elif isinstance(fact, SoundRun):
+            self._evidence.record_sound(fact.key, fact.at)
+        elif isinstance(fact, Quarantine):
+            self.learn_order(fact, "another entry")
+
+    def learn_order(self, order: Quarantine, source: str) -> None:
+        """Take in an order from another entry or from the store."""
+        if self._list.merge(order, trio.current_time()):
+            self._apply(order, source)
+
+    def order(self, key: CrashKey, is_active: bool, reason: str) -> None:
+        """Quarantine content, or lift its quarantine, at all entries."""
+        now = trio.current_time()
+        until = now + self._policy.quarantine_s
+        order = Quarantine(key, self._list.next_version(key), is_active, until)
+        self._list.merge(order, now)
+        self._apply(order, reason)
+        item_id = f"quarantine/{key}/{order.version}/{is_active}"
+        self._handlers.tell(GossipItem(item_id, encode_fact(order, now), now, until - now))
+
+    def dump(self, now: float) -> Iterator[dict[str, object]]:
+        """Yield the quarantines for the operators' dump."""
+        for order in self._list.orders(now):
+            yield {
+                "key": str(order.key),
+                "active": order.is_active,
+                "version": order.version,
+                "left_s": round(order.until - now),
+            }
+
+    def _learn_end(self, end: UpstreamEnd) -> None:
+        known_sound = [
+            (suspect.key, sound_at)
+            for suspect in end.suspects
+            if suspect.sound_at is None
+            and (sound_at := self._evidence.sound_at(suspect.key)) is not None
+        ]
+        self._evidence.record_end(end)
+        log_event(
+            _log,
+            logging.INFO,
+            "upstream ended under request of another entry",
+            None,
+            peer=end.upstream.name,
+            keys=[str(suspect.key) for suspect in end.suspects],
+            age_ms=_age_ms(end.ended_at),
+        )
+        for key, sound_at in known_sound:
+            self._tell("sound", SoundRun(key, sound_at), self._policy.evidence_s)
+        self._decide()
+
+    def _decide(self) -> None:
+        now = trio.current_time()
+        for finding in list(self._evidence.find(self._list.active_keys(now), now)):
+            _log_finding(finding)
+            self.order(finding.key, True, "ends upstreams")
+
+    def _apply(self, order: Quarantine, reason: str) -> None:
+        now = trio.current_time()
+        if not order.is_active:
+            # Ends before the order must not quarantine the content again.
+            self._evidence.record_sound(order.key, now)
+        self._metrics.count_quarantine_order(order.is_active)
+        self._metrics.set_quarantines(len(self._list.active_keys(now)))
+        log_event(
+            _log,
+            logging.WARNING,
+            "quarantine begun" if order.is_active else "quarantine lifted",
+            None,
+            key=str(order.key),
+            version=order.version,
+            left_s=round(order.until - now),
+            reason=reason,
+        )
+        self._handlers.store()
+
+    def _tell(self, kind: str, fact: CrashFact, lifetime_s: float) -> None:
+        now = trio.current_time()
+        self._told += 1
+        item_id = f"{kind}/{self._incarnation}/{self._told}"
+        self._handlers.tell(GossipItem(item_id, encode_fact(fact, now), now, lifetime_s))
+
+
+def _log_finding(finding: CrashFinding) -> None:
+    log_event(
+        _log,
+        logging.WARNING,
+        "content ends upstreams",
+        None,
+        key=str(finding.key),
+        ends=finding.ends,
+        first_age_ms=_age_ms(finding.first_ended_at),
+        last_age_ms=_age_ms(finding.last_ended_at),
+        was_sound_before=finding.was_sound_before,
+    )
+
+
+def _age_ms(at: float) -> int:
+    return round((trio.current_time() - at) * MS_PER_S)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -41,6 +41,8 @@
 REFUSING_ENGINE_PAUSE_S = 3.0
 """Suspension of a decode engine that refuses a request for which it granted memory."""
 MIN_TIME_LEFT_S = 0.1
+MAX_SUSPECT_BREAKS = 2
+"""Engines that may break off a stream that has just begun; it may be what ends them."""
 FULL_RETRY_S = 2.0
 
 
@@ -240,6 +242,9 @@
         )
         self._broken_attempts = 0
         self._refusals = 0
+        self._suspect_breaks = 0
+        self._has_settled = False
+        """Whether an engine has sent events for so long that the content is harmless."""
         self._failed_engines: set[str] = set()
 
     @property
@@ -252,6 +257,8 @@
         while True:
             if self._exchange.time_left_s() < MIN_TIME_LEFT_S:
                 return self._refusal("timeout", "no time is left", 504)
+            if refusal := self._quarantine_refusal():
+                return refusal
             reservation = await self._calls.reserve(
                 self._exchange,
                 self._engine_config,
@@ -261,6 +268,8 @@
             if isinstance(reservation, ReservationRefused):
                 return self._reservation_refusal(reservation)
             result = await self._attempt(reservation)
+            if result.end is AttemptEnd.QUARANTINED:
+                continue
             if result.end is AttemptEnd.WHOLE:
                 last_event = self._relay.last_event
                 self._calls.record_length(self._exchange, self._engine_config, last_event)
@@ -283,7 +292,8 @@
         route = self._exchange.route
         if result.end is AttemptEnd.BROKEN:
             self._broken_attempts += 1
-            if not route.retryable or self._broken_attempts >= route.max_upstreams:
+            may_repeat = route.retryable and self._suspect_breaks < MAX_SUSPECT_BREAKS
+            if not may_repeat or self._broken_attempts >= route.max_upstreams:
                 return self._refusal("broken", "the engine's stream broke off", 502)
         else:
             self._refusals += 1
@@ -296,6 +306,15 @@
             return unknown_outcome_refusal(status, reason, message)
         return not_run_refusal(reason, message, FULL_RETRY_S)
 
+    def _is_quarantined(self) -> bool:
+        return self._calls.crashes.is_quarantined(self._exchange)
+
+    def _quarantine_refusal(self) -> Refusal | None:
+        refusal = self._calls.crashes.refusal(self._exchange)
+        if refusal is not None and self._broken_attempts:
+            return unknown_outcome_refusal(502, refusal.reason, refusal.message)
+        return refusal
+
     def _reservation_refusal(self, reservation: ReservationRefused) -> Refusal:
         if self._broken_attempts:
             return unknown_outcome_refusal(
@@ -309,8 +328,11 @@
         result = AttemptResult(AttemptEnd.BROKEN, Verdict.UNKNOWN, "cancelled")
         sent = False
         try:
-            if self._should_prefill():
+            if self._should_prefill() and not self._is_quarantined():
                 prefilled = await self._calls.prefill(self._exchange)
+            if self._is_quarantined():
+                result = AttemptResult(AttemptEnd.QUARANTINED, Verdict.UNKNOWN)
+                return result
             sent = True
             source = prefilled.source if prefilled else None
             result = await self._decode(reservation, source)
@@ -347,7 +369,9 @@
             hold=reservation.hold,
             last_event=self._relay.last_event,
         )
-        watch = self._calls.crashes.start_attempt(self._exchange, reservation.upstream)
+        watch = self._calls.crashes.start_attempt(
+            self._exchange, reservation.upstream, self._has_settled
+        )
         try:
             with trio.move_on_at(self._exchange.expires_at):
                 async with self._calls.engines.decode(
@@ -361,3 +385,6 @@
         except LinkError as error:
             watch.record_break()
             return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
+        finally:
+            self._has_settled = watch.has_settled
+            self._suspect_breaks += watch.is_suspect
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -34,6 +34,8 @@
     BROKEN = "broken"
     ANSWERED = "answered"
     """The engine sent an error response instead of a stream, which was relayed."""
+    QUARANTINED = "quarantined"
+    """The content was found to end engines before the request was sent."""
 
 
 class AttemptResult(NamedTuple):
@@ -170,6 +172,7 @@
             watch.record_break()
             # The unfinished event is not relayed; the caller never sees part of an event.
             return _failed("ended within an event")
+        watch.record_sound()
         if not self._reply.started:
             await self._start_reply(response.headers)
         await self._reply.send_end()
--- a/src/chivehold/platform/__init__.py
+++ b/src/chivehold/platform/__init__.py
@@ -11,13 +11,17 @@
 from chivehold.platform.store import PlatformStore
 from chivehold.platform.upstream_records import UPSTREAM_KIND, decode_upstream
 from chivehold.store.leases import LEASE_KIND
+from chivehold.store.quarantine_records import QUARANTINE_KIND
 from chivehold.store.roster import ENTRY_KIND
 
 __all__ = ["BINDING", "PlatformDialect", "PlatformStore", "decode_configuration", "decode_upstream"]
 
 
+OWN_KINDS = frozenset((LEASE_KIND, ENTRY_KIND, QUARANTINE_KIND))
+
+
 def _open_store(address: str, client: HttpClient) -> PlatformStore:
-    return PlatformStore(address, client, own_kinds=frozenset((LEASE_KIND, ENTRY_KIND)))
+    return PlatformStore(address, client, own_kinds=OWN_KINDS)
 
 
 BINDING = PlatformBinding(
--- /dev/null
+++ b/src/chivehold/rpc/convert_gossip.py
@@ -0,0 +1,162 @@
+"""Converts what entries tell one another between the schema and the core's types.
+
+On the wire all times are ages, so that the clocks of the entries need not agree. The time on the
+way is added to them; it is far below the times that matter.
+"""
+
+from google.protobuf.message import DecodeError
+
+from chivehold.core.direct.crash_evidence import Suspect, UpstreamEnd
+from chivehold.core.direct.crash_facts import CrashFact, SoundRun
+from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.core.direct.gossip import MAX_LIFETIME_S, GossipItem, GossipMessage
+from chivehold.core.direct.messages import UpstreamIncarnation
+from chivehold.core.direct.quarantine import Quarantine
+from chivehold.exceptions import Malformed
+from chivehold.rpc import chivehold_pb2 as pb
+
+MS_PER_S = 1_000
+MAX_AGE_MS = (1 << 32) - 1
+MAX_ID_LENGTH = 200
+
+
+def encode_message(message: GossipMessage, now: float) -> bytes:
+    """Return the datagram of a message."""
+    return pb.GossipMessage(
+        sender=message.sender,
+        address=message.address,
+        items=[
+            pb.GossipItem(
+                id=item.item_id,
+                age_ms=_age_ms(item.told_at, now),
+                lifetime_ms=_ms(item.lifetime_s),
+                fact=item.fact,
+            )
+            for item in message.items
+        ],
+        digest=message.digest,
+        asks_for_items=message.asks_for_items,
+    ).SerializeToString()
+
+
+def decode_message(datagram: bytes, now: float) -> GossipMessage:
+    """Parse a datagram.
+
+    Raises:
+        Malformed: It is no message of an entry.
+    """
+    try:
+        message = pb.GossipMessage.FromString(datagram)
+    except DecodeError as error:
+        raise Malformed("decode GossipMessage", "", str(error)) from error
+    if not message.sender:
+        raise Malformed("decode GossipMessage.sender", "", "empty")
+    items = (_item_from_proto(item, now) for item in message.items)
+    return GossipMessage(
+        message.sender, message.address, tuple(items), message.digest, message.asks_for_items
+    )
+
+
+def encode_fact(fact: CrashFact, told_at: float) -> bytes:
+    """Return a fact as it is told first at a moment."""
+    if isinstance(fact, UpstreamEnd):
+        return pb.Fact(upstream_end=_end_to_proto(fact, told_at)).SerializeToString()
+    if isinstance(fact, SoundRun):
+        sound_run = pb.SoundRunFact(key=_key_to_proto(fact.key), ago_ms=_age_ms(fact.at, told_at))
+        return pb.Fact(sound_run=sound_run).SerializeToString()
+    quarantine = pb.QuarantineFact(
+        key=_key_to_proto(fact.key),
+        version=fact.version,
+        active=fact.is_active,
+        left_ms=_ms(max(0.0, fact.until - told_at)),
+    )
+    return pb.Fact(quarantine=quarantine).SerializeToString()
+
+
+def decode_fact(item: GossipItem) -> CrashFact | None:
+    """Return the fact in an item, or ``None`` if this version does not know its kind.
+
+    Raises:
+        Malformed: It cannot be read.
+    """
+    try:
+        fact = pb.Fact.FromString(item.fact)
+    except DecodeError as error:
+        raise Malformed("decode Fact", "", str(error)) from error
+    kind = fact.WhichOneof("kind")
+    if kind == "upstream_end":
+        return _end_from_proto(fact.upstream_end, item.told_at)
+    if kind == "sound_run":
+        at = item.told_at - fact.sound_run.ago_ms / MS_PER_S
+        return SoundRun(_key_from_proto(fact.sound_run.key), at)
+    if kind == "quarantine":
+        return Quarantine(
+            _key_from_proto(fact.quarantine.key),
+            fact.quarantine.version,
+            fact.quarantine.active,
+            item.told_at + fact.quarantine.left_ms / MS_PER_S,
+        )
+    return None
+
+
+def _item_from_proto(item: pb.GossipItem, now: float) -> GossipItem:
+    if not item.id or len(item.id) > MAX_ID_LENGTH:
+        raise Malformed("decode GossipItem.id", "", item.id[:MAX_ID_LENGTH])
+    lifetime_s = min(MAX_LIFETIME_S, item.lifetime_ms / MS_PER_S)
+    return GossipItem(item.id, item.fact, now - item.age_ms / MS_PER_S, lifetime_s)
+
+
+def _end_to_proto(end: UpstreamEnd, told_at: float) -> pb.UpstreamEndFact:
+    return pb.UpstreamEndFact(
+        upstream=end.upstream.name,
+        started_ms=end.upstream.started_ms,
+        suspects=[_suspect_to_proto(suspect, told_at) for suspect in end.suspects],
+        sent_ago_ms=_age_ms(end.sent_at, told_at),
+        ended_ago_ms=_age_ms(end.ended_at, told_at),
+    )
+
+
+def _end_from_proto(message: pb.UpstreamEndFact, told_at: float) -> UpstreamEnd:
+    if not message.upstream:
+        raise Malformed("decode UpstreamEndFact.upstream", "", "empty")
+    return UpstreamEnd(
+        UpstreamIncarnation(message.upstream, message.started_ms),
+        tuple(_suspect_from_proto(suspect, told_at) for suspect in message.suspects),
+        told_at - message.sent_ago_ms / MS_PER_S,
+        told_at - message.ended_ago_ms / MS_PER_S,
+    )
+
+
+def _suspect_to_proto(suspect: Suspect, told_at: float) -> pb.Suspect:
+    key = _key_to_proto(suspect.key)
+    if suspect.sound_at is None:
+        return pb.Suspect(key=key)
+    return pb.Suspect(key=key, sound_ago_ms=_age_ms(suspect.sound_at, told_at))
+
+
+def _suspect_from_proto(message: pb.Suspect, told_at: float) -> Suspect:
+    sound_at: float | None = None
+    if message.HasField("sound_ago_ms"):
+        sound_at = told_at - message.sound_ago_ms / MS_PER_S
+    return Suspect(_key_from_proto(message.key), sound_at)
+
+
+def _key_to_proto(key: CrashKey) -> pb.CrashKey:
+    return pb.CrashKey(kind=key.kind, value=key.value)
+
+
+def _key_from_proto(message: pb.CrashKey) -> CrashKey:
+    if not message.value or len(message.value) > MAX_VALUE_LENGTH:
+        raise Malformed("decode CrashKey.value", "", message.value[:MAX_VALUE_LENGTH])
+    try:
+        return CrashKey(KeyKind(message.kind), message.value)
+    except ValueError:
+        raise Malformed("decode CrashKey.kind", "", message.kind[:MAX_VALUE_LENGTH]) from None
+
+
+def _age_ms(at: float, now: float) -> int:
+    return _ms(max(0.0, now - at))
+
+
+def _ms(seconds: float) -> int:
+    return min(MAX_AGE_MS, round(seconds * MS_PER_S))
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -160,6 +160,18 @@
     """Idle connections of callers are closed after this time."""
     max_requests: int = 1024
     """Maximum number of concurrent requests."""
+    exchange_address: str | None = None
+    """``host:port`` for datagrams between the entries; ``None`` if they tell each other nothing."""
+    crash_ends: int = 3
+    """Ends of upstreams under the same content after which it is refused."""
+    crash_ends_if_sound_before: int = 6
+    """The same for content that was seen to run without harm before."""
+    crash_evidence_s: float = 300.0
+    """Age at which such an end no longer counts."""
+    crash_settled_s: float = 0.5
+    """A stream that has sent events for this time has not ended its engine."""
+    quarantine_s: float = 3_600.0
+    """How long such content is refused."""
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
@@ -287,6 +299,16 @@
     max_held_bytes: _Bytes
     idle_timeout_s: _Seconds
     max_requests: _Count
+    exchange_address: _Address
+    crash_ends: Annotated[int, msgspec.Meta(ge=2, le=100, description="a count, 2 to 100")]
+    crash_ends_if_sound_before: Annotated[
+        int, msgspec.Meta(ge=2, le=100, description="a count, 2 to 100")
+    ]
+    crash_evidence_s: _Seconds
+    crash_settled_s: _Seconds
+    quarantine_s: Annotated[
+        float, msgspec.Meta(gt=0, le=86_400, description="seconds above 0, at most 86400")
+    ]
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
--- a/src/chivehold/store/roster.py
+++ b/src/chivehold/store/roster.py
@@ -10,8 +10,9 @@
 import math
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
+import msgspec
 import trio
 from returns.result import Failure
 
@@ -41,11 +42,18 @@
 _log = logging.getLogger(__name__)
 
 
+class _EntryJson(TypedDict):
+    incarnation: str
+    address: str
+    """``host:port`` that takes the entry's datagrams; empty if it takes none."""
+
+
 class _Observation(NamedTuple):
-    """The version of an entry's object and when that version was first seen."""
+    """The version of an entry's object, when that version was first seen, and its address."""
 
     version: int
     first_seen_at: float
+    address: str
 
 
 class EntryRoster:
@@ -58,6 +66,8 @@
         initial_count: The number of entries to assume until the first list.
         publish: Called with the number of entries whenever it has changed.
         rng: Source of jitter for delays.
+        address: ``host:port`` that takes this entry's datagrams, told to the others.
+        publish_addresses: Called with the addresses of the entries by name after each list.
     """
 
     def __init__(
@@ -68,12 +78,16 @@
         initial_count: int,
         publish: Callable[[int], None],
         rng: Random,
+        address: Callable[[], str] = lambda: "",
+        publish_addresses: Callable[[dict[str, str]], None] = lambda addresses: None,
     ) -> None:
         self._store = store
         self._name = name
         self._incarnation = incarnation
         self._publish = publish
         self._rng = rng
+        self._address = address
+        self._publish_addresses = publish_addresses
         self._count = initial_count
         self._names: frozenset[str] = frozenset()
         self._first_written_at: float | None = None
@@ -129,7 +143,9 @@
             return True
         self._writes += 1
         operation_id = f"{self._incarnation}/{self._writes}"
-        value = self._incarnation.encode()
+        value = msgspec.json.encode(
+            _EntryJson(incarnation=self._incarnation, address=self._address())
+        )
         write = Write(ENTRY_KIND, self._name, value, self._version, operation_id)
         written = await write_and_confirm(self._store, write, self._rng, max_read_backs=1)
         if isinstance(written, Failure):
@@ -160,6 +176,7 @@
             for name, observation in self._observations.items()
             if now - observation.first_seen_at < STALE_AFTER_S
         )
+        self._publish_addresses({name: self._observations[name].address for name in self._names})
         count = len(self._names)
         if count and count != self._count:
             log_event(_log, logging.INFO, "entries counted", entries=count, before=self._count)
@@ -181,4 +198,12 @@
         known = self._observations.get(stored.name)
         if known is not None and known.version == stored.version:
             return known
-        return _Observation(stored.version, now)
+        return _Observation(stored.version, now, _decode_address(stored.value))
+
+
+def _decode_address(value: bytes) -> str:
+    """Return the address in an entry's object, empty if an earlier version has written it."""
+    try:
+        return msgspec.json.decode(value, type=_EntryJson)["address"]
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -213,6 +213,7 @@
             shutdown_s=8.0,
             routes_deadline_ms=200,
             upstreams_deadline_ms=200,
+            exchange_address="127.0.0.1:0",
         )._replace(**settings)
         logs = DroppedLogLines(
             RateLimitFilter(1_000), NonBlockingHandler(os.open(os.devnull, os.O_WRONLY))
--- /dev/null
+++ b/tests/direct/test_quarantines.py
@@ -0,0 +1,125 @@
+"""Quarantines across several entries and the store, over real sockets."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from chivehold.core.direct.crash_keys import CrashKey, KeyKind
+from chivehold.fakes.metadata_store import MetadataStore
+from chivehold.fakes.platform_upstream import ModelEngine
+from chivehold.http_client import HttpResponse
+from chivehold.store.quarantine_records import QUARANTINE_KIND, QUARANTINE_NAME
+from tests.direct.harness import EntryHarness, running_entry, wait_until
+
+SPREAD_S = 1.0
+PART = CrashKey(KeyKind.PROMPT_PART, "badbad")
+PROMPT = {"x-chivehold-prompt-prefix": "f1a57:40,badbad:50,own1:10"}
+SOUND_PROMPT = {"x-chivehold-prompt-prefix": "f1a57:40,own2:10"}
+
+
+async def ask(harness: EntryHarness, prompt: dict[str, str] = PROMPT) -> HttpResponse:
+    tokens = {"x-chivehold-token-count": "100,200"}
+    return await harness.call("/tell/a", "r1", "POST", b"prompt", {**prompt, **tokens})
+
+
+def order(harness: EntryHarness, is_active: bool = True) -> None:
+    harness.entry.quarantines.order(PART, is_active, "by the test")
+
+
+def quarantined(harness: EntryHarness) -> list[str]:
+    dump = harness.entry.dump()["quarantines"]
+    return [order["key"] for order in dump if order["active"]]
+
+
+def is_stored(store: MetadataStore) -> bool:
+    return (QUARANTINE_KIND, QUARANTINE_NAME) in store.names()
+
+
+@asynccontextmanager
+async def entries(
+    tmp_path: Path, store: MetadataStore, count: int
+) -> AsyncIterator[list[EntryHarness]]:
+    """Run entries with one engine that share a store."""
+    async with AsyncExitStack() as stack:
+        harnesses = [
+            await stack.enter_async_context(running_entry(tmp_path, store, name=f"entry-{number}"))
+            for number in range(count)
+        ]
+        await harnesses[0].add_upstream(ModelEngine("d1", "decode"), "model")
+        for harness in harnesses:
+            await wait_until(lambda harness=harness: harness.entry.dump()["upstreams"])
+        yield harnesses
+
+
+class TestQuarantine:
+    # Guards against a quarantine that is known to one entry alone.
+    async def test_all_entries_refuse_soon(self, tmp_path: Path) -> None:
+        """The refusal says when to come back and that nothing has run; other prompts go on."""
+        async with entries(tmp_path, MetadataStore(), 3) as harnesses:
+            await trio.sleep(0.5)
+            order(harnesses[0])
+            await trio.sleep(SPREAD_S)
+            for harness in harnesses:
+                refused = await ask(harness)
+                assert refused.status == 503
+                assert float(refused.header("retry-after") or 0) > 3_000
+                assert b"quarantined" in refused.body
+                assert (await ask(harness, SOUND_PROMPT)).status == 200
+
+    # Guards against a quarantine that cannot spread while the store is away.
+    async def test_store_away(self, tmp_path: Path) -> None:
+        """Entries that know each other tell each other; the store gets it when it is back."""
+        store = MetadataStore()
+        async with entries(tmp_path, store, 2) as harnesses:
+            await trio.sleep(0.5)
+            store.error_status = 503
+            order(harnesses[0])
+            await trio.sleep(SPREAD_S)
+            assert quarantined(harnesses[1]) == [str(PART)]
+            assert not is_stored(store)
+            store.error_status = None
+            await wait_until(lambda: is_stored(store))
+
+    # Guards against a quarantine that is forgotten when all entries are killed at once.
+    async def test_outlasts_all_entries(self, tmp_path: Path) -> None:
+        """An entry that starts later reads it before it is ready."""
+        store = MetadataStore()
+        async with entries(tmp_path, store, 2) as harnesses:
+            order(harnesses[0])
+            await wait_until(lambda: is_stored(store))
+        async with running_entry(tmp_path, store, name="entry-9") as harness:
+            with trio.fail_after(5.0):
+                while not await harness.is_ready():
+                    await trio.sleep(0.01)
+            assert quarantined(harness) == [str(PART)]
+
+    async def test_lifted_at_all_entries(self, tmp_path: Path) -> None:
+        """A quarantine lifted at one entry is lifted at all, and stays so after a restart."""
+        store = MetadataStore()
+        async with entries(tmp_path, store, 2) as harnesses:
+            order(harnesses[0])
+            await wait_until(lambda: bool(quarantined(harnesses[1])))
+            order(harnesses[1], False)
+            await wait_until(lambda: not quarantined(harnesses[0]))
+            assert (await ask(harnesses[0])).status == 200
+            await trio.sleep(SPREAD_S)
+        async with running_entry(tmp_path, store, name="entry-9") as harness:
+            await trio.sleep(0.5)
+            assert quarantined(harness) == []
+
+    # Guards against a store restored from an older copy that makes a quarantine undone.
+    async def test_restored_store_loses_none(self, tmp_path: Path) -> None:
+        """A living entry writes again what the copy lacks, as soon as it has to write at all."""
+        store = MetadataStore()
+        async with entries(tmp_path, store, 1) as harnesses:
+            copy = store.copy()
+            order(harnesses[0])
+            await wait_until(lambda: is_stored(store))
+            store.restore(copy)
+            assert not is_stored(store)
+            other = CrashKey(KeyKind.PROMPT_PART, "other")
+            harnesses[0].entry.quarantines.order(other, True, "by the test")
+            await wait_until(lambda: is_stored(store))
+            assert sorted(quarantined(harnesses[0])) == sorted([str(PART), str(other)])
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -25,7 +25,13 @@
 PAGES = (ROOT / "README.md", ROOT / "docs" / "operators.md")
 OPERATORS = PAGES[1].read_text()
 DIRECT_OPERATORS = (ROOT / "docs" / "OPERATIONS.md").read_text()
-DIRECT_SOURCES = ("platform/*.py", "direct/*.py", "store/follower.py", "store/roster.py")
+DIRECT_SOURCES = (
+    "platform/*.py",
+    "direct/*.py",
+    "store/follower.py",
+    "store/roster.py",
+    "store/quarantine_records.py",
+)
 EVENT = re.compile(r'log_event\(\s*_log,\s*(?:logging\.\w+|level),\s*"([^"]+)"')
 REQUEST_EVENT = re.compile(r'exchange\.log\(\s*"([^"]+)"')
 SIGNAL_EVENT = re.compile(r'_log_signal\(\s*"([^"]+)"')
