--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -89,6 +89,7 @@
     def __init__(self, policy: CrashPolicy) -> None:
         self._policy = policy
         self._ends: list[UpstreamEnd] = []
+        self._ends_by_key: dict[CrashKey, list[UpstreamEnd]] = {}
         self._cleared_at: dict[CrashKey, float] = {}
 
     def record_end(self, end: UpstreamEnd) -> None:
@@ -96,6 +97,7 @@
         self._ends.append(end)
         if len(self._ends) > MAX_ENDS:
             self._ends.remove(min(self._ends, key=lambda known: known.ended_at))
+        self._index_ends()
         for suspect in end.suspects:
             if suspect.sound_at is not None:
                 self.record_sound(suspect.key, suspect.sound_at)
@@ -112,10 +114,10 @@
 
     def is_suspect(self, key: CrashKey, now: float) -> bool:
         """Return whether an upstream ended under content that has not been cleared since."""
+        oldest_at = now - self._policy.evidence_s
         return any(
-            suspect.key == key and self._counts_against(key, end)
-            for end in self._recent(now)
-            for suspect in end.suspects
+            end.ended_at > oldest_at and self._counts_against(key, end)
+            for end in self._ends_by_key.get(key, ())
         )
 
     def find(self, known: Collection[CrashKey], now: float) -> Iterator[CrashFinding]:
@@ -125,7 +127,8 @@
             known: Content found before; it explains its ends first.
             now: Monotonic time in seconds.
         """
-        ends = list(self._recent(now))
+        self._forget_old(now)
+        ends = self._ends
         explained = {end.upstream for end in ends if any(s.key in known for s in end.suspects)}
         while True:
             ends = [end for end in ends if end.upstream not in explained]
@@ -136,9 +139,15 @@
             yield narrowest.finding
             explained |= narrowest.upstreams
 
-    def _recent(self, now: float) -> Iterable[UpstreamEnd]:
+    def _forget_old(self, now: float) -> None:
         self._ends = [end for end in self._ends if now < end.ended_at + self._policy.evidence_s]
-        return self._ends
+        self._index_ends()
+
+    def _index_ends(self) -> None:
+        self._ends_by_key = {}
+        for end in self._ends:
+            for suspect in end.suspects:
+                self._ends_by_key.setdefault(suspect.key, []).append(end)
 
     def _counts_against(self, key: CrashKey, end: UpstreamEnd) -> bool:
         return end.ended_at > self._cleared_at.get(key, -math.inf)
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -11,9 +11,6 @@
 from chivehold.direct.refusals import Refusal, not_run_refusal
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
 
-SUSPECT_KINDS = frozenset((KeyKind.PROMPT_PART,))
-"""Kinds of content that are looked for."""
-
 
 class CrashWatch:
     """Tells which requests were running at upstreams that ended, and refuses their like.
@@ -54,6 +51,17 @@
         """Return whether requests with this content are refused now."""
         return self._quarantines.find(exchange.crash_keys) is not None
 
+    def is_suspect(self, exchange: Exchange) -> bool:
+        """Return whether this very request was running at an upstream that ended."""
+        return any(
+            key.kind is KeyKind.REQUEST and self._quarantines.is_suspect(key)
+            for key in exchange.crash_keys
+        )
+
+    async def has_ended(self, upstream: UpstreamRecord) -> bool:
+        """Return whether an upstream has ended; waits briefly for a probe in progress."""
+        return await self._ends.has_ended(upstream)
+
     def start_attempt(
         self, exchange: Exchange, upstream: UpstreamRecord, has_settled: bool = False
     ) -> "AttemptWatch":
@@ -92,7 +100,7 @@
     ) -> None:
         self._crashes = crashes
         self._request_id = exchange.request_id
-        self._keys = tuple(key for key in exchange.crash_keys if key.kind in SUSPECT_KINDS)
+        self._keys = exchange.crash_keys
         self._upstream = upstream
         self._sent_at = trio.current_time()
         self._first_output_at: float | None = None
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -31,6 +31,10 @@
 MAX_RESPONSE_BYTES = 8 << 20
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left is not sent, because it cannot be answered in time."""
+MAX_ENDS = 2
+"""Upstreams that may end under a request before it is given up; it may be what ends them."""
+MAX_ENDS_OF_SUSPECT = 1
+"""The same for a request that was running at an upstream that ended, before it came again."""
 MAX_UNREACHED = 4
 """Unreachable upstreams that a request may skip, outside the retry budget, before it is refused."""
 HEDGE_DELAY_SHARE = 0.45
@@ -65,6 +69,8 @@
 
     upstream: UpstreamRecord
     detail: str
+    ended: bool = False
+    """Whether the upstream's process ended meanwhile; the request may be the cause."""
 
 
 AttemptResult = CompleteResponse | NotRun | BrokenCall
@@ -103,7 +109,7 @@
 
     async def serve(self, exchange: Exchange, reply: Reply) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
-        response = await _HedgedCall(self, exchange).run()
+        response = self._crashes.refusal(exchange) or await _HedgedCall(self, exchange).run()
         if isinstance(response, CompleteResponse):
             headers = self._dialect.response_headers(response.headers)
             await reply.send_full(response.status, headers, response.body)
@@ -131,6 +137,11 @@
         wait_s = self._fleet.wait_s(exchange.service, Stage.NONE, trio.current_time())
         return min(MAX_RETRY_AFTER_S, max(wait_s or 0.0, least_s))
 
+    @property
+    def crashes(self) -> CrashWatch:
+        """Watches the attempts for those that end their upstream."""
+        return self._crashes
+
     def record_start(self, upstream: UpstreamRecord) -> None:
         """Record that a request is about to be sent; ``send`` must follow."""
         self._fleet.spend_permit(upstream, trio.current_time())
@@ -186,9 +197,11 @@
             return NotRun(upstream, error.detail, sent=False)
         except LinkBroken as error:
             watch.record_break()
-            return BrokenCall(upstream, error.detail)
+            ended = await self._crashes.has_ended(upstream)
+            return BrokenCall(upstream, error.detail, ended)
         if metadata.not_run:
             return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
+        watch.record_sound()
         if body is None:
             return BrokenCall(upstream, "response too long")
         if not metadata.signed or metadata.content_encoded or metadata.request_id is None:
@@ -205,6 +218,9 @@
         self._tried: set[str] = set()
         self._running = 0
         self._possible_runs = 0
+        self._is_suspect = calls.crashes.is_suspect(exchange)
+        """Whether an upstream has ended under this request; it is not hedged then."""
+        self._ends_left = MAX_ENDS_OF_SUSPECT if self._is_suspect else MAX_ENDS
         self._unreached = 0
         self._error_response: CompleteResponse | None = None
         self._send, self._results = trio.open_memory_channel[AttemptResult](math.inf)
@@ -224,6 +240,8 @@
             return self._not_run("no_upstream", "no upstream takes requests", NO_UPSTREAM_RETRY_S)
         hedge_at = self._hedge_at()
         while self._running:
+            if self._is_suspect:
+                hedge_at = math.inf
             result = await self._next_result(min(hedge_at, self._exchange.expires_at))
             if result is None:
                 if self._exchange.time_left_s() <= 0:
@@ -252,7 +270,11 @@
             self._retry("upstream error")
         elif isinstance(result, BrokenCall):
             self._possible_runs += 1
-            self._retry("broken")
+            if result.ended:
+                self._is_suspect = True
+                self._ends_left -= 1
+            if self._ends_left > 0:
+                self._retry("broken")
         elif result.sent:
             self._retry("refused", may_have_run=False)
         else:
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -14,7 +14,7 @@
     UpstreamEnd,
 )
 from chivehold.core.direct.crash_facts import CrashFact, SoundRun
-from chivehold.core.direct.crash_keys import CrashKey
+from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.gossip import GossipItem
 from chivehold.core.direct.messages import UpstreamRecord, incarnation_of
 from chivehold.core.direct.quarantine import Quarantine, QuarantineList
@@ -68,6 +68,10 @@
         """Return an active quarantine of a request with these keys, or ``None``."""
         return self._list.find(keys, trio.current_time())
 
+    def is_suspect(self, key: CrashKey) -> bool:
+        """Return whether an upstream ended under this content and nothing has cleared it."""
+        return self._evidence.is_suspect(key, trio.current_time())
+
     def orders(self) -> Iterator[Quarantine]:
         """Yield all orders in force, also those that lift a quarantine."""
         return self._list.orders(trio.current_time())
@@ -87,7 +91,9 @@
         now = trio.current_time()
         cleared = [key for key in keys if self._evidence.is_suspect(key, now)]
         for key in keys:
-            self._evidence.record_sound(key, now)
+            # Requests are many and seldom repeated; only that suspect ones are sound is kept.
+            if key.kind is not KeyKind.REQUEST or key in cleared:
+                self._evidence.record_sound(key, now)
         for key in cleared:
             self._tell("sound", SoundRun(key, now), self._policy.evidence_s)
             log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
