--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -95,9 +95,11 @@
     def record_end(self, end: UpstreamEnd) -> None:
         """Record an end; one that is reported again, in any order, counts once."""
         self._ends.append(end)
+        for suspect in end.suspects:
+            self._ends_by_key.setdefault(suspect.key, []).append(end)
         if len(self._ends) > MAX_ENDS:
             self._ends.remove(min(self._ends, key=lambda known: known.ended_at))
-        self._index_ends()
+            self._index_ends()
         for suspect in end.suspects:
             if suspect.sound_at is not None:
                 self.record_sound(suspect.key, suspect.sound_at)
@@ -112,6 +114,10 @@
         """Return when content last ran without harm, or ``None`` if it was not seen to."""
         return self._cleared_at.get(key)
 
+    def ends_under(self, key: CrashKey) -> int:
+        """Return the number of upstreams that ended under content, also before it was cleared."""
+        return len({end.upstream for end in self._ends_by_key.get(key, ())})
+
     def is_suspect(self, key: CrashKey, now: float) -> bool:
         """Return whether an upstream ended under content that has not been cleared since."""
         oldest_at = now - self._policy.evidence_s
@@ -140,8 +146,10 @@
             explained |= narrowest.upstreams
 
     def _forget_old(self, now: float) -> None:
-        self._ends = [end for end in self._ends if now < end.ended_at + self._policy.evidence_s]
-        self._index_ends()
+        kept = [end for end in self._ends if now < end.ended_at + self._policy.evidence_s]
+        if len(kept) < len(self._ends):
+            self._ends = kept
+            self._index_ends()
 
     def _index_ends(self) -> None:
         self._ends_by_key = {}
@@ -161,6 +169,8 @@
                     ends_by_key.setdefault(suspect.key, []).append(end)
                     positions[suspect.key] = max(position, positions.get(suspect.key, 0))
         for key, key_ends in ends_by_key.items():
+            if len(key_ends) < self._policy.ends:
+                continue
             counted = list(_independent(key_ends))
             finding = CrashFinding(
                 key,
--- a/src/chivehold/core/direct/gossip.py
+++ b/src/chivehold/core/direct/gossip.py
@@ -26,6 +26,10 @@
 FIRST_COMPARISON_S = 0.2
 """The same until another entry has answered for the first time."""
 COMPARISON_JITTER = 0.3
+SETTLING_S = 2.0
+"""Facts that were told later than this before, or end sooner, are left out of comparisons."""
+CLEANUP_S = 1.0
+"""Time between two searches for facts past their lifetime."""
 MAX_ITEMS = 512
 """Facts to remember; the oldest are dropped first."""
 MAX_MESSAGE_BYTES = 1_200
@@ -58,7 +62,7 @@
     """Address of the sender, ``host:port``."""
     items: tuple[GossipItem, ...]
     digest: int
-    """Digest of the ids of all facts that the sender knows."""
+    """Digest of the ids of the facts that the sender knows, if it asks for facts."""
     asks_for_items: bool
     """Whether a receiver with another digest is to send all its facts."""
 
@@ -88,7 +92,9 @@
         self._rng = rng
         self._address = ""
         self._items: dict[str, GossipItem] = {}
-        self._digest = 0
+        self._digests: dict[str, int] = {}
+        """Digest of the id of each fact."""
+        self._next_cleanup_at = -math.inf
         self._rounds_left: dict[str, int] = {}
         self._listed: Mapping[str, str] = {}
         self._heard: dict[str, _Heard] = {}
@@ -125,7 +131,7 @@
         if item.item_id in self._items or now >= item.told_at + item.lifetime_s:
             return False
         self._items[item.item_id] = item
-        self._digest ^= _digest_of(item.item_id)
+        self._digests[item.item_id] = _digest_of(item.item_id)
         if not self._rounds_left:
             self._next_round_at = max(self._next_round_at, now)
         self._rounds_left[item.item_id] = ROUNDS
@@ -141,7 +147,7 @@
             self._heard[message.sender] = _Heard(message.address, now)
         self._forget_old(now)
         if message.asks_for_items:
-            self._answer(message)
+            self._answer(message, now)
         else:
             self._has_compared = True
         return [item for item in message.items if self.tell(item, now)]
@@ -161,13 +167,14 @@
         peers = self._peers(now)
         if self._rounds_left and now >= self._next_round_at:
             self._next_round_at = now + ROUND_S
-            yield from self._round(peers)
+            yield from self._round(peers, now)
         if now >= self._next_comparison_at:
             self._schedule_comparison(now)
             if peers:
-                yield OutgoingMessage(self._rng.choice(peers), self._message((), asks=True))
+                question = self._message((), now, asks=True)
+                yield OutgoingMessage(self._rng.choice(peers), question)
 
-    def _round(self, peers: list[str]) -> Iterator[OutgoingMessage]:
+    def _round(self, peers: list[str], now: float) -> Iterator[OutgoingMessage]:
         items = [self._items[item_id] for item_id in self._rounds_left]
         # Without a peer the facts wait for the first one.
         if not peers:
@@ -178,17 +185,28 @@
                 del self._rounds_left[item_id]
         for address in self._rng.sample(peers, min(FANOUT, len(peers))):
             for batch in _batches(items):
-                yield OutgoingMessage(address, self._message(batch))
+                yield OutgoingMessage(address, self._message(batch, now))
 
-    def _answer(self, message: GossipMessage) -> None:
-        items = self._items.values() if message.digest != self._digest else ()
+    def _answer(self, message: GossipMessage, now: float) -> None:
+        items = self._items.values() if message.digest != self._digest(now) else ()
         batches = list(_batches(items)) or [()]
         self._replies += [
-            OutgoingMessage(message.address, self._message(batch)) for batch in batches
+            OutgoingMessage(message.address, self._message(batch, now)) for batch in batches
         ]
 
-    def _message(self, items: Iterable[GossipItem], asks: bool = False) -> GossipMessage:
-        return GossipMessage(self._name, self._address, tuple(items), self._digest, asks)
+    def _message(
+        self, items: Iterable[GossipItem], now: float, asks: bool = False
+    ) -> GossipMessage:
+        digest = self._digest(now) if asks else 0
+        return GossipMessage(self._name, self._address, tuple(items), digest, asks)
+
+    def _digest(self, now: float) -> int:
+        """Return the digest of the facts that all entries should know by now."""
+        digest = 0
+        for item in self._items.values():
+            if item.told_at + SETTLING_S <= now < item.told_at + item.lifetime_s - SETTLING_S:
+                digest ^= self._digests[item.item_id]
+        return digest
 
     def _schedule_comparison(self, now: float) -> None:
         interval_s = COMPARISON_S if self._has_compared else FIRST_COMPARISON_S
@@ -203,6 +221,9 @@
         return list({**self._listed, **heard}.values())
 
     def _forget_old(self, now: float) -> None:
+        if now < self._next_cleanup_at:
+            return
+        self._next_cleanup_at = now + CLEANUP_S
         old = [
             item.item_id for item in self._items.values() if now >= item.told_at + item.lifetime_s
         ]
@@ -211,7 +232,7 @@
 
     def _forget(self, item_id: str) -> None:
         del self._items[item_id]
-        self._digest ^= _digest_of(item_id)
+        del self._digests[item_id]
         self._rounds_left.pop(item_id, None)
 
 
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -127,6 +127,8 @@
                 self._exchange.tell, lambda: self._quarantine_records.notify_changed()
             ),
             self._metrics,
+            lambda: self._roster.count,
+            rng,
         )
         crashes = CrashWatch(nursery, self._quarantines, settings.crash_settled_s, self._metrics)
         self._callers = CallerApp(
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -1,7 +1,9 @@
 """Refuses content that ends upstreams: gathers evidence, decides, and tells the other entries."""
 
 import logging
+import math
 from collections.abc import Callable, Collection, Iterator
+from random import Random
 from typing import NamedTuple
 
 import trio
@@ -26,6 +28,11 @@
 from chivehold.rpc.convert_gossip import decode_fact, encode_fact
 
 MS_PER_S = 1_000
+SOUND_REPORTERS = 4
+"""Entries that tell, on average, what all of them may know."""
+SOUND_INTERVAL_S = 0.5
+"""That content ran without harm is told again if it did so this much later."""
+MAX_TOLD_SOUND = 512
 
 _log = logging.getLogger(__name__)
 
@@ -47,6 +54,8 @@
         policy: What is needed to quarantine content, and for how long.
         handlers: Where new facts go.
         metrics: Counts quarantines.
+        entries: Returns the number of entries.
+        rng: Draws the entries that tell what many of them know.
     """
 
     def __init__(
@@ -55,7 +64,11 @@
         policy: CrashPolicy,
         handlers: QuarantineHandlers,
         metrics: DirectMetrics,
+        entries: Callable[[], int],
+        rng: Random,
     ) -> None:
+        self._entries = entries
+        self._rng = rng
         self._incarnation = incarnation
         self._policy = policy
         self._handlers = handlers
@@ -63,6 +76,8 @@
         self._evidence = CrashEvidence(policy)
         self._list = QuarantineList()
         self._told = 0
+        self._told_sound_at: dict[CrashKey, float] = {}
+        """When content last ran without harm, as far as all entries have been told."""
 
     def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
@@ -95,8 +110,7 @@
             if key.kind is not KeyKind.REQUEST or key in cleared:
                 self._evidence.record_sound(key, now)
         for key in cleared:
-            self._tell("sound", SoundRun(key, now), self._policy.evidence_s)
-            log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
+            self._tell_sound(key, now)
         for key in keys:
             if self._list.find((key,), now) is not None:
                 self.order(key, False, "ran without harm")
@@ -112,6 +126,7 @@
             self._learn_end(fact)
         elif isinstance(fact, SoundRun):
             self._evidence.record_sound(fact.key, fact.at)
+            self._note_told_sound(fact.key, fact.at)
         elif isinstance(fact, Quarantine):
             self.learn_order(fact, "another entry")
 
@@ -158,9 +173,30 @@
             age_ms=_age_ms(end.ended_at),
         )
         for key, sound_at in known_sound:
-            self._tell("sound", SoundRun(key, sound_at), self._policy.evidence_s)
+            self._tell_sound(key, sound_at)
         self._decide()
 
+    def _tell_sound(self, key: CrashKey, sound_at: float) -> None:
+        """Tell that content ran without harm, if it may soon be put down as what ends upstreams.
+
+        Many entries may know it; on average a few of them tell it.
+        """
+        if self._evidence.ends_under(key) < self._policy.ends - 1:
+            return
+        if sound_at < self._told_sound_at.get(key, -math.inf) + SOUND_INTERVAL_S:
+            return
+        if self._rng.random() * self._entries() > SOUND_REPORTERS:
+            return
+        self._note_told_sound(key, sound_at)
+        self._tell("sound", SoundRun(key, sound_at), self._policy.evidence_s)
+        log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
+
+    def _note_told_sound(self, key: CrashKey, sound_at: float) -> None:
+        told_at = self._told_sound_at.pop(key, -math.inf)
+        self._told_sound_at[key] = max(told_at, sound_at)
+        if len(self._told_sound_at) > MAX_TOLD_SOUND:
+            del self._told_sound_at[next(iter(self._told_sound_at))]
+
     def _decide(self) -> None:
         now = trio.current_time()
         for finding in list(self._evidence.find(self._list.active_keys(now), now)):
