Bytes that complete nothing cost little and are no progress; answers without a length are tested

Cause: the whole buffer was searched, and copied, again for each chunk. The bodies of errors and prefills are collected without copies too.

A resumable stream was resumed after a time without bytes; a trickle of bytes that completes no event held it for ever. Now the time counts from the last new event.

Over real sockets a stand-in answers without a length, in head, body and a chunk's size, and ends in order, by a reset, in silence, or never. Endless interim responses are bounded only by the request's own time; not changed.

--- a/src/chivehold/core/direct/events.py
+++ b/src/chivehold/core/direct/events.py
@@ -1,9 +1,12 @@
 """Splitting a byte stream of server-sent events into whole events."""
 
+import re
 from collections.abc import Iterator
 from typing import NamedTuple
 
 MAX_EVENT_BYTES = 1 << 20
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+MAX_END_BYTES = 4
 
 
 class EventTooLong(Exception):  # noqa: N818
@@ -23,12 +26,14 @@
     """Buffers the chunks of a stream and yields its complete events."""
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._buffer = bytearray()
+        self._searched = 0
+        """Length of the part of the buffer that holds no end of an event."""
 
     @property
     def remainder(self) -> bytes:
         """Bytes received after the end of the last complete event."""
-        return self._remainder
+        return bytes(self._buffer)
 
     def feed(self, chunk: bytes) -> Iterator[StreamEvent]:
         """Add a chunk to the buffer and yield the events that it completes.
@@ -36,14 +41,16 @@
         Raises:
             EventTooLong: An unfinished event exceeds ``MAX_EVENT_BYTES``.
         """
-        self._remainder += chunk
-        while True:
-            end = _event_end(self._remainder)
-            if end < 0:
-                break
-            raw, self._remainder = self._remainder[:end], self._remainder[end:]
+        self._buffer += chunk
+        start = 0
+        while (end := _event_end(self._buffer, max(start, self._searched))) >= 0:
+            raw = bytes(self._buffer[start:end])
+            start = end
             yield StreamEvent(raw, _event_id(raw))
-        if len(self._remainder) > MAX_EVENT_BYTES:
+        del self._buffer[:start]
+        # An end may lie across the end of the buffer.
+        self._searched = max(0, len(self._buffer) - MAX_END_BYTES + 1)
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLong
 
 
@@ -60,13 +67,10 @@
     return event_id != last_id
 
 
-def _event_end(data: bytes) -> int:
-    ends = [
-        index + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n", b"\r\r")
-        if (index := data.find(mark)) >= 0
-    ]
-    return min(ends, default=-1)
+def _event_end(data: bytearray, start: int) -> int:
+    """Return the first end of an event after a position, or -1."""
+    match = EVENT_END.search(data, start)
+    return match.end() if match else -1
 
 
 def _event_id(raw: bytes) -> str | None:
--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -178,7 +178,7 @@
             body=exchange.body,
         ) as response:
             self._signals.read(upstream, response.status, response.headers, sent_at)
-            body = b""
+            body = bytearray()
             async for chunk in response.chunks:
                 body += chunk
                 if len(body) > MAX_PREFILL_RESPONSE_BYTES:
@@ -188,7 +188,7 @@
             raise LinkBroken("prefill", upstream.name, "response to another request")
         if response.status != OK_STATUS:
             raise PeerRefused("prefill", upstream.name, f"status {response.status}")
-        handle = self._dialect.read_kv_handle(body)
+        handle = self._dialect.read_kv_handle(bytes(body))
         if handle is None:
             raise LinkBroken("prefill", upstream.name, "response without a handle")
         return handle
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -21,7 +21,7 @@
 """Called with the engine of a stream and whether the stream is late."""
 
 EVENT_TIMEOUT_S = 1.5
-"""A resumable stream without data for this time is resumed at another engine."""
+"""A resumable stream without a new event for this time is resumed at another engine."""
 OK_STATUS = 200
 MAX_ERROR_BODY_BYTES = 1 << 16
 
@@ -96,8 +96,8 @@
         Args:
             response: The response.
             upstream: The engine.
-            event_timeout_s: Longest time without data before the engine counts as failed, in
-                seconds; may be infinite.
+            event_timeout_s: Longest time without a new event before the engine counts as failed,
+                in seconds; may be infinite.
             watch: Watches the attempt.
 
         Raises:
@@ -117,7 +117,7 @@
         try:
             return await self._relay_stream(response, upstream, event_timeout_s, watch)
         except _EventTimeout:
-            return _failed(f"silent for {event_timeout_s} s")
+            return _failed(f"no event for {event_timeout_s} s")
         except EventTooLong:
             return _failed("event too long")
 
@@ -140,13 +140,13 @@
         if self._reply.started:
             detail = f"status {response.status} on resuming"
             return AttemptResult(AttemptEnd.BROKEN, Verdict.ERROR, detail)
-        body = b""
+        body = bytearray()
         async for chunk in response.chunks:
             body += chunk
             if len(body) > MAX_ERROR_BODY_BYTES:
                 return _failed("response too long")
         headers = self._dialect.response_headers(response.headers)
-        await self._reply.send_full(response.status, headers, body)
+        await self._reply.send_full(response.status, headers, bytes(body))
         return AttemptResult(AttemptEnd.ANSWERED, Verdict.ERROR, f"status {response.status}")
 
     async def _relay_stream(
@@ -156,16 +156,24 @@
         event_timeout_s: float,
         watch: AttemptWatch,
     ) -> AttemptResult:
-        """Relay complete events as they arrive."""
+        """Relay complete events as they arrive.
+
+        Only new events count as progress: an engine may send bytes that complete none, for ever.
+        """
         self._gaps.record_resumption()
         splitter = EventSplitter()
-        async for chunk in _with_timeout(response.chunks, event_timeout_s):
+        progress_at = trio.current_time()
+        while True:
+            chunk = await _next_chunk(response.chunks, progress_at + event_timeout_s)
+            if chunk is None:
+                break
             events = [
                 event
                 for event in splitter.feed(chunk)
                 if is_newer_event(event.event_id, self._last_event)
             ]
             if events:
+                progress_at = trio.current_time()
                 watch.record_output()
                 await self._relay_events(response.headers, upstream, events)
         if splitter.remainder:
@@ -200,27 +208,26 @@
 
 
 def event_timeout_s(exchange: Exchange, broken_attempts: int) -> float:
-    """Return how long an engine may send nothing, in seconds; infinite if no other may go on."""
+    """Return how long an engine may send no event, in seconds; infinite if no other may go on."""
     route = exchange.route
     may_resume = route.retryable and broken_attempts + 1 < route.max_upstreams
     return EVENT_TIMEOUT_S if may_resume else math.inf
 
 
 class _EventTimeout(Exception):  # noqa: N818
-    """The engine sent no data within the timeout."""
+    """The engine completed no new event within the timeout."""
 
 
 def _failed(detail: str) -> AttemptResult:
     return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, detail)
 
 
-async def _with_timeout(chunks: AsyncIterator[bytes], timeout_s: float) -> AsyncIterator[bytes]:
-    while True:
-        chunk: bytes | None = None
-        with trio.move_on_after(timeout_s) as scope:
-            chunk = await anext(chunks, None)
-        if scope.cancelled_caught:
-            raise _EventTimeout
-        if chunk is None:
-            return
-        yield chunk
+async def _next_chunk(chunks: AsyncIterator[bytes], until: float) -> bytes | None:
+    """Return the next chunk, or ``None`` at the end of the response.
+
+    Raises:
+        _EventTimeout: There is none at the given time.
+    """
+    with trio.move_on_at(until):
+        return await anext(chunks, None)
+    raise _EventTimeout
--- a/tests/core/direct/test_events.py
+++ b/tests/core/direct/test_events.py
@@ -1,5 +1,7 @@
 """Splitting a stream into server-sent events, and telling newer events from repeated ones."""
 
+import time
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +13,8 @@
     is_newer_event,
 )
 
+MOST_PER_CHUNK_S = 5e-5
+"""Processor time for a chunk; the former search took milliseconds at the end of the buffer."""
 STREAM = b"".join(b"id: %d\ndata: %s\n\n" % (number, b"x" * number) for number in range(1, 9))
 
 
@@ -45,6 +49,25 @@
         with pytest.raises(EventTooLong):
             list(splitter.feed(b"x" * (MAX_EVENT_BYTES + 1)))
 
+    # Guards against bytes without an event's end that keep the loop busy for seconds.
+    @pytest.mark.parametrize("chunk_bytes", [16, 100, 1_400])
+    def test_bytes_without_an_end_cost_little(self, chunk_bytes: int) -> None:
+        """The buffer is not searched again from its beginning for each chunk."""
+        splitter, chunk = EventSplitter(), b"x" * chunk_bytes
+        started_at = time.process_time()
+        for _ in range(MAX_EVENT_BYTES // chunk_bytes):
+            assert list(splitter.feed(chunk)) == []
+        per_chunk_s = (time.process_time() - started_at) / (MAX_EVENT_BYTES // chunk_bytes)
+        assert per_chunk_s < MOST_PER_CHUNK_S
+
+    def test_end_in_parts(self) -> None:
+        """An end whose bytes come one by one is found."""
+        splitter = EventSplitter()
+        events = [
+            event for byte in b"id: 7\r\n\r\nid: 8\n\n" for event in splitter.feed(bytes([byte]))
+        ]
+        assert [event.event_id for event in events] == ["7", "8"]
+
 
 class TestIsNewerEvent:
     @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/direct/raw_upstream.py
@@ -0,0 +1,116 @@
+"""An upstream that answers with any bytes and ends its connections in any way."""
+
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from enum import StrEnum
+
+import trio
+
+from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
+from tests.direct.harness import EntryHarness
+
+MAX_REQUEST_BYTES = 65_536
+ENDLESS_CHUNK_BYTES = 1_400
+
+
+GRANTED = b'HTTP/1.1 200 OK\r\ncontent-length: 13\r\nconnection: close\r\n\r\n{"hold": "h"}'
+
+
+class Ending(StrEnum):
+    """How a connection ends after the answer's bytes."""
+
+    ORDERLY = "orderly"
+    RESET = "reset"
+    SILENT = "silent"
+    """Nothing more comes and the connection stays open."""
+    ENDLESS = "endless"
+    """Bytes that complete nothing go on until the caller closes."""
+    TRICKLE = "trickle"
+    """The same, a byte at a time."""
+
+
+class RawUpstream:
+    """Answers each request with the same bytes.
+
+    Args:
+        answer: Returns the bytes of the answer to a request of a given id.
+        ending: How the connection ends.
+    """
+
+    def __init__(self, answer: Callable[[str], bytes], ending: Ending) -> None:
+        self._answer = answer
+        self._ending = ending
+        self.requests = 0
+        self.sent_bytes = 0
+
+    async def handle(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        try:
+            request_id = await _read_request_id(stream)
+            if not request_id:
+                # Reservations carry no request id; each is granted.
+                await stream.send_all(GRANTED)
+                return
+            self.requests += 1
+            await stream.send_all(self._answer(request_id))
+            await self._end(stream)
+        except trio.BrokenResourceError:
+            return
+
+    async def _end(self, stream: trio.SocketStream) -> None:
+        if self._ending is Ending.RESET:
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        elif self._ending is Ending.SILENT:
+            await trio.sleep_forever()
+        while self._ending in (Ending.ENDLESS, Ending.TRICKLE):
+            size = ENDLESS_CHUNK_BYTES if self._ending is Ending.ENDLESS else 1
+            await stream.send_all(b"x" * size)
+            self.sent_bytes += size
+            await trio.sleep(0.0 if self._ending is Ending.ENDLESS else 0.05)
+
+
+@asynccontextmanager
+async def raw_upstream(
+    harness: EntryHarness, service: str, upstream: RawUpstream
+) -> AsyncIterator[None]:
+    """Serve an upstream and list it in the store."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    host, port = listeners[0].socket.getsockname()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, upstream.handle, listeners)
+        listed = ModelEngine("raw", "decode") if service == "model" else PlainUpstream("raw")
+        harness.list_upstream(listed, service, f"{host}:{port}")
+        yield
+        nursery.cancel_scope.cancel()
+
+
+async def _read_request_id(stream: trio.SocketStream) -> str:
+    """Read a whole request and return its id, empty if there is none.
+
+    Closing a connection with unread bytes would reset it.
+    """
+    received = bytearray()
+    while b"\r\n\r\n" not in received and len(received) < MAX_REQUEST_BYTES:
+        received += await _receive(stream)
+    head, _, body = bytes(received).partition(b"\r\n\r\n")
+    fields = dict(_fields(head))
+    missing = int(fields.get(b"content-length", b"0")) - len(body)
+    while missing > 0:
+        missing -= len(await _receive(stream))
+    return fields.get(b"x-chivehold-request-id", b"").decode()
+
+
+def _fields(head: bytes) -> Iterator[tuple[bytes, bytes]]:
+    for line in head.split(b"\r\n")[1:]:
+        name, _, value = line.partition(b":")
+        yield name.lower(), value.strip()
+
+
+async def _receive(stream: trio.SocketStream) -> bytes:
+    received = await stream.receive_some()
+    if not received:
+        raise trio.BrokenResourceError
+    return bytes(received)
