Operators list, set and lift quarantines; only ends of engines count against a stream

chivehold quarantine list|set|lift through any entry's operator address; the order reaches all entries as any other. A stream that has just begun is given up after two engines that ended under it, no longer after two connections that broke: an engine that resets connections and lives is no reason.

--- a/src/chivehold/commands/application.py
+++ b/src/chivehold/commands/application.py
@@ -12,6 +12,7 @@
 from chivehold.commands.daemons import DirectCommand, EntryCommand, SidecarCommand
 from chivehold.commands.exits import ExitCode, exit_code_for_status
 from chivehold.commands.nodes import DrainCommand, DumpCommand
+from chivehold.commands.quarantine import QuarantineCommand
 from chivehold.commands.read import GetCommand, StatusCommand, WatchCommand
 from chivehold.exceptions import DeclarationInvalid
 from chivehold.rpc.bridge import RpcFailed
@@ -25,6 +26,7 @@
     DumpCommand,
     EntryCommand,
     GetCommand,
+    QuarantineCommand,
     SidecarCommand,
     StatusCommand,
     WatchCommand,
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -236,7 +236,12 @@
             date_header=False,
         )
         operator_limits = ServerLimits(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
-        operator = OperatorApp(self._unready_reason, self._render_metrics, self.dump)
+        operator = OperatorApp(
+            self._unready_reason,
+            self._render_metrics,
+            self.dump,
+            lambda key, is_active: self._quarantines.order(key, is_active, "operator"),
+        )
         async with trio.open_nursery() as servers:
 
             async def listen(app: App, address: str, server_limits: ServerLimits) -> str:
--- a/src/chivehold/direct/operator_app.py
+++ b/src/chivehold/direct/operator_app.py
@@ -1,10 +1,24 @@
 """ASGI applications for the load balancer and operators: readiness, metrics and the state dump."""
 
 from collections.abc import Callable, Mapping
+from typing import Annotated, TypedDict
 
-from chivehold.http_server import Receive, Scope, Send, respond, respond_error, respond_json
+import msgspec
+
+from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.http_server import (
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    respond,
+    respond_error,
+    respond_json,
+)
 from chivehold.metrics import RenderedMetrics
 
+MAX_ORDER_BYTES = 1_024
+
 
 class ReadyApp:
     """Reports to the load balancer whether this entry accepts requests.
@@ -25,12 +39,13 @@
 
 
 class OperatorApp:
-    """Serves ``/metrics``, ``/readyz`` and ``/dump``.
+    """Serves ``/metrics``, ``/readyz``, ``/dump`` and ``/quarantines``.
 
     Args:
         unready_reason: Returns why the entry is not ready, or an empty string if it is.
         render_metrics: Returns the metrics in a format listed in the ``accept`` headers.
         dump: Returns the state.
+        order_quarantine: Called with the content to refuse, or to refuse no longer.
     """
 
     def __init__(
@@ -38,10 +53,12 @@
         unready_reason: Callable[[], str],
         render_metrics: Callable[[list[str]], RenderedMetrics],
         dump: Callable[[], Mapping[str, object]],
+        order_quarantine: Callable[[CrashKey, bool], None],
     ) -> None:
         self._ready = ReadyApp(unready_reason)
         self._render_metrics = render_metrics
         self._dump = dump
+        self._order_quarantine = order_quarantine
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one ASGI request."""
@@ -54,5 +71,34 @@
             await respond(send, 200, metrics.body, metrics.content_type)
         elif path == "/dump":
             await respond_json(send, 200, self._dump())
+        elif path == "/quarantines":
+            await self._handle_quarantines(scope, receive, send)
         else:
             await respond_error(send, 404, "not_found", "no such page")
+
+    async def _handle_quarantines(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["method"] == "POST":
+            try:
+                order = decode_order(await read_body(receive, MAX_ORDER_BYTES))
+            except msgspec.DecodeError as error:
+                await respond_error(send, 400, "malformed", str(error))
+                return
+            self._order_quarantine(CrashKey(order["kind"], order["value"]), order["active"])
+        await respond_json(send, 200, self._dump()["quarantines"])
+
+
+class QuarantineOrderJson(TypedDict):
+    """Body of an operator's order to quarantine content, or to lift its quarantine."""
+
+    kind: KeyKind
+    value: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_VALUE_LENGTH)]
+    active: bool
+
+
+def decode_order(body: bytes) -> QuarantineOrderJson:
+    """Parse an operator's order.
+
+    Raises:
+        msgspec.DecodeError: It is no order.
+    """
+    return msgspec.json.decode(body, type=QuarantineOrderJson)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -41,8 +41,8 @@
 REFUSING_ENGINE_PAUSE_S = 3.0
 """Suspension of a decode engine that refuses a request for which it granted memory."""
 MIN_TIME_LEFT_S = 0.1
-MAX_SUSPECT_BREAKS = 2
-"""Engines that may break off a stream that has just begun; it may be what ends them."""
+MAX_ENDS = 2
+"""Engines that may end when a stream has just begun there; it may be what ends them."""
 FULL_RETRY_S = 2.0
 
 
@@ -242,7 +242,8 @@
         )
         self._broken_attempts = 0
         self._refusals = 0
-        self._suspect_breaks = 0
+        self._ends = 0
+        """Engines that ended when the stream had just begun there."""
         self._has_settled = False
         """Whether an engine has sent events for so long that the content is harmless."""
         self._failed_engines: set[str] = set()
@@ -292,7 +293,7 @@
         route = self._exchange.route
         if result.end is AttemptEnd.BROKEN:
             self._broken_attempts += 1
-            may_repeat = route.retryable and self._suspect_breaks < MAX_SUSPECT_BREAKS
+            may_repeat = route.retryable and self._ends < MAX_ENDS
             if not may_repeat or self._broken_attempts >= route.max_upstreams:
                 return self._refusal("broken", "the engine's stream broke off", 502)
         else:
@@ -384,7 +385,8 @@
             return AttemptResult(AttemptEnd.NOT_RUN, Verdict.FAILED, error.detail)
         except LinkError as error:
             watch.record_break()
+            if watch.is_suspect and await self._calls.crashes.has_ended(reservation.upstream):
+                self._ends += 1
             return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
         finally:
             self._has_settled = watch.has_settled
-            self._suspect_breaks += watch.is_suspect
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -176,6 +176,13 @@
         )
         return response.body
 
+    async def post_operator(self, path: str, body: bytes) -> int:
+        """Send a request to the entry's operator address and return the answer's status."""
+        response = await self._client.call(
+            self.operator_address, "POST", path, step="operator", timeout_s=2.0, body=body
+        )
+        return response.status
+
     async def aclose(self) -> None:
         """Close the caller's connections."""
         await self._client.aclose()
--- a/tests/direct/test_quarantines.py
+++ b/tests/direct/test_quarantines.py
@@ -1,5 +1,6 @@
 """Quarantines across several entries and the store, over real sockets."""
 
+import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
@@ -123,3 +124,34 @@
             harnesses[0].entry.quarantines.order(other, True, "by the test")
             await wait_until(lambda: is_stored(store))
             assert sorted(quarantined(harnesses[0])) == sorted([str(PART), str(other)])
+
+
+class TestOperator:
+    async def test_sets_lists_and_lifts(self, tmp_path: Path) -> None:
+        """The command changes what all entries refuse, through any of them."""
+        async with entries(tmp_path, MetadataStore(), 2) as harnesses:
+            await trio.sleep(0.5)
+            code, _ = await command(harnesses[0], "set", str(PART))
+            assert code == 0
+            await wait_until(lambda: bool(quarantined(harnesses[1])))
+            code, output = await command(harnesses[1], "list")
+            assert (code, str(PART) in output, "refused" in output) == (0, True, True)
+            code, output = await command(harnesses[1], "lift", str(PART))
+            assert (code, "lifted" in output) == (0, True)
+            await wait_until(lambda: not quarantined(harnesses[0]))
+
+    async def test_unreadable_order(self, tmp_path: Path) -> None:
+        """An order that cannot be read changes nothing."""
+        async with running_entry(tmp_path) as harness:
+            for body in (b"", b"{}", b'{"kind":"x","value":"y","active":true}'):
+                assert await harness.post_operator("/quarantines", body) == 400
+            assert quarantined(harness) == []
+
+
+async def command(harness: EntryHarness, *words: str) -> tuple[int, str]:
+    """Run the command line against an entry and return its exit code and output."""
+    arguments = ["quarantine", *words, "--operator", harness.operator_address]
+    process = await trio.run_process(
+        [sys.executable, "-m", "chivehold", *arguments], capture_stdout=True, check=False
+    )
+    return process.returncode, process.stdout.decode()
