Entries tell each other which upstreams leave; comparisons each 1.5 s

A departure that an upstream names in a response was known to the entry that got the response; the others learned of it from the store, if at all. It is one more fact now, and the exchange serves any part of an entry that tells and learns facts (direct/fact_exchange.py). The new test fails on the code before: the entry that had not heard of the departure went on sending.

Entries compare what they know each 1.5 s, no longer 5 s: an entry that was cut off from the others counts as in touch 3 s after the cut has healed and has to know all quarantines by then.

--- a/src/chivehold/core/direct/crash_facts.py
+++ b/src/chivehold/core/direct/facts.py
@@ -1,9 +1,10 @@
-"""The facts about content that ends upstreams which entries tell one another."""
+"""The facts that entries tell one another."""
 
 from typing import NamedTuple
 
 from chivehold.core.direct.crash_evidence import UpstreamEnd
 from chivehold.core.direct.crash_keys import CrashKey
+from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
 
 
@@ -15,4 +16,10 @@
     """Monotonic time in seconds."""
 
 
-CrashFact = UpstreamEnd | SoundRun | Quarantine
+class Departure(NamedTuple):
+    """An upstream has said in a response that it leaves."""
+
+    upstream: UpstreamIncarnation
+
+
+Fact = UpstreamEnd | SoundRun | Quarantine | Departure
--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -260,9 +260,12 @@
     ) -> None:
         """Record what an upstream has said of itself; see ``UpstreamAdmission.record``."""
         self._admission.record(incarnation_of(upstream), signals, sent_at, now)
-        listed = self._upstreams.get(upstream.name)
-        if listed is not None:
-            self._upstreams[upstream.name] = self._with_departure(listed)
+        self._update_departure(upstream.name)
+
+    def record_departure(self, upstream: UpstreamIncarnation) -> None:
+        """Record that an upstream has told another entry that it leaves."""
+        self._admission.record_departure(upstream)
+        self._update_departure(upstream.name)
 
     def max_rate(self, upstream: UpstreamRecord) -> float | None:
         """Return the requests per second that an upstream takes, or ``None`` if not limited."""
@@ -299,6 +302,11 @@
                 "suspended_s": round(max(0.0, stats.suspended_until - now), 2),
             }
 
+    def _update_departure(self, name: str) -> None:
+        listed = self._upstreams.get(name)
+        if listed is not None:
+            self._upstreams[name] = self._with_departure(listed)
+
     def _with_departure(self, upstream: UpstreamRecord) -> UpstreamRecord:
         """Return an upstream as draining if it is known to leave.
 
--- a/src/chivehold/core/direct/gossip.py
+++ b/src/chivehold/core/direct/gossip.py
@@ -21,7 +21,7 @@
 """Entries told in a round."""
 ROUNDS = 4
 """Rounds in which an entry tells a fact; several, so that lost messages do no harm."""
-COMPARISON_S = 5.0
+COMPARISON_S = 1.5
 """Mean time between two comparisons with another entry."""
 FIRST_COMPARISON_S = 0.2
 """The same until another entry has answered for the first time."""
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -23,13 +23,14 @@
 from chivehold.direct.caller_app import CallerApp
 from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.engines import EngineClient
+from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.gossip_socket import GossipSocket
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.operator_app import OperatorApp, ReadyApp
 from chivehold.direct.plain_calls import PlainCalls
 from chivehold.direct.platform_binding import PlatformBinding
 from chivehold.direct.prefills import PrefillScheduler
-from chivehold.direct.quarantines import QuarantineHandlers, Quarantines
+from chivehold.direct.quarantines import Quarantines
 from chivehold.direct.reservations import EngineMemoryReserver
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.signals import SignalReader
@@ -112,20 +113,19 @@
             settings.entries_most,
             trio.current_time(),
         )
-        signals = SignalReader(self._fleet, platform.dialect, self._metrics)
+        name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._gossip = Gossip(settings.name, rng)
+        self._gossip_socket = GossipSocket(self._gossip, lambda item: exchange.learn(item))
+        exchange = FactExchange(name, self._gossip_socket.tell)
+        signals = SignalReader(self._fleet, platform.dialect, self._metrics, exchange)
         engines = EngineClient(self._fleet, self._client, platform.dialect, signals, nursery)
         self._reserver = EngineMemoryReserver(
             self._fleet, engines, self._engine_config, nursery, rng
         )
-        name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
-        self._gossip = Gossip(settings.name, rng)
-        self._exchange = GossipSocket(self._gossip, lambda item: self._quarantines.learn(item))
         self._quarantines = Quarantines(
-            name,
             _crash_policy(settings),
-            QuarantineHandlers(
-                self._exchange.tell, lambda: self._quarantine_records.notify_changed()
-            ),
+            exchange,
+            lambda: self._quarantine_records.notify_changed(),
             self._metrics,
             lambda: self._roster.count,
             rng,
@@ -220,7 +220,7 @@
     ) -> None:
         """Serve until stopped by a signal, then drain."""
         if self._settings.exchange_address is not None:
-            await self._nursery.start(self._exchange.run, self._settings.exchange_address)
+            await self._nursery.start(self._gossip_socket.run, self._settings.exchange_address)
         self._nursery.start_soon(self._quarantine_records.run)
         self._nursery.start_soon(self._replicas.run)
         self._nursery.start_soon(self._run_control_tasks)
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -4,7 +4,6 @@
 import math
 from collections.abc import Callable, Collection, Iterator
 from random import Random
-from typing import NamedTuple
 
 import trio
 
@@ -15,17 +14,14 @@
     Suspect,
     UpstreamEnd,
 )
-from chivehold.core.direct.crash_facts import CrashFact, SoundRun
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
-from chivehold.core.direct.gossip import GossipItem
+from chivehold.core.direct.facts import SoundRun
 from chivehold.core.direct.messages import UpstreamRecord, incarnation_of
 from chivehold.core.direct.quarantine import Quarantine, QuarantineList
-from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.upstream_ends import BrokenRequest
-from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
-from chivehold.rpc.convert_gossip import decode_fact, encode_fact
 
 MS_PER_S = 1_000
 SOUND_REPORTERS = 4
@@ -37,22 +33,13 @@
 _log = logging.getLogger(__name__)
 
 
-class QuarantineHandlers(NamedTuple):
-    """Where new facts go."""
-
-    tell: Callable[[GossipItem], None]
-    """Tells a fact to the other entries."""
-    store: Callable[[], None]
-    """Called when there is a new order that has to outlast the entries."""
-
-
 class Quarantines:
     """What this entry knows of content that ends upstreams.
 
     Args:
-        incarnation: This run of the entry; part of the ids of its facts.
         policy: What is needed to quarantine content, and for how long.
-        handlers: Where new facts go.
+        exchange: Tells facts to the other entries and learns theirs.
+        on_order: Called when there is a new order, which has to outlast the entries.
         metrics: Counts quarantines.
         entries: Returns the number of entries.
         rng: Draws the entries that tell what many of them know.
@@ -60,24 +47,26 @@
 
     def __init__(
         self,
-        incarnation: EntryIncarnation,
         policy: CrashPolicy,
-        handlers: QuarantineHandlers,
+        exchange: FactExchange,
+        on_order: Callable[[], None],
         metrics: DirectMetrics,
         entries: Callable[[], int],
         rng: Random,
     ) -> None:
         self._entries = entries
         self._rng = rng
-        self._incarnation = incarnation
         self._policy = policy
-        self._handlers = handlers
+        self._exchange = exchange
+        self._on_order = on_order
         self._metrics = metrics
         self._evidence = CrashEvidence(policy)
         self._list = QuarantineList()
-        self._told = 0
         self._told_sound_at: dict[CrashKey, float] = {}
         """When content last ran without harm, as far as all entries have been told."""
+        exchange.subscribe(UpstreamEnd, self._learn_end)
+        exchange.subscribe(SoundRun, self._learn_sound)
+        exchange.subscribe(Quarantine, lambda order: self.learn_order(order, "another entry"))
 
     def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
@@ -98,7 +87,7 @@
             return
         end = UpstreamEnd(incarnation_of(upstream), suspects, broken.sent_at, broken.broken_at)
         self._evidence.record_end(end)
-        self._tell("end", end, self._policy.evidence_s)
+        self._exchange.tell(end, self._policy.evidence_s)
         self._decide()
 
     def record_sound(self, keys: Collection[CrashKey]) -> None:
@@ -115,21 +104,6 @@
             if self._list.find((key,), now) is not None:
                 self.order(key, False, "ran without harm")
 
-    def learn(self, item: GossipItem) -> None:
-        """Take in a fact that another entry has told."""
-        try:
-            fact = decode_fact(item)
-        except Malformed as error:
-            log_event(_log, logging.WARNING, "fact unreadable", error, item=item.item_id)
-            return
-        if isinstance(fact, UpstreamEnd):
-            self._learn_end(fact)
-        elif isinstance(fact, SoundRun):
-            self._evidence.record_sound(fact.key, fact.at)
-            self._note_told_sound(fact.key, fact.at)
-        elif isinstance(fact, Quarantine):
-            self.learn_order(fact, "another entry")
-
     def learn_order(self, order: Quarantine, source: str) -> None:
         """Take in an order from another entry or from the store."""
         if self._list.merge(order, trio.current_time()):
@@ -142,8 +116,8 @@
         order = Quarantine(key, self._list.next_version(key), is_active, until)
         self._list.merge(order, now)
         self._apply(order, reason)
-        item_id = f"quarantine/{key}/{order.version}/{is_active}"
-        self._handlers.tell(GossipItem(item_id, encode_fact(order, now), now, until - now))
+        fact_id = f"quarantine/{key}/{order.version}/{is_active}"
+        self._exchange.tell(order, until - now, fact_id)
 
     def dump(self, now: float) -> Iterator[dict[str, object]]:
         """Yield the quarantines for the operators' dump."""
@@ -176,6 +150,10 @@
             self._tell_sound(key, sound_at)
         self._decide()
 
+    def _learn_sound(self, run: SoundRun) -> None:
+        self._evidence.record_sound(run.key, run.at)
+        self._note_told_sound(run.key, run.at)
+
     def _tell_sound(self, key: CrashKey, sound_at: float) -> None:
         """Tell that content ran without harm, if it may soon be put down as what ends upstreams.
 
@@ -188,7 +166,7 @@
         if self._rng.random() * self._entries() > SOUND_REPORTERS:
             return
         self._note_told_sound(key, sound_at)
-        self._tell("sound", SoundRun(key, sound_at), self._policy.evidence_s)
+        self._exchange.tell(SoundRun(key, sound_at), self._policy.evidence_s)
         log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
 
     def _note_told_sound(self, key: CrashKey, sound_at: float) -> None:
@@ -220,13 +198,7 @@
             left_s=round(order.until - now),
             reason=reason,
         )
-        self._handlers.store()
-
-    def _tell(self, kind: str, fact: CrashFact, lifetime_s: float) -> None:
-        now = trio.current_time()
-        self._told += 1
-        item_id = f"{kind}/{self._incarnation}/{self._told}"
-        self._handlers.tell(GossipItem(item_id, encode_fact(fact, now), now, lifetime_s))
+        self._on_order()
 
 
 def _log_finding(finding: CrashFinding) -> None:
--- a/src/chivehold/direct/signals.py
+++ b/src/chivehold/direct/signals.py
@@ -4,12 +4,16 @@
 
 import trio
 
+from chivehold.core.direct.facts import Departure
 from chivehold.core.direct.fleet import Fleet
-from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord
+from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord, incarnation_of
+from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.logs import log_event
 
 MS_PER_S = 1_000
+DEPARTURE_LIFETIME_S = 300.0
+"""How long entries remember that an upstream leaves; it ends much sooner."""
 
 _log = logging.getLogger(__name__)
 
@@ -21,12 +25,17 @@
         fleet: Keeps the signals.
         dialect: The wire format of the headers.
         metrics: Counts the changes.
+        exchange: Tells departures to the other entries and learns theirs.
     """
 
-    def __init__(self, fleet: Fleet, dialect: Dialect, metrics: DirectMetrics) -> None:
+    def __init__(
+        self, fleet: Fleet, dialect: Dialect, metrics: DirectMetrics, exchange: FactExchange
+    ) -> None:
         self._fleet = fleet
         self._dialect = dialect
         self._metrics = metrics
+        self._exchange = exchange
+        exchange.subscribe(Departure, self._learn_departure)
 
     def read(
         self, upstream: UpstreamRecord, status: int, headers: RawHeaders, sent_at: float
@@ -53,11 +62,22 @@
         if signals.leaving and not had_departed:
             self._metrics.count_upstream_signal(upstream.service, "leaving")
             _log_signal("upstream leaving", upstream, address=upstream.address)
+            self._exchange.tell(Departure(incarnation_of(upstream)), DEPARTURE_LIFETIME_S)
         if signals.pause_s is not None:
             self._metrics.count_upstream_signal(upstream.service, "pause")
             pause_ms = round(self._fleet.pause_left_s(upstream, now) * MS_PER_S)
             _log_signal("upstream pushed back", upstream, asked_s=signals.pause_s, for_ms=pause_ms)
 
+    def _learn_departure(self, departure: Departure) -> None:
+        self._fleet.record_departure(departure.upstream)
+        log_event(
+            _log,
+            logging.INFO,
+            "upstream leaving, told by another entry",
+            None,
+            peer=departure.upstream.name,
+        )
+
 
 def _log_signal(event: str, upstream: UpstreamRecord, **fields: object) -> None:
     log_event(
--- a/src/chivehold/rpc/convert_gossip.py
+++ b/src/chivehold/rpc/convert_gossip.py
@@ -7,8 +7,8 @@
 from google.protobuf.message import DecodeError
 
 from chivehold.core.direct.crash_evidence import Suspect, UpstreamEnd
-from chivehold.core.direct.crash_facts import CrashFact, SoundRun
 from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.core.direct.facts import Departure, Fact, SoundRun
 from chivehold.core.direct.gossip import MAX_LIFETIME_S, GossipItem, GossipMessage
 from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
@@ -57,13 +57,18 @@
     )
 
 
-def encode_fact(fact: CrashFact, told_at: float) -> bytes:
+def encode_fact(fact: Fact, told_at: float) -> bytes:
     """Return a fact as it is told first at a moment."""
     if isinstance(fact, UpstreamEnd):
         return pb.Fact(upstream_end=_end_to_proto(fact, told_at)).SerializeToString()
     if isinstance(fact, SoundRun):
         sound_run = pb.SoundRunFact(key=_key_to_proto(fact.key), ago_ms=_age_ms(fact.at, told_at))
         return pb.Fact(sound_run=sound_run).SerializeToString()
+    if isinstance(fact, Departure):
+        departure = pb.DepartureFact(
+            upstream=fact.upstream.name, started_ms=fact.upstream.started_ms
+        )
+        return pb.Fact(departure=departure).SerializeToString()
     quarantine = pb.QuarantineFact(
         key=_key_to_proto(fact.key),
         version=fact.version,
@@ -73,7 +78,7 @@
     return pb.Fact(quarantine=quarantine).SerializeToString()
 
 
-def decode_fact(item: GossipItem) -> CrashFact | None:
+def decode_fact(item: GossipItem) -> Fact | None:
     """Return the fact in an item, or ``None`` if this version does not know its kind.
 
     Raises:
@@ -96,6 +101,8 @@
             fact.quarantine.active,
             item.told_at + fact.quarantine.left_ms / MS_PER_S,
         )
+    if kind == "departure":
+        return Departure(_incarnation(fact.departure.upstream, fact.departure.started_ms))
     return None
 
 
@@ -117,16 +124,20 @@
 
 
 def _end_from_proto(message: pb.UpstreamEndFact, told_at: float) -> UpstreamEnd:
-    if not message.upstream:
-        raise Malformed("decode UpstreamEndFact.upstream", "", "empty")
     return UpstreamEnd(
-        UpstreamIncarnation(message.upstream, message.started_ms),
+        _incarnation(message.upstream, message.started_ms),
         tuple(_suspect_from_proto(suspect, told_at) for suspect in message.suspects),
         told_at - message.sent_ago_ms / MS_PER_S,
         told_at - message.ended_ago_ms / MS_PER_S,
     )
 
 
+def _incarnation(name: str, started_ms: int) -> UpstreamIncarnation:
+    if not name:
+        raise Malformed("decode Fact.upstream", "", "empty")
+    return UpstreamIncarnation(name, started_ms)
+
+
 def _suspect_to_proto(suspect: Suspect, told_at: float) -> pb.Suspect:
     key = _key_to_proto(suspect.key)
     if suspect.sound_at is None:
--- a/tests/core/direct/crash_fleet.py
+++ b/tests/core/direct/crash_fleet.py
@@ -18,8 +18,9 @@
 from chivehold.core.direct.gossip import Gossip, GossipItem, OutgoingMessage
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
-from chivehold.direct.quarantines import QuarantineHandlers, Quarantines
+from chivehold.direct.quarantines import Quarantines
 from chivehold.direct.upstream_ends import BrokenRequest
 from chivehold.rpc.convert_gossip import encode_message
 
@@ -77,10 +78,11 @@
         self.name = f"e{number}"
         self.gossip = Gossip(self.name, rng)
         self.gossip.set_address(self.name)
+        self.exchange = FactExchange(EntryIncarnation(self.name), self._tell)
         self.quarantines = Quarantines(
-            EntryIncarnation(self.name),
             CrashPolicy(),
-            QuarantineHandlers(self._tell, lambda: None),
+            self.exchange,
+            lambda: None,
             DirectMetrics(),
             lambda: entries,
             rng,
@@ -252,5 +254,5 @@
         entry = self._by_name[outgoing.address]
         now = trio.current_time()
         for item in entry.gossip.receive(outgoing.message, now):
-            entry.quarantines.learn(item)
+            entry.exchange.learn(item)
         self._wake(entry)
--- a/tests/direct/test_upstream_signals.py
+++ b/tests/direct/test_upstream_signals.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 
@@ -50,6 +51,26 @@
             assert len(leaving.received) == received
             assert len(other.received) >= REQUESTS
 
+    # Guards against requests of the entries that have not heard of a departure themselves.
+    async def test_other_entries_are_told(self, tmp_path: Path) -> None:
+        """An entry that got no response from the upstream sends it nothing either."""
+        store = MetadataStore()
+        async with (
+            running_entry(tmp_path, store, name="entry-1") as harness,
+            running_entry(tmp_path, store, name="entry-2") as other_harness,
+        ):
+            leaving, other = await two_upstreams(harness)
+            await wait_until(lambda: len(other_harness.entry.dump()["upstreams"]) == 2)
+            await trio.sleep(0.5)
+            leaving.response_headers = LEAVING
+            await reach(harness, leaving, other)
+            received = len(leaving.received)
+            await trio.sleep(1.0)
+            other.work_s = 0.05
+            for number in range(REQUESTS):
+                assert (await other_harness.call("/get/x", f"r{number}")).status == 200
+            assert len(leaving.received) == received
+
     async def test_started_again_under_its_name_is_used_at_once(self, tmp_path: Path) -> None:
         """What an upstream said of itself does not hold for its next process."""
         async with running_entry(tmp_path) as harness:
--- a/tests/rpc/test_convert_gossip.py
+++ b/tests/rpc/test_convert_gossip.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from chivehold.core.direct.crash_evidence import Suspect, UpstreamEnd
-from chivehold.core.direct.crash_facts import CrashFact, SoundRun
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
+from chivehold.core.direct.facts import Departure, Fact, SoundRun
 from chivehold.core.direct.gossip import GossipItem, GossipMessage
 from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
@@ -16,7 +16,7 @@
 
 KEY = CrashKey(KeyKind.PROMPT_PART, "5c1e07a2")
 REQUEST = CrashKey(KeyKind.REQUEST, "ab" * 16)
-FACTS: list[CrashFact] = [
+FACTS: list[Fact] = [
     UpstreamEnd(
         UpstreamIncarnation("u1", 1_750_000_000_000),
         (Suspect(REQUEST, None), Suspect(KEY, 80.0)),
@@ -26,6 +26,7 @@
     SoundRun(KEY, 98.5),
     Quarantine(KEY, 3, True, 400.0),
     Quarantine(KEY, 4, False, 400.0),
+    Departure(UpstreamIncarnation("u1", 7)),
 ]
 TOLD_AT = 100.0
 
@@ -36,7 +37,7 @@
 
 class TestFacts:
     @pytest.mark.parametrize("fact", FACTS)
-    def test_round_trip(self, fact: CrashFact) -> None:
+    def test_round_trip(self, fact: Fact) -> None:
         """A fact is the same at an entry that learns of it at the same moment."""
         assert decode_fact(item(encode_fact(fact, TOLD_AT))) == fact
 
