--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,8 @@
 PATHS = ("/get/", "/post/", "/resume/", "/tell/")
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 DISCONNECT_SHARE = 0.15
+SHARED_PART = "5a5a5a"
+"""First part of all prompts."""
 READY_POLL_INTERVAL_S = 0.5
 PROBE_INTERVAL_S = 0.2
 DEADLINE_SLACK_S = 1.0
@@ -64,6 +66,8 @@
     disconnect_after_s: float | None = None
     received_text: str = ""
     """The output received before, if the request resumes a stream."""
+    parts: tuple[str, ...] = ()
+    """Further parts of a stream's prompt, between the shared first part and its own."""
 
 
 class Callers:
@@ -170,6 +174,10 @@
             ("x-chivehold-token-count", "100,200"),
             ("x-chivehold-length-hint", "190"),
         ]
+        if outgoing.path in ("/resume/", "/tell/"):
+            parts = (SHARED_PART, *outgoing.parts, prompt_digest(outgoing.prompt)[:12])
+            prompt = ",".join(f"{part}:10" for part in parts)
+            headers.append(("x-chivehold-prompt-prefix", prompt))
         if outgoing.received_text:
             headers.append(("last-event-id", str(len(outgoing.received_text.split()))))
         url = f"http://{self._world.entries[name].callers.address}{outgoing.path}a"
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -30,6 +30,7 @@
 ready_address = "127.0.0.1:0"
 operator_address = "127.0.0.1:0"
 store_address = "{store}"
+exchange_address = "127.0.0.1:0"
 retry_share = {share}
 retry_extra = {extra}
 retry_window_s = {window_s}
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -1,5 +1,6 @@
 """A loopback proxy for one address that can delay, hold back, reset and refuse connections."""
 
+import errno
 import socket
 import struct
 
@@ -7,6 +8,8 @@
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 1 << 16
+BIND_ATTEMPTS = 100
+BIND_PAUSE_S = 0.05
 CLOSE_WITH_RESET = struct.pack("ii", 1, 0)
 
 
@@ -64,11 +67,22 @@
         if not self._stopped_listening.is_set():
             return
         self._stopped_listening = trio.Event()
-        listeners = await trio.open_tcp_listeners(self._port, host=LOOPBACK)
+        listeners = await self._bind()
         self._port = listeners[0].socket.getsockname()[1]
         self._accept_scope = trio.CancelScope()
         self._nursery.start_soon(self._listen, listeners, self._accept_scope)
 
+    async def _bind(self) -> list[trio.SocketListener]:
+        """Bind the port, which another connection may be using as its own until it closes."""
+        for _ in range(BIND_ATTEMPTS):
+            try:
+                return await trio.open_tcp_listeners(self._port, host=LOOPBACK)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+            await trio.sleep(BIND_PAUSE_S)
+        return await trio.open_tcp_listeners(self._port, host=LOOPBACK)
+
     def refuse(self) -> None:
         """Stop accepting new connections."""
         self._accept_scope.cancel()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 
 from chivehold.history.events import CallEnd, Violation
 from tests.soak.callers import PATHS, Callers
+from tests.soak.crashers import Crashers, CrashRecord, check_crashers
 from tests.soak.entries import Entry, loopback_address
 from tests.soak.faults import FaultInjector
 from tests.soak.judge import LAG_POLL_INTERVAL_S, OwnLag, RunRecord, find_violations
@@ -35,15 +36,20 @@
     """Number of requests by target and how they ended."""
     own_lag_s: float
     """Maximum lag of the soak's own event loop."""
+    crashes: int = 0
+    """Number of upstreams that ended under a request."""
 
 
-async def run_plan(plan: Plan, directory: Path, rate: float) -> RunResult:
+async def run_plan(
+    plan: Plan, directory: Path, rate: float, has_crashers: bool = False
+) -> RunResult:
     """Run a plan, and write logs, settings and the times of faults into the directory.
 
     Args:
         plan: The plan of the run.
         directory: An empty directory.
         rate: Requests per second.
+        has_crashers: Whether some requests end the upstreams that run them.
     """
     violations: list[Violation] = []
     async with trio.open_nursery() as nursery:
@@ -53,7 +59,8 @@
         try:
             await world.start()
             callers = Callers(world, Random(plan.seed), rate)
-            violations += await _run_load(world, callers, plan)
+            crashers = Crashers(world, callers, Random(f"crashers of {plan.seed}"), nursery)
+            violations += await _run_load(world, callers, plan, crashers if has_crashers else None)
             await trio.sleep(QUIET_S)
             violations += await _check_nothing_held(world)
             violations += await _shut_down_entries(world)
@@ -65,9 +72,13 @@
         nursery.cancel_scope.cancel()
     record = _build_record(world, lags, violations)
     (directory / "troubles.json").write_text(json.dumps(record.fault_periods, indent=1))
+    crashes = CrashRecord(
+        tuple(crashers.crashes), record.history.calls, record.arrivals, record.fault_periods
+    )
     ends = Counter(f"{call.target} {call.end}" for call in record.history.calls)
     max_lag_s = max((lag.late_s for lag in lags), default=0.0)
-    return RunResult(plan, find_violations(record), dict(ends), max_lag_s)
+    found = (*find_violations(record), *check_crashers(crashes))
+    return RunResult(plan, found, dict(ends), max_lag_s, len(crashers.crashes))
 
 
 async def _measure_own_lag(lags: list[OwnLag]) -> None:
@@ -94,7 +105,9 @@
     )
 
 
-async def _run_load(world: World, callers: Callers, plan: Plan) -> list[Violation]:
+async def _run_load(
+    world: World, callers: Callers, plan: Plan, crashers: Crashers | None
+) -> list[Violation]:
     """Make calls during all faults, then until each entry serves each kind of request again."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(callers.run)
@@ -102,6 +115,8 @@
             while callers.healthy_entries != set(plan.entries):
                 await trio.sleep(RECOVERY_POLL_INTERVAL_S)
         began_at = trio.current_time()
+        if crashers is not None:
+            nursery.start_soon(crashers.run)
         await FaultInjector(world).inject_all(plan)
         await trio.sleep_until(began_at + plan.load_s)
         missing = await _find_unrecovered(world, callers)
--- a/tests/soak/test_link.py
+++ b/tests/soak/test_link.py
@@ -44,6 +44,21 @@
             await stream.send_all(b"a")
             assert await receive_within(stream, 2.0) == b"a"
 
+    # Guards against a soak that ends itself when its port serves another connection meanwhile.
+    async def test_port_in_use_when_it_accepts_again(self) -> None:
+        async with echo() as link:
+            link.refuse()
+            await trio.sleep(WAIT_S)
+            port = int(link.address.rpartition(":")[2])
+            async with trio.open_nursery() as nursery:
+                with trio.socket.socket() as other:
+                    await other.bind((LOOPBACK, port))
+                    nursery.start_soon(link.accept)
+                    await trio.sleep(WAIT_S)
+            stream = await connect(link)
+            await stream.send_all(b"a")
+            assert await receive_within(stream, 2.0) == b"a"
+
     @pytest.mark.parametrize("direction", ["to_server", "to_client"])
     async def test_silence_holds_back_and_then_delivers(self, direction: str) -> None:
         async with echo() as link:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -27,6 +27,10 @@
         ("--seed=408", "--signals=5"),
         "failed: an entry ended when SIGHUP came before it handled the signal",
     ),
+    SeedRun(
+        ("--seed=601", "--faults=0", "--crashers=1", "--rate=12"),
+        "requests and prompts that end upstreams, with nothing beside them",
+    ),
 )
 """Seeds that have failed stay. Seed 301, which broke the soak itself, is in ``test_faults.py``."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,7 +1,7 @@
 """The deployment of a run: store, upstreams, links and entries."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -51,6 +51,8 @@
         self.link = link
         self.is_down = False
         self.serve_scope = trio.CancelScope()
+        self.prepare_app: Callable[[SoakEngine | SoakService], None] = lambda app: None
+        """Called with each new stand-in before it serves."""
         self.restart()
 
     def restart(self) -> None:
@@ -64,6 +66,7 @@
         else:
             stage = self._name.partition("-")[0]
             self.app = SoakEngine(self._name, self.run, stage, self._work_log)
+        self.prepare_app(self.app)
 
     @property
     def service(self) -> str:
@@ -112,6 +115,10 @@
             for entry in self.entries.values():
                 nursery.start_soon(entry.start)
 
+    def unix_time(self) -> float:
+        """Return the time by which all events are recorded, in seconds."""
+        return time.time()
+
     @contextmanager
     def record_fault(self, subject: str, kind: str) -> Iterator[None]:
         """Record a fault period that lasts as long as the context."""
