--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -22,7 +22,7 @@
 """Ends within this time may have one common cause and count once."""
 ORDER_TOLERANCE_S = 0.05
 """Uncertainty of times that other entries have told."""
-MAX_ENDS = 500
+MAX_REMEMBERED_ENDS = 500
 MAX_CLEARED = 8_192
 """Keys remembered as cleared; those that ran longest ago are forgotten first."""
 
@@ -97,7 +97,7 @@
         self._ends.append(end)
         for suspect in end.suspects:
             self._ends_by_key.setdefault(suspect.key, []).append(end)
-        if len(self._ends) > MAX_ENDS:
+        if len(self._ends) > MAX_REMEMBERED_ENDS:
             self._ends.remove(min(self._ends, key=lambda known: known.ended_at))
             self._index_ends()
         for suspect in end.suspects:
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -12,7 +12,6 @@
 import trio
 
 from chivehold.bodies import BodyBudget
-from chivehold.core.direct.crash_evidence import CrashPolicy
 from chivehold.core.direct.fleet import Fleet, FleetChange
 from chivehold.core.direct.gossip import Gossip
 from chivehold.core.direct.routes import EngineConfig, RouteIndex, RouteTable
@@ -21,7 +20,7 @@
 from chivehold.core.direct.upstream_limits import UpstreamLimits
 from chivehold.core.identity import EntryIncarnation
 from chivehold.direct.caller_app import CallerApp
-from chivehold.direct.crash_watch import CrashWatch
+from chivehold.direct.crash_protection import CrashProtection
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.gossip_socket import GossipSocket
@@ -44,7 +43,6 @@
 from chivehold.settings import DirectSettings
 from chivehold.store.counted import CountedStore
 from chivehold.store.leases import CONTROL_LEASES, CONTROL_POLL_S, LeaseKeeper
-from chivehold.store.quarantine_records import QuarantineRecords
 from chivehold.store.roster import EntryRoster
 
 CONNECT_TIMEOUT_S = 0.3
@@ -59,8 +57,6 @@
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
 INCARNATION_BYTES = 6
-QUARANTINE_WAIT_S = 2.0
-"""How long after its start an entry waits for the stored quarantines before it is ready."""
 
 _log = logging.getLogger(__name__)
 
@@ -95,7 +91,6 @@
         self._settings = settings
         self._logs = logs
         self._nursery = nursery
-        self._started_at = trio.current_time()
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_requested = trio.Event()
         self._settings_file = SettingsFile(path, settings, self._apply_settings)
@@ -122,15 +117,20 @@
         self._reserver = EngineMemoryReserver(
             self._fleet, engines, self._engine_config, nursery, rng
         )
-        self._quarantines = Quarantines(
-            _crash_policy(settings),
+        store = CountedStore(
+            platform.open_store(settings.store_address, self._store_client),
+            self._metrics.count_store_call,
+        )
+        self._crash_protection = CrashProtection(
+            settings,
+            name,
+            store,
             exchange,
-            lambda: self._quarantine_records.notify_changed(),
-            self._metrics,
             lambda: self._roster.count,
+            self._metrics,
+            nursery,
             rng,
         )
-        crashes = CrashWatch(nursery, self._quarantines, settings.crash_settled_s, self._metrics)
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
@@ -140,7 +140,7 @@
                 signals,
                 self._retries,
                 self._metrics,
-                crashes,
+                self._crash_protection.watch,
             ),
             StreamCalls(
                 self._fleet,
@@ -155,16 +155,12 @@
                 self._reserver,
                 self._retries,
                 self._metrics,
-                crashes,
+                self._crash_protection.watch,
             ),
             self._retries,
             self._metrics,
             BodyBudget(settings.max_held_bytes),
         )
-        store = CountedStore(
-            platform.open_store(settings.store_address, self._store_client),
-            self._metrics.count_store_call,
-        )
         self._replicas = StoreReplicas(
             store,
             platform,
@@ -173,14 +169,6 @@
             ChangeHandlers(self._apply_routes, self._apply_fleet_change),
             rng,
         )
-        self._quarantine_records = QuarantineRecords(
-            store,
-            name,
-            self._quarantines.orders,
-            lambda order: self._quarantines.learn_order(order, "store"),
-            lambda: self._roster.count,
-            rng,
-        )
         self._roster = EntryRoster(
             store,
             settings.name,
@@ -213,7 +201,7 @@
     @property
     def quarantines(self) -> Quarantines:
         """The content that is refused."""
-        return self._quarantines
+        return self._crash_protection.quarantines
 
     async def run(
         self, task_status: trio.TaskStatus[DirectAddresses] = trio.TASK_STATUS_IGNORED
@@ -221,7 +209,7 @@
         """Serve until stopped by a signal, then drain."""
         if self._settings.exchange_address is not None:
             await self._nursery.start(self._gossip_socket.run, self._settings.exchange_address)
-        self._nursery.start_soon(self._quarantine_records.run)
+        self._nursery.start_soon(self._crash_protection.run)
         self._nursery.start_soon(self._replicas.run)
         self._nursery.start_soon(self._run_control_tasks)
         await self._nursery.start(self._await_signals)
@@ -240,7 +228,7 @@
             self._unready_reason,
             self._render_metrics,
             self.dump,
-            lambda key, is_active: self._quarantines.order(key, is_active, "operator"),
+            lambda key, is_active: self.quarantines.order(key, is_active, "operator"),
         )
         async with trio.open_nursery() as servers:
 
@@ -351,10 +339,7 @@
             return "no routes known yet"
         if not self._fleet.upstreams:
             return "no upstreams known yet"
-        waits = trio.current_time() < self._started_at + QUARANTINE_WAIT_S
-        if waits and not self._quarantine_records.is_loaded:
-            return "quarantines not read yet"
-        return ""
+        return self._crash_protection.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
         return self._metrics.render(
@@ -380,22 +365,12 @@
                 "held": self._control_lease.is_held(),
                 "holders": self._control_lease.holders,
             },
-            "quarantines": list(self._quarantines.dump(now)),
+            "quarantines": list(self.quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
             "log_lines_dropped": self._logs.dropped,
         }
 
 
-def _crash_policy(settings: DirectSettings) -> CrashPolicy:
-    return CrashPolicy(
-        settings.crash_ends,
-        settings.crash_ends_if_sound_before,
-        settings.crash_evidence_s,
-        settings.quarantine_s,
-        settings.crash_settled_s,
-    )
-
-
 def _settings_to_log(settings: DirectSettings) -> dict[str, object]:
     """Return the settings to log, without the configured listen addresses."""
     return {
--- /dev/null
+++ b/src/chivehold/direct/crash_protection.py
@@ -0,0 +1,94 @@
+"""The parts of an entry that find content which ends upstreams, and refuse it."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from chivehold.core.direct.crash_evidence import CrashPolicy
+from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.crash_watch import CrashWatch
+from chivehold.direct.fact_exchange import FactExchange
+from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.quarantines import Quarantines
+from chivehold.settings import DirectSettings
+from chivehold.store.api import ObjectStore
+from chivehold.store.quarantine_records import QuarantineRecords
+
+MAX_LOAD_WAIT_S = 2.0
+"""How long after its start an entry waits for the stored quarantines before it is ready."""
+
+
+class CrashProtection:
+    """Builds and connects these parts.
+
+    Args:
+        settings: The entry's settings.
+        incarnation: This run of the entry.
+        store: Keeps the quarantines.
+        exchange: Tells facts to the other entries and learns theirs.
+        entries: Returns the number of entries.
+        metrics: Counts ends of upstreams and quarantines.
+        nursery: Runs the probes of upstreams.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        incarnation: EntryIncarnation,
+        store: ObjectStore,
+        exchange: FactExchange,
+        entries: Callable[[], int],
+        metrics: DirectMetrics,
+        nursery: trio.Nursery,
+        rng: Random,
+    ) -> None:
+        self._started_at = trio.current_time()
+        self._quarantines = Quarantines(
+            _policy(settings),
+            exchange,
+            lambda: self._records.notify_changed(),
+            metrics,
+            entries,
+            rng,
+        )
+        self._records = QuarantineRecords(
+            store,
+            incarnation,
+            self._quarantines.orders,
+            lambda order: self._quarantines.learn_order(order, "store"),
+            entries,
+            rng,
+        )
+        self._watch = CrashWatch(nursery, self._quarantines, settings.crash_settled_s, metrics)
+
+    @property
+    def watch(self) -> CrashWatch:
+        """Watches the attempts at upstreams."""
+        return self._watch
+
+    @property
+    def quarantines(self) -> Quarantines:
+        """The content that is refused."""
+        return self._quarantines
+
+    async def run(self) -> None:
+        """Keep the stored quarantines up to date until cancelled."""
+        await self._records.run()
+
+    def unready_reason(self) -> str:
+        """Return why the entry is not ready yet, or an empty string if it is."""
+        if self._records.is_loaded or trio.current_time() >= self._started_at + MAX_LOAD_WAIT_S:
+            return ""
+        return "quarantines not read yet"
+
+
+def _policy(settings: DirectSettings) -> CrashPolicy:
+    return CrashPolicy(
+        settings.crash_ends,
+        settings.crash_ends_if_sound_before,
+        settings.crash_evidence_s,
+        settings.quarantine_s,
+        settings.crash_settled_s,
+    )
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -11,6 +11,11 @@
 from chivehold.direct.refusals import Refusal, not_run_refusal
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
 
+MAX_ENDS_UNDER_REQUEST = 2
+"""Upstreams that may end under a request before it is given up; it may be what ends them."""
+MAX_ENDS_UNDER_SUSPECT = 1
+"""The same for a request that was running at an upstream that ended, before it came again."""
+
 
 class CrashWatch:
     """Tells which requests were running at upstreams that ended, and refuses their like.
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -15,7 +15,11 @@
     UpstreamRecord,
 )
 from chivehold.core.direct.shared_retries import SharedRetryBudget
-from chivehold.direct.crash_watch import CrashWatch
+from chivehold.direct.crash_watch import (
+    MAX_ENDS_UNDER_REQUEST,
+    MAX_ENDS_UNDER_SUSPECT,
+    CrashWatch,
+)
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.refusals import (
@@ -31,10 +35,6 @@
 MAX_RESPONSE_BYTES = 8 << 20
 MIN_TIME_LEFT_S = 0.02
 """A request with less time left is not sent, because it cannot be answered in time."""
-MAX_ENDS = 2
-"""Upstreams that may end under a request before it is given up; it may be what ends them."""
-MAX_ENDS_OF_SUSPECT = 1
-"""The same for a request that was running at an upstream that ended, before it came again."""
 MAX_UNREACHED = 4
 """Unreachable upstreams that a request may skip, outside the retry budget, before it is refused."""
 HEDGE_DELAY_SHARE = 0.45
@@ -220,7 +220,7 @@
         self._possible_runs = 0
         self._is_suspect = calls.crashes.is_suspect(exchange)
         """Whether an upstream has ended under this request; it is not hedged then."""
-        self._ends_left = MAX_ENDS_OF_SUSPECT if self._is_suspect else MAX_ENDS
+        self._ends_left = MAX_ENDS_UNDER_SUSPECT if self._is_suspect else MAX_ENDS_UNDER_REQUEST
         self._unreached = 0
         self._error_response: CompleteResponse | None = None
         self._send, self._results = trio.open_memory_channel[AttemptResult](math.inf)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -9,7 +9,7 @@
 from chivehold.core.direct.routes import EngineConfig
 from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.core.direct.waiting import Waiter
-from chivehold.direct.crash_watch import CrashWatch
+from chivehold.direct.crash_watch import MAX_ENDS_UNDER_REQUEST, CrashWatch
 from chivehold.direct.engines import EngineClient, PrefilledCache
 from chivehold.direct.exchange import Exchange, Reply
 from chivehold.direct.metrics import DirectMetrics
@@ -41,8 +41,6 @@
 REFUSING_ENGINE_PAUSE_S = 3.0
 """Suspension of a decode engine that refuses a request for which it granted memory."""
 MIN_TIME_LEFT_S = 0.1
-MAX_ENDS = 2
-"""Engines that may end when a stream has just begun there; it may be what ends them."""
 FULL_RETRY_S = 2.0
 
 
@@ -293,7 +291,7 @@
         route = self._exchange.route
         if result.end is AttemptEnd.BROKEN:
             self._broken_attempts += 1
-            may_repeat = route.retryable and self._ends < MAX_ENDS
+            may_repeat = route.retryable and self._ends < MAX_ENDS_UNDER_REQUEST
             if not may_repeat or self._broken_attempts >= route.max_upstreams:
                 return self._refusal("broken", "the engine's stream broke off", 502)
         else:
