Test of restores no longer waits for a revision that the entry itself goes on raising

test_few_calls_after_a_restore failed in 3 of about 130 runs, with TooSlowError in wait_until (seen in one of them; the text of the others was not kept). lose_changes waited for the entry's list of upstreams to be at the store's newest revision; the entry's own writes of its lease raise that revision, and the watch of upstreams answers only after up to 2 s without a change. Now it waits for the revision of the last change that is lost, which is what the test needs; the check of the calls is as it was.

--- a/tests/direct/test_store_restored.py
+++ b/tests/direct/test_store_restored.py
@@ -20,8 +20,10 @@
     copy = harness.store.copy()
     for version in range(2, 2 + LOST_CHANGES):
         harness.configure(version, ROUTES)
+    last_revision = harness.store.revision
     await wait_until(lambda: harness.entry.dump()["configuration"] == 1 + LOST_CHANGES)
-    await wait_until(lambda: harness.entry.dump()["upstreams_revision"] == harness.store.revision)
+    # The entry's own writes of its lease go on raising the store's revision.
+    await wait_until(lambda: harness.entry.dump()["upstreams_revision"] >= last_revision)
     harness.store.restore(copy)
 
 
