--- a/src/chivehold/direct/upstream_ends.py
+++ b/src/chivehold/direct/upstream_ends.py
@@ -1,7 +1,8 @@
 """Tells the end of an upstream's process from other reasons for which a connection breaks.
 
 A broken connection alone may be a reset on the way, a spoilt response or a limit of connections.
-When the process has ended, its address refuses connections until the next one listens there.
+When the process has ended, its address refuses connections until the next one listens there. It is
+asked once: each connection may take the place of a request.
 """
 
 import logging
@@ -15,8 +16,6 @@
 from chivehold.http_client import refuses_connections
 from chivehold.logs import log_event
 
-PROBE_DELAYS_S = (0.0, 0.1, 0.3)
-"""Delays before the probes of an address; a process that crashes may close its listener last."""
 PROBE_TIMEOUT_S = 0.2
 MAX_PROBE_WAIT_S = 0.1
 """How long a request waits to learn whether its upstream has ended."""
@@ -54,7 +53,7 @@
         self._on_end = on_end
         self._pending: dict[UpstreamIncarnation, list[BrokenRequest]] = {}
         self._ended: dict[UpstreamIncarnation, None] = {}
-        self._first_probes: dict[UpstreamIncarnation, trio.Event] = {}
+        self._probes: dict[UpstreamIncarnation, trio.Event] = {}
 
     def record_break(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
         """Record that the connection of a suspect request broke."""
@@ -65,15 +64,15 @@
         pending = self._pending.get(incarnation)
         if pending is None:
             self._pending[incarnation] = [broken]
-            self._first_probes[incarnation] = trio.Event()
+            self._probes[incarnation] = trio.Event()
             self._nursery.start_soon(self._probe, upstream)
         elif len(pending) < MAX_SUSPECTS:
             pending.append(broken)
 
     async def has_ended(self, upstream: UpstreamRecord) -> bool:
-        """Return whether an upstream has ended, after the first probe if one is in progress."""
+        """Return whether an upstream has ended; waits for a probe in progress."""
         incarnation = incarnation_of(upstream)
-        probed = self._first_probes.get(incarnation)
+        probed = self._probes.get(incarnation)
         if probed is not None:
             with trio.move_on_after(MAX_PROBE_WAIT_S):
                 await probed.wait()
@@ -81,21 +80,19 @@
 
     async def _probe(self, upstream: UpstreamRecord) -> None:
         incarnation = incarnation_of(upstream)
-        probed = self._first_probes[incarnation]
+        probed = self._probes[incarnation]
         try:
-            for delay_s in PROBE_DELAYS_S:
-                await trio.sleep(delay_s)
-                if await refuses_connections(upstream.address, PROBE_TIMEOUT_S):
-                    self._record_end(incarnation)
-                    for broken in self._pending.pop(incarnation):
-                        self._report(upstream, broken)
-                    return
-                probed.set()
+            has_ended = await refuses_connections(upstream.address, PROBE_TIMEOUT_S)
+            if has_ended:
+                self._record_end(incarnation)
             for broken in self._pending.pop(incarnation):
-                _log_suspect("upstream still listens", upstream, broken)
+                if has_ended:
+                    self._report(upstream, broken)
+                else:
+                    _log_suspect("upstream still listens", upstream, broken)
         finally:
             probed.set()
-            del self._first_probes[incarnation]
+            del self._probes[incarnation]
 
     def _record_end(self, incarnation: UpstreamIncarnation) -> None:
         self._ended[incarnation] = None
