Only a success clears a request under which an upstream ended

Found by reading: any answer cleared it, also an upstream's error, which may come before the request has run; a service that fails part of its requests would have made the entries count anew. The new test fails on the code before.

--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -201,7 +201,8 @@
             return BrokenCall(upstream, error.detail, ended)
         if metadata.not_run:
             return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
-        watch.record_sound()
+        if response.status < MIN_ERROR_STATUS:
+            watch.record_sound()
         if body is None:
             return BrokenCall(upstream, "response too long")
         if not metadata.signed or metadata.content_encoded or metadata.request_id is None:
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -7,11 +7,12 @@
 import pytest
 import trio
 
+from chivehold.core.direct.crash_keys import request_key
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.fakes.platform_upstream import PlainUpstream
 from chivehold.http_client import LinkError
 from tests.direct.crashing import CONTACT_S, CrashingService
-from tests.direct.harness import EntryHarness, route, running_entry
+from tests.direct.harness import HOST, EntryHarness, route, running_entry, wait_until
 
 ENTRIES = 4
 UPSTREAMS = 3
@@ -113,3 +114,24 @@
             await trio.sleep(0.2)
             assert len(upstreams.crashes) <= MOST_ENDS_BY_ONE_ATTEMPT
             nursery.cancel_scope.cancel()
+
+    # Guards against a request that is forgotten as harmless since an upstream failed it in time.
+    @pytest.mark.parametrize(("status", "is_suspect"), [(500, True), (200, False)])
+    async def test_only_a_success_clears_it(
+        self, tmp_path: Path, status: int, is_suspect: bool
+    ) -> None:
+        """An error may come before the request has run."""
+        async with running_entry(tmp_path) as harness, trio.open_nursery() as nursery:
+            harness.configure(2, [route("/get/", "idempotent", "plain", maxAttempts=1)])
+            upstreams = CrashingService(harness, "plain", PlainUpstream, ends_upstream)
+            await upstreams.run(1, nursery)
+            await wait_until(lambda: harness.entry.dump()["upstreams"])
+            assert await send(harness, "/get/x", "bad1", CRASHING_BODY) == 502
+            await wait_until(lambda: len(upstreams.all) == 2)
+            upstreams.all[1].is_crashed_by = lambda headers, body: False
+            upstreams.all[1].status = status
+            await trio.sleep(1.0)
+            assert await send(harness, "/get/x", "bad2", CRASHING_BODY) == status
+            key = request_key(HOST.encode(), b"/get/x", [], CRASHING_BODY)
+            assert harness.entry.quarantines.is_suspect(key) is is_suspect
+            nursery.cancel_scope.cancel()
