A quarantine is tried by one request of all entries, so that a wrong one is found out

Content that is refused cannot show that it is harmless, so a wrong quarantine lasted its whole hour. Once quarantine_trial_s (120 s) has passed, an entry that gets such a request claims the trial by a conditional write of the next order to the store; the winner lets the request through, to one upstream, not repeated. A sound run lifts the quarantine at all entries; an end leaves it. Two trials of the same content at most, the second after four times the time, counted on when it is quarantined again; none while the store is away, of an operator's order, or of a request with other quarantined content. Retry-After names the next trial.

The schema and the stored record gain fields that older entries pass over.

--- a/src/chivehold/commands/quarantine.py
+++ b/src/chivehold/commands/quarantine.py
@@ -19,13 +19,14 @@
 TIMEOUT_S = 5.0
 OK_STATUS = 200
 ACTIONS: Mapping[str, bool] = {"set": True, "lift": False}
-HEADER = ("KEY", "STATE", "LEFT S")
+HEADER = ("KEY", "STATE", "LEFT S", "TRIALS")
 
 
 class _QuarantineJson(TypedDict):
     key: str
     active: bool
     left_s: int
+    trials: int
 
 
 class QuarantineCommand(PlainCommand):
@@ -60,11 +61,7 @@
             self.emit_error(response.body.decode(errors="replace"))
             return ExitCode.REFUSED
         quarantines = msgspec.json.decode(response.body, type=list[_QuarantineJson])
-        rows = [
-            (known["key"], "refused" if known["active"] else "lifted", str(known["left_s"]))
-            for known in quarantines
-        ]
-        self.emit(table(HEADER, rows))
+        self.emit(table(HEADER, [_row(known) for known in quarantines]))
         return ExitCode.OK
 
     def _order(self) -> bytes:
@@ -80,6 +77,11 @@
         return msgspec.json.encode({"kind": kind, "value": value, "active": ACTIONS[action]})
 
 
+def _row(known: _QuarantineJson) -> tuple[str, ...]:
+    state = "refused" if known["active"] else "lifted"
+    return known["key"], state, str(known["left_s"]), str(known["trials"])
+
+
 async def _call(address: str, body: bytes) -> HttpResponse:
     client = HttpClient()
     try:
--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -40,6 +40,8 @@
     """Duration of a quarantine in seconds."""
     settled_s: float = 0.5
     """A stream that has sent events for this time has not ended its engine."""
+    trial_s: float = 120.0
+    """Time in seconds until a quarantine is tried for the first time."""
 
 
 class Suspect(NamedTuple):
--- a/src/chivehold/core/direct/quarantine.py
+++ b/src/chivehold/core/direct/quarantine.py
@@ -3,6 +3,10 @@
 Every entry may add a quarantine or lift one. Orders for the same content are numbered, the highest
 number counts, and a lifted quarantine wins over one of the same number; so all entries agree in the
 end, in whatever order they learn.
+
+A quarantine may be wrong, and content that is refused cannot show that it is harmless. So now and
+then one request is let through as a trial. A trial of bad content ends an upstream, so all entries
+together make only a few, counted by orders of their own.
 """
 
 from collections.abc import Collection, Iterator
@@ -12,6 +16,10 @@
 
 MAX_QUARANTINES = 256
 """Quarantines to remember; those that end first are dropped first."""
+MAX_TRIALS = 2
+"""Trials of the same content, also if it is quarantined again."""
+TRIAL_BACKOFF = 4.0
+"""Factor by which the time to the next trial grows with each."""
 
 
 class Quarantine(NamedTuple):
@@ -23,6 +31,30 @@
     is_active: bool
     until: float
     """When the order is forgotten, in monotonic seconds."""
+    trials: int = 0
+    """Requests let through so far to find out whether the quarantine is wrong."""
+    next_trial_at: float | None = None
+    """When the next trial is due, in monotonic seconds; ``None`` if there is to be none."""
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether a request with this content may be let through as a trial."""
+        return self.is_active and self.next_trial_at is not None and now >= self.next_trial_at
+
+    def retry_after_s(self, now: float) -> float:
+        """Return the time in seconds until a request with this content may be served."""
+        until = self.until if self.next_trial_at is None else min(self.until, self.next_trial_at)
+        return max(0.0, until - now)
+
+    def claim_trial(self, trial_s: float, now: float) -> "Quarantine":
+        """Return the order that counts one more trial.
+
+        Args:
+            trial_s: Time to the first trial of a quarantine, in seconds.
+            now: Monotonic time in seconds.
+        """
+        trials = self.trials + 1
+        next_trial_at = now + trial_s * TRIAL_BACKOFF**trials if trials < MAX_TRIALS else None
+        return self._replace(version=self.version + 1, trials=trials, next_trial_at=next_trial_at)
 
 
 class QuarantineList:
@@ -41,10 +73,21 @@
             del self._orders[min(self._orders.values(), key=lambda known: known.until).key]
         return True
 
-    def next_version(self, key: CrashKey) -> int:
-        """Return the number of the next order for some content."""
+    def next_order(
+        self, key: CrashKey, is_active: bool, until: float, first_trial_at: float | None
+    ) -> Quarantine:
+        """Return the next order for some content.
+
+        Args:
+            key: The content.
+            is_active: Whether to refuse it.
+            until: When the order is forgotten, in monotonic seconds.
+            first_trial_at: When it may first be tried; ``None`` if it is not to be.
+        """
         known = self._orders.get(key)
-        return 1 if known is None else known.version + 1
+        version, trials = (known.version + 1, known.trials) if known else (1, 0)
+        next_trial_at = first_trial_at if trials < MAX_TRIALS else None
+        return Quarantine(key, version, is_active, until, trials, next_trial_at)
 
     def find(self, keys: Collection[CrashKey], now: float) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
--- a/src/chivehold/direct/crash_protection.py
+++ b/src/chivehold/direct/crash_protection.py
@@ -10,6 +10,7 @@
 from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.quarantine_trials import QuarantineTrials
 from chivehold.direct.quarantines import Quarantines
 from chivehold.settings import DirectSettings
 from chivehold.store.api import ObjectStore
@@ -61,7 +62,12 @@
             entries,
             rng,
         )
-        self._watch = CrashWatch(nursery, self._quarantines, settings.crash_settled_s, metrics)
+        trials = QuarantineTrials(
+            self._quarantines, self._records.claim, settings.quarantine_trial_s, entries, rng
+        )
+        self._watch = CrashWatch(
+            nursery, self._quarantines, trials, settings.crash_settled_s, metrics
+        )
 
     @property
     def watch(self) -> CrashWatch:
@@ -91,4 +97,5 @@
         settings.crash_evidence_s,
         settings.quarantine_s,
         settings.crash_settled_s,
+        settings.quarantine_trial_s,
     )
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -7,6 +7,7 @@
 from chivehold.core.direct.quarantine import Quarantine
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.quarantine_trials import QuarantineTrials
 from chivehold.direct.quarantines import Quarantines
 from chivehold.direct.refusals import Refusal, not_run_refusal
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
@@ -23,6 +24,7 @@
     Args:
         nursery: Runs the probes of upstreams.
         quarantines: Gets the evidence and decides.
+        trials: Lets few requests through to see whether a quarantine is wrong.
         settled_s: A stream that has sent events for this time is no suspect, in seconds.
         metrics: Counts the ends.
     """
@@ -31,10 +33,12 @@
         self,
         nursery: trio.Nursery,
         quarantines: Quarantines,
+        trials: QuarantineTrials,
         settled_s: float,
         metrics: DirectMetrics,
     ) -> None:
         self._quarantines = quarantines
+        self._trials = trials
         self._settled_s = settled_s
         self._metrics = metrics
         self._ends = UpstreamEndDetector(nursery, self._record_end)
@@ -44,17 +48,35 @@
         """A stream that has sent events for this time is no suspect, in seconds."""
         return self._settled_s
 
+    async def admit(self, exchange: Exchange) -> Exchange:
+        """Return the request as it may be tried; one with quarantined content may become a trial.
+
+        Waits briefly for the store if a trial is due.
+        """
+        order = self._find(exchange)
+        if order is None:
+            return exchange
+        trial = exchange._replace(trial_of=order.key)
+        if self.is_quarantined(trial) or not await self._trials.try_claim(order):
+            return exchange
+        exchange.log("quarantined request let through", key=str(order.key))
+        return trial
+
     def refusal(self, exchange: Exchange) -> Refusal | None:
         """Return the refusal of a request whose content is quarantined, or ``None``."""
-        order = self._quarantines.find(exchange.crash_keys)
+        order = self._find(exchange)
         if order is None:
             return None
         exchange.log("request quarantined", key=str(order.key), version=order.version)
         return _refusal(order)
 
     def is_quarantined(self, exchange: Exchange) -> bool:
-        """Return whether requests with this content are refused now."""
-        return self._quarantines.find(exchange.crash_keys) is not None
+        """Return whether requests with this content are refused now; a trial is not."""
+        return self._find(exchange) is not None
+
+    def _find(self, exchange: Exchange) -> Quarantine | None:
+        keys = [key for key in exchange.crash_keys if key != exchange.trial_of]
+        return self._quarantines.find(keys)
 
     def is_suspect(self, exchange: Exchange) -> bool:
         """Return whether this very request was running at an upstream that ended."""
@@ -146,5 +168,5 @@
 
 
 def _refusal(order: Quarantine) -> Refusal:
-    left_s = max(0.0, order.until - trio.current_time())
-    return not_run_refusal("quarantined", "such requests end upstreams", left_s)
+    retry_after_s = order.retry_after_s(trio.current_time())
+    return not_run_refusal("quarantined", "such requests end upstreams", retry_after_s)
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -35,6 +35,8 @@
     """How long the caller waited before this retry, in seconds; 0 for a first request."""
     crash_keys: tuple[CrashKey, ...] = ()
     """The key of the request's content, then those of the parts of its prompt."""
+    trial_of: CrashKey | None = None
+    """The quarantined content that this request is let through with, to see if it is harmless."""
 
     @property
     def request_id(self) -> str:
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -109,6 +109,7 @@
 
     async def serve(self, exchange: Exchange, reply: Reply) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
+        exchange = await self._crashes.admit(exchange)
         response = self._crashes.refusal(exchange) or await _HedgedCall(self, exchange).run()
         if isinstance(response, CompleteResponse):
             headers = self._dialect.response_headers(response.headers)
@@ -219,7 +220,7 @@
         self._tried: set[str] = set()
         self._running = 0
         self._possible_runs = 0
-        self._is_suspect = calls.crashes.is_suspect(exchange)
+        self._is_suspect = exchange.trial_of is not None or calls.crashes.is_suspect(exchange)
         """Whether an upstream has ended under this request; it is not hedged then."""
         self._ends_left = MAX_ENDS_UNDER_SUSPECT if self._is_suspect else MAX_ENDS_UNDER_REQUEST
         self._unreached = 0
@@ -293,7 +294,7 @@
                 again even if it is not retryable.
         """
         exchange = self._exchange
-        if may_have_run and not exchange.route.retryable:
+        if may_have_run and (exchange.trial_of is not None or not exchange.route.retryable):
             return
         if self._possible_runs + self._running >= exchange.route.max_upstreams:
             return
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -101,23 +101,38 @@
         for key in cleared:
             self._tell_sound(key, now)
         for key in keys:
-            if self._list.find((key,), now) is not None:
+            if self._is_active(key, now):
                 self.order(key, False, "ran without harm")
 
     def learn_order(self, order: Quarantine, source: str) -> None:
         """Take in an order from another entry or from the store."""
-        if self._list.merge(order, trio.current_time()):
-            self._apply(order, source)
-
-    def order(self, key: CrashKey, is_active: bool, reason: str) -> None:
-        """Quarantine content, or lift its quarantine, at all entries."""
+        now = trio.current_time()
+        was_active = self._is_active(order.key, now)
+        if self._list.merge(order, now):
+            self._apply(order, source, was_active)
+
+    def order(self, key: CrashKey, is_active: bool, reason: str, may_try: bool = False) -> None:
+        """Quarantine content, or lift its quarantine, at all entries.
+
+        Args:
+            key: The content.
+            is_active: Whether to refuse it.
+            reason: Logged with the order.
+            may_try: Whether requests are let through later, to see whether they are harmless.
+        """
         now = trio.current_time()
         until = now + self._policy.quarantine_s
-        order = Quarantine(key, self._list.next_version(key), is_active, until)
+        first_trial_at = now + self._policy.trial_s if may_try else None
+        self.give(self._list.next_order(key, is_active, until, first_trial_at), reason)
+
+    def give(self, order: Quarantine, reason: str) -> None:
+        """Apply an order of this entry and tell the others."""
+        now = trio.current_time()
+        was_active = self._is_active(order.key, now)
         self._list.merge(order, now)
-        self._apply(order, reason)
-        fact_id = f"quarantine/{key}/{order.version}/{is_active}"
-        self._exchange.tell(order, until - now, fact_id)
+        self._apply(order, reason, was_active)
+        fact_id = f"quarantine/{order.key}/{order.version}/{order.is_active}"
+        self._exchange.tell(order, order.until - now, fact_id)
 
     def dump(self, now: float) -> Iterator[dict[str, object]]:
         """Yield the quarantines for the operators' dump."""
@@ -127,6 +142,7 @@
                 "active": order.is_active,
                 "version": order.version,
                 "left_s": round(order.until - now),
+                "trials": order.trials,
             }
 
     def _learn_end(self, end: UpstreamEnd) -> None:
@@ -179,11 +195,18 @@
         now = trio.current_time()
         for finding in list(self._evidence.find(self._list.active_keys(now), now)):
             _log_finding(finding)
-            self.order(finding.key, True, "ends upstreams")
+            self.order(finding.key, True, "ends upstreams", may_try=True)
+
+    def _is_active(self, key: CrashKey, now: float) -> bool:
+        return self._list.find((key,), now) is not None
 
-    def _apply(self, order: Quarantine, reason: str) -> None:
+    def _apply(self, order: Quarantine, reason: str, was_active: bool) -> None:
         now = trio.current_time()
+        event = "quarantine begun"
+        if was_active:
+            event = "quarantine tried"
         if not order.is_active:
+            event = "quarantine lifted"
             # Ends before the order must not quarantine the content again.
             self._evidence.record_sound(order.key, now)
         self._metrics.count_quarantine_order(order.is_active)
@@ -191,11 +214,12 @@
         log_event(
             _log,
             logging.WARNING,
-            "quarantine begun" if order.is_active else "quarantine lifted",
+            event,
             None,
             key=str(order.key),
             version=order.version,
             left_s=round(order.until - now),
+            trials=order.trials,
             reason=reason,
         )
         self._on_order()
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -78,6 +78,7 @@
 
     async def serve(self, exchange: Exchange, reply: Reply, engine_config: EngineConfig) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
+        exchange = await self._crashes.admit(exchange)
         stream = _StreamRequest(self, exchange, reply, engine_config)
         try:
             refusal = await stream.run()
@@ -291,8 +292,7 @@
         route = self._exchange.route
         if result.end is AttemptEnd.BROKEN:
             self._broken_attempts += 1
-            may_repeat = route.retryable and self._ends < MAX_ENDS_UNDER_REQUEST
-            if not may_repeat or self._broken_attempts >= route.max_upstreams:
+            if not self._may_repeat() or self._broken_attempts >= route.max_upstreams:
                 return self._refusal("broken", "the engine's stream broke off", 502)
         else:
             self._refusals += 1
@@ -300,6 +300,11 @@
             return self._refusal("retry_budget", "the retry budget is spent", 502)
         return None
 
+    def _may_repeat(self) -> bool:
+        if self._exchange.trial_of is not None and not self._has_settled:
+            return False
+        return self._exchange.route.retryable and self._ends < MAX_ENDS_UNDER_REQUEST
+
     def _refusal(self, reason: str, message: str, status: int) -> Refusal:
         if self._broken_attempts:
             return unknown_outcome_refusal(status, reason, message)
--- a/src/chivehold/rpc/convert_gossip.py
+++ b/src/chivehold/rpc/convert_gossip.py
@@ -69,13 +69,7 @@
             upstream=fact.upstream.name, started_ms=fact.upstream.started_ms
         )
         return pb.Fact(departure=departure).SerializeToString()
-    quarantine = pb.QuarantineFact(
-        key=_key_to_proto(fact.key),
-        version=fact.version,
-        active=fact.is_active,
-        left_ms=_ms(max(0.0, fact.until - told_at)),
-    )
-    return pb.Fact(quarantine=quarantine).SerializeToString()
+    return pb.Fact(quarantine=_quarantine_to_proto(fact, told_at)).SerializeToString()
 
 
 def decode_fact(item: GossipItem) -> Fact | None:
@@ -95,12 +89,7 @@
         at = item.told_at - fact.sound_run.ago_ms / MS_PER_S
         return SoundRun(_key_from_proto(fact.sound_run.key), at)
     if kind == "quarantine":
-        return Quarantine(
-            _key_from_proto(fact.quarantine.key),
-            fact.quarantine.version,
-            fact.quarantine.active,
-            item.told_at + fact.quarantine.left_ms / MS_PER_S,
-        )
+        return _quarantine_from_proto(fact.quarantine, item.told_at)
     if kind == "departure":
         return Departure(_incarnation(fact.departure.upstream, fact.departure.started_ms))
     return None
@@ -132,6 +121,34 @@
     )
 
 
+def _quarantine_to_proto(order: Quarantine, told_at: float) -> pb.QuarantineFact:
+    next_trial_in_ms: int | None = None
+    if order.next_trial_at is not None:
+        next_trial_in_ms = _ms(max(0.0, order.next_trial_at - told_at))
+    return pb.QuarantineFact(
+        key=_key_to_proto(order.key),
+        version=order.version,
+        active=order.is_active,
+        left_ms=_ms(max(0.0, order.until - told_at)),
+        trials=order.trials,
+        next_trial_in_ms=next_trial_in_ms,
+    )
+
+
+def _quarantine_from_proto(message: pb.QuarantineFact, told_at: float) -> Quarantine:
+    next_trial_at: float | None = None
+    if message.HasField("next_trial_in_ms"):
+        next_trial_at = told_at + message.next_trial_in_ms / MS_PER_S
+    return Quarantine(
+        _key_from_proto(message.key),
+        message.version,
+        message.active,
+        told_at + message.left_ms / MS_PER_S,
+        message.trials,
+        next_trial_at,
+    )
+
+
 def _incarnation(name: str, started_ms: int) -> UpstreamIncarnation:
     if not name:
         raise Malformed("decode Fact.upstream", "", "empty")
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -172,6 +172,8 @@
     """A stream that has sent events for this time has not ended its engine."""
     quarantine_s: float = 3_600.0
     """How long such content is refused."""
+    quarantine_trial_s: float = 120.0
+    """Time after which one such request is let through, to see whether it is harmless."""
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
@@ -309,6 +311,7 @@
     quarantine_s: Annotated[
         float, msgspec.Meta(gt=0, le=86_400, description="seconds above 0, at most 86400")
     ]
+    quarantine_trial_s: _Seconds
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
--- a/src/chivehold/store/quarantine_records.py
+++ b/src/chivehold/store/quarantine_records.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 import msgspec
 import trio
@@ -40,6 +40,9 @@
     active: bool
     until: float
     """Unix time in seconds."""
+    trials: NotRequired[int]
+    next_trial_at: NotRequired[float | None]
+    """Unix time in seconds."""
 
 
 OrderHandler = Callable[[Quarantine], None]
@@ -103,6 +106,17 @@
             while not await self._write_missing():
                 await trio.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
 
+    async def claim(self, order: Quarantine) -> bool:
+        """Write an order that only one entry may give; return whether it was this one.
+
+        Returns:
+            ``False`` also if the store is away or does not answer.
+        """
+        stored = await self._read()
+        if stored is None or _covers(_decode(stored), order):
+            return False
+        return await self._write(stored, {order.key: order})
+
     async def _write_missing(self) -> bool:
         """Write the orders that the store lacks; return whether it has all of them now."""
         stored = await self._read()
@@ -110,11 +124,14 @@
             return False
         records = _decode(stored)
         wanted = {order.key: order for order in self._orders()}
-        missing = [order for order in wanted.values() if not _covers(records, order)]
-        if not missing:
+        if all(_covers(records, order) for order in wanted.values()):
             return True
-        merged = {key: record for key, record in records.items() if key not in wanted}
-        merged |= {key: _record_of(order) for key, order in wanted.items()}
+        return await self._write(stored, wanted)
+
+    async def _write(self, stored: StoredObject, wanted: dict[CrashKey, Quarantine]) -> bool:
+        """Write these orders if the store still has what was read; return whether it is done."""
+        records = _decode(stored)
+        merged = records | {key: _record_of(order) for key, order in wanted.items()}
         self._writes += 1
         write = Write(
             QUARANTINE_KIND,
@@ -128,7 +145,7 @@
             is_conflict = isinstance(written.failure(), Conflict)
             log_event(_log, logging.INFO, "quarantines not stored", conflict=is_conflict)
             return False
-        keys = [str(order.key) for order in missing]
+        keys = [str(key) for key, order in wanted.items() if not _covers(records, order)]
         log_event(_log, logging.INFO, "quarantines stored", keys=keys)
         return True
 
@@ -168,19 +185,27 @@
 
 
 def _record_of(order: Quarantine) -> _RecordJson:
+    unix_offset_s = time.time() - trio.current_time()
+    next_trial_at = order.next_trial_at
     return {
         "kind": order.key.kind,
         "value": order.key.value,
         "version": order.version,
         "active": order.is_active,
-        "until": time.time() + order.until - trio.current_time(),
+        "until": order.until + unix_offset_s,
+        "trials": order.trials,
+        "next_trial_at": None if next_trial_at is None else next_trial_at + unix_offset_s,
     }
 
 
 def _order_of(record: _RecordJson) -> Quarantine:
+    unix_offset_s = time.time() - trio.current_time()
+    next_trial_at = record.get("next_trial_at")
     return Quarantine(
         CrashKey(record["kind"], record["value"]),
         record["version"],
         record["active"],
-        trio.current_time() + record["until"] - time.time(),
+        record["until"] - unix_offset_s,
+        record.get("trials", 0),
+        None if next_trial_at is None else next_trial_at - unix_offset_s,
     )
--- a/tests/core/direct/test_quarantine.py
+++ b/tests/core/direct/test_quarantine.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
-from chivehold.core.direct.quarantine import MAX_QUARANTINES, Quarantine, QuarantineList
+from chivehold.core.direct.quarantine import (
+    MAX_QUARANTINES,
+    MAX_TRIALS,
+    Quarantine,
+    QuarantineList,
+)
 
 KEY = CrashKey(KeyKind.PROMPT_PART, "bad")
 OTHER = CrashKey(KeyKind.PROMPT_PART, "other")
@@ -36,12 +41,37 @@
         assert quarantines.find((KEY,), 100.0) is None
         assert list(quarantines.orders(100.0)) == []
 
+    def test_trials_are_few_and_far_between(self) -> None:
+        """Each trial is due later than the one before, and after the last there is none."""
+        order = Quarantine(KEY, 1, True, 5_000.0, 0, 120.0)
+        assert not order.is_trial_due(119.0)
+        assert order.is_trial_due(120.0)
+        tried = order.claim_trial(120.0, 120.0)
+        assert tried == Quarantine(KEY, 2, True, 5_000.0, 1, 600.0)
+        assert tried.claim_trial(120.0, 600.0) == Quarantine(KEY, 3, True, 5_000.0, 2, None)
+
+    # Guards against trials that start anew when bad content is quarantined a second time.
+    def test_trials_count_on(self) -> None:
+        """A quarantine that is lifted and begins again leaves no more trials than before."""
+        quarantines = QuarantineList()
+        quarantines.merge(Quarantine(KEY, 2, True, 100.0, 1, 50.0), 0.0)
+        quarantines.merge(quarantines.next_order(KEY, False, 100.0, None), 0.0)
+        assert quarantines.next_order(KEY, True, 100.0, 30.0).claim_trial(1.0, 30.0) == Quarantine(
+            KEY, 5, True, 100.0, MAX_TRIALS, None
+        )
+
+    def test_time_to_come_back(self) -> None:
+        """A caller is told when it may be served at the earliest."""
+        assert Quarantine(KEY, 1, True, 100.0).retry_after_s(40.0) == 60.0
+        assert Quarantine(KEY, 1, True, 100.0, 0, 50.0).retry_after_s(40.0) == 10.0
+        assert Quarantine(KEY, 1, True, 100.0, 0, 50.0).retry_after_s(60.0) == 0.0
+
     def test_lifted(self) -> None:
         """The next order lifts it; one that comes late does not bring it back."""
         quarantines = QuarantineList()
         begun = Quarantine(KEY, 1, True, 100.0)
         quarantines.merge(begun, 0.0)
-        lifted = Quarantine(KEY, quarantines.next_version(KEY), False, 100.0)
+        lifted = quarantines.next_order(KEY, False, 100.0, None)
         assert quarantines.merge(lifted, 0.0)
         assert not quarantines.merge(begun, 0.0)
         assert quarantines.find((KEY,), 0.0) is None
--- a/tests/direct/test_quarantines.py
+++ b/tests/direct/test_quarantines.py
@@ -1,32 +1,40 @@
 """Quarantines across several entries and the store, over real sockets."""
 
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import trio
 
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
+from chivehold.core.direct.quarantine import MAX_TRIALS, TRIAL_BACKOFF
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.fakes.platform_upstream import ModelEngine
-from chivehold.http_client import HttpResponse
+from chivehold.http_client import HttpResponse, LinkError
 from chivehold.store.quarantine_records import QUARANTINE_KIND, QUARANTINE_NAME
+from tests.direct.crashing import CrashingService
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 
 SPREAD_S = 1.0
 PART = CrashKey(KeyKind.PROMPT_PART, "badbad")
+FIRST_PART = CrashKey(KeyKind.PROMPT_PART, "f1a57")
+TRIAL_S = 0.5
 PROMPT = {"x-chivehold-prompt-prefix": "f1a57:40,badbad:50,own1:10"}
 SOUND_PROMPT = {"x-chivehold-prompt-prefix": "f1a57:40,own2:10"}
 
 
+def ends_engine(headers: Mapping[str, str], body: bytes) -> bool:
+    return f"{PART.value}:" in headers.get("x-chivehold-prompt-prefix", "")
+
+
 async def ask(harness: EntryHarness, prompt: dict[str, str] = PROMPT) -> HttpResponse:
     tokens = {"x-chivehold-token-count": "100,200"}
     return await harness.call("/tell/a", "r1", "POST", b"prompt", {**prompt, **tokens})
 
 
-def order(harness: EntryHarness, is_active: bool = True) -> None:
-    harness.entry.quarantines.order(PART, is_active, "by the test")
+def order(harness: EntryHarness, is_active: bool = True, may_try: bool = False) -> None:
+    harness.entry.quarantines.order(PART, is_active, "by the test", may_try)
 
 
 def quarantined(harness: EntryHarness) -> list[str]:
@@ -40,12 +48,14 @@
 
 @asynccontextmanager
 async def entries(
-    tmp_path: Path, store: MetadataStore, count: int
+    tmp_path: Path, store: MetadataStore, count: int, trial_s: float = 120.0
 ) -> AsyncIterator[list[EntryHarness]]:
     """Run entries with one engine that share a store."""
     async with AsyncExitStack() as stack:
         harnesses = [
-            await stack.enter_async_context(running_entry(tmp_path, store, name=f"entry-{number}"))
+            await stack.enter_async_context(
+                running_entry(tmp_path, store, name=f"entry-{number}", quarantine_trial_s=trial_s)
+            )
             for number in range(count)
         ]
         await harnesses[0].add_upstream(ModelEngine("d1", "decode"), "model")
@@ -126,6 +136,69 @@
             assert sorted(quarantined(harnesses[0])) == sorted([str(PART), str(other)])
 
 
+class TestTrials:
+    # Guards against harmless content that is refused for as long as a quarantine lasts.
+    async def test_wrong_quarantine_is_found_out(self, tmp_path: Path) -> None:
+        """Once the time has come, one request is let through, and its success lifts it for all."""
+        async with entries(tmp_path, MetadataStore(), 3, TRIAL_S) as harnesses:
+            await trio.sleep(0.5)
+            order(harnesses[0], may_try=True)
+            await wait_until(lambda: all(quarantined(harness) for harness in harnesses))
+            assert (await ask(harnesses[1])).status == 503
+            await trio.sleep(TRIAL_S)
+            assert sorted(await ask_all(harnesses)) == [200, 503, 503]
+            await wait_until(lambda: not any(quarantined(harness) for harness in harnesses))
+            assert await ask_all(harnesses) == [200, 200, 200]
+
+    # Guards against trials of bad content that end one upstream after another.
+    async def test_trials_of_bad_content_are_few(self, tmp_path: Path) -> None:
+        """All entries together make two, however many requests come."""
+        async with (
+            entries(tmp_path, MetadataStore(), 3, TRIAL_S) as harnesses,
+            trio.open_nursery() as nursery,
+        ):
+            engines = CrashingService(
+                harnesses[0], "model", lambda name: ModelEngine(name, "decode"), ends_engine
+            )
+            harnesses[0].store.remove("servers", "d1")
+            await engines.run(1, nursery)
+            await trio.sleep(0.5)
+            order(harnesses[0], may_try=True)
+            await wait_until(lambda: all(quarantined(harness) for harness in harnesses))
+            until = trio.current_time() + TRIAL_S * (1 + TRIAL_BACKOFF) + 2.0
+            while trio.current_time() < until:
+                await ask_all(harnesses)
+                await trio.sleep(0.02)
+            assert len(engines.times_of_crashing()) == MAX_TRIALS
+            assert all(quarantined(harness) for harness in harnesses)
+            nursery.cancel_scope.cancel()
+
+    async def test_none_without_the_store(self, tmp_path: Path) -> None:
+        """An entry that cannot claim a trial refuses the request."""
+        store = MetadataStore()
+        async with entries(tmp_path, store, 1, TRIAL_S) as harnesses:
+            order(harnesses[0], may_try=True)
+            await wait_until(lambda: is_stored(store))
+            store.error_status = 503
+            await trio.sleep(TRIAL_S)
+            assert await ask_all(harnesses) == [503]
+
+    async def test_none_of_an_operators_order(self, tmp_path: Path) -> None:
+        """What an operator has quarantined is refused until it ends or is lifted."""
+        async with entries(tmp_path, MetadataStore(), 1, TRIAL_S) as harnesses:
+            order(harnesses[0])
+            await trio.sleep(TRIAL_S)
+            assert await ask_all(harnesses) == [503]
+
+    async def test_none_with_other_quarantined_content(self, tmp_path: Path) -> None:
+        """A request that is refused for two reasons shows nothing about one of them."""
+        async with entries(tmp_path, MetadataStore(), 1, TRIAL_S) as harnesses:
+            order(harnesses[0], may_try=True)
+            harnesses[0].entry.quarantines.order(FIRST_PART, True, "by the test")
+            await trio.sleep(TRIAL_S)
+            assert await ask_all(harnesses) == [503]
+
+
 class TestOperator:
     async def test_sets_lists_and_lifts(self, tmp_path: Path) -> None:
         """The command changes what all entries refuse, through any of them."""
@@ -148,6 +221,22 @@
             assert quarantined(harness) == []
 
 
+async def ask_all(harnesses: list[EntryHarness]) -> list[int]:
+    """Send a prompt with the part to each entry at the same moment and return the statuses."""
+    statuses: list[int] = []
+
+    async def ask_one(harness: EntryHarness) -> None:
+        try:
+            statuses.append((await ask(harness)).status)
+        except LinkError:
+            statuses.append(0)
+
+    async with trio.open_nursery() as nursery:
+        for harness in harnesses:
+            nursery.start_soon(ask_one, harness)
+    return statuses
+
+
 async def command(harness: EntryHarness, *words: str) -> tuple[int, str]:
     """Run the command line against an entry and return its exit code and output."""
     arguments = ["quarantine", *words, "--operator", harness.operator_address]
--- a/tests/rpc/test_convert_gossip.py
+++ b/tests/rpc/test_convert_gossip.py
@@ -26,6 +26,7 @@
     SoundRun(KEY, 98.5),
     Quarantine(KEY, 3, True, 400.0),
     Quarantine(KEY, 4, False, 400.0),
+    Quarantine(KEY, 5, True, 400.0, 1, 160.0),
     Departure(UpstreamIncarnation("u1", 7)),
 ]
 TOLD_AT = 100.0
