--- a/src/chivehold/direct/crash_protection.py
+++ b/src/chivehold/direct/crash_protection.py
@@ -58,7 +58,7 @@
             store,
             incarnation,
             self._quarantines.orders,
-            lambda order: self._quarantines.learn_order(order, "store"),
+            self._quarantines.learn_stored,
             entries,
             rng,
         )
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -66,7 +66,7 @@
         """When content last ran without harm, as far as all entries have been told."""
         exchange.subscribe(UpstreamEnd, self._learn_end)
         exchange.subscribe(SoundRun, self._learn_sound)
-        exchange.subscribe(Quarantine, lambda order: self.learn_order(order, "another entry"))
+        exchange.subscribe(Quarantine, self._learn_told)
 
     def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
@@ -104,12 +104,10 @@
             if self._is_active(key, now):
                 self.order(key, False, "ran without harm")
 
-    def learn_order(self, order: Quarantine, source: str) -> None:
-        """Take in an order from another entry or from the store."""
-        now = trio.current_time()
-        was_active = self._is_active(order.key, now)
-        if self._list.merge(order, now):
-            self._apply(order, source, was_active)
+    def learn_stored(self, order: Quarantine) -> None:
+        """Take in an order from the store; the entry that wrote it may have told nobody."""
+        if self._learn_order(order, "store"):
+            self._tell_order(order)
 
     def order(self, key: CrashKey, is_active: bool, reason: str, may_try: bool = False) -> None:
         """Quarantine content, or lift its quarantine, at all entries.
@@ -127,12 +125,8 @@
 
     def give(self, order: Quarantine, reason: str) -> None:
         """Apply an order of this entry and tell the others."""
-        now = trio.current_time()
-        was_active = self._is_active(order.key, now)
-        self._list.merge(order, now)
-        self._apply(order, reason, was_active)
-        fact_id = f"quarantine/{order.key}/{order.version}/{order.is_active}"
-        self._exchange.tell(order, order.until - now, fact_id)
+        self._learn_order(order, reason)
+        self._tell_order(order)
 
     def dump(self, now: float) -> Iterator[dict[str, object]]:
         """Yield the quarantines for the operators' dump."""
@@ -166,6 +160,9 @@
             self._tell_sound(key, sound_at)
         self._decide()
 
+    def _learn_told(self, order: Quarantine) -> None:
+        self._learn_order(order, "another entry")
+
     def _learn_sound(self, run: SoundRun) -> None:
         self._evidence.record_sound(run.key, run.at)
         self._note_told_sound(run.key, run.at)
@@ -197,6 +194,19 @@
             _log_finding(finding)
             self.order(finding.key, True, "ends upstreams", may_try=True)
 
+    def _learn_order(self, order: Quarantine, reason: str) -> bool:
+        """Apply an order and return whether it changes anything."""
+        now = trio.current_time()
+        was_active = self._is_active(order.key, now)
+        is_new = self._list.merge(order, now)
+        if is_new:
+            self._apply(order, reason, was_active)
+        return is_new
+
+    def _tell_order(self, order: Quarantine) -> None:
+        fact_id = f"quarantine/{order.key}/{order.version}/{order.is_active}"
+        self._exchange.tell(order, order.until - trio.current_time(), fact_id)
+
     def _is_active(self, key: CrashKey, now: float) -> bool:
         return self._list.find((key,), now) is not None
 
--- a/tests/direct/test_quarantines.py
+++ b/tests/direct/test_quarantines.py
@@ -106,6 +106,21 @@
                     await trio.sleep(0.01)
             assert quarantined(harness) == [str(PART)]
 
+    # Guards against a quarantine in the store that only entries started later know.
+    async def test_order_read_from_the_store_is_told(self, tmp_path: Path) -> None:
+        """An entry was killed after it had written the order and before it told anyone."""
+        store = MetadataStore()
+        async with running_entry(tmp_path, store, name="entry-1") as harness:
+            async with running_entry(
+                tmp_path, store, name="entry-2", exchange_address=None
+            ) as killed:
+                order(killed)
+                await wait_until(lambda: is_stored(store))
+            assert quarantined(harness) == []
+            async with running_entry(tmp_path, store, name="entry-3") as started:
+                await wait_until(lambda: quarantined(started) == [str(PART)])
+                await wait_until(lambda: quarantined(harness) == [str(PART)])
+
     async def test_lifted_at_all_entries(self, tmp_path: Path) -> None:
         """A quarantine lifted at one entry is lifted at all, and stays so after a restart."""
         store = MetadataStore()
