Bytes before the head of a response are bounded, interim responses included

Cause: the parser bounds one head (100 KiB), but any number of interim responses may come before it, and httpcore reads on. An upstream or a store that sends them without end kept the loop busy until the request's own time was up, 30 s at the latest for streams. test_without_end_break_the_call failed before at a plain service and at an engine (nothing within 1 s) and passes.

Change: connections count what they have read since the last write, 128 KiB at most until the response is there, 16 KiB at once so that other tasks run. Ruled out: a limit in the parser (it restarts with each interim response) and the trace extension (called for whole heads only).

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -9,6 +9,7 @@
 import trio
 
 from chivehold.exceptions import ChiveholdError
+from chivehold.head_limit import HeadLimitBackend, end_head
 
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
@@ -218,6 +219,7 @@
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise LinkBroken(step, peer, _error_detail(error)) from error
+        end_head(response)
         try:
             yield HttpStream(response, step, peer)
         finally:
@@ -269,6 +271,7 @@
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise LinkBroken(step, peer, _error_detail(error)) from error
+        end_head(response)
         try:
             lowercase_headers = tuple((key.lower(), value) for key, value in response.headers)
             yield RawResponse(
@@ -301,6 +304,7 @@
                 max_keepalive_connections=max_idle,
                 keepalive_expiry=self._limits.keep_alive_s,
                 socket_options=_SOCKET_OPTIONS,
+                network_backend=HeadLimitBackend(),
             )
         return pools[peer]
 
--- a/tests/direct/raw_upstream.py
+++ b/tests/direct/raw_upstream.py
@@ -37,11 +37,15 @@
     Args:
         answer: Returns the bytes of the answer to a request of a given id.
         ending: How the connection ends.
+        filler: Repeated after the answer if bytes go on without end.
     """
 
-    def __init__(self, answer: Callable[[str], bytes], ending: Ending) -> None:
+    def __init__(
+        self, answer: Callable[[str], bytes], ending: Ending, filler: bytes = b"x"
+    ) -> None:
         self._answer = answer
         self._ending = ending
+        self._filler = filler
         self.requests = 0
         self.sent_bytes = 0
 
@@ -66,9 +70,11 @@
         elif self._ending is Ending.SILENT:
             await trio.sleep_forever()
         while self._ending in (Ending.ENDLESS, Ending.TRICKLE):
-            size = ENDLESS_CHUNK_BYTES if self._ending is Ending.ENDLESS else 1
-            await stream.send_all(b"x" * size)
-            self.sent_bytes += size
+            filler = self._filler
+            if self._ending is Ending.ENDLESS:
+                filler *= ENDLESS_CHUNK_BYTES // len(filler)
+            await stream.send_all(filler)
+            self.sent_bytes += len(filler)
             await trio.sleep(0.0 if self._ending is Ending.ENDLESS else 0.05)
 
 
--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -8,11 +8,14 @@
 
 from chivehold.direct.plain_calls import MAX_RESPONSE_BYTES
 from chivehold.fakes.platform_upstream import ModelEngine
+from chivehold.head_limit import MAX_HEAD_BYTES
 from chivehold.http_client import LinkError
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 from tests.direct.raw_upstream import Ending, RawUpstream, raw_upstream
 
 PLAIN_BODY = b"the whole body"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+MOST_INTERIM_S = 1.0
 MOST_UNREAD_BYTES = 8 << 20
 """Sent bytes that may wait in the buffers of sockets when the entry closes a connection."""
 
@@ -99,6 +102,29 @@
             assert upstream.sent_bytes == sent_bytes <= MAX_RESPONSE_BYTES + MOST_UNREAD_BYTES
 
 
+class TestInterimResponses:
+    async def test_are_passed_over(self, tmp_path: Path) -> None:
+        """The response that follows a few of them counts."""
+        upstream = RawUpstream(
+            lambda request_id: 3 * INTERIM + unframed(request_id), Ending.ORDERLY
+        )
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
+            await wait_until(lambda: harness.entry.dump()["upstreams"])
+            assert await ask(harness, "/post/a") == 200
+
+    # Guards against interim responses without end, which keep the entry from all other work.
+    @pytest.mark.parametrize("service", ["plain", "model"])
+    async def test_without_end_break_the_call(self, tmp_path: Path, service: str) -> None:
+        """The connection is closed long before the request's own time is up."""
+        upstream = RawUpstream(lambda request_id: INTERIM, Ending.ENDLESS, INTERIM)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, service, upstream):
+            await wait_until(lambda: harness.entry.dump()["upstreams"])
+            with trio.fail_after(MOST_INTERIM_S):
+                status = await ask(harness, "/post/a" if service == "plain" else "/tell/a")
+            assert status in (0, 502)
+            assert upstream.sent_bytes <= MAX_HEAD_BYTES + MOST_UNREAD_BYTES
+
+
 def events_and(rest: bytes = b"") -> Callable[[str], bytes]:
     """Return an answer of an unframed stream: three events, and perhaps a part of a fourth."""
     return lambda request_id: head(request_id, "content-type: text/event-stream") + events(3) + rest
