Samples of revisions are dated by the question; each observer of a node counts alone

By reading: (1) check_monotonic let a report of revision 0 by one entry count after a report of 4 of the same run by another entry. Entries get their reports from a sidecar one after the other, but independent of each other, so a first report that one entry receives late is allowed. A run that goes back must show at one observer, and within a run only 0 after more was in question: the only way left to the seen failure, as an entry never has two heartbeats in flight. (2) The proofs dated what an entry had heard by when its answer came, up to 0.5 s (the timeout) too late; the soak's callers always dated by the question.

The allowed history of the new case was refused before.

--- a/src/chivehold/history/events.py
+++ b/src/chivehold/history/events.py
@@ -132,10 +132,12 @@
     """The revision of the declarations in force at a node at a time; 0 for none."""
 
     node: str
+    """The node, and who observed it if that was another one."""
     run: str
     """The incarnation of the node."""
     revision: int
     at_s: float
+    """When the node was asked; it may have answered later."""
 
 
 class EngineHoldings(NamedTuple):
--- a/tests/history/test_checks.py
+++ b/tests/history/test_checks.py
@@ -155,6 +155,14 @@
     check_monotonic: [
         sampled_revisions(("i1", 4, 0.0), ("i1", 4, 1.0), ("i1", 5, 2.0)),
         sampled_revisions(("i1", 4, 0.0), ("i2", 0, 1.0), ("i2", 4, 2.0)),
+        # Guards against a first report of a new run that one entry receives later than another.
+        History(
+            revision_samples=(
+                RevisionSample("d1 by e1", "i1", 4, 0.0),
+                RevisionSample("d1 by e2", "i2", 4, 1.0),
+                RevisionSample("d1 by e1", "i2", 0, 1.1),
+            )
+        ),
     ],
 }
 BAD = {
