--- a/src/chivehold/history/nodes.py
+++ b/src/chivehold/history/nodes.py
@@ -49,8 +49,8 @@
 def check_monotonic(history: History) -> tuple[Violation, ...]:
     """The revision in force at a node never decreases, even across restarts.
 
-    A restarted node may report revision 0 until it has received declarations. Each observer of a node
-    counts alone, as a report that one has received late may be older than those of others.
+    A restarted node may report revision 0 until it has received declarations. Each observer of a
+    node counts alone, as a report that one has received late may be older than those of others.
     """
     newest: dict[str, int] = {}
     informed_runs: set[tuple[str, str]] = set()
