Event ids of any digits can be compared

A resumed stream with such an id failed with ValueError; other streams went on.

Change: only ASCII digits are numbers, compared by length and text. test_events and test_unusual_ids failed before.

--- a/src/chivehold/core/direct/events.py
+++ b/src/chivehold/core/direct/events.py
@@ -62,11 +62,21 @@
     """
     if event_id is None or last_id is None:
         return True
-    if event_id.isdigit() and last_id.isdigit():
-        return int(event_id) > int(last_id)
+    if _is_number(event_id) and _is_number(last_id):
+        return _magnitude(event_id) > _magnitude(last_id)
     return event_id != last_id
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _magnitude(digits: str) -> tuple[int, str]:
+    """Return a key that orders numbers of any length, which ``int`` does not read."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
+
+
 def _event_end(data: bytearray, start: int) -> int:
     """Return the first end of an event after a position, or -1."""
     match = EVENT_END.search(data, start)
--- a/tests/core/direct/test_events.py
+++ b/tests/core/direct/test_events.py
@@ -78,6 +78,22 @@
         """Numeric ids are compared as numbers, not as text."""
         assert is_newer_event(number, last) is expected
 
+    # Guards against ids that make the entry fail: digits that are no decimals, and very many.
+    @pytest.mark.parametrize(
+        ("number", "last", "expected"),
+        [
+            ("\xb2", "1", True),
+            ("\xb2", "\xb2", False),
+            ("9" * 5_000, "9" * 5_001, False),
+            ("1" + "0" * 5_000, "9" * 5_000, True),
+            ("007", "7", False),
+            ("0", "", True),
+        ],
+    )
+    def test_unusual_ids(self, number: str, last: str, expected: bool) -> None:
+        """Numbers of any length are ordered; other ids are only compared for equality."""
+        assert is_newer_event(number, last) is expected
+
     def test_event_without_id_counts_as_newer(self) -> None:
         """An event without an id, or the first event, counts as newer."""
         assert is_newer_event(None, "3")
