Records of upstreams with an address that cannot be used are refused

Found by the fuzz test of the readers: a port of other digits or over 65535, and a host that no name can be, passed decode_upstream and raised ValueError or UnicodeError at the first call to them, past the errors that callers of the client handle.

--- a/src/chivehold/platform/upstream_records.py
+++ b/src/chivehold/platform/upstream_records.py
@@ -1,5 +1,6 @@
 """Decodes the records that upstreams write about themselves into the store."""
 
+import re
 from typing import NotRequired, TypedDict
 
 import msgspec
@@ -9,6 +10,10 @@
 
 UPSTREAM_KIND = "servers"
 
+_LABEL = r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+_ADDRESS = re.compile(rf"(?:\[[0-9A-Fa-f:.]+\]|{_LABEL}(?:\.{_LABEL})*):([0-9]{{1,5}})")
+MAX_PORT = 65_535
+
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 _STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 
@@ -34,8 +39,7 @@
         return Failure(f"unknown state {decoded['state']!r}")
     if "stage" in decoded and decoded["stage"] not in _STAGES:
         return Failure(f"unknown stage {decoded['stage']!r}")
-    host, _, port = decoded["address"].rpartition(":")
-    if not host or not port.isdigit():
+    if not _is_address(decoded["address"]):
         return Failure(f"unusable address {decoded['address']!r}")
     return Success(
         UpstreamRecord(
@@ -49,3 +53,9 @@
             stage=_STAGES.get(decoded.get("stage", ""), Stage.NONE),
         )
     )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is a host name or an IP number with a port."""
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 1 <= int(match.group(1)) <= MAX_PORT
