--- a/tests/direct/crash_world.py
+++ b/tests/direct/crash_world.py
@@ -45,6 +45,7 @@
 
     def __init__(self, world: "CrashWorld", name: str, run: int) -> None:
         self.name = name
+        self._world = world
         incarnation = EntryIncarnation(f"{name}/{run}")
         self.gossip = Gossip(name, Random(f"{name}/{run}"))
         self.gossip.set_address(name)
@@ -85,6 +86,7 @@
 
     def _tell(self, item: GossipItem) -> None:
         self.gossip.tell(item, trio.current_time())
+        self._world.wake_network()
 
 
 class CrashWorld:
@@ -108,6 +110,7 @@
         self.trials: Counter[CrashKey] = Counter()
         """Requests let through with each quarantined content."""
         self.restores = 0
+        self._wake = trio.Event()
         self._runs = 0
         self._starts = [1] * ENGINES
         self._requests = 0
@@ -121,6 +124,7 @@
         self._runs += 1
         self.entries[name] = CrashEntry(self, name, self._runs)
         self._nursery.start_soon(self.entries[name].run)
+        self.wake_network()
         for entry in self.entries.values():
             entry.gossip.set_peers({other: other for other in self.entries})
 
@@ -145,6 +149,14 @@
             for entry in list(self.entries.values()):
                 self._send_messages(entry)
             await trio.sleep(TICK_S)
+            now = trio.current_time()
+            self._wake = trio.Event()
+            with trio.move_on_at(min(e.gossip.next_due(now) for e in self.living())):
+                await self._wake.wait()
+
+    def wake_network(self) -> None:
+        """Deliver messages now, as an entry has some."""
+        self._wake.set()
 
     def set_store_away(self, is_away: bool) -> None:
         """Let all calls to the store fail, or no longer."""
