An upstream that closes its listener after its connections is seen to have ended

Cause: the one probe comes within a millisecond of the reset. A process that closes its connections before its listener still takes it, the end is not counted, and content needs more ends than three; engines that are down more often leave the others full. Ruled out: wrong quarantines (no sound request was refused as such); a store that was away (the orders were stored within 0.2 s).

Change: a connection that is taken is kept for up to 0.2 s; if the peer closes it, another is tried, three at most. A request waits 30 ms for the answer, as a living upstream shows nothing. test_listener_that_closes_late_is_an_end failed before.

--- a/src/chivehold/direct/upstream_ends.py
+++ b/src/chivehold/direct/upstream_ends.py
@@ -2,7 +2,8 @@
 
 A broken connection alone may be a reset on the way, a spoilt response or a limit of connections.
 When the process has ended, its address refuses connections until the next one listens there. It is
-asked once: each connection may take the place of a request.
+asked by one connection, which is kept for a moment, as the listener may be closed last; each more
+may take the place of a request.
 """
 
 import logging
@@ -17,8 +18,8 @@
 from chivehold.logs import log_event
 
 PROBE_TIMEOUT_S = 0.2
-MAX_PROBE_WAIT_S = 0.1
-"""How long a request waits to learn whether its upstream has ended."""
+MAX_PROBE_WAIT_S = 0.03
+"""How long a request waits to learn whether its upstream has ended; a living one shows nothing."""
 MAX_REMEMBERED_ENDS = 200
 MAX_SUSPECTS = 64
 """Requests remembered for one upstream while it is probed."""
--- a/tests/direct/test_upstream_ends.py
+++ b/tests/direct/test_upstream_ends.py
@@ -7,6 +7,8 @@
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
 from chivehold.http_client import refuses_connections
 
+LATE_CLOSE_S = 0.02
+MAX_CONNECTIONS = 3
 KEYS = (CrashKey(KeyKind.REQUEST, "d1"),)
 
 
@@ -63,6 +65,43 @@
             detector.record_break(upstream_at(f"{host}:{port}"), broken("r1"))
         assert ends.requests == []
 
+    # Guards against a crash that is missed, as the listener is closed after the connections.
+    async def test_listener_that_closes_late_is_an_end(self) -> None:
+        """An upstream is watched for a moment after it has accepted the probe."""
+        ends = Ends()
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listener.socket.getsockname()
+        upstream = upstream_at(f"{host}:{port}")
+        async with trio.open_nursery() as nursery:
+            detector = UpstreamEndDetector(nursery, ends.record)
+            detector.record_break(upstream, broken("r1"))
+            await trio.sleep(LATE_CLOSE_S)
+            await listener.aclose()
+        assert ends.requests == ["r1"]
+        assert await detector.has_ended(upstream)
+
+    # Guards against probes that take many places at an upstream which closes connections.
+    async def test_upstream_that_closes_connections_gets_few(self) -> None:
+        """One at its limit of connections has not ended and is not asked over and over."""
+        ends = Ends()
+        accepted = 0
+
+        async def close(stream: trio.SocketStream) -> None:
+            nonlocal accepted
+            accepted += 1
+            await stream.aclose()
+
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listener.socket.getsockname()
+        async with trio.open_nursery() as serving:
+            serving.start_soon(trio.serve_listeners, close, [listener])
+            async with trio.open_nursery() as nursery:
+                detector = UpstreamEndDetector(nursery, ends.record)
+                detector.record_break(upstream_at(f"{host}:{port}"), broken("r1"))
+            serving.cancel_scope.cancel()
+        assert ends.requests == []
+        assert accepted <= MAX_CONNECTIONS
+
 
 class TestRefusesConnections:
     async def test_silent_address(self) -> None:
