--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -164,6 +164,15 @@
             resumed = outgoing._replace(received_text=call.text, disconnect_after_s=None)
             await self.call(self._rng.choice(others or [name]), resumed)
 
+    async def ask_probe(self, name: str) -> str | None:
+        """Return the probe service that an entry routes to, or ``None`` without a whole answer."""
+        reader = _AnswerReader(is_stream=False)
+        outgoing = OutgoingRequest("/probe/", "", 1.0)
+        end: CallEnd | None = None
+        with trio.move_on_after(1.5):
+            end = await self._exchange(name, f"p{next(self._request_numbers)}", outgoing, reader)
+        return reader.text if end is CallEnd.WHOLE else None
+
     async def _exchange(
         self, name: str, request: str, outgoing: OutgoingRequest, reader: _AnswerReader
     ) -> CallEnd:
@@ -216,14 +225,9 @@
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
             sent_at_s, run = time.time(), entry.run
-            reader = _AnswerReader(is_stream=False)
-            outgoing = OutgoingRequest("/probe/", "", 1.0)
-            with trio.move_on_after(1.5):
-                await self._exchange(
-                    entry.name, f"p{next(self._request_numbers)}", outgoing, reader
-                )
-            if reader.status == 200 and run == entry.run:
-                version = self._world.version_of(reader.text)
+            probe = await self.ask_probe(entry.name)
+            if probe is not None and run == entry.run:
+                version = self._world.version_of(probe)
                 self._world.recorder.add_revision_sample(entry.name, run, version, sent_at_s)
                 self.healthy_entries.add(entry.name)
             else:
