Reading: the probe in a module of its own, an order set again is no trial

listener_probe.py moved out of http_client.py unchanged. 'quarantine tried' is logged only for an order with one trial more; one that an operator sets again is 'quarantine begun'. A condition of the sidecar's core in two steps. No other change of behaviour.

--- a/src/chivehold/core/direct/quarantine.py
+++ b/src/chivehold/core/direct/quarantine.py
@@ -73,6 +73,10 @@
             del self._orders[min(self._orders.values(), key=lambda known: known.until).key]
         return True
 
+    def known(self, key: CrashKey) -> Quarantine | None:
+        """Return the order in force for some content, or ``None``."""
+        return self._orders.get(key)
+
     def next_order(
         self, key: CrashKey, is_active: bool, until: float, first_trial_at: float | None
     ) -> Quarantine:
--- a/src/chivehold/core/sidecar.py
+++ b/src/chivehold/core/sidecar.py
@@ -111,7 +111,8 @@
         if self._started_at is None:
             self._started_at = now
         self._now = now
-        if self._wakeup is not None and self._wakeup <= now >= self._held_until:
+        is_due = self._wakeup is not None and self._wakeup <= now
+        if is_due and now >= self._held_until:
             yield from self._expire(now)
         yield from self._handlers[type(event)](event, now)
         self._wakeup = self._next_due(now)
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -101,7 +101,7 @@
         for key in cleared:
             self._tell_sound(key, now)
         for key in keys:
-            if self._is_active(key, now):
+            if self._list.find((key,), now) is not None:
                 self.order(key, False, "ran without harm")
 
     def learn_stored(self, order: Quarantine) -> None:
@@ -196,27 +196,19 @@
 
     def _learn_order(self, order: Quarantine, reason: str) -> bool:
         """Apply an order and return whether it changes anything."""
-        now = trio.current_time()
-        was_active = self._is_active(order.key, now)
-        is_new = self._list.merge(order, now)
+        before = self._list.known(order.key)
+        is_new = self._list.merge(order, trio.current_time())
         if is_new:
-            self._apply(order, reason, was_active)
+            self._apply(order, reason, before)
         return is_new
 
     def _tell_order(self, order: Quarantine) -> None:
         fact_id = f"quarantine/{order.key}/{order.version}/{order.is_active}"
         self._exchange.tell(order, order.until - trio.current_time(), fact_id)
 
-    def _is_active(self, key: CrashKey, now: float) -> bool:
-        return self._list.find((key,), now) is not None
-
-    def _apply(self, order: Quarantine, reason: str, was_active: bool) -> None:
+    def _apply(self, order: Quarantine, reason: str, before: Quarantine | None) -> None:
         now = trio.current_time()
-        event = "quarantine begun"
-        if was_active:
-            event = "quarantine tried"
         if not order.is_active:
-            event = "quarantine lifted"
             # Ends before the order must not quarantine the content again.
             self._evidence.record_sound(order.key, now)
         self._metrics.count_quarantine_order(order.is_active)
@@ -224,7 +216,7 @@
         log_event(
             _log,
             logging.WARNING,
-            event,
+            _event_of(order, before),
             None,
             key=str(order.key),
             version=order.version,
@@ -235,6 +227,15 @@
         self._on_order()
 
 
+def _event_of(order: Quarantine, before: Quarantine | None) -> str:
+    """Return the log event of an order that replaces another one."""
+    if not order.is_active:
+        return "quarantine lifted"
+    if before is not None and before.is_active and order.trials > before.trials:
+        return "quarantine tried"
+    return "quarantine begun"
+
+
 def _log_finding(finding: CrashFinding) -> None:
     log_event(
         _log,
--- a/src/chivehold/direct/upstream_ends.py
+++ b/src/chivehold/direct/upstream_ends.py
@@ -14,7 +14,7 @@
 
 from chivehold.core.direct.crash_keys import CrashKey
 from chivehold.core.direct.messages import UpstreamIncarnation, UpstreamRecord, incarnation_of
-from chivehold.http_client import refuses_connections
+from chivehold.listener_probe import refuses_connections
 from chivehold.logs import log_event
 
 PROBE_TIMEOUT_S = 0.2
--- a/tests/direct/test_upstream_ends.py
+++ b/tests/direct/test_upstream_ends.py
@@ -5,7 +5,7 @@
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.direct.upstream_ends import BrokenRequest, UpstreamEndDetector
-from chivehold.http_client import refuses_connections
+from chivehold.listener_probe import refuses_connections
 
 LATE_CLOSE_S = 0.02
 MAX_CONNECTIONS = 3
