--- a/src/chivehold/platform/store.py
+++ b/src/chivehold/platform/store.py
@@ -28,6 +28,9 @@
 """A watch without a response this long after its waiting time is treated as failed."""
 MAX_PAGES = 1_000
 ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = len(str(MAX_ERA))
+MAX_LOGGED = 40
+"""Characters of an unreadable value to log."""
 """Rises by one with each restore of the store; absent from stores that are never restored."""
 OK_STATUSES = (200, 201)
 NOT_FOUND_STATUS = 404
@@ -262,10 +265,10 @@
         text = response.header(ERA_HEADER)
         if text is None:
             return True
-        if not text.isdecimal() or int(text) > MAX_ERA:
-            log_event(_log, logging.WARNING, "store era unreadable", detail=text)
+        era = _parse_era(text)
+        if era is None:
+            log_event(_log, logging.WARNING, "store era unreadable", detail=text[:MAX_LOGGED])
             return True
-        era = int(text)
         if self._era is not None and era > self._era:
             log_event(_log, logging.WARNING, "store restored", era=era, before=self._era)
         self._era = max(era, self._era or 0)
@@ -296,6 +299,13 @@
         return Unavailable(step, self._address, f"status {response.status}")
 
 
+def _parse_era(text: str) -> int | None:
+    """Return the number of an era, or ``None``; ``int`` refuses very many digits."""
+    if not text.isdecimal() or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
+        return None
+    return int(text)
+
+
 def _decode_own_spec(spec: bytes) -> tuple[bytes, tuple[str, ...]]:
     """Return an object's value and its last write's id, or empty ones if it is malformed."""
     try:
