--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -238,3 +238,17 @@
         nursery.cancel_scope.cancel()
     await harness.entry.close()
     await harness.aclose()
+
+
+@asynccontextmanager
+async def running_entries(
+    tmp_path: Path, store: MetadataStore, count: int, **settings: Any
+) -> AsyncIterator[list[EntryHarness]]:
+    """Run entries that share a store."""
+    async with AsyncExitStack() as stack:
+        yield [
+            await stack.enter_async_context(
+                running_entry(tmp_path, store, name=f"entry-{number}", **settings)
+            )
+            for number in range(count)
+        ]
--- a/tests/direct/test_crashing_prompts.py
+++ b/tests/direct/test_crashing_prompts.py
@@ -1,7 +1,6 @@
 """Prompts with a part that ends each engine which begins to write an answer on it."""
 
 from collections.abc import Mapping
-from contextlib import AsyncExitStack
 from pathlib import Path
 
 import trio
@@ -10,7 +9,7 @@
 from chivehold.fakes.platform_upstream import ModelEngine
 from chivehold.http_client import LinkError
 from tests.direct.crashing import CONTACT_S, CrashingService
-from tests.direct.harness import EntryHarness, running_entry
+from tests.direct.harness import EntryHarness, running_entries
 
 ENTRIES = 4
 ENGINES = 3
@@ -68,15 +67,10 @@
     # Guards against prompts that crash engine after engine, each sent as if nothing had happened.
     async def test_all_entries_stop_sending_it(self, tmp_path: Path) -> None:
         """Few prompts with the part reach engines after the fifth end; sound ones go on."""
-        async with AsyncExitStack() as stack:
-            store = MetadataStore()
-            harnesses = [
-                await stack.enter_async_context(
-                    running_entry(tmp_path, store, name=f"entry-{number}")
-                )
-                for number in range(ENTRIES)
-            ]
-            nursery = await stack.enter_async_context(trio.open_nursery())
+        async with (
+            running_entries(tmp_path, MetadataStore(), ENTRIES) as harnesses,
+            trio.open_nursery() as nursery,
+        ):
             engines = CrashingService(
                 harnesses[0], "model", lambda name: ModelEngine(name, "decode"), ends_engine
             )
--- a/tests/direct/test_crashing_requests.py
+++ b/tests/direct/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """Requests that end each upstream which begins to run them, and come again and again."""
 
 from collections.abc import Mapping
-from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
@@ -12,7 +11,14 @@
 from chivehold.fakes.platform_upstream import PlainUpstream
 from chivehold.http_client import LinkError
 from tests.direct.crashing import CONTACT_S, CrashingService
-from tests.direct.harness import HOST, EntryHarness, route, running_entry, wait_until
+from tests.direct.harness import (
+    HOST,
+    EntryHarness,
+    route,
+    running_entries,
+    running_entry,
+    wait_until,
+)
 
 ENTRIES = 4
 UPSTREAMS = 3
@@ -78,15 +84,10 @@
     @pytest.mark.parametrize("path", ["/get/x", "/post/x"])
     async def test_all_entries_stop_sending_it(self, tmp_path: Path, path: str) -> None:
         """Few repeats reach upstreams after the third end; sound requests go on."""
-        async with AsyncExitStack() as stack:
-            store = MetadataStore()
-            harnesses = [
-                await stack.enter_async_context(
-                    running_entry(tmp_path, store, name=f"entry-{number}")
-                )
-                for number in range(ENTRIES)
-            ]
-            nursery = await stack.enter_async_context(trio.open_nursery())
+        async with (
+            running_entries(tmp_path, MetadataStore(), ENTRIES) as harnesses,
+            trio.open_nursery() as nursery,
+        ):
             upstreams = CrashingService(harnesses[0], "plain", PlainUpstream, ends_upstream)
             await upstreams.run(UPSTREAMS, nursery)
             await trio.sleep(1.0)
--- a/tests/direct/test_quarantines.py
+++ b/tests/direct/test_quarantines.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections.abc import AsyncIterator, Mapping
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import trio
@@ -14,7 +14,7 @@
 from chivehold.http_client import HttpResponse, LinkError
 from chivehold.store.quarantine_records import QUARANTINE_KIND, QUARANTINE_NAME
 from tests.direct.crashing import CrashingService
-from tests.direct.harness import EntryHarness, running_entry, wait_until
+from tests.direct.harness import EntryHarness, running_entries, running_entry, wait_until
 
 SPREAD_S = 1.0
 PART = CrashKey(KeyKind.PROMPT_PART, "badbad")
@@ -51,13 +51,7 @@
     tmp_path: Path, store: MetadataStore, count: int, trial_s: float = 120.0
 ) -> AsyncIterator[list[EntryHarness]]:
     """Run entries with one engine that share a store."""
-    async with AsyncExitStack() as stack:
-        harnesses = [
-            await stack.enter_async_context(
-                running_entry(tmp_path, store, name=f"entry-{number}", quarantine_trial_s=trial_s)
-            )
-            for number in range(count)
-        ]
+    async with running_entries(tmp_path, store, count, quarantine_trial_s=trial_s) as harnesses:
         await harnesses[0].add_upstream(ModelEngine("d1", "decode"), "model")
         for harness in harnesses:
             await wait_until(lambda harness=harness: harness.entry.dump()["upstreams"])
