Orders of one number that differ in trials end the same at all entries

By reading: an operator's order and a trial given at the same moment had the same number, rank and fact id, so entries kept whichever came first and never agreed on whether the content may be tried again. The rank counts trials and whether there are to be more; it stands once, used by the list, the store's records and the id.

Also by reading: while a trial was overdue (the store away, or another entry drawn to claim it) a refused caller got Retry-After 0, and one refused while a trial ran was told the time to the next one, minutes, though a success lifts the quarantine within a second. The first get 2 s at least, the second 2 s. The metric of orders counted a trial as a begin.

--- a/src/chivehold/core/direct/quarantine.py
+++ b/src/chivehold/core/direct/quarantine.py
@@ -1,8 +1,8 @@
 """Content that is refused because it ends upstreams.
 
 Every entry may add a quarantine or lift one. Orders for the same content are numbered, the highest
-number counts, and a lifted quarantine wins over one of the same number; so all entries agree in the
-end, in whatever order they learn.
+number counts; of one number a lifted quarantine wins, then the one with more trials, then the one
+that is not to be tried. So all entries agree in the end, in whatever order they learn.
 
 A quarantine may be wrong, and content that is refused cannot show that it is harmless. So now and
 then one request is let through as a trial. A trial of bad content ends an upstream, so all entries
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Collection, Iterator
+from enum import StrEnum
 from typing import NamedTuple
 
 from chivehold.core.direct.crash_keys import CrashKey
@@ -18,6 +19,8 @@
 """Quarantines to remember; those that end first are dropped first."""
 MAX_TRIALS = 2
 """Trials of the same content, also if it is quarantined again."""
+MIN_RETRY_S = 2.0
+"""Callers are told to come back after this time at the earliest, as a trial may be overdue."""
 TRIAL_BACKOFF = 4.0
 """Factor by which the time to the next trial grows with each."""
 
@@ -41,9 +44,14 @@
         return self.is_active and self.next_trial_at is not None and now >= self.next_trial_at
 
     def retry_after_s(self, now: float) -> float:
-        """Return the time in seconds until a request with this content may be served."""
+        """Return the time in seconds after which a request with this content may be served."""
         until = self.until if self.next_trial_at is None else min(self.until, self.next_trial_at)
-        return max(0.0, until - now)
+        return max(MIN_RETRY_S, until - now)
+
+    @property
+    def rank(self) -> tuple[int, bool, int, bool]:
+        """Which order counts among those for the same content: the one of the highest rank."""
+        return self.version, not self.is_active, self.trials, self.next_trial_at is None
 
     def claim_trial(self, trial_s: float, now: float) -> "Quarantine":
         """Return the order that counts one more trial.
@@ -66,7 +74,7 @@
     def merge(self, order: Quarantine, now: float) -> bool:
         """Take in an order and return whether it changes anything."""
         known = self._orders.get(order.key)
-        if order.until <= now or (known is not None and _rank(order) <= _rank(known)):
+        if order.until <= now or (known is not None and order.rank <= known.rank):
             return False
         self._orders[order.key] = order
         if len(self._orders) > MAX_QUARANTINES:
@@ -110,5 +118,18 @@
         return frozenset(order.key for order in self.orders(now) if order.is_active)
 
 
-def _rank(order: Quarantine) -> tuple[int, bool]:
-    return order.version, not order.is_active
+class OrderEvent(StrEnum):
+    """What an order changes."""
+
+    BEGUN = "begun"
+    TRIED = "tried"
+    LIFTED = "lifted"
+
+
+def order_event(order: Quarantine, before: Quarantine | None) -> OrderEvent:
+    """Return what an order changes, given the one in force before it."""
+    if not order.is_active:
+        return OrderEvent.LIFTED
+    if before is not None and before.is_active and order.trials > before.trials:
+        return OrderEvent.TRIED
+    return OrderEvent.BEGUN
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -68,7 +68,8 @@
         if order is None:
             return None
         exchange.log("request quarantined", key=str(order.key), version=order.version)
-        return _refusal(order)
+        retry_after_s = self._quarantines.retry_after_s(order)
+        return not_run_refusal("quarantined", "such requests end upstreams", retry_after_s)
 
     def is_quarantined(self, exchange: Exchange) -> bool:
         """Return whether requests with this content are refused now; a trial is not."""
@@ -165,8 +166,3 @@
             now = trio.current_time()
             broken = BrokenRequest(self._request_id, self._keys, self._sent_at, now)
             self._crashes.record_break(self._upstream, broken)
-
-
-def _refusal(order: Quarantine) -> Refusal:
-    retry_after_s = order.retry_after_s(trio.current_time())
-    return not_run_refusal("quarantined", "such requests end upstreams", retry_after_s)
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from chivehold.core.direct.quarantine import OrderEvent
 from chivehold.metrics import RenderedMetrics
 
 RESPONSE_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
@@ -48,7 +49,7 @@
         )
         self._quarantine_orders = Counter(
             "chivehold_quarantine_orders_total",
-            "Orders to refuse content that ends upstreams, or to refuse it no longer.",
+            "Orders that begin, try or lift a quarantine.",
             None,
             registry,
         )
@@ -117,9 +118,9 @@
         """Count a request that had just begun at an upstream when the upstream ended."""
         self._ends_under_requests.inc({"service": service})
 
-    def count_quarantine_order(self, is_active: bool) -> None:
-        """Count an order that begins or lifts a quarantine."""
-        self._quarantine_orders.inc({"order": "begin" if is_active else "lift"})
+    def count_quarantine_order(self, event: OrderEvent) -> None:
+        """Count an order by what it does."""
+        self._quarantine_orders.inc({"order": event})
 
     def set_quarantines(self, count: int) -> None:
         """Record the number of quarantines in force."""
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -17,7 +17,12 @@
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.facts import SoundRun
 from chivehold.core.direct.messages import UpstreamRecord, incarnation_of
-from chivehold.core.direct.quarantine import Quarantine, QuarantineList
+from chivehold.core.direct.quarantine import (
+    OrderEvent,
+    Quarantine,
+    QuarantineList,
+    order_event,
+)
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.upstream_ends import BrokenRequest
@@ -29,6 +34,8 @@
 SOUND_INTERVAL_S = 0.5
 """That content ran without harm is told again if it did so this much later."""
 MAX_TOLD_SOUND = 512
+TRIAL_OUTCOME_S = 2.0
+"""For this time from its begin a trial counts as running; callers refused then return after it."""
 
 _log = logging.getLogger(__name__)
 
@@ -62,6 +69,7 @@
         self._metrics = metrics
         self._evidence = CrashEvidence(policy)
         self._list = QuarantineList()
+        self._trials_open_until: dict[CrashKey, float] = {}
         self._told_sound_at: dict[CrashKey, float] = {}
         """When content last ran without harm, as far as all entries have been told."""
         exchange.subscribe(UpstreamEnd, self._learn_end)
@@ -72,6 +80,13 @@
         """Return an active quarantine of a request with these keys, or ``None``."""
         return self._list.find(keys, trio.current_time())
 
+    def retry_after_s(self, order: Quarantine) -> float:
+        """Return the time in seconds after which a caller refused by an order may come back."""
+        now = trio.current_time()
+        if now < self._trials_open_until.get(order.key, -math.inf):
+            return TRIAL_OUTCOME_S
+        return order.retry_after_s(now)
+
     def is_suspect(self, key: CrashKey) -> bool:
         """Return whether an upstream ended under this content and nothing has cleared it."""
         return self._evidence.is_suspect(key, trio.current_time())
@@ -203,7 +218,7 @@
         return is_new
 
     def _tell_order(self, order: Quarantine) -> None:
-        fact_id = f"quarantine/{order.key}/{order.version}/{order.is_active}"
+        fact_id = "/".join(("quarantine", str(order.key), *map(str, order.rank)))
         self._exchange.tell(order, order.until - trio.current_time(), fact_id)
 
     def _apply(self, order: Quarantine, reason: str, before: Quarantine | None) -> None:
@@ -211,12 +226,15 @@
         if not order.is_active:
             # Ends before the order must not quarantine the content again.
             self._evidence.record_sound(order.key, now)
-        self._metrics.count_quarantine_order(order.is_active)
+        event = order_event(order, before)
+        if event is OrderEvent.TRIED:
+            self._note_trial(order.key, now)
+        self._metrics.count_quarantine_order(event)
         self._metrics.set_quarantines(len(self._list.active_keys(now)))
         log_event(
             _log,
             logging.WARNING,
-            _event_of(order, before),
+            f"quarantine {event}",
             None,
             key=str(order.key),
             version=order.version,
@@ -226,14 +244,11 @@
         )
         self._on_order()
 
-
-def _event_of(order: Quarantine, before: Quarantine | None) -> str:
-    """Return the log event of an order that replaces another one."""
-    if not order.is_active:
-        return "quarantine lifted"
-    if before is not None and before.is_active and order.trials > before.trials:
-        return "quarantine tried"
-    return "quarantine begun"
+    def _note_trial(self, key: CrashKey, now: float) -> None:
+        self._trials_open_until = {
+            known: until for known, until in self._trials_open_until.items() if until > now
+        }
+        self._trials_open_until[key] = now + TRIAL_OUTCOME_S
 
 
 def _log_finding(finding: CrashFinding) -> None:
--- a/src/chivehold/store/quarantine_records.py
+++ b/src/chivehold/store/quarantine_records.py
@@ -181,7 +181,7 @@
     record = records.get(order.key)
     if record is None:
         return False
-    return (record["version"], not record["active"]) >= (order.version, not order.is_active)
+    return _order_of(record).rank >= order.rank
 
 
 def _record_of(order: Quarantine) -> _RecordJson:
--- a/tests/direct/test_quarantines.py
+++ b/tests/direct/test_quarantines.py
@@ -9,6 +9,7 @@
 
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.quarantine import MAX_TRIALS, TRIAL_BACKOFF
+from chivehold.direct.quarantines import TRIAL_OUTCOME_S
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.fakes.platform_upstream import ModelEngine
 from chivehold.http_client import HttpResponse, LinkError
@@ -159,6 +160,24 @@
             await wait_until(lambda: not any(quarantined(harness) for harness in harnesses))
             assert await ask_all(harnesses) == [200, 200, 200]
 
+    # Guards against callers who are sent away for long just before their content is cleared.
+    async def test_callers_during_a_trial_come_back_soon(self, tmp_path: Path) -> None:
+        """Those who are refused while a trial runs are told to wait for its outcome alone."""
+        async with entries(tmp_path, MetadataStore(), 1, TRIAL_S) as harnesses:
+            engine = ModelEngine("d2", "decode")
+            engine.event_s = 0.3
+            harnesses[0].store.remove("servers", "d1")
+            await harnesses[0].add_upstream(engine, "model")
+            order(harnesses[0], may_try=True)
+            await wait_until(lambda: bool(quarantined(harnesses[0])))
+            await trio.sleep(TRIAL_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, harnesses[0])
+                await wait_until(lambda: dumped_trials(harnesses[0]) == 1)
+                refused = await ask(harnesses[0])
+            assert refused.status == 503
+            assert float(refused.header("retry-after") or 0) <= TRIAL_OUTCOME_S
+
     # Guards against trials of bad content that end one upstream after another.
     async def test_trials_of_bad_content_are_few(self, tmp_path: Path) -> None:
         """All entries together make two, however many requests come."""
@@ -230,6 +249,11 @@
             assert quarantined(harness) == []
 
 
+def dumped_trials(harness: EntryHarness) -> int:
+    (known,) = harness.entry.dump()["quarantines"]
+    return int(known["trials"])
+
+
 async def ask_all(harnesses: list[EntryHarness]) -> list[int]:
     """Send a prompt with the part to each entry at the same moment and return the statuses."""
     statuses: list[int] = []
