An end counts once all that it took with it is reported; the simulated fleet repeats as entries do

Traced: (1) what a found request had ended counted against parts of other requests beside it; (2) an entry decided at the first report of an end, before the report of the bad prompt that had caused it, and found the shared first part.

Change: a found request counts as one end, against the parts of its own prompt; an end counts 0.2 s after it, and the first request after that makes the entry decide, so no timer is needed. The simulated fleet repeated a prompt without end, which hid the second fault and showed the first too large; it stops after MAX_ENDS_UNDER_REQUEST.

--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -8,8 +8,8 @@
 
 A part that many prompts share is suspect whenever a bad part is. So content that was seen to run
 without harm before needs more ends, among several explanations the narrowest one counts, and ends
-that it explains count against nothing else, except those of a request against the parts that other
-requests, which ended upstreams too, share with it.
+that it explains count against nothing else. But each request that was found counts as one end
+against the parts of its prompt, as several may have a bad part in common.
 """
 
 import math
@@ -23,6 +23,8 @@
 """Ends within this time may have one common cause and count once."""
 ORDER_TOLERANCE_S = 0.05
 """Uncertainty of times that other entries have told."""
+REPORTS_S = 0.2
+"""Time in which all requests that an end took with it are reported; it counts only then."""
 MAX_REMEMBERED_ENDS = 500
 MAX_CLEARED = 8_192
 """Keys remembered as cleared; those that ran longest ago are forgotten first."""
@@ -64,6 +66,12 @@
     """When the request was sent to the upstream."""
     ended_at: float
 
+    @property
+    def request(self) -> CrashKey | None:
+        """The key of the request as a whole, or ``None`` if it is not told."""
+        keys = (suspect.key for suspect in self.suspects)
+        return next((key for key in keys if key.kind is KeyKind.REQUEST), None)
+
 
 class CrashFinding(NamedTuple):
     """Content that ends upstreams, with what shows it."""
@@ -113,6 +121,11 @@
         if len(self._cleared_at) > MAX_CLEARED:
             del self._cleared_at[next(iter(self._cleared_at))]
 
+    @property
+    def newest_end_at(self) -> float:
+        """When the last upstream ended that is remembered; minus infinity without any."""
+        return max((end.ended_at for end in self._ends), default=-math.inf)
+
     def sound_at(self, key: CrashKey) -> float | None:
         """Return when content last ran without harm, or ``None`` if it was not seen to."""
         return self._cleared_at.get(key)
@@ -137,9 +150,12 @@
             now: Monotonic time in seconds.
         """
         self._forget_old(now)
+        ends = [end for end in self._ends if end.ended_at <= now - REPORTS_S]
         found = set(known)
         while True:
-            candidates = [c for c in self._candidates(found) if self._is_sufficient(c.finding)]
+            candidates = [
+                c for c in self._candidates(ends, found) if self._is_sufficient(c.finding)
+            ]
             if not candidates:
                 return
             narrowest = min(candidates, key=_narrowness)
@@ -161,12 +177,14 @@
     def _counts_against(self, key: CrashKey, end: UpstreamEnd) -> bool:
         return end.ended_at > self._cleared_at.get(key, -math.inf)
 
-    def _candidates(self, found: Collection[CrashKey]) -> Iterator[_Candidate]:
-        by_part = self._upstreams_ended_by(found, KeyKind.PROMPT_PART)
-        by_request = self._upstreams_ended_by(found, KeyKind.REQUEST)
+    def _candidates(
+        self, ends: Collection[UpstreamEnd], found: Collection[CrashKey]
+    ) -> Iterator[_Candidate]:
+        by_part = _upstreams_ended_by(ends, found, KeyKind.PROMPT_PART)
+        by_request = _upstreams_ended_by(ends, found, KeyKind.REQUEST)
         ends_by_key: dict[CrashKey, list[UpstreamEnd]] = {}
         positions: dict[CrashKey, int] = {}
-        for end in self._ends:
+        for end in ends:
             if end.upstream in by_part:
                 continue
             for position, suspect in enumerate(end.suspects):
@@ -175,9 +193,10 @@
                     positions[suspect.key] = max(position, positions.get(suspect.key, 0))
         for key, all_ends in ends_by_key.items():
             key_ends = [end for end in all_ends if end.upstream not in by_request]
-            if key_ends and key.kind is KeyKind.PROMPT_PART:
-                # One part that explains several requests is likelier than as many bad requests.
-                key_ends = all_ends
+            if key.kind is KeyKind.PROMPT_PART:
+                # Several bad requests may have a bad part in common, so each counts once.
+                one_each = {end.request: end for end in all_ends if end.request in found}
+                key_ends += one_each.values()
             if len(key_ends) < self._policy.ends:
                 continue
             counted = list(_independent(key_ends))
@@ -190,21 +209,22 @@
             )
             yield _Candidate(finding, positions[key])
 
-    def _upstreams_ended_by(
-        self, found: Collection[CrashKey], kind: KeyKind
-    ) -> set[UpstreamIncarnation]:
-        return {
-            end.upstream
-            for end in self._ends
-            if any(s.key.kind is kind and s.key in found for s in end.suspects)
-        }
-
     def _is_sufficient(self, finding: CrashFinding) -> bool:
         policy = self._policy
         needed = policy.ends_if_sound_before if finding.was_sound_before else policy.ends
         return finding.ends >= needed
 
 
+def _upstreams_ended_by(
+    ends: Iterable[UpstreamEnd], found: Collection[CrashKey], kind: KeyKind
+) -> set[UpstreamIncarnation]:
+    return {
+        end.upstream
+        for end in ends
+        if any(s.key.kind is kind and s.key in found for s in end.suspects)
+    }
+
+
 def _independent(ends: Iterable[UpstreamEnd]) -> Iterator[UpstreamEnd]:
     """Yield ends, oldest first, that have no common cause with the one before.
 
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -8,6 +8,7 @@
 import trio
 
 from chivehold.core.direct.crash_evidence import (
+    REPORTS_S,
     CrashEvidence,
     CrashFinding,
     CrashPolicy,
@@ -69,6 +70,8 @@
         self._metrics = metrics
         self._evidence = CrashEvidence(policy)
         self._list = QuarantineList()
+        self._decision_due_at = math.inf
+        """When an end counts that no decision has counted yet."""
         self._trials_open_until: dict[CrashKey, float] = {}
         self._told_sound_at: dict[CrashKey, float] = {}
         """When content last ran without harm, as far as all entries have been told."""
@@ -78,7 +81,10 @@
 
     def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
-        return self._list.find(keys, trio.current_time())
+        now = trio.current_time()
+        if now >= self._decision_due_at:
+            self._decide(now)
+        return self._list.find(keys, now)
 
     def retry_after_s(self, order: Quarantine) -> float:
         """Return the time in seconds after which a caller refused by an order may come back."""
@@ -103,7 +109,7 @@
         end = UpstreamEnd(incarnation_of(upstream), suspects, broken.sent_at, broken.broken_at)
         self._evidence.record_end(end)
         self._exchange.tell(end, self._policy.evidence_s)
-        self._decide()
+        self._note_undecided(end)
 
     def record_sound(self, keys: Collection[CrashKey]) -> None:
         """Record that a request with these keys ran without harm."""
@@ -173,7 +179,7 @@
         )
         for key, sound_at in known_sound:
             self._tell_sound(key, sound_at)
-        self._decide()
+        self._note_undecided(end)
 
     def _learn_told(self, order: Quarantine) -> None:
         self._learn_order(order, "another entry")
@@ -203,8 +209,13 @@
         if len(self._told_sound_at) > MAX_TOLD_SOUND:
             del self._told_sound_at[next(iter(self._told_sound_at))]
 
-    def _decide(self) -> None:
-        now = trio.current_time()
+    def _note_undecided(self, end: UpstreamEnd) -> None:
+        """Have a decision made by the first request that comes once the end counts."""
+        self._decision_due_at = min(self._decision_due_at, end.ended_at + REPORTS_S)
+
+    def _decide(self, now: float) -> None:
+        newest = self._evidence.newest_end_at
+        self._decision_due_at = newest + REPORTS_S if newest > now - REPORTS_S else math.inf
         for finding in list(self._evidence.find(self._list.active_keys(now), now)):
             _log_finding(finding)
             self.order(finding.key, True, "ends upstreams", may_try=True)
--- a/tests/core/direct/crash_fleet.py
+++ b/tests/core/direct/crash_fleet.py
@@ -18,6 +18,7 @@
 from chivehold.core.direct.gossip import Gossip, GossipItem, OutgoingMessage
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.crash_watch import MAX_ENDS_UNDER_REQUEST
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.quarantines import Quarantines
@@ -71,6 +72,8 @@
     sent_at: float
     first_event_at: list[float]
     settled: list[bool]
+    tried: frozenset[int]
+    """Engines that ended under this request before."""
 
 
 class _Entry:
@@ -183,11 +186,11 @@
         if is_bad:
             self._bad_sent_at.append(now)
         number = next(self._numbers)
-        stream = _Stream(entry, keys, is_bad, now, [], [])
+        stream = _Stream(entry, keys, is_bad, now, [], [], tried)
         self._streams[engine][number] = stream
-        self._at(FIRST_EVENT_S, lambda: self._begin(engine, number, tried))
+        self._at(FIRST_EVENT_S, lambda: self._begin(engine, number))
 
-    def _begin(self, engine: int, number: int, tried: frozenset[int]) -> None:
+    def _begin(self, engine: int, number: int) -> None:
         stream = self._streams[engine].get(number)
         if stream is None:
             return
@@ -226,7 +229,9 @@
                 broken = BrokenRequest(f"r{number}", stream.keys, stream.sent_at, now)
                 self._entries[stream.entry].quarantines.record_end(upstream, broken)
                 self._wake(self._entries[stream.entry])
-                self._send(stream.entry, stream.keys, stream.is_bad, frozenset((engine,)))
+                tried = stream.tried | {engine}
+                if len(tried) < MAX_ENDS_UNDER_REQUEST:
+                    self._send(stream.entry, stream.keys, stream.is_bad, tried)
 
     def _restart(self, engine: int) -> None:
         self._is_up[engine] = True
--- a/tests/core/direct/test_crash_evidence.py
+++ b/tests/core/direct/test_crash_evidence.py
@@ -1,6 +1,7 @@
 """Which content the ends of upstreams convict."""
 
 from chivehold.core.direct.crash_evidence import (
+    REPORTS_S,
     CrashEvidence,
     CrashPolicy,
     Suspect,
@@ -91,8 +92,30 @@
             evidence.record_end(end(number, 10.0 + number, REQUEST, FIRST, BAD))
         assert found(evidence) == [REQUEST]
         evidence.record_end(end(7, 20.0, OTHER_REQUEST, FIRST, BAD))
+        assert list(evidence.find((REQUEST,), 100.0)) == []
+        evidence.record_end(end(8, 21.0, OTHER_REQUEST, FIRST, BAD))
         assert [finding.key for finding in evidence.find((REQUEST,), 100.0)] == [BAD]
 
+    # Guards against a part of a sound prompt that is blamed for what a request beside it has done.
+    def test_neighbours_of_a_found_request(self) -> None:
+        """What a request that was found has ended counts against its own parts alone."""
+        evidence = CrashEvidence(POLICY)
+        for number in range(3):
+            evidence.record_end(end(number, 10.0 + number, REQUEST, FIRST, BAD))
+            evidence.record_end(end(number, 10.0 + number, OTHER_REQUEST, OTHER))
+        for number in (7, 8):
+            evidence.record_end(end(number, 20.0 + number, CrashKey(KeyKind.REQUEST, "r3"), OTHER))
+        assert list(evidence.find((REQUEST,), 100.0)) == []
+
+    # Guards against a shared part that is found as the report of the bad one comes a moment later.
+    def test_end_counts_once_its_reports_are_in(self) -> None:
+        """An end is told by each request that it took with it."""
+        evidence = CrashEvidence(POLICY)
+        for number in range(3):
+            evidence.record_end(end(number, 10.0 + number, REQUEST, FIRST))
+        assert found(evidence, 12.0 + REPORTS_S / 2) == []
+        assert found(evidence, 12.0 + REPORTS_S) == [REQUEST]
+
     def test_two_bad_parts(self) -> None:
         """Each part that explains ends of its own is found."""
         evidence = CrashEvidence(POLICY)
