Versions of upstreams' software, and resumed streams, are seen in logs, dump and metrics

The record's version is read (bounded; absent is a version too), 'upstream listed', 'place granted' and 'attempt failed' name it, 'request routed' names the last event and the request that the caller resumes, and a gauge counts upstreams by version. Nothing is decided by it.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -291,6 +291,7 @@
                 "upstream": upstream.name,
                 "service": upstream.service,
                 "stage": upstream.stage,
+                "software": upstream.software,
                 "draining": upstream.draining,
                 "gone": stats.gone_until > now,
                 "in_flight": stats.in_flight,
--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -29,6 +29,8 @@
     slots: int
     draining: bool
     stage: Stage = Stage.NONE
+    software: str = ""
+    """Version of the upstream's software; empty if its record names none."""
 
 
 class UpstreamIncarnation(NamedTuple):
@@ -52,6 +54,8 @@
     """The caller's estimate of the tokens to generate."""
     last_event: str | None = None
     """Id of the last event received by a caller that resumes a stream."""
+    resumes: str | None = None
+    """Id of the request that brought the first event of the stream that the caller resumes."""
     prompt_parts: tuple[str, ...] = ()
     """Ids of the parts of the prompt, in order; the last one belongs to this request alone."""
 
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -319,6 +319,7 @@
         self._callers.apply_routes(RouteIndex(table))
 
     def _apply_fleet_change(self, change: FleetChange) -> None:
+        self._metrics.set_upstreams(self._fleet.upstreams)
         for upstream in change.removed:
             self._client.discard_pool(upstream.address)
         for service in {upstream.service for upstream in (*change.added, *change.changed)}:
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -169,6 +169,8 @@
             waited_before_ms=round(exchange.waited_before_s * 1_000) or None,
             tokens=exchange.metadata.prompt_tokens or None,
             hint=exchange.metadata.output_tokens_hint,
+            after_event=exchange.metadata.last_event,
+            resumes=exchange.metadata.resumes,
         )
         outcome = DEPARTED
         async with trio.open_nursery() as nursery:
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -1,10 +1,12 @@
 """Prometheus metrics of an entry without sidecars."""
 
-from collections.abc import Sequence
+from collections import Counter as Counts
+from collections.abc import Iterable, Sequence
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.quarantine import OrderEvent
 from chivehold.metrics import RenderedMetrics
 
@@ -17,6 +19,7 @@
 
     def __init__(self) -> None:
         registry = self._registry = Registry()
+        self._upstream_kinds: set[tuple[str, str]] = set()
         self._requests = Counter(
             "chivehold_requests_total", "Requests ended, by route kind and outcome.", None, registry
         )
@@ -95,6 +98,9 @@
         self._store_lost = Gauge(
             "chivehold_store_lost", "1 while the store does not answer.", None, registry
         )
+        self._upstreams = Gauge(
+            "chivehold_upstreams", "Upstreams by service and software version.", None, registry
+        )
         self._log_lines_dropped = Gauge(
             "chivehold_log_lines_dropped",
             "Log lines left out to bound their volume.",
@@ -102,6 +108,15 @@
             registry,
         )
 
+    def set_upstreams(self, upstreams: Iterable[UpstreamRecord]) -> None:
+        """Record the number of upstreams of each service by the version of their software."""
+        counts = Counts((upstream.service, upstream.software) for upstream in upstreams)
+        for service, software in self._upstream_kinds - counts.keys():
+            self._upstreams.set({"service": service, "software": software}, 0)
+        for (service, software), count in counts.items():
+            self._upstreams.set({"service": service, "software": software}, count)
+        self._upstream_kinds = set(counts)
+
     def count_order(self, service: str, accepted: bool) -> None:
         """Count an order to an engine."""
         self._orders.inc({"service": service, "accepted": str(accepted).lower()})
--- a/src/chivehold/direct/store_replicas.py
+++ b/src/chivehold/direct/store_replicas.py
@@ -140,6 +140,7 @@
                     service=upstream.service,
                     address=upstream.address,
                     stage=upstream.stage,
+                    software=upstream.software,
                     draining=upstream.draining,
                     started_ms=upstream.started_ms,
                     revision=self._upstreams.revision,
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -123,6 +123,7 @@
             exchange.log(
                 "place granted",
                 peer=result.upstream.name,
+                software=result.upstream.software,
                 tokens=result.tokens,
                 waited_ms=waited_ms,
                 here=self._fleet.in_flight(result.upstream),
@@ -278,6 +279,7 @@
             self._exchange.log(
                 "attempt failed",
                 peer=reservation.upstream.name,
+                software=reservation.upstream.software,
                 outcome=result.end,
                 detail=result.detail,
                 last_event=self._relay.last_event,
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -34,6 +34,10 @@
 KV_SOURCE = b"x-chivehold-kv-from"
 HOLD = b"x-chivehold-hold"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
+"""Id of the request that brought the first event of a stream that its caller resumes."""
+MAX_REQUEST_ID_LENGTH = 256
+"""Longest id that can name a request."""
 SIGNATURE = b"x-chivehold-server-stamp"
 NOT_RUN = b"x-chivehold-not-run"
 SERVER_LEAVING = b"server-leaving"
@@ -115,6 +119,7 @@
             max_output_tokens=int(counts[1] or 0) if len(counts) > 1 else 0,
             output_tokens_hint=None if hint is None else int(hint),
             last_event=None if last_event is None else last_event.decode("latin-1"),
+            resumes=_parse_request_id(headers_by_name.get(RESUMES, b"")),
             prompt_parts=_parse_prompt_parts(headers_by_name.get(PROMPT_PARTS, b"")),
         )
 
@@ -261,6 +266,13 @@
     return value if 0 <= value < 1e12 else None
 
 
+def _parse_request_id(text: bytes) -> str | None:
+    """Return the id of another request, or ``None`` if the text can be none."""
+    if not 0 < len(text) <= MAX_REQUEST_ID_LENGTH:
+        return None
+    return text.decode("latin-1")
+
+
 def _parse_prompt_parts(text: bytes) -> tuple[str, ...]:
     """Return the ids in a list of prompt parts; parts without an id are left out."""
     ids = (part.partition(b":")[0].strip() for part in text.split(b","))
--- a/src/chivehold/platform/upstream_records.py
+++ b/src/chivehold/platform/upstream_records.py
@@ -1,6 +1,7 @@
 """Decodes the records that upstreams write about themselves into the store."""
 
 import re
+from hashlib import blake2b
 from typing import NotRequired, TypedDict
 
 import msgspec
@@ -13,6 +14,8 @@
 _LABEL = r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 _ADDRESS = re.compile(rf"(?:\[[0-9A-Fa-f:.]+\]|{_LABEL}(?:\.{_LABEL})*):([0-9]{{1,5}})")
 MAX_PORT = 65_535
+MAX_SOFTWARE_LENGTH = 64
+"""Longest name of a software version, in characters; a longer one is replaced by its digest."""
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 _STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
@@ -22,6 +25,8 @@
     service: str
     address: str
     zone: str
+    version: NotRequired[str | int | float]
+    """Version of the upstream's software."""
     slots: int
     state: str
     born: NotRequired[int]
@@ -51,10 +56,18 @@
             slots=decoded["slots"],
             draining=_DRAINING_BY_STATE[decoded["state"]],
             stage=_STAGES.get(decoded.get("stage", ""), Stage.NONE),
+            software=_software_name(str(decoded.get("version", ""))),
         )
     )
 
 
+def _software_name(version: str) -> str:
+    """Return the name of a software version, which is bounded and differs between versions."""
+    if len(version) <= MAX_SOFTWARE_LENGTH:
+        return version
+    return blake2b(version.encode(), digest_size=MAX_SOFTWARE_LENGTH // 2).hexdigest()
+
+
 def _is_address(text: str) -> bool:
     """Return whether a text is a host name or an IP number with a port."""
     match = _ADDRESS.fullmatch(text)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -42,6 +42,16 @@
         )
         assert metadata.last_event == "3"
 
+    def test_resumed_request_is_read(self) -> None:
+        """A caller that resumes a stream names the request that brought its first event."""
+        metadata = DIALECT.read_request([*REQUEST, (b"resumes", b"51c07be2a35f6890")])
+        assert metadata.resumes == "51c07be2a35f6890"
+
+    @pytest.mark.parametrize("text", [b"", b"x" * 10_000])
+    def test_no_request_can_have_such_an_id(self, text: bytes) -> None:
+        """Without a usable id it is not known which stream the caller resumes."""
+        assert DIALECT.read_request([*REQUEST, (b"resumes", text)]).resumes is None
+
     @pytest.mark.parametrize("text", [b"soon", b"-5", b"nan", b"inf", b"1e400", b""])
     def test_unreadable_numbers_are_absent(self, text: bytes) -> None:
         """A deadline that is not a number in range is treated as absent."""
