--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -162,6 +162,8 @@
         super().__init__(name)
         self.stage = stage
         self.capacity = capacity
+        self.software = ""
+        """Version of its software, which it writes into its record and its events; empty: none."""
         self.events = 5
         self.event_s = 0.0
         self.stop_after: int | None = None
@@ -246,7 +248,7 @@
 
     def _event_data(self, request: str, number: int, body: bytes) -> str:
         """Return the data of an event; ``body`` is the request's body."""
-        return request
+        return f"{request} {self.software}".rstrip()
 
     async def _stream(self, request: str, body: bytes, last: int, send: Send) -> None:
         headers = [
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -95,6 +95,8 @@
     ) -> None:
         """Write an upstream's record into the store."""
         stage = {"stage": upstream.stage} if isinstance(upstream, ModelEngine) else {}
+        if isinstance(upstream, ModelEngine) and upstream.software:
+            stage["version"] = upstream.software
         record = {
             "service": of,
             "address": at,
