A stream goes on only at the software version that began it

Callers saw: streams whose first part was written by one version of the engines' software and the rest by another, with nothing in the answer to show it. Cause: a resumption took any engine with room. The entry did not know that versions exist, and what began a stream was known only to the entry that had begun it, and to nobody after the end of all entries. Class: work that is continued elsewhere without a check that it fits what is there. Change: within an answer only engines of the version that wrote the first event are asked; streams that need one version wait in a queue of their own, so that new ones begin elsewhere meanwhile. For callers' resumptions each entry remembers what began its streams and stores it while several versions may have streams; a table in the store names these versions. An entry that does not know a stream reads both. Why it works: a version is in the table before streams begin there, and the table is read after the resumption came, so one version in it means that no other can have begun the stream; otherwise its own record decides, or it is refused.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -1,7 +1,7 @@
 """Upstreams known to an entry, statistics on their calls, and the ranking used to choose one."""
 
 import math
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from enum import StrEnum
 from random import Random
 from typing import NamedTuple
@@ -90,12 +90,21 @@
         zone: The zone of this entry.
         rng: Source of the jitter.
         admission: What upstreams say of themselves.
+        is_confirmed: Returns whether all entries can know that streams may begin at an engine with
+            this version of the software.
     """
 
-    def __init__(self, zone: str, rng: Random, admission: UpstreamAdmission) -> None:
+    def __init__(
+        self,
+        zone: str,
+        rng: Random,
+        admission: UpstreamAdmission,
+        is_confirmed: Callable[[UpstreamRecord], bool] = lambda upstream: True,
+    ) -> None:
         self._zone = zone
         self._rng = rng
         self._admission = admission
+        self._is_confirmed = is_confirmed
         self._upstreams: dict[str, UpstreamRecord] = {}
         self._stats: dict[UpstreamIncarnation, _UpstreamStats] = {}
 
@@ -124,19 +133,41 @@
             ),
         )
 
-    def available(self, service: str, stage: Stage, now: float) -> list[UpstreamRecord]:
-        """Return the upstreams of a service and stage that accept work, even if suspended."""
+    def available(
+        self, service: str, stage: Stage, now: float, software: str | None = None
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams of a service and stage that accept work, even if suspended.
+
+        Args:
+            service: The service.
+            stage: The stage of a model engine.
+            now: Monotonic time in seconds.
+            software: The version of their software; ``None`` for any.
+        """
         return [
             upstream
             for upstream in self._upstreams.values()
             if upstream.service == service
             and upstream.stage is stage
+            and software in (None, upstream.software)
             and not upstream.draining
             and self._stats_of(upstream).gone_until <= now
         ]
 
+    def lists(self, service: str, software: str) -> bool:
+        """Return whether an upstream of a service that does not drain has this software version."""
+        return any(
+            upstream.service == service and upstream.software == software and not upstream.draining
+            for upstream in self._upstreams.values()
+        )
+
     def ranked(
-        self, service: str, stage: Stage, now: float, excluded: Collection[str] = ()
+        self,
+        service: str,
+        stage: Stage,
+        now: float,
+        excluded: Collection[str] = (),
+        software: str | None = None,
     ) -> list[UpstreamRecord]:
         """Return the candidate upstreams, best first; suspended ones only if all are suspended.
 
@@ -147,10 +178,11 @@
             stage: The stage of a model engine.
             now: Monotonic time in seconds.
             excluded: Names of upstreams to leave out.
+            software: The version of their software; ``None`` for any.
         """
         candidates = [
             upstream
-            for upstream in self.available(service, stage, now)
+            for upstream in self.available(service, stage, now, software)
             if upstream.name not in excluded and self.may_send(upstream, now)
         ]
         healthy = [upstream for upstream in candidates if not self.is_suspended(upstream, now)]
@@ -160,15 +192,23 @@
         """Return whether the upstream wants a request now, by what it has said itself."""
         return self._admission.wait_s(incarnation_of(upstream), now) <= 0
 
-    def wait_s(self, service: str, stage: Stage, now: float) -> float | None:
+    def wait_s(
+        self, service: str, stage: Stage, now: float, software: str | None = None
+    ) -> float | None:
         """Return the time until an upstream wants a request, in seconds.
 
+        Args:
+            service: The service.
+            stage: The stage of a model engine.
+            now: Monotonic time in seconds.
+            software: The version of the upstream's software; ``None`` for any.
+
         Returns:
             The shortest time, 0 if one wants a request now, ``None`` if there is no upstream.
         """
         waits_s = (
             self._admission.wait_s(incarnation_of(upstream), now)
-            for upstream in self.available(service, stage, now)
+            for upstream in self.available(service, stage, now, software)
         )
         return min(waits_s, default=None)
 
@@ -177,7 +217,12 @@
         return self._stats_of(upstream).suspended_until > now
 
     def decode_engines_by_load(
-        self, service: str, tokens: int, now: float, excluded: Collection[str] = ()
+        self,
+        service: str,
+        tokens: int,
+        now: float,
+        excluded: Collection[str] = (),
+        software: str | None = None,
     ) -> list[UpstreamRecord]:
         """Return a service's decode engines, those most likely to have room for a request first.
 
@@ -186,13 +231,19 @@
         with the least memory used by this entry come first. A random factor spreads entries that
         see the same load.
 
+        A stream that begins may do so at any software version, but at one that not all entries can
+        know of yet only if there is no other.
+
         Args:
             service: The service.
             tokens: Memory that the request needs, in tokens.
             now: Monotonic time in seconds.
             excluded: Names of upstreams to leave out.
+            software: The version of the engines' software; ``None`` for any.
         """
-        ranked = self.ranked(service, Stage.DECODE, now, excluded)
+        ranked = self.ranked(service, Stage.DECODE, now, excluded, software)
+        if software is None:
+            ranked = [upstream for upstream in ranked if self._is_confirmed(upstream)] or ranked
         return sorted(ranked, key=lambda upstream: self._fullness(upstream, tokens, now))
 
     def record_full(self, upstream: UpstreamRecord, tokens: int, now: float) -> None:
--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -59,6 +59,11 @@
     prompt_parts: tuple[str, ...] = ()
     """Ids of the parts of the prompt, in order; the last one belongs to this request alone."""
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller resumes a stream of which it has events."""
+        return self.last_event is not None or self.resumes is not None
+
 
 class ResponseMetadata(NamedTuple):
     """Properties of a response, read from its status and headers."""
--- a/src/chivehold/core/direct/reservations.py
+++ b/src/chivehold/core/direct/reservations.py
@@ -19,8 +19,8 @@
     """No memory could be reserved."""
 
     reason: str
-    retry_after_s: float
-    """Seconds after which memory is likely to be free."""
+    retry_after_s: float | None
+    """Seconds after which memory is likely to be free; ``None`` if none will be."""
 
 
 class MemoryReserver(Protocol):
--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -24,6 +24,8 @@
     """When the request stops waiting and is refused."""
     excluded_engines: frozenset[str] = frozenset()
     """Names of engines that have already failed this request and must not get it again."""
+    software: str | None = None
+    """Version of the engine's software that a started stream needs."""
     has_started: bool = False
     """The caller has received events, and would notice any wait as a gap."""
 
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -36,6 +36,7 @@
 from chivehold.direct.stage_controller import StageController, suspended_s
 from chivehold.direct.store_replicas import ChangeHandlers, StoreReplicas
 from chivehold.direct.stream_calls import StreamCalls
+from chivehold.direct.version_tracking import VersionTracking
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import App, ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, log_event
@@ -99,7 +100,12 @@
         )
         self._store_client = HttpClient(ClientLimits(connect_timeout_s=STORE_CONNECT_TIMEOUT_S))
         limits = UpstreamLimits(settings.name, lambda: self._roster, rng)
-        self._fleet = Fleet(settings.zone, rng, UpstreamAdmission(limits, rng))
+        self._fleet = Fleet(
+            settings.zone,
+            rng,
+            UpstreamAdmission(limits, rng),
+            lambda upstream: self._version_tracking.is_confirmed(upstream),
+        )
         self._metrics = DirectMetrics()
         self._retries = SharedRetryBudget(
             settings.retry_share,
@@ -131,6 +137,9 @@
             nursery,
             rng,
         )
+        self._version_tracking = VersionTracking(
+            settings.name, name, store, lambda: self._roster.count, self._metrics, rng
+        )
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
@@ -156,6 +165,7 @@
                 self._retries,
                 self._metrics,
                 self._crash_protection.watch,
+                self._version_tracking.resumptions,
             ),
             self._retries,
             self._metrics,
@@ -210,6 +220,7 @@
         if self._settings.exchange_address is not None:
             await self._nursery.start(self._gossip_socket.run, self._settings.exchange_address)
         self._nursery.start_soon(self._crash_protection.run)
+        self._nursery.start_soon(self._version_tracking.run)
         self._nursery.start_soon(self._replicas.run)
         self._nursery.start_soon(self._run_control_tasks)
         await self._nursery.start(self._await_signals)
@@ -316,10 +327,14 @@
         self._retries.configure(self._settings.retry_share, self._settings.retry_extra, entries)
 
     def _apply_routes(self, table: RouteTable) -> None:
+        self._version_tracking.apply_routes(table)
         self._callers.apply_routes(RouteIndex(table))
 
     def _apply_fleet_change(self, change: FleetChange) -> None:
         self._metrics.set_upstreams(self._fleet.upstreams)
+        self._version_tracking.apply_upstreams(
+            self._fleet.upstreams, self._replicas.upstreams_revision
+        )
         for upstream in change.removed:
             self._client.discard_pool(upstream.address)
         for service in {upstream.service for upstream in (*change.added, *change.changed)}:
@@ -340,7 +355,7 @@
             return "no routes known yet"
         if not self._fleet.upstreams:
             return "no upstreams known yet"
-        return self._crash_protection.unready_reason()
+        return self._crash_protection.unready_reason() or self._version_tracking.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
         return self._metrics.render(
@@ -360,6 +375,7 @@
             "configuration": self._callers.configuration,
             **self._replicas.dump(now),
             "upstreams": list(self._fleet.dump(now)),
+            "software_versions": self._version_tracking.dump(),
             "in_progress": self._callers.in_progress,
             "entries": self._roster.count,
             "control_lease": {
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -144,8 +144,10 @@
         return Exchange(
             metadata=metadata,
             route=route,
-            service=choose_service(route.splits, metadata.request_id),
+            # A resumed stream goes to the service that its first request was sent to.
+            service=choose_service(route.splits, metadata.resumes or metadata.request_id),
             configuration=routes.table.version,
+            host=_host(scope["headers"]),
             method=scope["method"],
             target=target,
             headers=scope["headers"],
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -23,6 +23,7 @@
     service: str
     configuration: int
     """Version of the configuration that contains the route."""
+    host: str
     method: str
     target: bytes
     """Path and query as sent by the caller."""
@@ -35,6 +36,8 @@
     """How long the caller waited before this retry, in seconds; 0 for a first request."""
     crash_keys: tuple[CrashKey, ...] = ()
     """The key of the request's content, then those of the parts of its prompt."""
+    software: str | None = None
+    """Version of the software at which a stream that the caller resumes has to go on."""
     trial_of: CrashKey | None = None
     """The quarantined content that this request is let through with, to see if it is harmless."""
 
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -29,6 +29,13 @@
             None,
             registry,
         )
+        self._resumptions = Counter(
+            "chivehold_resumptions_total",
+            "Streams resumed by their callers, by service and how what began them was known, or why"
+            " they were refused.",
+            None,
+            registry,
+        )
         self._orders = Counter(
             "chivehold_orders_total", "Orders to engines, by service.", None, registry
         )
@@ -149,6 +156,10 @@
         """Count a call to an upstream."""
         self._attempts.inc({"service": service, "verdict": str(verdict)})
 
+    def count_resumption(self, service: str, outcome: str) -> None:
+        """Count a stream that its caller resumes."""
+        self._resumptions.inc({"service": service, "outcome": str(outcome)})
+
     def observe_response_time(self, kind: str, after_s: float) -> None:
         """Record the time to a response or to a stream's first event, in seconds."""
         self._response_times.observe({"kind": kind}, float(after_s))
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -28,6 +28,11 @@
     return Refusal(503, reason, message, retry_after_s)
 
 
+def final_refusal(reason: str, message: str) -> Refusal:
+    """Return the response to a request that has not run and could not run later either."""
+    return Refusal(503, reason, message)
+
+
 def unknown_outcome_refusal(status: int, reason: str, message: str) -> Refusal:
     """Return the response to a request that may or may not have run."""
     return Refusal(status, reason, message)
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 
 import trio
 
@@ -28,6 +29,13 @@
 _log = logging.getLogger(__name__)
 
 
+class _QueueKey(NamedTuple):
+    """Streams that need one software version wait apart, as room elsewhere is no use to them."""
+
+    service: str
+    software: str | None
+
+
 class _Pending:
     """A waiting request and its result once resolved."""
 
@@ -48,7 +56,7 @@
         fleet: The engines.
         engines: Client of the engines.
         engine_config: Returns the configuration of a service's engines.
-        nursery: Runs one task per service with waiting requests.
+        nursery: Runs one task per queue with waiting requests.
         rng: Source of the jitter.
     """
 
@@ -65,18 +73,17 @@
         self._engine_config = engine_config
         self._nursery = nursery
         self._rng = rng
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[_QueueKey, _Queue] = {}
 
     async def reserve(self, service: str, waiter: Waiter) -> MemoryReservation | ReservationRefused:
         """Wait for memory until the waiter's ``gives_up_at``."""
-        if service not in self._queues:
-            self._queues[service] = _ServiceQueue()
-        queue = self._queues[service]
+        key = _QueueKey(service, waiter.software)
+        queue = self._queues.setdefault(key, _Queue())
         pending = _Pending(waiter)
         queue.add(pending)
         if not queue.is_served:
             queue.is_served = True
-            self._nursery.start_soon(self._serve_queue, service, queue)
+            self._nursery.start_soon(self._serve_queue, key, queue)
         try:
             with trio.move_on_at(waiter.gives_up_at):
                 await pending.resolved.wait()
@@ -99,42 +106,52 @@
         self.notify_freed(reservation.upstream.service)
 
     def notify_freed(self, service: str) -> None:
-        """Wake the task that serves the queue of a service."""
-        if service in self._queues:
-            self._queues[service].wake.set()
+        """Wake the tasks that serve the queues of a service."""
+        for key, queue in self._queues.items():
+            if key.service == service:
+                queue.wake.set()
 
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of waiting requests by service."""
-        return {service: len(queue.waiters) for service, queue in self._queues.items()}
+        counts = dict.fromkeys((key.service for key in self._queues), 0)
+        for key, queue in self._queues.items():
+            counts[key.service] += len(queue.waiters)
+        return counts
 
-    async def _serve_queue(self, service: str, queue: "_ServiceQueue") -> None:
+    async def _serve_queue(self, key: _QueueKey, queue: "_Queue") -> None:
         """Reserve memory for the next waiter until the queue is empty."""
         try:
             while (waiter := queue.waiters.next_waiter(trio.current_time())) is not None:
-                if refusal := self._refusal_without_engine(service, waiter):
+                if refusal := self._refusal_without_engine(key.service, waiter):
                     queue.resolve(waiter.request, refusal)
                     queue.waiters.remove(waiter.request)
                     continue
-                if not await self._grant(service, queue, waiter):
+                if not await self._grant(key.service, queue, waiter):
                     poll_s = POLL_INTERVAL_S
                     if waiter.is_late(trio.current_time()):
                         poll_s = LATE_POLL_INTERVAL_S
                     await queue.wait(poll_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
         finally:
             queue.is_served = False
+            if key.software is not None:
+                del self._queues[key]
+                # Requests for which any version will do may have its engines now.
+                self.notify_freed(key.service)
 
     def _refusal_without_engine(self, service: str, waiter: Waiter) -> ReservationRefused | None:
         """Return the refusal of a waiter for which no engine takes requests in time."""
         now = trio.current_time()
-        engines = self._fleet.available(service, Stage.DECODE, now)
+        if waiter.software is not None and not self._fleet.lists(service, waiter.software):
+            return ReservationRefused("version_gone", None)
+        engines = self._fleet.available(service, Stage.DECODE, now, waiter.software)
         if all(engine.name in waiter.excluded_engines for engine in engines):
             return ReservationRefused("no_engine", NO_ENGINE_RETRY_S)
-        wait_s = self._fleet.wait_s(service, Stage.DECODE, now) or 0.0
+        wait_s = self._fleet.wait_s(service, Stage.DECODE, now, waiter.software) or 0.0
         if now + wait_s > waiter.gives_up_at:
             return ReservationRefused("limited", min(wait_s, MAX_RETRY_AFTER_S))
         return None
 
-    async def _grant(self, service: str, queue: "_ServiceQueue", waiter: Waiter) -> bool:
+    async def _grant(self, service: str, queue: "_Queue", waiter: Waiter) -> bool:
         """Try each engine once, and return whether a reservation was made.
 
         A reservation for a waiter that has left meanwhile is released.
@@ -142,10 +159,12 @@
         engine_config = self._engine_config(service)
         ttl_s = engine_config.max_hold_s if engine_config else 1.0
         for upstream in self._fleet.decode_engines_by_load(
-            service, waiter.tokens, trio.current_time(), waiter.excluded_engines
+            service, waiter.tokens, trio.current_time(), waiter.excluded_engines, waiter.software
         ):
             if not self._fleet.may_send(upstream, trio.current_time()):
                 continue
+            if waiter.software is None and self._is_waited_for(upstream):
+                continue
             # The permit covers the request that uses the reservation, too.
             self._fleet.spend_permit(upstream, trio.current_time())
             hold = await self._reserve_at(upstream, waiter.tokens, ttl_s)
@@ -158,6 +177,11 @@
             return True
         return False
 
+    def _is_waited_for(self, upstream: UpstreamRecord) -> bool:
+        """Return whether streams that need an engine's version wait for it, which go first."""
+        queue = self._queues.get(_QueueKey(upstream.service, upstream.software))
+        return queue is not None and len(queue.waiters) > 0
+
     async def _reserve_at(self, upstream: UpstreamRecord, tokens: int, ttl_s: float) -> str | None:
         try:
             hold = await self._engines.reserve_memory(upstream, tokens, ttl_s)
@@ -180,8 +204,8 @@
             return None
 
 
-class _ServiceQueue:
-    """The waiting requests of one service, and the state of the task that serves them."""
+class _Queue:
+    """Waiting requests, and the state of the task that serves them."""
 
     RETRY_AFTER_RANGE_S = (3.0, 4.5)
     """Range of the ``retry-after`` of refused requests."""
--- a/src/chivehold/direct/store_replicas.py
+++ b/src/chivehold/direct/store_replicas.py
@@ -90,6 +90,11 @@
         """Whether the last call for routes or for upstreams failed."""
         return self._configuration_follower.is_store_lost or self._upstream_follower.is_store_lost
 
+    @property
+    def upstreams_revision(self) -> int:
+        """Version of the store that the list of upstreams reflects."""
+        return self._upstreams.revision
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -3,7 +3,7 @@
 import trio
 
 from chivehold.core.direct.fleet import Fleet, Verdict
-from chivehold.core.direct.messages import ForwardingOptions, KvSource
+from chivehold.core.direct.messages import ForwardingOptions, KvSource, UpstreamRecord
 from chivehold.core.direct.output_estimate import OutputLengthEstimator
 from chivehold.core.direct.reservations import MemoryReservation, MemoryReserver, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
@@ -16,10 +16,12 @@
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.refusals import (
     Refusal,
+    final_refusal,
     not_run_refusal,
     send_refusal,
     unknown_outcome_refusal,
 )
+from chivehold.direct.resumptions import Resumptions
 from chivehold.direct.stream_relay import (
     AttemptEnd,
     AttemptResult,
@@ -55,6 +57,7 @@
         retries: Limits the retries.
         metrics: Counts attempts and records durations.
         crashes: Watches the attempts for those that end their engine.
+        resumptions: Finds the software version at which a resumed stream goes on.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         retries: SharedRetryBudget,
         metrics: DirectMetrics,
         crashes: CrashWatch,
+        resumptions: Resumptions,
     ) -> None:
         self._fleet = fleet
         self._engines = engines
@@ -74,11 +78,18 @@
         self._retries = retries
         self._metrics = metrics
         self._crashes = crashes
+        self._resumptions = resumptions
         self._length_estimators: dict[str, OutputLengthEstimator] = {}
 
     async def serve(self, exchange: Exchange, reply: Reply, engine_config: EngineConfig) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
         exchange = await self._crashes.admit(exchange)
+        if exchange.metadata.is_resumption:
+            software = await self._resumptions.resolve(exchange)
+            if isinstance(software, Refusal):
+                await send_refusal(reply, software)
+                return software.reason
+            exchange = exchange._replace(software=software)
         stream = _StreamRequest(self, exchange, reply, engine_config)
         try:
             refusal = await stream.run()
@@ -98,7 +109,7 @@
         self,
         exchange: Exchange,
         engine_config: EngineConfig,
-        has_started: bool,
+        software: str | None,
         excluded_engines: frozenset[str],
     ) -> MemoryReservation | ReservationRefused:
         """Wait for memory at a decode engine.
@@ -106,13 +117,15 @@
         Args:
             exchange: The request.
             engine_config: The configuration of the service's engines.
-            has_started: Whether the caller has already received events; such a request is due at
-                once.
+            software: Version of the software that wrote the events that the caller has; ``None`` if
+                it has none. A stream that has begun is due at once.
             excluded_engines: Names of the engines that have already failed the request.
         """
         requested_at = trio.current_time()
-        waiter = self._waiter(exchange, engine_config)._replace(excluded_engines=excluded_engines)
-        if has_started:
+        waiter = self._waiter(exchange, engine_config)._replace(
+            software=software, excluded_engines=excluded_engines
+        )
+        if software is not None:
             gives_up_at = min(requested_at + MAX_WAIT_S, exchange.expires_at)
             waiter = waiter._replace(has_started=True, gives_up_at=gives_up_at)
         result = await self._reserver.reserve(exchange.service, waiter)
@@ -136,6 +149,12 @@
         """Release an unused reservation."""
         self._reserver.release(reservation)
 
+    def record_start(
+        self, exchange: Exchange, upstream: UpstreamRecord, before: UpstreamRecord | None
+    ) -> None:
+        """Record which engine begins a stream; see ``Resumptions.record_start``."""
+        self._resumptions.record_start(exchange, upstream, before)
+
     def record_result(self, reservation: MemoryReservation, result: AttemptResult) -> None:
         """Record the result of an attempt that used a reservation."""
         now = trio.current_time()
@@ -247,6 +266,10 @@
         self._has_settled = False
         """Whether an engine has sent events for so long that the content is harmless."""
         self._failed_engines: set[str] = set()
+        self._software = exchange.software
+        """Version of the software that wrote the events that the caller has, if it has any."""
+        self._engine: UpstreamRecord | None = None
+        """The engine of the latest attempt."""
 
     @property
     def relay(self) -> StreamRelay:
@@ -263,12 +286,15 @@
             reservation = await self._calls.reserve(
                 self._exchange,
                 self._engine_config,
-                self._relay.has_started,
+                self._software,
                 frozenset(self._failed_engines),
             )
             if isinstance(reservation, ReservationRefused):
                 return self._reservation_refusal(reservation)
+            self._note_engine(reservation.upstream)
             result = await self._attempt(reservation)
+            if self._relay.has_started:
+                self._software = reservation.upstream.software
             if result.end is AttemptEnd.QUARANTINED:
                 continue
             if result.end is AttemptEnd.WHOLE:
@@ -289,6 +315,12 @@
             if refusal := self._refusal_after(result):
                 return refusal
 
+    def _note_engine(self, upstream: UpstreamRecord) -> None:
+        """Record the engine of the next attempt, at which the stream may begin."""
+        if not self._relay.has_started:
+            self._calls.record_start(self._exchange, upstream, self._engine)
+        self._engine = upstream
+
     def _refusal_after(self, result: AttemptResult) -> Refusal | None:
         """Return the refusal that ends the request, or ``None`` if another engine may be tried."""
         route = self._exchange.route
@@ -326,6 +358,8 @@
             return unknown_outcome_refusal(
                 502, reservation.reason, "no engine can go on with the stream"
             )
+        if reservation.retry_after_s is None:
+            return final_refusal(reservation.reason, "no engine has the version that began it")
         return not_run_refusal(reservation.reason, "no engine has room", reservation.retry_after_s)
 
     async def _attempt(self, reservation: MemoryReservation) -> AttemptResult:
--- a/src/chivehold/platform/__init__.py
+++ b/src/chivehold/platform/__init__.py
@@ -13,11 +13,12 @@
 from chivehold.store.leases import LEASE_KIND
 from chivehold.store.quarantine_records import QUARANTINE_KIND
 from chivehold.store.roster import ENTRY_KIND
+from chivehold.store.software_records import SOFTWARE_KIND
 
 __all__ = ["BINDING", "PlatformDialect", "PlatformStore", "decode_configuration", "decode_upstream"]
 
 
-OWN_KINDS = frozenset((LEASE_KIND, ENTRY_KIND, QUARANTINE_KIND))
+OWN_KINDS = frozenset((LEASE_KIND, ENTRY_KIND, QUARANTINE_KIND, SOFTWARE_KIND))
 
 
 def _open_store(address: str, client: HttpClient) -> PlatformStore:
--- a/tests/direct/test_software_versions.py
+++ b/tests/direct/test_software_versions.py
@@ -4,11 +4,13 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 import trio
 
 from chivehold.fakes.metadata_store import MetadataStore
 from tests.direct.harness import EntryHarness, running_entries, wait_until
 from tests.direct.versioned import (
+    EVENT_S,
     EVENTS,
     OK_STATUS,
     Received,
@@ -146,3 +148,71 @@
             assert joined(begun, resumed) == []
             assert {answer.status for answer in resumed.values()} == {503}
             assert {answer.retry_after for answer in resumed.values()} == {None}
+
+
+class TestUnknown:
+    # Guards against a wrong join, or an error, by what a caller writes into its headers.
+    @pytest.mark.parametrize("resumes", [None, "never-seen", "x" * 10_000, "r0,r1", "%00"])
+    async def test_is_refused_while_versions_are_mixed(
+        self, tmp_path: Path, resumes: str | None
+    ) -> None:
+        """A stream that nobody has begun cannot go on anywhere."""
+        async with (
+            versioned_service(*MIXED) as service,
+            entries(tmp_path, service.store, 2) as harnesses,
+        ):
+            refused = await receive(harnesses[0], "again", resumes, LEAVES_AFTER)
+            assert (refused.status, refused.retry_after) == (503, None)
+
+    async def test_goes_on_with_one_version(self, tmp_path: Path) -> None:
+        """With one version in service, any engine goes on with any stream."""
+        async with (
+            versioned_service(("old1", "v1"), ("old2", "v1")) as service,
+            entries(tmp_path, service.store, 2, 2) as harnesses,
+        ):
+            for number, resumes in enumerate((None, "never-seen")):
+                answer = await receive(harnesses[0], f"again{number}", resumes, LEAVES_AFTER)
+                assert [event.number for event in answer.events] == [*range(4, EVENTS + 1)]
+
+    # Guards against a stream that goes on as that of another route with the same request id.
+    async def test_same_id_on_another_path(self, tmp_path: Path) -> None:
+        """The request that a caller names is one with the same path."""
+        async with (
+            versioned_service(*MIXED) as service,
+            entries(tmp_path, service.store, 1) as (harness,),
+        ):
+            await receive(harness, "r0", leaves_after=LEAVES_AFTER)
+            refused = await receive(harness, "again", "r0", LEAVES_AFTER, path="/resume/other")
+            assert refused.status == 503
+
+
+class TestLoad:
+    # Guards against new streams that wait behind a stream whose version has no room.
+    async def test_full_version_holds_up_no_other(self, tmp_path: Path) -> None:
+        """While a stream waits for an engine of its version, others begin at other versions."""
+        async with (
+            versioned_service(("old1", "v1"), ("new1", "v2")) as service,
+            entries(tmp_path, service.store, 1, 2) as (harness,),
+            trio.open_nursery() as nursery,
+        ):
+            service.engines["new1"].held["other"] = service.engines["new1"].capacity
+            begun = await receive(harness, "r0", leaves_after=LEAVES_AFTER)
+            assert versions(begun.events) == {"v1"}
+            service.engines["new1"].held.clear()
+            service.engines["old1"].held["other"] = service.engines["old1"].capacity
+            nursery.start_soon(receive, harness, "r0-again", "r0", LEAVES_AFTER)
+            await trio.sleep(0.1)
+            with trio.fail_after(2 * EVENTS * EVENT_S):
+                answer = await receive(harness, "r1")
+            assert versions(answer.events) == {"v2"}
+            nursery.cancel_scope.cancel()
+
+    async def test_neither_version_starves(self, tmp_path: Path) -> None:
+        """Streams begin at each engine, also at the only one of its version."""
+        several = tuple((f"old{number}", "v1") for number in range(4))
+        async with (
+            versioned_service(*several, ("new1", "v2")) as service,
+            entries(tmp_path, service.store, 1, 5) as harnesses,
+        ):
+            await begin(harnesses)
+            assert all(engine.runs for engine in service.engines.values())
--- a/tests/direct/versioned.py
+++ b/tests/direct/versioned.py
@@ -84,6 +84,7 @@
     resumes: str | None = None,
     after: int | None = None,
     leaves_after: int | None = None,
+    path: str = PATH,
 ) -> Received:
     """Send a request for a stream and return what came of it.
 
@@ -93,12 +94,13 @@
         resumes: Id of the request that brought the first event, if the caller resumes a stream.
         after: Number of the last event that the caller has.
         leaves_after: Close the connection after the event with this number.
+        path: The path of the request.
     """
     headers = {"resumes": resumes} if resumes is not None else {}
     headers |= {"last-event-id": str(after)} if after is not None else {}
     status, body, retry_after = 0, b"", None
     try:
-        async with harness.stream(PATH, request, headers) as response:
+        async with harness.stream(path, request, headers) as response:
             status = response.status
             retry_after = dict(response.headers).get(b"retry-after")
             async for chunk in response.chunks:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -31,6 +31,7 @@
     "store/follower.py",
     "store/roster.py",
     "store/quarantine_records.py",
+    "store/software_records.py",
 )
 EVENT = re.compile(r'log_event\(\s*_log,\s*(?:logging\.\w+|level),\s*"([^"]+)"')
 REQUEST_EVENT = re.compile(r'exchange\.log\(\s*"([^"]+)"')
