Wording: facts are published and received, harmless content, upstreams that leave

Names of the exchange that the field does not use: tell, told, learn, heard, sound run, departure. Names on the wire, in settings, metrics and log events stay. No change of behaviour.

--- a/src/chivehold/core/direct/crash_evidence.py
+++ b/src/chivehold/core/direct/crash_evidence.py
@@ -22,7 +22,7 @@
 HERD_S = 0.25
 """Ends within this time may have one common cause and count once."""
 ORDER_TOLERANCE_S = 0.05
-"""Uncertainty of times that other entries have told."""
+"""Uncertainty of times in facts of other entries."""
 REPORTS_S = 0.2
 """Time in which all requests that an end took with it are reported; it counts only then."""
 MAX_REMEMBERED_ENDS = 500
@@ -68,7 +68,7 @@
 
     @property
     def request(self) -> CrashKey | None:
-        """The key of the request as a whole, or ``None`` if it is not told."""
+        """The key of the request as a whole, or ``None`` if it is not known."""
         keys = (suspect.key for suspect in self.suspects)
         return next((key for key in keys if key.kind is KeyKind.REQUEST), None)
 
@@ -113,9 +113,9 @@
             self._index_ends()
         for suspect in end.suspects:
             if suspect.sound_at is not None:
-                self.record_sound(suspect.key, suspect.sound_at)
+                self.record_harmless(suspect.key, suspect.sound_at)
 
-    def record_sound(self, key: CrashKey, at: float) -> None:
+    def record_harmless(self, key: CrashKey, at: float) -> None:
         """Record that content ran without harm; earlier ends no longer count against it."""
         self._cleared_at[key] = max(at, self._cleared_at.pop(key, -math.inf))
         if len(self._cleared_at) > MAX_CLEARED:
--- a/src/chivehold/core/direct/facts.py
+++ b/src/chivehold/core/direct/facts.py
@@ -1,4 +1,4 @@
-"""The facts that entries tell one another."""
+"""The facts that entries publish to one another."""
 
 from typing import NamedTuple
 
@@ -8,7 +8,7 @@
 from chivehold.core.direct.quarantine import Quarantine
 
 
-class SoundRun(NamedTuple):
+class HarmlessRun(NamedTuple):
     """Content ran without harm."""
 
     key: CrashKey
@@ -16,10 +16,10 @@
     """Monotonic time in seconds."""
 
 
-class Departure(NamedTuple):
+class UpstreamLeaving(NamedTuple):
     """An upstream has said in a response that it leaves."""
 
     upstream: UpstreamIncarnation
 
 
-Fact = UpstreamEnd | SoundRun | Quarantine | Departure
+Fact = UpstreamEnd | HarmlessRun | Quarantine | UpstreamLeaving
--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -116,7 +116,7 @@
     def replace(self, upstreams: Iterable[UpstreamRecord]) -> FleetChange:
         """Replace the list of upstreams and return the difference to the former one."""
         before, self._upstreams = self._upstreams, {
-            upstream.name: self._with_departure(upstream) for upstream in upstreams
+            upstream.name: self._with_leaving(upstream) for upstream in upstreams
         }
         current = {incarnation_of(upstream) for upstream in self._upstreams.values()}
         for known in [known for known in self._stats if known not in current]:
@@ -311,12 +311,12 @@
     ) -> None:
         """Record what an upstream has said of itself; see ``UpstreamAdmission.record``."""
         self._admission.record(incarnation_of(upstream), signals, sent_at, now)
-        self._update_departure(upstream.name)
+        self._update_leaving(upstream.name)
 
-    def record_departure(self, upstream: UpstreamIncarnation) -> None:
-        """Record that an upstream has told another entry that it leaves."""
-        self._admission.record_departure(upstream)
-        self._update_departure(upstream.name)
+    def record_leaving(self, upstream: UpstreamIncarnation) -> None:
+        """Record that an upstream leaves, by its response to another entry."""
+        self._admission.record_leaving(upstream)
+        self._update_leaving(upstream.name)
 
     def max_rate(self, upstream: UpstreamRecord) -> float | None:
         """Return the requests per second that an upstream takes, or ``None`` if not limited."""
@@ -326,9 +326,9 @@
         """Return the time for which an upstream still wants no requests, in seconds."""
         return self._admission.pause_left_s(incarnation_of(upstream), now)
 
-    def has_departed(self, upstream: UpstreamRecord) -> bool:
+    def is_leaving(self, upstream: UpstreamRecord) -> bool:
         """Return whether an upstream has said that it leaves, itself or in the store."""
-        return self._admission.has_departed(incarnation_of(upstream))
+        return self._admission.is_leaving(incarnation_of(upstream))
 
     def in_flight(self, upstream: UpstreamRecord) -> int:
         """Return the number of this entry's calls in progress at an upstream."""
@@ -354,20 +354,20 @@
                 "suspended_s": round(max(0.0, stats.suspended_until - now), 2),
             }
 
-    def _update_departure(self, name: str) -> None:
+    def _update_leaving(self, name: str) -> None:
         listed = self._upstreams.get(name)
         if listed is not None:
-            self._upstreams[name] = self._with_departure(listed)
+            self._upstreams[name] = self._with_leaving(listed)
 
-    def _with_departure(self, upstream: UpstreamRecord) -> UpstreamRecord:
+    def _with_leaving(self, upstream: UpstreamRecord) -> UpstreamRecord:
         """Return an upstream as draining if it is known to leave.
 
         A store that was restored from a copy may list it as it was before.
         """
         incarnation = incarnation_of(upstream)
         if upstream.draining:
-            self._admission.record_departure(incarnation)
-        return upstream._replace(draining=self._admission.has_departed(incarnation))
+            self._admission.record_leaving(incarnation)
+        return upstream._replace(draining=self._admission.is_leaving(incarnation))
 
     def _stats_of(self, upstream: UpstreamRecord) -> _UpstreamStats:
         return self._stats.setdefault(incarnation_of(upstream), _UpstreamStats())
--- a/src/chivehold/core/direct/gossip.py
+++ b/src/chivehold/core/direct/gossip.py
@@ -1,12 +1,12 @@
 """Spreads facts among the entries by messages from entry to entry, without a leader.
 
-Each new fact is told to a few random entries, several times, by each entry that learns of it. So it
+Each new fact is sent to a few random entries, several times, by each entry that receives it. So it
 reaches all entries in a time that grows with the logarithm of their number, although messages get
 lost, and no entry sends more than a fixed number of messages per fact. From time to time each entry
-compares a digest of what it knows with another entry and gets what it lacks; so it learns what it
-missed while it was cut off, or before it started.
+compares a digest of what it knows with another entry and gets what it lacks; so it receives what
+it missed while it was cut off, or before it started.
 
-Facts are told once and never change. Whatever is derived from them must not depend on their order.
+Facts are published once and never change. What is derived from them must not depend on their order.
 """
 
 import math
@@ -16,18 +16,18 @@
 from typing import NamedTuple
 
 ROUND_S = 0.1
-"""Time between two rounds in which new facts are told."""
+"""Time between two rounds in which new facts are sent."""
 FANOUT = 4
-"""Entries told in a round."""
+"""Entries that facts are sent to in a round."""
 ROUNDS = 4
-"""Rounds in which an entry tells a fact; several, so that lost messages do no harm."""
+"""Rounds in which an entry sends a fact; several, so that lost messages do no harm."""
 COMPARISON_S = 1.5
 """Mean time between two comparisons with another entry."""
 FIRST_COMPARISON_S = 0.2
 """The same until another entry has answered for the first time."""
 COMPARISON_JITTER = 0.3
 SETTLING_S = 2.0
-"""Facts that were told later than this before, or end sooner, are left out of comparisons."""
+"""Facts that were published later than this before, or end sooner, are not compared."""
 CLEANUP_S = 1.0
 """Time between two searches for facts past their lifetime."""
 MAX_ITEMS = 512
@@ -36,8 +36,8 @@
 """Size of the facts in one message, so that a datagram is not split on the way."""
 ITEM_OVERHEAD_BYTES = 16
 MAX_LIFETIME_S = 86_400.0
-HEARD_S = 30.0
-"""An entry that is not listed is told facts for this time after a message from it."""
+RECENT_SENDER_S = 30.0
+"""An entry that is not listed gets facts for this time after a message from it."""
 DIGEST_BYTES = 8
 
 
@@ -47,11 +47,11 @@
     item_id: str
     """The same at all entries."""
     fact: bytes
-    """The encoded fact; its times are before ``told_at``."""
-    told_at: float
-    """When the fact was first told, in seconds of this entry's monotonic clock."""
+    """The encoded fact; its times are before ``published_at``."""
+    published_at: float
+    """When the fact was first published, in seconds of this entry's monotonic clock."""
     lifetime_s: float
-    """Time after ``told_at`` for which it is remembered."""
+    """Time after ``published_at`` for which it is remembered."""
 
 
 class GossipMessage(NamedTuple):
@@ -74,17 +74,17 @@
     message: GossipMessage
 
 
-class _Heard(NamedTuple):
+class _RecentSender(NamedTuple):
     address: str
     at: float
 
 
 class Gossip:
-    """What this entry knows, and whom it has to tell.
+    """What this entry knows, and which entries it has to send that to.
 
     Args:
         name: The name of this entry.
-        rng: Draws the entries to tell.
+        rng: Draws the entries to send to.
     """
 
     def __init__(self, name: str, rng: Random) -> None:
@@ -97,7 +97,7 @@
         self._next_cleanup_at = -math.inf
         self._rounds_left: dict[str, int] = {}
         self._listed: Mapping[str, str] = {}
-        self._heard: dict[str, _Heard] = {}
+        self._recent_senders: dict[str, _RecentSender] = {}
         self._replies: list[OutgoingMessage] = []
         self._next_round_at = -math.inf
         self._next_comparison_at = -math.inf
@@ -126,9 +126,9 @@
         """Set the addresses of the listed entries, by name; this entry's own is ignored."""
         self._listed = {name: at for name, at in addresses.items() if name != self._name and at}
 
-    def tell(self, item: GossipItem, now: float) -> bool:
-        """Add a fact and tell it to others; return whether it is new and not too old."""
-        if item.item_id in self._items or now >= item.told_at + item.lifetime_s:
+    def publish(self, item: GossipItem, now: float) -> bool:
+        """Add a fact and send it to others; return whether it is new and not too old."""
+        if item.item_id in self._items or now >= item.published_at + item.lifetime_s:
             return False
         self._items[item.item_id] = item
         self._digests[item.item_id] = _digest_of(item.item_id)
@@ -136,21 +136,21 @@
             self._next_round_at = max(self._next_round_at, now)
         self._rounds_left[item.item_id] = ROUNDS
         while len(self._items) > MAX_ITEMS:
-            self._forget(min(self._items.values(), key=lambda known: known.told_at).item_id)
+            self._forget(min(self._items.values(), key=lambda known: known.published_at).item_id)
         return True
 
     def receive(self, message: GossipMessage, now: float) -> list[GossipItem]:
-        """Take in a message and return the facts in it that are new."""
+        """Receive a message and return the facts in it that are new."""
         if message.sender == self._name:
             return []
         if message.address:
-            self._heard[message.sender] = _Heard(message.address, now)
+            self._recent_senders[message.sender] = _RecentSender(message.address, now)
         self._forget_old(now)
         if message.asks_for_items:
             self._answer(message, now)
         else:
             self._has_compared = True
-        return [item for item in message.items if self.tell(item, now)]
+        return [item for item in message.items if self.publish(item, now)]
 
     def next_due(self, now: float) -> float:
         """Return when ``outgoing`` has messages next."""
@@ -204,7 +204,11 @@
         """Return the digest of the facts that all entries should know by now."""
         digest = 0
         for item in self._items.values():
-            if item.told_at + SETTLING_S <= now < item.told_at + item.lifetime_s - SETTLING_S:
+            if (
+                item.published_at + SETTLING_S
+                <= now
+                < item.published_at + item.lifetime_s - SETTLING_S
+            ):
                 digest ^= self._digests[item.item_id]
         return digest
 
@@ -214,18 +218,22 @@
         self._next_comparison_at = now + interval_s * jitter
 
     def _peers(self, now: float) -> list[str]:
-        self._heard = {
-            name: heard for name, heard in self._heard.items() if now < heard.at + HEARD_S
+        self._recent_senders = {
+            name: sender
+            for name, sender in self._recent_senders.items()
+            if now < sender.at + RECENT_SENDER_S
         }
-        heard = {name: heard.address for name, heard in self._heard.items()}
-        return list({**self._listed, **heard}.values())
+        unlisted = {name: sender.address for name, sender in self._recent_senders.items()}
+        return list({**self._listed, **unlisted}.values())
 
     def _forget_old(self, now: float) -> None:
         if now < self._next_cleanup_at:
             return
         self._next_cleanup_at = now + CLEANUP_S
         old = [
-            item.item_id for item in self._items.values() if now >= item.told_at + item.lifetime_s
+            item.item_id
+            for item in self._items.values()
+            if now >= item.published_at + item.lifetime_s
         ]
         for item_id in old:
             self._forget(item_id)
--- a/src/chivehold/core/direct/quarantine.py
+++ b/src/chivehold/core/direct/quarantine.py
@@ -2,7 +2,7 @@
 
 Every entry may add a quarantine or lift one. Orders for the same content are numbered, the highest
 number counts; of one number a lifted quarantine wins, then the one with more trials, then the one
-that is not to be tried. So all entries agree in the end, in whatever order they learn.
+that is not to be tried. So all entries agree in the end, in whatever order facts reach them.
 
 A quarantine may be wrong, and content that is refused cannot show that it is harmless. So now and
 then one request is let through as a trial. A trial of bad content ends an upstream, so all entries
--- a/src/chivehold/core/direct/software_versions.py
+++ b/src/chivehold/core/direct/software_versions.py
@@ -78,7 +78,7 @@
         self._lifetime_s = min(MAX_STREAM_LIFETIME_S, max(self._lifetime_s, seconds))
 
     def update_listed(self, upstreams: Iterable[UpstreamRecord], revision: int, now: float) -> None:
-        """Take in the list of upstreams.
+        """Replace the list of upstreams.
 
         Args:
             upstreams: All upstreams, those that drain included.
@@ -95,11 +95,11 @@
         self._note_absent(before, now)
 
     def update_stored(self, table: VersionTable, version: int, now: float) -> None:
-        """Take in the table as read from the store or written to it; an older one is ignored.
+        """Replace the table by one read from the store or written there; an older one is ignored.
 
         Args:
             table: The software versions by service.
-            version: Version of the store's object; 0 if there is none.
+            version: Version of the store's object, of the store itself if there is no object.
             now: Monotonic time in seconds.
         """
         if self._stored_version is not None and version < self._stored_version:
--- a/src/chivehold/core/direct/upstream_admission.py
+++ b/src/chivehold/core/direct/upstream_admission.py
@@ -32,15 +32,15 @@
         self._limits = limits
         self._rng = rng
         self._paused_until: dict[UpstreamIncarnation, float] = {}
-        self._departed: dict[UpstreamIncarnation, None] = {}
+        self._leaving: dict[UpstreamIncarnation, None] = {}
 
     def max_rate(self, upstream: UpstreamIncarnation) -> float | None:
         """Return the limit that an upstream has named, in requests per second, or ``None``."""
         return self._limits.max_rate(upstream)
 
-    def has_departed(self, upstream: UpstreamIncarnation) -> bool:
+    def is_leaving(self, upstream: UpstreamIncarnation) -> bool:
         """Return whether an upstream has said that it leaves, which is final."""
-        return upstream in self._departed
+        return upstream in self._leaving
 
     def pause_left_s(self, upstream: UpstreamIncarnation, now: float) -> float:
         """Return the time for which an upstream still wants no requests, in seconds."""
@@ -66,16 +66,16 @@
             now: Monotonic time in seconds.
         """
         if signals.leaving:
-            self.record_departure(upstream)
+            self.record_leaving(upstream)
         if signals.pause_s is not None:
             self._pause(upstream, signals.pause_s, now)
         if signals.max_rate is not None or signals.ends_limit:
             self._limits.record(upstream, signals.max_rate, sent_at, now)
 
-    def record_departure(self, upstream: UpstreamIncarnation) -> None:
+    def record_leaving(self, upstream: UpstreamIncarnation) -> None:
         """Record that an upstream leaves, by its own word or by the store's."""
-        self._departed[upstream] = None
-        _drop_oldest(self._departed)
+        self._leaving[upstream] = None
+        _drop_oldest(self._leaving)
 
     def forget_limits_of_others(self, upstreams: Collection[UpstreamIncarnation]) -> None:
         """Forget the limits of all upstreams except these."""
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -116,8 +116,8 @@
         )
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._gossip = Gossip(settings.name, rng)
-        self._gossip_socket = GossipSocket(self._gossip, lambda item: exchange.learn(item))
-        exchange = FactExchange(name, self._gossip_socket.tell)
+        self._gossip_socket = GossipSocket(self._gossip, lambda item: exchange.receive(item))
+        exchange = FactExchange(name, self._gossip_socket.publish)
         signals = SignalReader(self._fleet, platform.dialect, self._metrics, exchange)
         engines = EngineClient(self._fleet, self._client, platform.dialect, signals, nursery)
         self._reserver = EngineMemoryReserver(
--- a/src/chivehold/direct/crash_protection.py
+++ b/src/chivehold/direct/crash_protection.py
@@ -27,7 +27,7 @@
         settings: The entry's settings.
         incarnation: This run of the entry.
         store: Keeps the quarantines.
-        exchange: Tells facts to the other entries and learns theirs.
+        exchange: Publishes facts to the other entries and delivers theirs.
         entries: Returns the number of entries.
         metrics: Counts ends of upstreams and quarantines.
         nursery: Runs the probes of upstreams.
@@ -59,7 +59,7 @@
             store,
             incarnation,
             self._quarantines.orders,
-            self._quarantines.learn_stored,
+            self._quarantines.load_stored,
             entries,
             rng,
         )
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -107,9 +107,9 @@
         if not upstream.draining:
             self._ends.record_break(upstream, broken)
 
-    def record_sound(self, keys: tuple[CrashKey, ...]) -> None:
+    def record_harmless(self, keys: tuple[CrashKey, ...]) -> None:
         """Record that an attempt at a request with these keys ran without harm."""
-        self._quarantines.record_sound(keys)
+        self._quarantines.record_harmless(keys)
 
     def _record_end(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
         self._metrics.count_end_under_request(upstream.service)
@@ -151,13 +151,13 @@
         if self._first_output_at is None:
             self._first_output_at = now
         if now >= self._first_output_at + self._crashes.settled_s:
-            self.record_sound()
+            self.record_harmless()
 
-    def record_sound(self) -> None:
+    def record_harmless(self) -> None:
         """Record that the attempt ran without harm to its upstream."""
         if not self._has_settled:
             self._has_settled = True
-            self._crashes.record_sound(self._keys)
+            self._crashes.record_harmless(self._keys)
 
     def record_break(self) -> None:
         """Record that the connection broke; an attempt that has settled is no suspect."""
--- a/src/chivehold/direct/gossip_socket.py
+++ b/src/chivehold/direct/gossip_socket.py
@@ -18,7 +18,7 @@
 MAX_DATAGRAM_BYTES = 65_535
 
 ItemHandler = Callable[[GossipItem], None]
-"""Called with each fact that another entry has told and that is new."""
+"""Called with each fact that another entry has published and that is new."""
 
 _log = logging.getLogger(__name__)
 
@@ -46,9 +46,9 @@
         self._wake = trio.Event()
         self.traffic = GossipTraffic()
 
-    def tell(self, item: GossipItem) -> None:
-        """Tell a fact of this entry to the others."""
-        if self._gossip.tell(item, trio.current_time()):
+    def publish(self, item: GossipItem) -> None:
+        """Send a fact of this entry to the others."""
+        if self._gossip.publish(item, trio.current_time()):
             self._wake.set()
 
     async def run(
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -47,7 +47,7 @@
         )
         self._upstream_signals = Counter(
             "chivehold_upstream_signals_total",
-            "Changes that upstreams told of in responses, by service and signal.",
+            "Changes that upstreams announced in responses, by service and signal.",
             None,
             registry,
         )
@@ -133,7 +133,7 @@
         self._store_calls.inc({"call": call, "kind": kind})
 
     def count_upstream_signal(self, service: str, signal: str) -> None:
-        """Count a change that an upstream told of in a response."""
+        """Count a change that an upstream announced in a response."""
         self._upstream_signals.inc({"service": service, "signal": signal})
 
     def count_end_under_request(self, service: str) -> None:
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -203,7 +203,7 @@
         if metadata.not_run:
             return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
         if response.status < MIN_ERROR_STATUS:
-            watch.record_sound()
+            watch.record_harmless()
         if body is None:
             return BrokenCall(upstream, "response too long")
         if not metadata.signed or metadata.content_encoded or metadata.request_id is None:
--- a/src/chivehold/direct/quarantines.py
+++ b/src/chivehold/direct/quarantines.py
@@ -1,4 +1,4 @@
-"""Refuses content that ends upstreams: gathers evidence, decides, and tells the other entries."""
+"""Refuses content that ends upstreams: gathers evidence, decides, and informs the other entries."""
 
 import logging
 import math
@@ -16,7 +16,7 @@
     UpstreamEnd,
 )
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
-from chivehold.core.direct.facts import SoundRun
+from chivehold.core.direct.facts import HarmlessRun
 from chivehold.core.direct.messages import UpstreamRecord, incarnation_of
 from chivehold.core.direct.quarantine import (
     OrderEvent,
@@ -31,10 +31,10 @@
 
 MS_PER_S = 1_000
 SOUND_REPORTERS = 4
-"""Entries that tell, on average, what all of them may know."""
+"""Entries that publish, on average, what all of them may know."""
 SOUND_INTERVAL_S = 0.5
-"""That content ran without harm is told again if it did so this much later."""
-MAX_TOLD_SOUND = 512
+"""That content ran without harm is published again if it did so this much later."""
+MAX_PUBLISHED_HARMLESS = 512
 TRIAL_OUTCOME_S = 2.0
 """For this time from its begin a trial counts as running; callers refused then return after it."""
 
@@ -46,11 +46,11 @@
 
     Args:
         policy: What is needed to quarantine content, and for how long.
-        exchange: Tells facts to the other entries and learns theirs.
+        exchange: Publishes facts to the other entries and delivers theirs.
         on_order: Called when there is a new order, which has to outlast the entries.
         metrics: Counts quarantines.
         entries: Returns the number of entries.
-        rng: Draws the entries that tell what many of them know.
+        rng: Draws the entries that publish what many of them know.
     """
 
     def __init__(
@@ -73,11 +73,11 @@
         self._decision_due_at = math.inf
         """When an end counts that no decision has counted yet."""
         self._trials_open_until: dict[CrashKey, float] = {}
-        self._told_sound_at: dict[CrashKey, float] = {}
-        """When content last ran without harm, as far as all entries have been told."""
+        self._harmless_published_at: dict[CrashKey, float] = {}
+        """When content last ran without harm, as far as all entries know."""
         exchange.subscribe(UpstreamEnd, self._learn_end)
-        exchange.subscribe(SoundRun, self._learn_sound)
-        exchange.subscribe(Quarantine, self._learn_told)
+        exchange.subscribe(HarmlessRun, self._receive_harmless)
+        exchange.subscribe(Quarantine, self._receive_order)
 
     def find(self, keys: Collection[CrashKey]) -> Quarantine | None:
         """Return an active quarantine of a request with these keys, or ``None``."""
@@ -108,27 +108,27 @@
             return
         end = UpstreamEnd(incarnation_of(upstream), suspects, broken.sent_at, broken.broken_at)
         self._evidence.record_end(end)
-        self._exchange.tell(end, self._policy.evidence_s)
+        self._exchange.publish(end, self._policy.evidence_s)
         self._note_undecided(end)
 
-    def record_sound(self, keys: Collection[CrashKey]) -> None:
+    def record_harmless(self, keys: Collection[CrashKey]) -> None:
         """Record that a request with these keys ran without harm."""
         now = trio.current_time()
         cleared = [key for key in keys if self._evidence.is_suspect(key, now)]
         for key in keys:
             # Requests are many and seldom repeated; only that suspect ones are sound is kept.
             if key.kind is not KeyKind.REQUEST or key in cleared:
-                self._evidence.record_sound(key, now)
+                self._evidence.record_harmless(key, now)
         for key in cleared:
-            self._tell_sound(key, now)
+            self._publish_harmless(key, now)
         for key in keys:
             if self._list.find((key,), now) is not None:
                 self.order(key, False, "ran without harm")
 
-    def learn_stored(self, order: Quarantine) -> None:
-        """Take in an order from the store; the entry that wrote it may have told nobody."""
-        if self._learn_order(order, "store"):
-            self._tell_order(order)
+    def load_stored(self, order: Quarantine) -> None:
+        """Apply an order from the store, which the entry that wrote it may not have published."""
+        if self._merge_order(order, "store"):
+            self._publish_order(order)
 
     def order(self, key: CrashKey, is_active: bool, reason: str, may_try: bool = False) -> None:
         """Quarantine content, or lift its quarantine, at all entries.
@@ -145,9 +145,9 @@
         self.give(self._list.next_order(key, is_active, until, first_trial_at), reason)
 
     def give(self, order: Quarantine, reason: str) -> None:
-        """Apply an order of this entry and tell the others."""
-        self._learn_order(order, reason)
-        self._tell_order(order)
+        """Apply an order of this entry and publish it."""
+        self._merge_order(order, reason)
+        self._publish_order(order)
 
     def dump(self, now: float) -> Iterator[dict[str, object]]:
         """Yield the quarantines for the operators' dump."""
@@ -161,7 +161,7 @@
             }
 
     def _learn_end(self, end: UpstreamEnd) -> None:
-        known_sound = [
+        known_harmless = [
             (suspect.key, sound_at)
             for suspect in end.suspects
             if suspect.sound_at is None
@@ -177,37 +177,37 @@
             keys=[str(suspect.key) for suspect in end.suspects],
             age_ms=_age_ms(end.ended_at),
         )
-        for key, sound_at in known_sound:
-            self._tell_sound(key, sound_at)
+        for key, sound_at in known_harmless:
+            self._publish_harmless(key, sound_at)
         self._note_undecided(end)
 
-    def _learn_told(self, order: Quarantine) -> None:
-        self._learn_order(order, "another entry")
+    def _receive_order(self, order: Quarantine) -> None:
+        self._merge_order(order, "another entry")
 
-    def _learn_sound(self, run: SoundRun) -> None:
-        self._evidence.record_sound(run.key, run.at)
-        self._note_told_sound(run.key, run.at)
+    def _receive_harmless(self, run: HarmlessRun) -> None:
+        self._evidence.record_harmless(run.key, run.at)
+        self._note_harmless_published(run.key, run.at)
 
-    def _tell_sound(self, key: CrashKey, sound_at: float) -> None:
+    def _publish_harmless(self, key: CrashKey, sound_at: float) -> None:
         """Tell that content ran without harm, if it may soon be put down as what ends upstreams.
 
-        Many entries may know it; on average a few of them tell it.
+        Many entries may know it; on average a few of them publish it.
         """
         if self._evidence.ends_under(key) < self._policy.ends - 1:
             return
-        if sound_at < self._told_sound_at.get(key, -math.inf) + SOUND_INTERVAL_S:
+        if sound_at < self._harmless_published_at.get(key, -math.inf) + SOUND_INTERVAL_S:
             return
         if self._rng.random() * self._entries() > SOUND_REPORTERS:
             return
-        self._note_told_sound(key, sound_at)
-        self._exchange.tell(SoundRun(key, sound_at), self._policy.evidence_s)
+        self._note_harmless_published(key, sound_at)
+        self._exchange.publish(HarmlessRun(key, sound_at), self._policy.evidence_s)
         log_event(_log, logging.INFO, "suspect content ran without harm", None, key=str(key))
 
-    def _note_told_sound(self, key: CrashKey, sound_at: float) -> None:
-        told_at = self._told_sound_at.pop(key, -math.inf)
-        self._told_sound_at[key] = max(told_at, sound_at)
-        if len(self._told_sound_at) > MAX_TOLD_SOUND:
-            del self._told_sound_at[next(iter(self._told_sound_at))]
+    def _note_harmless_published(self, key: CrashKey, sound_at: float) -> None:
+        published_at = self._harmless_published_at.pop(key, -math.inf)
+        self._harmless_published_at[key] = max(published_at, sound_at)
+        if len(self._harmless_published_at) > MAX_PUBLISHED_HARMLESS:
+            del self._harmless_published_at[next(iter(self._harmless_published_at))]
 
     def _note_undecided(self, end: UpstreamEnd) -> None:
         """Have a decision made by the first request that comes once the end counts."""
@@ -220,7 +220,7 @@
             _log_finding(finding)
             self.order(finding.key, True, "ends upstreams", may_try=True)
 
-    def _learn_order(self, order: Quarantine, reason: str) -> bool:
+    def _merge_order(self, order: Quarantine, reason: str) -> bool:
         """Apply an order and return whether it changes anything."""
         before = self._list.known(order.key)
         is_new = self._list.merge(order, trio.current_time())
@@ -228,15 +228,15 @@
             self._apply(order, reason, before)
         return is_new
 
-    def _tell_order(self, order: Quarantine) -> None:
+    def _publish_order(self, order: Quarantine) -> None:
         fact_id = "/".join(("quarantine", str(order.key), *map(str, order.rank)))
-        self._exchange.tell(order, order.until - trio.current_time(), fact_id)
+        self._exchange.publish(order, order.until - trio.current_time(), fact_id)
 
     def _apply(self, order: Quarantine, reason: str, before: Quarantine | None) -> None:
         now = trio.current_time()
         if not order.is_active:
             # Ends before the order must not quarantine the content again.
-            self._evidence.record_sound(order.key, now)
+            self._evidence.record_harmless(order.key, now)
         event = order_event(order, before)
         if event is OrderEvent.TRIED:
             self._note_trial(order.key, now)
--- a/src/chivehold/direct/signals.py
+++ b/src/chivehold/direct/signals.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from chivehold.core.direct.facts import Departure
+from chivehold.core.direct.facts import UpstreamLeaving
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord, incarnation_of
 from chivehold.direct.fact_exchange import FactExchange
@@ -12,7 +12,7 @@
 from chivehold.logs import log_event
 
 MS_PER_S = 1_000
-DEPARTURE_LIFETIME_S = 300.0
+LEAVING_LIFETIME_S = 300.0
 """How long entries remember that an upstream leaves; it ends much sooner."""
 
 _log = logging.getLogger(__name__)
@@ -25,7 +25,7 @@
         fleet: Keeps the signals.
         dialect: The wire format of the headers.
         metrics: Counts the changes.
-        exchange: Tells departures to the other entries and learns theirs.
+        exchange: Publishes to the other entries which upstreams leave, and delivers theirs.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._exchange = exchange
-        exchange.subscribe(Departure, self._learn_departure)
+        exchange.subscribe(UpstreamLeaving, self._receive_leaving)
 
     def read(
         self, upstream: UpstreamRecord, status: int, headers: RawHeaders, sent_at: float
@@ -53,29 +53,29 @@
             return
         now = trio.current_time()
         rate_before = self._fleet.max_rate(upstream)
-        had_departed = self._fleet.has_departed(upstream)
+        was_leaving = self._fleet.is_leaving(upstream)
         self._fleet.record_signals(upstream, signals, sent_at, now)
         max_rate = self._fleet.max_rate(upstream)
         if max_rate != rate_before:
             self._metrics.count_upstream_signal(upstream.service, "limit")
             _log_signal("upstream limit changed", upstream, max_rate=max_rate, before=rate_before)
-        if signals.leaving and not had_departed:
+        if signals.leaving and not was_leaving:
             self._metrics.count_upstream_signal(upstream.service, "leaving")
             _log_signal("upstream leaving", upstream, address=upstream.address)
-            self._exchange.tell(Departure(incarnation_of(upstream)), DEPARTURE_LIFETIME_S)
+            self._exchange.publish(UpstreamLeaving(incarnation_of(upstream)), LEAVING_LIFETIME_S)
         if signals.pause_s is not None:
             self._metrics.count_upstream_signal(upstream.service, "pause")
             pause_ms = round(self._fleet.pause_left_s(upstream, now) * MS_PER_S)
             _log_signal("upstream pushed back", upstream, asked_s=signals.pause_s, for_ms=pause_ms)
 
-    def _learn_departure(self, departure: Departure) -> None:
-        self._fleet.record_departure(departure.upstream)
+    def _receive_leaving(self, leaving: UpstreamLeaving) -> None:
+        self._fleet.record_leaving(leaving.upstream)
         log_event(
             _log,
             logging.INFO,
             "upstream leaving, told by another entry",
             None,
-            peer=departure.upstream.name,
+            peer=leaving.upstream.name,
         )
 
 
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -180,7 +180,7 @@
             watch.record_break()
             # The unfinished event is not relayed; the caller never sees part of an event.
             return _failed("ended within an event")
-        watch.record_sound()
+        watch.record_harmless()
         if not self._reply.started:
             await self._start_reply(response.headers)
         await self._reply.send_end()
--- a/src/chivehold/direct/version_tracking.py
+++ b/src/chivehold/direct/version_tracking.py
@@ -62,12 +62,12 @@
         return self._versions.is_confirmed(upstream.service, upstream.software)
 
     def apply_upstreams(self, upstreams: Iterable[UpstreamRecord], revision: int) -> None:
-        """Take in the list of upstreams, as of a version of the store."""
+        """Apply the list of upstreams, as of a version of the store."""
         self._versions.update_listed(upstreams, revision, trio.current_time())
         self._records.notify_versions()
 
     def apply_routes(self, table: RouteTable) -> None:
-        """Take in how long callers may wait for streams."""
+        """Apply the longest time for which routes let callers wait for streams."""
         for route in table.routes:
             if route.kind is CallKind.STREAM:
                 self._versions.note_stream_time(route.timeout_s)
--- a/src/chivehold/platform/store.py
+++ b/src/chivehold/platform/store.py
@@ -28,10 +28,10 @@
 """A watch without a response this long after its waiting time is treated as failed."""
 MAX_PAGES = 1_000
 ERA_HEADER = "store-era"
+"""Rises by one with each restore of the store; absent from stores that are never restored."""
 MAX_ERA_DIGITS = len(str(MAX_ERA))
 MAX_LOGGED = 40
 """Characters of an unreadable value to log."""
-"""Rises by one with each restore of the store; absent from stores that are never restored."""
 OK_STATUSES = (200, 201)
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 409
--- a/src/chivehold/rpc/convert_gossip.py
+++ b/src/chivehold/rpc/convert_gossip.py
@@ -1,4 +1,4 @@
-"""Converts what entries tell one another between the schema and the core's types.
+"""Converts what entries publish to one another between the schema and the core's types.
 
 On the wire all times are ages, so that the clocks of the entries need not agree. The time on the
 way is added to them; it is far below the times that matter.
@@ -8,7 +8,7 @@
 
 from chivehold.core.direct.crash_evidence import Suspect, UpstreamEnd
 from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
-from chivehold.core.direct.facts import Departure, Fact, SoundRun
+from chivehold.core.direct.facts import Fact, HarmlessRun, UpstreamLeaving
 from chivehold.core.direct.gossip import MAX_LIFETIME_S, GossipItem, GossipMessage
 from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
@@ -28,7 +28,7 @@
         items=[
             pb.GossipItem(
                 id=item.item_id,
-                age_ms=_age_ms(item.told_at, now),
+                age_ms=_age_ms(item.published_at, now),
                 lifetime_ms=_ms(item.lifetime_s),
                 fact=item.fact,
             )
@@ -57,19 +57,21 @@
     )
 
 
-def encode_fact(fact: Fact, told_at: float) -> bytes:
-    """Return a fact as it is told first at a moment."""
+def encode_fact(fact: Fact, published_at: float) -> bytes:
+    """Return a fact as it is first published at a moment."""
     if isinstance(fact, UpstreamEnd):
-        return pb.Fact(upstream_end=_end_to_proto(fact, told_at)).SerializeToString()
-    if isinstance(fact, SoundRun):
-        sound_run = pb.SoundRunFact(key=_key_to_proto(fact.key), ago_ms=_age_ms(fact.at, told_at))
+        return pb.Fact(upstream_end=_end_to_proto(fact, published_at)).SerializeToString()
+    if isinstance(fact, HarmlessRun):
+        sound_run = pb.SoundRunFact(
+            key=_key_to_proto(fact.key), ago_ms=_age_ms(fact.at, published_at)
+        )
         return pb.Fact(sound_run=sound_run).SerializeToString()
-    if isinstance(fact, Departure):
+    if isinstance(fact, UpstreamLeaving):
         departure = pb.DepartureFact(
             upstream=fact.upstream.name, started_ms=fact.upstream.started_ms
         )
         return pb.Fact(departure=departure).SerializeToString()
-    return pb.Fact(quarantine=_quarantine_to_proto(fact, told_at)).SerializeToString()
+    return pb.Fact(quarantine=_quarantine_to_proto(fact, published_at)).SerializeToString()
 
 
 def decode_fact(item: GossipItem) -> Fact | None:
@@ -84,14 +86,14 @@
         raise Malformed("decode Fact", "", str(error)) from error
     kind = fact.WhichOneof("kind")
     if kind == "upstream_end":
-        return _end_from_proto(fact.upstream_end, item.told_at)
+        return _end_from_proto(fact.upstream_end, item.published_at)
     if kind == "sound_run":
-        at = item.told_at - fact.sound_run.ago_ms / MS_PER_S
-        return SoundRun(_key_from_proto(fact.sound_run.key), at)
+        at = item.published_at - fact.sound_run.ago_ms / MS_PER_S
+        return HarmlessRun(_key_from_proto(fact.sound_run.key), at)
     if kind == "quarantine":
-        return _quarantine_from_proto(fact.quarantine, item.told_at)
+        return _quarantine_from_proto(fact.quarantine, item.published_at)
     if kind == "departure":
-        return Departure(_incarnation(fact.departure.upstream, fact.departure.started_ms))
+        return UpstreamLeaving(_incarnation(fact.departure.upstream, fact.departure.started_ms))
     return None
 
 
@@ -102,48 +104,48 @@
     return GossipItem(item.id, item.fact, now - item.age_ms / MS_PER_S, lifetime_s)
 
 
-def _end_to_proto(end: UpstreamEnd, told_at: float) -> pb.UpstreamEndFact:
+def _end_to_proto(end: UpstreamEnd, published_at: float) -> pb.UpstreamEndFact:
     return pb.UpstreamEndFact(
         upstream=end.upstream.name,
         started_ms=end.upstream.started_ms,
-        suspects=[_suspect_to_proto(suspect, told_at) for suspect in end.suspects],
-        sent_ago_ms=_age_ms(end.sent_at, told_at),
-        ended_ago_ms=_age_ms(end.ended_at, told_at),
+        suspects=[_suspect_to_proto(suspect, published_at) for suspect in end.suspects],
+        sent_ago_ms=_age_ms(end.sent_at, published_at),
+        ended_ago_ms=_age_ms(end.ended_at, published_at),
     )
 
 
-def _end_from_proto(message: pb.UpstreamEndFact, told_at: float) -> UpstreamEnd:
+def _end_from_proto(message: pb.UpstreamEndFact, published_at: float) -> UpstreamEnd:
     return UpstreamEnd(
         _incarnation(message.upstream, message.started_ms),
-        tuple(_suspect_from_proto(suspect, told_at) for suspect in message.suspects),
-        told_at - message.sent_ago_ms / MS_PER_S,
-        told_at - message.ended_ago_ms / MS_PER_S,
+        tuple(_suspect_from_proto(suspect, published_at) for suspect in message.suspects),
+        published_at - message.sent_ago_ms / MS_PER_S,
+        published_at - message.ended_ago_ms / MS_PER_S,
     )
 
 
-def _quarantine_to_proto(order: Quarantine, told_at: float) -> pb.QuarantineFact:
+def _quarantine_to_proto(order: Quarantine, published_at: float) -> pb.QuarantineFact:
     next_trial_in_ms: int | None = None
     if order.next_trial_at is not None:
-        next_trial_in_ms = _ms(max(0.0, order.next_trial_at - told_at))
+        next_trial_in_ms = _ms(max(0.0, order.next_trial_at - published_at))
     return pb.QuarantineFact(
         key=_key_to_proto(order.key),
         version=order.version,
         active=order.is_active,
-        left_ms=_ms(max(0.0, order.until - told_at)),
+        left_ms=_ms(max(0.0, order.until - published_at)),
         trials=order.trials,
         next_trial_in_ms=next_trial_in_ms,
     )
 
 
-def _quarantine_from_proto(message: pb.QuarantineFact, told_at: float) -> Quarantine:
+def _quarantine_from_proto(message: pb.QuarantineFact, published_at: float) -> Quarantine:
     next_trial_at: float | None = None
     if message.HasField("next_trial_in_ms"):
-        next_trial_at = told_at + message.next_trial_in_ms / MS_PER_S
+        next_trial_at = published_at + message.next_trial_in_ms / MS_PER_S
     return Quarantine(
         _key_from_proto(message.key),
         message.version,
         message.active,
-        told_at + message.left_ms / MS_PER_S,
+        published_at + message.left_ms / MS_PER_S,
         message.trials,
         next_trial_at,
     )
@@ -155,17 +157,17 @@
     return UpstreamIncarnation(name, started_ms)
 
 
-def _suspect_to_proto(suspect: Suspect, told_at: float) -> pb.Suspect:
+def _suspect_to_proto(suspect: Suspect, published_at: float) -> pb.Suspect:
     key = _key_to_proto(suspect.key)
     if suspect.sound_at is None:
         return pb.Suspect(key=key)
-    return pb.Suspect(key=key, sound_ago_ms=_age_ms(suspect.sound_at, told_at))
+    return pb.Suspect(key=key, sound_ago_ms=_age_ms(suspect.sound_at, published_at))
 
 
-def _suspect_from_proto(message: pb.Suspect, told_at: float) -> Suspect:
+def _suspect_from_proto(message: pb.Suspect, published_at: float) -> Suspect:
     sound_at: float | None = None
     if message.HasField("sound_ago_ms"):
-        sound_at = told_at - message.sound_ago_ms / MS_PER_S
+        sound_at = published_at - message.sound_ago_ms / MS_PER_S
     return Suspect(_key_from_proto(message.key), sound_at)
 
 
--- a/src/chivehold/store/software_records.py
+++ b/src/chivehold/store/software_records.py
@@ -164,21 +164,21 @@
             return None
         snapshot = listed.unwrap()
         objects = {stored.name: stored for stored in snapshot.objects}
-        self._take_in_table(objects.get(VERSIONS_NAME), snapshot.revision)
+        self._apply_table(objects.get(VERSIONS_NAME), snapshot.revision)
         origins = StoredOrigins(tuple(_groups(objects.values())))
         if not self._is_loaded:
             self._is_loaded = True
-            self._take_over(objects.get(self._name))
+            self._carry_over(objects.get(self._name))
         return origins
 
-    def _take_in_table(self, stored: StoredObject | None, revision: int) -> None:
+    def _apply_table(self, stored: StoredObject | None, revision: int) -> None:
         # Without an object, the revision tells of which era the store's answer is.
         version = revision if stored is None else stored.version
         self._table_version = 0 if stored is None else stored.version
         table = {} if stored is None else _decode_table(stored)
         self._versions.update_stored(table, version, trio.current_time())
 
-    def _take_over(self, stored: StoredObject | None) -> None:
+    def _carry_over(self, stored: StoredObject | None) -> None:
         """Keep the origins of streams that an earlier run of this entry has begun."""
         if stored is None:
             return
--- a/tests/core/direct/crash_fleet.py
+++ b/tests/core/direct/crash_fleet.py
@@ -92,7 +92,7 @@
         )
 
     def _tell(self, item: GossipItem) -> None:
-        self.gossip.tell(item, trio.current_time())
+        self.gossip.publish(item, trio.current_time())
 
 
 class CrashFleet:
@@ -207,7 +207,7 @@
         stream = self._streams[engine].get(number)
         if stream is not None:
             stream.settled.append(True)
-            self._entries[stream.entry].quarantines.record_sound(stream.keys)
+            self._entries[stream.entry].quarantines.record_harmless(stream.keys)
             self._wake(self._entries[stream.entry])
 
     def _crash_any(self) -> None:
@@ -259,5 +259,5 @@
         entry = self._by_name[outgoing.address]
         now = trio.current_time()
         for item in entry.gossip.receive(outgoing.message, now):
-            entry.exchange.learn(item)
+            entry.exchange.receive(item)
         self._wake(entry)
--- a/tests/core/direct/test_crash_evidence.py
+++ b/tests/core/direct/test_crash_evidence.py
@@ -141,7 +141,7 @@
         for number in range(2):
             evidence.record_end(end(number, 10.0 + number, BAD))
         assert evidence.is_suspect(BAD, 12.0)
-        evidence.record_sound(BAD, 12.0)
+        evidence.record_harmless(BAD, 12.0)
         assert not evidence.is_suspect(BAD, 12.0)
         evidence.record_end(end(5, 13.0, BAD))
         assert found(evidence) == []
@@ -150,7 +150,7 @@
     def test_content_that_was_sound_before_needs_more_ends(self) -> None:
         """Content that once ran without harm is found after six ends in a row."""
         evidence = CrashEvidence(POLICY)
-        evidence.record_sound(FIRST, 1.0)
+        evidence.record_harmless(FIRST, 1.0)
         for number in range(POLICY.ends_if_sound_before - 1):
             evidence.record_end(end(number, 10.0 + number, FIRST))
         assert found(evidence) == []
--- a/tests/core/direct/test_gossip.py
+++ b/tests/core/direct/test_gossip.py
@@ -56,8 +56,8 @@
         for gossip in self.entries.values():
             gossip.set_peers(addresses)
 
-    def tell(self, name: str, item_id: str, lifetime_s: float = 100.0) -> None:
-        self.entries[name].tell(GossipItem(item_id, b"x" * 80, self.now, lifetime_s), self.now)
+    def publish(self, name: str, item_id: str, lifetime_s: float = 100.0) -> None:
+        self.entries[name].publish(GossipItem(item_id, b"x" * 80, self.now, lifetime_s), self.now)
         self.learned_at[name][item_id] = self.now
 
     def run(self, duration_s: float) -> None:
@@ -110,7 +110,7 @@
         network = Network(count)
         network.run(0.3)
         sent_before = dict(network.sent)
-        network.tell("e0", "fact")
+        network.publish("e0", "fact")
         network.run(SPREAD_S)
         assert network.knowing("fact") == count
         most = max(network.sent[name] - sent_before[name] for name in network.entries)
@@ -123,8 +123,8 @@
         network = Network(6)
         network.run(1.0)
         network.cut_off = {"e5"}
-        network.tell("e0", "inside")
-        network.tell("e5", "outside")
+        network.publish("e0", "inside")
+        network.publish("e5", "outside")
         network.run(3.0)
         assert network.knowing("inside") == 5
         network.cut_off = set()
@@ -135,7 +135,7 @@
     def test_entry_that_starts_learns_what_is_known(self) -> None:
         """It asks at once and until it is answered, and need not be listed by the others."""
         network = Network(4)
-        network.tell("e0", "fact")
+        network.publish("e0", "fact")
         network.run(5.0)
         started = network.add("new")
         started.set_peers({name: name for name in network.entries})
@@ -146,7 +146,7 @@
     def test_alone(self) -> None:
         """An entry without others keeps its facts for the first one that it hears of."""
         network = Network(1)
-        network.tell("e0", "fact")
+        network.publish("e0", "fact")
         network.run(10.0)
         assert network.sent["e0"] == 0
         network.add("e1")
@@ -176,7 +176,7 @@
         """The oldest facts go first."""
         gossip = Gossip("e0", Random(1))
         for number in range(MAX_ITEMS + 10):
-            gossip.tell(GossipItem(f"{number}", b"", number, 1e6), number)
+            gossip.publish(GossipItem(f"{number}", b"", number, 1e6), number)
         assert gossip.item_count == MAX_ITEMS
 
     def test_messages_are_small(self) -> None:
@@ -184,7 +184,7 @@
         gossip = Gossip("e0", Random(1))
         gossip.set_peers({"e1": "e1"})
         for number in range(100):
-            gossip.tell(GossipItem(f"{number}", b"x" * 100, 0.0, 10.0), 0.0)
+            gossip.publish(GossipItem(f"{number}", b"x" * 100, 0.0, 10.0), 0.0)
         sizes = [
             sum(len(item.fact) for item in outgoing.message.items)
             for outgoing in gossip.outgoing(0.0)
@@ -198,7 +198,7 @@
         for gossip in (ours, theirs):
             gossip.set_address("x")
             gossip.set_peers({"e0": "e0", "e1": "e1"})
-            gossip.tell(GossipItem("a", b"", 0.0, 100.0), 0.0)
+            gossip.publish(GossipItem("a", b"", 0.0, 100.0), 0.0)
         questions = [out for out in ours.outgoing(0.0) if out.message.asks_for_items]
         theirs.receive(questions[0].message, 0.0)
         answer, *_ = theirs.outgoing(0.0)
--- a/tests/core/direct/test_upstream_admission.py
+++ b/tests/core/direct/test_upstream_admission.py
@@ -64,6 +64,6 @@
         """The oldest departures are forgotten first."""
         made = admission()
         for number in range(MAX_REMEMBERED + 5):
-            made.record_departure(UpstreamIncarnation(f"u{number}", 1))
-        assert not made.has_departed(UpstreamIncarnation("u0", 1))
-        assert made.has_departed(UpstreamIncarnation("u5", 1))
+            made.record_leaving(UpstreamIncarnation(f"u{number}", 1))
+        assert not made.is_leaving(UpstreamIncarnation("u0", 1))
+        assert made.is_leaving(UpstreamIncarnation("u5", 1))
--- a/tests/direct/crash_world.py
+++ b/tests/direct/crash_world.py
@@ -62,7 +62,7 @@
             world.store,
             incarnation,
             self.quarantines.orders,
-            self.quarantines.learn_stored,
+            self.quarantines.load_stored,
             lambda: ENTRIES,
             world.rng,
         )
@@ -85,7 +85,7 @@
         return {(o.key, o.version, o.is_active, o.trials) for o in self.quarantines.orders()}
 
     def _tell(self, item: GossipItem) -> None:
-        self.gossip.tell(item, trio.current_time())
+        self.gossip.publish(item, trio.current_time())
         self._world.wake_network()
 
 
@@ -139,7 +139,7 @@
         sent_at = trio.current_time()
         await trio.sleep(RUN_S)
         if not is_bad:
-            entry.quarantines.record_sound(keys)
+            entry.quarantines.record_harmless(keys)
             return
         self._end(entry, engine, keys, sent_at)
 
@@ -199,7 +199,7 @@
             receiver = self.entries[outgoing.address]
             message = decode_message(encode_message(outgoing.message, now), now)
             for item in receiver.gossip.receive(message, now):
-                receiver.exchange.learn(item)
+                receiver.exchange.receive(item)
 
     def living(self) -> Iterator[CrashEntry]:
         """Yield the entries that run."""
--- a/tests/rpc/test_convert_gossip.py
+++ b/tests/rpc/test_convert_gossip.py
@@ -6,7 +6,7 @@
 
 from chivehold.core.direct.crash_evidence import Suspect, UpstreamEnd
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
-from chivehold.core.direct.facts import Departure, Fact, SoundRun
+from chivehold.core.direct.facts import Fact, HarmlessRun, UpstreamLeaving
 from chivehold.core.direct.gossip import GossipItem, GossipMessage
 from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
@@ -23,11 +23,11 @@
         99.5,
         99.75,
     ),
-    SoundRun(KEY, 98.5),
+    HarmlessRun(KEY, 98.5),
     Quarantine(KEY, 3, True, 400.0),
     Quarantine(KEY, 4, False, 400.0),
     Quarantine(KEY, 5, True, 400.0, 1, 160.0),
-    Departure(UpstreamIncarnation("u1", 7)),
+    UpstreamLeaving(UpstreamIncarnation("u1", 7)),
 ]
 TOLD_AT = 100.0
 
@@ -66,7 +66,7 @@
         """A receiver with another clock sees the same ages."""
         message = GossipMessage("e1", "127.0.0.1:7", (item(b"fact"),), (1 << 64) - 1, True)
         received = decode_message(encode_message(message, 105.0), 5_000.0)
-        assert received == message._replace(items=(item(b"fact")._replace(told_at=4_995.0),))
+        assert received == message._replace(items=(item(b"fact")._replace(published_at=4_995.0),))
 
     @given(st.binary(max_size=300))
     def test_any_bytes(self, datagram: bytes) -> None:
