--- a/src/chivehold/fakes/object_store.py
+++ b/src/chivehold/fakes/object_store.py
@@ -74,6 +74,7 @@
     def __init__(self, faults: Faults = NO_FAULTS) -> None:
         self._objects: dict[tuple[str, str], _Write] = {}
         self._revision = 0
+        self._written_bytes = 0
         self._changed = trio.Event()
         self._calls: Counter[str] = Counter()
         self._recent_calls: dict[bool, deque[float]] = {True: deque(), False: deque()}
@@ -90,6 +91,11 @@
         """Number of calls by type of call, refused calls included."""
         return self._calls
 
+    @property
+    def written_bytes(self) -> int:
+        """Size of all values written."""
+        return self._written_bytes
+
     @property
     def revision(self) -> int:
         """The version of the latest write."""
@@ -219,6 +225,7 @@
         if version != expected_version:
             return Failure(Conflict(step, PEER, version))
         self._revision += 1
+        self._written_bytes += len(value or b"")
         operations = previous.stored.operations if previous else ()
         uid = previous.stored.uid if previous and live else str(UUID(int=self._revision))
         stored = StoredObject(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,9 +10,9 @@
 
 from chivehold.core.identity import Outcome, RequestId
 from chivehold.fakes.output import prompt_digest
-from chivehold.history.events import Call, CallEnd
+from chivehold.history.events import Call, CallEnd, Violation
 from tests.soak.entries import Entry, loopback_address
-from tests.soak.upstreams import STREAM_EVENTS
+from tests.soak.upstreams import SOFTWARE_MARK, STREAM_EVENTS
 from tests.soak.world import HOST, PLAIN_TIMEOUT_MS, STREAM_TIMEOUT_MS, World
 
 PATHS = ("/get/", "/post/", "/resume/", "/tell/")
@@ -30,8 +30,12 @@
 class _AnswerReader:
     """Parses an answer while it arrives, and keeps its status and text."""
 
-    def __init__(self, is_stream: bool, received_text: str = "") -> None:
+    def __init__(
+        self, is_stream: bool, received_text: str = "", software: frozenset[str] = frozenset()
+    ) -> None:
         self._is_stream = is_stream
+        self.software = set(software)
+        """Versions of the software of the engines that wrote the events."""
         self._unparsed = b""
         self.status = 0
         self.text = received_text
@@ -54,7 +58,9 @@
             number, _, data = event.decode().partition("\ndata: ")
             # The checks find a gap or a repeated event as a wrong token at its offset.
             self.events = int(number.removeprefix("id: "))
-            self.text += f" {data}"
+            token, _, software = data.partition(SOFTWARE_MARK)
+            self.software.add(software)
+            self.text += f" {token}"
 
 
 class OutgoingRequest(NamedTuple):
@@ -66,6 +72,10 @@
     disconnect_after_s: float | None = None
     received_text: str = ""
     """The output received before, if the request resumes a stream."""
+    resumes: str = ""
+    """The request that brought the stream's first event, if this one resumes it."""
+    software: frozenset[str] = frozenset()
+    """Versions of the software that wrote that output."""
     parts: tuple[str, ...] = ()
     """Further parts of a stream's prompt, between the shared first part and its own."""
 
@@ -88,6 +98,8 @@
             name: httpcore.AsyncConnectionPool(max_connections=500) for name in world.entries
         }
         self._failed_ready_checks = dict.fromkeys(world.entries, 2)
+        self._software: dict[str, frozenset[str]] = {}
+        """Versions of the software that wrote the answer to each request."""
         self.healthy_entries: set[str] = set()
         """Names of the entries that answered their last probe."""
 
@@ -133,7 +145,7 @@
             body_digest=prompt_digest(outgoing.prompt),
         )
         invocation = self._world.recorder.start_call(call)
-        reader = _AnswerReader(is_stream, outgoing.received_text)
+        reader = _AnswerReader(is_stream, outgoing.received_text, outgoing.software)
         end = CallEnd.CALLER_LEFT
         try:
             timeout_s = outgoing.deadline_s + DEADLINE_SLACK_S
@@ -146,6 +158,12 @@
             outcome = reader.outcome if end in (CallEnd.ERROR, CallEnd.WHOLE) else None
             result = {"end": end, "outcome": outcome, "text": reader.text}
             self._world.recorder.update_call(invocation, **result, completed_at_s=time.time())
+            self._software[request] = frozenset(reader.software)
+            if len(reader.software) > 1:
+                detail = f"{request} (resumes {outgoing.resumes or 'none'}) holds events of" + (
+                    f" {sorted(reader.software)}"
+                )
+                self._world.work_log.violations.append(Violation("one_software", name, detail))
         return call._replace(**result)
 
     async def aclose(self) -> None:
@@ -161,7 +179,12 @@
                 for other, failed_checks in self._failed_ready_checks.items()
                 if failed_checks < 2
             ]
-            resumed = outgoing._replace(received_text=call.text, disconnect_after_s=None)
+            resumed = outgoing._replace(
+                received_text=call.text,
+                resumes=str(call.request),
+                software=self._software[str(call.request)],
+                disconnect_after_s=None,
+            )
             await self.call(self._rng.choice(others or [name]), resumed)
 
     async def ask_probe(self, name: str) -> str | None:
@@ -189,6 +212,7 @@
             headers.append(("x-chivehold-prompt-prefix", prompt))
         if outgoing.received_text:
             headers.append(("last-event-id", str(len(outgoing.received_text.split()))))
+            headers.append(("resumes", outgoing.resumes))
         url = f"http://{self._world.entries[name].callers.address}{outgoing.path}a"
         try:
             async with self._pools[name].stream(
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -18,6 +18,9 @@
 PREFILL_WORK_S = 0.05
 PLAIN_WORK_S = 0.04
 HANDLE_TTL_S = 1.0
+SOFTWARE_MARK = "@"
+"""Separates an event's token from the version of the software of the engine that wrote it."""
+SOFTWARE_VERSIONS = ("v1", "v2")
 
 
 class Arrival(NamedTuple):
@@ -165,7 +168,7 @@
 
     def _event_data(self, request: str, number: int, body: bytes) -> str:
         (token,) = output_tokens(prompt_digest(body.decode()), number - 1, number)
-        return token.strip()
+        return f"{token.strip()}{SOFTWARE_MARK}{self.software}"
 
     def _can_fetch_kv(self, request: str, source: str) -> bool:
         address, _, handle = source.rpartition("/")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,7 +16,13 @@
 from tests.soak.entries import Entry
 from tests.soak.link import Link
 from tests.soak.plan import ENGINES, PLAIN, Plan
-from tests.soak.upstreams import ProbeUpstream, SoakEngine, SoakService, WorkLog
+from tests.soak.upstreams import (
+    SOFTWARE_VERSIONS,
+    ProbeUpstream,
+    SoakEngine,
+    SoakService,
+    WorkLog,
+)
 
 HOST = "soak.example"
 PROBES = 48
@@ -66,6 +72,9 @@
         else:
             stage = self._name.partition("-")[0]
             self.app = SoakEngine(self._name, self.run, stage, self._work_log)
+            # Engines of both versions serve, and each one comes back with the other version.
+            number = int(self._name.rpartition("-")[2]) + self._run_count
+            self.app.software = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
         self.prepare_app(self.app)
 
     @property
@@ -178,10 +187,12 @@
         """Write an upstream's current listing into the store."""
         upstream = self.upstreams[name]
         state = "draining" if name in self.leaving else "ready"
-        stage = {"stage": upstream.app.stage} if isinstance(upstream.app, SoakEngine) else {}
+        engine: dict[str, str] = {}
+        if isinstance(upstream.app, SoakEngine):
+            engine = {"stage": upstream.app.stage, "version": upstream.app.software}
         address = upstream.link.address
         self._announce(
-            name, upstream.service, address, state=state, born=upstream.started_at_ms, **stage
+            name, upstream.service, address, state=state, born=upstream.started_at_ms, **engine
         )
 
     def leave(self, name: str) -> None:
