An entry pauses between calls to a store in trouble, and knows a restored table by its era

Seen by reading: with two versions in service, an entry whose store is away wrote its origins again every 0.1 s; and a table whose object keeps the version of an earlier era was read again every 0.05 s after a restore. (The adapter of the platform gives all objects of an answer the new era, so the second needs another store.) Origins are also written once the first read is there. test_few_calls_to_a_store_in_trouble fails on the commit before and passes now.

--- a/src/chivehold/store/software_records.py
+++ b/src/chivehold/store/software_records.py
@@ -23,6 +23,7 @@
     StreamOrigins,
 )
 from chivehold.core.identity import EntryIncarnation
+from chivehold.core.store_version import era_of, store_version
 from chivehold.logs import log_event
 from chivehold.store.api import Conflict, NotFound, ObjectStore, StoredObject
 from chivehold.store.client import Write, write_and_confirm
@@ -169,12 +170,13 @@
         if not self._is_loaded:
             self._is_loaded = True
             self._carry_over(objects.get(self._name))
+            self._origins_changed.set()
         return origins
 
     def _apply_table(self, stored: StoredObject | None, revision: int) -> None:
-        # Without an object, the revision tells of which era the store's answer is.
-        version = revision if stored is None else stored.version
         self._table_version = 0 if stored is None else stored.version
+        # A restored object may be of an earlier era than the answer that contains it.
+        version = max(self._table_version, store_version(era_of(revision), 0))
         table = {} if stored is None else _decode_table(stored)
         self._versions.update_stored(table, version, trio.current_time())
 
@@ -245,11 +247,13 @@
                 continue
             value = _encode_origins(self._origins.of_services(services, trio.current_time()))
             written = await self._write(self._name, value, self._origins_version)
+            pause_s = self.write_interval_s
             if written is not None:
                 self._origins_version = written.version
             else:
                 self._origins_changed.set()
-            await trio.sleep(self.write_interval_s * self._rng.uniform(0.8, 1.0))
+                pause_s = max(pause_s, RETRY_S if self._has_failed else 0.0)
+            await trio.sleep(pause_s * self._rng.uniform(0.8, 1.0))
 
     async def _write(self, name: str, value: bytes | None, version: int) -> StoredObject | None:
         """Write or delete an object if it still has a version; return it if that took effect."""
--- a/tests/direct/test_version_tracking.py
+++ b/tests/direct/test_version_tracking.py
@@ -8,6 +8,7 @@
 from tests.direct.version_world import LIST_LAG_S, VersionWorld, exchange
 
 QUIET_S = 120.0
+TROUBLE_S = 10.0
 LIFETIME_S = 15.0
 ORIGIN_STORED_S = 0.5
 """Time from a stream's start until its origin is in the store."""
@@ -176,6 +177,22 @@
             assert world.store.counts.total() == before
             nursery.cancel_scope.cancel()
 
+    # Guards against entries that call a store without a pause once it has been restored or is away.
+    async def test_few_calls_to_a_store_in_trouble(self, autojump_clock: MockClock) -> None:
+        """A restore is followed by a few calls of each entry, an outage by two a second."""
+        async with trio.open_nursery() as nursery:
+            world = await started_world(nursery, "v1", "v2")
+            world.store.restore(world.store.copy())
+            before = world.store.counts.total()
+            await trio.sleep(TROUBLE_S)
+            assert world.store.counts.total() - before <= 10 * len(world.entries)
+            world.set_store_away(True)
+            assert world.begin("entry-0")
+            before = world.store.counts.total()
+            await trio.sleep(TROUBLE_S)
+            assert world.store.counts.total() - before <= 3 * TROUBLE_S
+            nursery.cancel_scope.cancel()
+
     async def test_store_is_cleared_after_a_release(self, autojump_clock: MockClock) -> None:
         """Once each service has one version again, only the table is left."""
         async with trio.open_nursery() as nursery:
