--- a/tests/direct/test_version_fleet.py
+++ b/tests/direct/test_version_fleet.py
@@ -68,7 +68,7 @@
         self._start = trio.current_time()
         self.resumed = self.joined = self.refused = 0
 
-    async def release(self, nursery: trio.Nursery) -> None:
+    async def release(self) -> None:
         half = (self._shape.engines + 1) // 2
         parts = (range(half), range(half, self._shape.engines))
         for begins_at, numbers in zip(RELEASES_S, parts, strict=True):
@@ -132,7 +132,7 @@
         fleet = _Fleet(world, shape, seed)
         before, started = world.store.counts.total(), trio.current_time()
         async with trio.open_nursery() as tasks:
-            tasks.start_soon(fleet.release, tasks)
+            tasks.start_soon(fleet.release)
             tasks.start_soon(fleet.kill)
             for number in range(shape.entries):
                 tasks.start_soon(fleet.begin_streams, number, tasks)
--- a/tests/direct/test_version_histories.py
+++ b/tests/direct/test_version_histories.py
@@ -10,7 +10,6 @@
 from trio.testing import MockClock
 
 from chivehold.direct.refusals import Refusal
-from chivehold.fakes.object_store import StoreCopy
 from tests.direct.version_world import DEADLINE_S, BegunStream, VersionWorld
 
 ENTRIES = 3
@@ -33,7 +32,6 @@
     def __init__(self) -> None:
         super().__init__()
         self._steps: list[Step] = []
-        self._copy: StoreCopy | None = None
 
     @rule(entry=entry_names, count=st.integers(1, 4))
     def begin(self, entry: str, count: int) -> None:
@@ -73,7 +71,10 @@
 
     @rule(entry=entry_names, is_cut=st.booleans())
     def cut(self, entry: str, is_cut: bool) -> None:
-        self._add_sync(lambda world: world.cut[entry].__setitem__(0, is_cut))
+        def set_cut(world: VersionWorld) -> None:
+            (world.cut_off.add if is_cut else world.cut_off.discard)(entry)
+
+        self._add_sync(set_cut)
 
     @rule(is_away=st.booleans())
     def set_store_away(self, is_away: bool) -> None:
@@ -107,8 +108,7 @@
                 await step(world)
             await resume_all(world)
             world.set_store_away(False)
-            for is_cut in world.cut.values():
-                is_cut[0] = False
+            world.cut_off.clear()
             await trio.sleep(SETTLING_S)
             await check_known(world)
             nursery.cancel_scope.cancel()
--- a/tests/direct/test_version_tracking.py
+++ b/tests/direct/test_version_tracking.py
@@ -32,7 +32,7 @@
         """While the store does not have a new version, streams begin at the others."""
         async with trio.open_nursery() as nursery:
             world = await started_world(nursery, "v1")
-            world.cut["entry-0"][0] = True
+            world.cut_off.add("entry-0")
             entry = world.entries["entry-0"]
             world.add_engine("new", "v2")
             entry.fleet.replace(world.listed())
@@ -89,7 +89,7 @@
             world = await started_world(nursery, "v1")
             begun = world.begin("entry-0")
             assert begun is not None
-            world.cut["entry-1"][0] = True
+            world.cut_off.add("entry-1")
             refused = await world.resume("entry-1", begun)
             assert isinstance(refused, Refusal)
             assert refused.retry_after_s is not None
--- a/tests/direct/version_world.py
+++ b/tests/direct/version_world.py
@@ -16,6 +16,7 @@
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
 from chivehold.core.direct.upstream_limits import UpstreamLimits
 from chivehold.core.identity import EntryIncarnation
+from chivehold.core.store_version import era_of
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.refusals import Refusal
@@ -51,37 +52,48 @@
     removed_at: float | None = None
 
 
+class _SeenList(NamedTuple):
+    """A list of engines, and the era of the store that it is from."""
+
+    records: list[UpstreamRecord]
+    era: int
+
+
 class _CutStore:
     """The store as one entry reaches it, or does not."""
 
-    def __init__(self, store: MemoryObjectStore, is_cut: list[bool]) -> None:
-        self._store = store
-        self._is_cut = is_cut
+    def __init__(self, world: "VersionWorld", entry: str) -> None:
+        self._world = world
+        self._store = world.store
+        self._entry = entry
 
     async def list(self, kind: str, may_be_stale: bool = False) -> Result[Snapshot, Unavailable]:
-        if self._is_cut[0]:
+        if self._is_cut_off():
             return await self._refuse("list")
         return await self._store.list(kind, may_be_stale)
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, NotFound | Unavailable]:
-        if self._is_cut[0]:
+        if self._is_cut_off():
             return await self._refuse("get")
         return await self._store.get(kind, name)
 
     async def put(
         self, kind: str, name: str, value: bytes, expected_version: int, operation_id: str
     ) -> Result[StoredObject, WriteError]:
-        if self._is_cut[0]:
+        if self._is_cut_off():
             return await self._refuse("put")
         return await self._store.put(kind, name, value, expected_version, operation_id)
 
     async def delete(
         self, kind: str, name: str, expected_version: int, operation_id: str
     ) -> Result[StoredObject, WriteError]:
-        if self._is_cut[0]:
+        if self._is_cut_off():
             return await self._refuse("delete")
         return await self._store.delete(kind, name, expected_version, operation_id)
 
+    def _is_cut_off(self) -> bool:
+        return self._entry in self._world.cut_off
+
     async def _refuse(self, step: str) -> Failure[Unavailable]:
         await trio.sleep(STORE_DELAY_S)
         return Failure(Unavailable(step, "store", "cut off"))
@@ -93,10 +105,9 @@
     def __init__(self, world: "VersionWorld", name: str, run: int) -> None:
         self.name = name
         self.scope = trio.CancelScope()
-        self.is_cut = world.cut.setdefault(name, [False])
         self.sees_list = False
         rng = Random(f"{name}/{run}")
-        store: object = _CutStore(world.store, self.is_cut)
+        store: object = _CutStore(world, name)
         limits = UpstreamLimits(name, lambda: None, rng)  # type: ignore[arg-type,return-value]
         self.tracking = VersionTracking(
             name,
@@ -121,12 +132,13 @@
 
     async def _see_list(self) -> None:
         await trio.sleep(STORE_DELAY_S)
-        if self.is_cut[0] or self._world.store.faults.outage:
+        if self.name in self._world.cut_off or self._world.store.faults.outage:
             return
         records = self._world.listed()
         revision = self._world.store.revision
-        if (records, revision >> 32) != self._world.seen.get(self.name) or not self.sees_list:
-            self._world.seen[self.name] = (records, revision >> 32)
+        seen = _SeenList(records, era_of(revision))
+        if seen != self._world.seen.get(self.name):
+            self._world.seen[self.name] = seen
             self.sees_list = True
             self.fleet.replace(records)
             self.tracking.apply_upstreams(records, revision)
@@ -147,9 +159,11 @@
         self.rng = Random(seed)
         self.store = MemoryObjectStore(Faults(delay_s=STORE_DELAY_S))
         self.engines: dict[str, Engine] = {}
-        self.seen: dict[str, tuple[list[UpstreamRecord], int]] = {}
+        self.seen: dict[str, _SeenList] = {}
+        """What each entry has seen last."""
         self.entries: dict[str, VersionEntry] = {}
-        self.cut: dict[str, list[bool]] = {}
+        self.cut_off: set[str] = set()
+        """Entries that do not reach the store."""
         self.begun: list[BegunStream] = []
         self.runs = 0
         self._requests = 0
