Callers of organisations are identified by API keys

A configuration may list organisations with API keys. A request with no known key gets 401 at once; the key is replaced by the organisation's name before anything else reads the headers, so that it reaches no upstream, crash key or log. Hop-by-hop headers have a module of their own.

--- a/src/chivehold/core/direct/crash_keys.py
+++ b/src/chivehold/core/direct/crash_keys.py
@@ -38,10 +38,22 @@
         return f"{self.kind}:{self.value}"
 
 
-def request_key(host: bytes, target: bytes, headers: RawHeaders, body: bytes) -> CrashKey:
-    """Return the key of a request's content, the same for each time that it is repeated."""
+def request_key(
+    host: bytes, target: bytes, headers: RawHeaders, body: bytes, organisation: str = ""
+) -> CrashKey:
+    """Return the key of a request's content, the same for each time that it is repeated.
+
+    Args:
+        host: The request's host.
+        target: Its path and query.
+        headers: Its headers, names in lower case.
+        body: Its body.
+        organisation: The name of the caller's organisation, which stands for its API key.
+    """
     credentials = sorted((name, value) for name, value in headers if name in CREDENTIALS)
     fields = [host, target, *(part for header in credentials for part in header), body]
+    if organisation:
+        fields.append(organisation.encode())
     digest = blake2b(digest_size=DIGEST_BYTES)
     for field in fields:
         digest.update(len(field).to_bytes(8, "big"))
--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
+from chivehold.core.direct.organisations import KeyDigest
+
 RawHeaders = Sequence[tuple[bytes, bytes]]
 """Headers in the order received, with names in lower case."""
 
@@ -58,6 +60,13 @@
     """Id of the request that brought the first event of the stream that the caller resumes."""
     prompt_parts: tuple[str, ...] = ()
     """Ids of the parts of the prompt, in order; the last one belongs to this request alone."""
+    key_digest: KeyDigest | None = None
+    """Digest of the caller's API key; ``None`` without exactly one key of a possible length."""
+
+    @property
+    def tokens(self) -> int:
+        """Prompt tokens and maximum output tokens; 0 if the caller states neither."""
+        return self.prompt_tokens + self.max_output_tokens
 
     @property
     def is_resumption(self) -> bool:
@@ -158,6 +167,10 @@
         """Parse a caller's headers."""
         ...
 
+    def identified_headers(self, headers: RawHeaders, organisation: str | None) -> RawHeaders:
+        """Return a caller's headers with its organisation in place of its API key."""
+        ...
+
     def forwarded_headers(
         self, headers: RawHeaders, upstream: UpstreamRecord, forwarding: ForwardingOptions
     ) -> list[tuple[bytes, bytes]]:
--- a/src/chivehold/core/direct/routes.py
+++ b/src/chivehold/core/direct/routes.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from chivehold.core.direct.organisations import KeyDigest, Organisation, OrganisationIndex
+
 
 class CallKind(StrEnum):
     """How a request may be retried."""
@@ -44,6 +46,8 @@
     """Target for the longest gap between two events of a stream."""
     separate_prefill: bool = False
     """Requests carry a prompt that can be prefilled at a separate prefill engine."""
+    anonymous: bool = False
+    """Callers need no API key, although the configuration has organisations."""
 
     @property
     def retryable(self) -> bool:
@@ -83,6 +87,8 @@
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceConfig]
     max_body_bytes: int
+    organisations: tuple[Organisation, ...] = ()
+    """If there are any, callers identify themselves by an API key."""
 
     def engine_config(self, service: str) -> EngineConfig | None:
         """Return the configuration of a service's engines, or ``None`` for a plain service."""
@@ -102,12 +108,21 @@
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(table.routes, key=lambda route: -len(route.path_prefix)):
             self._by_host.setdefault(route.host.lower(), []).append(route)
+        self._organisations = OrganisationIndex(table.organisations)
 
     @property
     def table(self) -> RouteTable:
         """The configuration in force."""
         return self._table
 
+    def organisation_of(self, key_digest: KeyDigest | None) -> Organisation | None:
+        """Return the organisation that holds an API key, or ``None`` if none does."""
+        return self._organisations.find(key_digest)
+
+    def needs_key(self, route: Route) -> bool:
+        """Return whether callers of a route have to identify themselves by an API key."""
+        return bool(self._table.organisations) and not route.anonymous
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or ``None``.
 
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -7,6 +7,7 @@
 from chivehold.bodies import BodyBudget, declared_body_bytes
 from chivehold.core.direct.crash_keys import prompt_part_keys, request_key
 from chivehold.core.direct.messages import Dialect, RawHeaders, RequestMetadata
+from chivehold.core.direct.organisations import Organisation
 from chivehold.core.direct.returning_callers import ReturnDetector
 from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
 from chivehold.core.direct.shared_retries import SharedRetryBudget
@@ -16,6 +17,7 @@
 from chivehold.direct.refusals import (
     NO_REQUEST_ID,
     NO_ROUTE,
+    UNKNOWN_KEY,
     Refusal,
     not_run_refusal,
     send_refusal,
@@ -114,11 +116,18 @@
             self._log_refusal(metadata.request_id, refusal, routes)
             await send_refusal(reply, refusal)
             return
+        organisation = routes.organisation_of(metadata.key_digest)
+        if organisation is None and routes.needs_key(route):
+            self._log_refusal(metadata.request_id, UNKNOWN_KEY, routes)
+            await send_refusal(reply, UNKNOWN_KEY)
+            return
         max_body_bytes = routes.table.max_body_bytes
         try:
             with self._bodies.reserve(declared_body_bytes(scope, max_body_bytes)) as reserved:
                 body = await read_body(receive, max_body_bytes, on_size=reserved.grow_to)
-                exchange = self._build_exchange(scope, metadata, route, routes, body, arrived_at)
+                exchange = self._build_exchange(
+                    scope, metadata, route, routes, organisation, body, arrived_at
+                )
                 await self._serve_until_disconnect(exchange, receive, reply, routes)
         except BudgetSpent as error:
             refusal = not_run_refusal("bodies_full", error.detail, BODIES_FULL_RETRY_S)
@@ -131,13 +140,18 @@
         metadata: RequestMetadata,
         route: Route,
         routes: RouteIndex,
+        organisation: Organisation | None,
         body: bytes,
         arrived_at: float,
     ) -> Exchange:
         query = scope["query_string"]
         target = scope["raw_path"] + (b"?" + query if query else b"")
         host = _host(scope["headers"]).encode("latin-1")
-        content_key = request_key(host, target, scope["headers"], body)
+        headers: RawHeaders = scope["headers"]
+        name = organisation.name if organisation else None
+        if routes.table.organisations:
+            headers = self._dialect.identified_headers(headers, name)
+        content_key = request_key(host, target, headers, body, name or "")
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
             limit_s = min(limit_s, metadata.deadline_s)
@@ -150,12 +164,13 @@
             host=_host(scope["headers"]),
             method=scope["method"],
             target=target,
-            headers=scope["headers"],
+            headers=headers,
             body=body,
             arrived_at=arrived_at,
             expires_at=arrived_at + limit_s,
             waited_before_s=self._return_detector.waited_before_s(route.name, metadata.deadline_s),
             crash_keys=(content_key, *prompt_part_keys(metadata.prompt_parts)),
+            organisation=organisation,
         )
 
     async def _serve_until_disconnect(
@@ -166,6 +181,7 @@
             "request routed",
             route=exchange.route.name,
             service=exchange.service,
+            organisation=exchange.organisation.name if exchange.organisation else None,
             configuration=exchange.configuration,
             left_ms=round(exchange.time_left_s() * 1_000),
             waited_before_ms=round(exchange.waited_before_s * 1_000) or None,
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -8,6 +8,7 @@
 
 from chivehold.core.direct.crash_keys import CrashKey
 from chivehold.core.direct.messages import RawHeaders, RequestMetadata, ResponseMetadata
+from chivehold.core.direct.organisations import Organisation
 from chivehold.core.direct.routes import Route
 from chivehold.http_server import Send
 from chivehold.logs import log_event
@@ -28,6 +29,7 @@
     target: bytes
     """Path and query as sent by the caller."""
     headers: RawHeaders
+    """Without the caller's API key, and with the name of its organisation."""
     body: bytes
     arrived_at: float
     expires_at: float
@@ -40,6 +42,15 @@
     """Version of the software at which a stream that the caller resumes has to go on."""
     trial_of: CrashKey | None = None
     """The quarantined content that this request is let through with, to see if it is harmless."""
+    organisation: Organisation | None = None
+    """The organisation that holds the caller's API key, if there is one."""
+
+    @property
+    def priority(self) -> int:
+        """Priority of the organisation, else of the route; 0 is the most urgent."""
+        if self.organisation is None or self.organisation.priority is None:
+            return self.route.priority
+        return self.organisation.priority
 
     @property
     def request_id(self) -> str:
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -38,6 +38,7 @@
     return Refusal(status, reason, message)
 
 
+UNKNOWN_KEY = Refusal(401, "unknown_key", "no organisation holds this API key")
 NO_ROUTE = Refusal(404, "no_route", "no route for this host and path")
 NO_REQUEST_ID = Refusal(400, "no_request_id", "the request has no id")
 
--- a/src/chivehold/platform/configuration.py
+++ b/src/chivehold/platform/configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chivehold.core.direct.organisations import Organisation, Quota, QuotaUnit, digest_key
 from chivehold.core.direct.routes import (
     CallKind,
     EngineConfig,
@@ -19,6 +20,8 @@
 DEFAULT_BODY_BYTES = 4 << 20
 DEFAULT_TIMEOUT_MS = 30_000.0
 
+TOKEN_UNIT = "generate"
+
 _CALL_KINDS = {
     "idempotent": CallKind.IDEMPOTENT,
     "non_idempotent": CallKind.NON_IDEMPOTENT,
@@ -44,6 +47,7 @@
     maxAttempts: NotRequired[int | None]
     sessionAffinity: NotRequired[bool | None]
     """Set on routes whose requests contain a prompt."""
+    anonymous: NotRequired[bool | None]
     resumable: NotRequired[bool | None]
     gapAimMs: NotRequired[float | None]
     """The longest acceptable pause between the events of a stream, in milliseconds."""
@@ -65,6 +69,17 @@
     engine: NotRequired[_EngineJson | None]
 
 
+class _OrganisationJson(TypedDict):
+    name: str
+    apiKeys: NotRequired[list[str] | None]
+    priority: NotRequired[int | None]
+    unit: NotRequired[str | None]
+    plainTokens: NotRequired[float | None]
+    """Cost of a request without a number of tokens."""
+    ratePerS: NotRequired[float | None]
+    burst: NotRequired[float | None]
+
+
 class _LimitsJson(TypedDict):
     maxBodyBytes: NotRequired[int | None]
 
@@ -74,6 +89,7 @@
     routes: list[_RouteJson]
     services: list[_ServiceJson]
     limits: NotRequired[_LimitsJson | None]
+    tenants: NotRequired[list[_OrganisationJson] | None]
 
 
 def decode_configuration(name: str, spec: bytes) -> Result[RouteTable, str]:
@@ -86,7 +102,8 @@
     routes = tuple(_decode_routes(decoded["routes"]))
     limits = decoded.get("limits") or {}
     max_body_bytes = limits.get("maxBodyBytes") or DEFAULT_BODY_BYTES
-    return Success(RouteTable(decoded["version"], routes, services, max_body_bytes))
+    organisations = tuple(map(_decode_organisation, decoded.get("tenants") or ()))
+    return Success(RouteTable(decoded["version"], routes, services, max_body_bytes, organisations))
 
 
 def _decode_routes(routes: list[_RouteJson]) -> Iterator[Route]:
@@ -109,9 +126,27 @@
             resumable=bool(route.get("resumable")),
             event_gap_target_s=(route.get("gapAimMs") or 0.0) / 1_000,
             separate_prefill=bool(route.get("sessionAffinity")),
+            anonymous=bool(route.get("anonymous")),
         )
 
 
+def _decode_organisation(organisation: _OrganisationJson) -> Organisation:
+    digests = (digest_key(key.encode()) for key in organisation.get("apiKeys") or ())
+    rate = organisation.get("ratePerS") or 0.0
+    quota = Quota(
+        rate=rate,
+        burst=organisation.get("burst") or 0.0,
+        unit=QuotaUnit.TOKENS if organisation.get("unit") == TOKEN_UNIT else QuotaUnit.REQUESTS,
+        default_tokens=int(organisation.get("plainTokens") or 0),
+    )
+    return Organisation(
+        name=organisation["name"],
+        key_digests=frozenset(digest for digest in digests if digest is not None),
+        priority=organisation.get("priority"),
+        quota=quota if rate > 0 else None,
+    )
+
+
 def _decode_splits(route: _RouteJson) -> Iterator[Split]:
     for split in route.get("trafficSplit") or ():
         yield Split(split["service"], split["weight"])
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chivehold.connection_headers import hop_by_hop_headers
 from chivehold.core.direct.messages import (
     EngineCall,
     EngineReport,
@@ -18,6 +19,7 @@
     UpstreamRecord,
     UpstreamSignals,
 )
+from chivehold.core.direct.organisations import KeyDigest, digest_key
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -36,6 +38,9 @@
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 """Id of the request that brought the first event of a stream that its caller resumes."""
+API_KEY = b"x-api-key"
+ORGANISATION = b"x-chivehold-tenant"
+"""Name of the organisation that holds the caller's API key; set by the system only."""
 MAX_REQUEST_ID_LENGTH = 256
 """Longest id that can name a request."""
 SIGNATURE = b"x-chivehold-server-stamp"
@@ -69,24 +74,7 @@
     )
 )
 """Request headers that only the system may set; they are dropped from a caller's request."""
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    )
-)
-"""Headers that apply to one connection only; ``content-length`` is set again for each."""
 _STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
-_END_TO_END_HEADERS = frozenset((b"host", b"content-type", CONTENT_ENCODING, LAST_EVENT_ID))
 
 
 class _ReportJson(TypedDict):
@@ -121,8 +109,16 @@
             last_event=None if last_event is None else last_event.decode("latin-1"),
             resumes=_parse_request_id(headers_by_name.get(RESUMES, b"")),
             prompt_parts=_parse_prompt_parts(headers_by_name.get(PROMPT_PARTS, b"")),
+            key_digest=_digest_api_key(headers),
         )
 
+    def identified_headers(self, headers: RawHeaders, organisation: str | None) -> RawHeaders:
+        """Return a caller's headers with its organisation in place of its API key."""
+        kept = [header for header in headers if header[0] not in (API_KEY, ORGANISATION)]
+        if organisation is not None:
+            kept.append((ORGANISATION, organisation.encode()))
+        return kept
+
     def forwarded_headers(
         self, headers: RawHeaders, upstream: UpstreamRecord, forwarding: ForwardingOptions
     ) -> list[tuple[bytes, bytes]]:
@@ -158,7 +154,7 @@
 
     def response_headers(self, headers: RawHeaders) -> list[tuple[bytes, bytes]]:
         """Return a response's headers to pass on to the caller, without ``content-length``."""
-        dropped = HOP_BY_HOP_HEADERS | _connection_options(headers)
+        dropped = hop_by_hop_headers(headers, _is_end_to_end)
         return [(name, value) for name, value in headers if name not in dropped]
 
     def hold_call(self, tokens: int, ttl_s: float) -> EngineCall:
@@ -217,7 +213,7 @@
 def _forwardable_headers(
     headers: RawHeaders, forwarding: ForwardingOptions
 ) -> Iterator[tuple[bytes, bytes]]:
-    dropped = HOP_BY_HOP_HEADERS | SYSTEM_HEADERS | _connection_options(headers)
+    dropped = hop_by_hop_headers(headers, _is_end_to_end) | SYSTEM_HEADERS
     if forwarding.last_event is not None:
         dropped |= {LAST_EVENT_ID}
     return ((name, value) for name, value in headers if name not in dropped)
@@ -238,22 +234,8 @@
         yield LAST_EVENT_ID, forwarding.last_event.encode()
 
 
-def _connection_options(headers: RawHeaders) -> frozenset[bytes]:
-    """Return the headers that a ``Connection`` header names as hop-by-hop.
-
-    Headers that identify a request or describe its body are end-to-end even if they are named.
-    """
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for part in value.split(b",")
-    }
-    return frozenset(
-        name
-        for name in named
-        if not name.startswith(PLATFORM_PREFIX) and name not in _END_TO_END_HEADERS
-    )
+def _is_end_to_end(name: bytes) -> bool:
+    return name.startswith(PLATFORM_PREFIX)
 
 
 def _parse_number(text: bytes | None) -> float | None:
@@ -266,6 +248,12 @@
     return value if 0 <= value < 1e12 else None
 
 
+def _digest_api_key(headers: RawHeaders) -> KeyDigest | None:
+    """Return the digest of the API key, or ``None`` unless there is exactly one."""
+    keys = [value for name, value in headers if name == API_KEY]
+    return digest_key(keys[0]) if len(keys) == 1 else None
+
+
 def _parse_request_id(text: bytes) -> str | None:
     """Return the id of another request, or ``None`` if the text can be none."""
     if not 0 < len(text) <= MAX_REQUEST_ID_LENGTH:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -12,7 +12,7 @@
     r"x-chivehold-(?!not-a-name)|hold-take|hold-drop|kv-handle|kv-from|kv-move|kvRef|kvCapacity"
     r"|coldLeftMs|configApplyMs|graceS|retryBudgetRatio|targetLatencyMs|pathPrefix|trafficSplit"
     r"|timeoutMs|maxAttempts|sessionAffinity|gapAimMs|fenceToken|opType|currentRev"
-    r"|hasMore|createRevision|platformApi|nodeName|/v1/objects|/v1/report|/v1/order|/v1/ready",
+    r"|apiKeys|ratePerS|plainTokens|hasMore|createRevision|platformApi|nodeName|/v1/objects|/v1/report|/v1/order|/v1/ready",
     re.IGNORECASE,
 )
 MAX_FOLDER_LINES = 900
