Organisations: faulty ones are left out, 401 says why, ids of streams are their own

One bad field in the list of organisations made the whole configuration unusable, and a list without a usable organisation would have opened all routes. A request without an id but also without a key now gets 401. Streams of two organisations with the same request id no longer share an origin. Each 401 is logged with its reason and the age of the configuration, and counted.

--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from chivehold.core.direct.organisations import KeyDigest
+from chivehold.core.direct.organisations import ApiKey, KeyFault
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 """Headers in the order received, with names in lower case."""
@@ -60,8 +60,8 @@
     """Id of the request that brought the first event of the stream that the caller resumes."""
     prompt_parts: tuple[str, ...] = ()
     """Ids of the parts of the prompt, in order; the last one belongs to this request alone."""
-    key_digest: KeyDigest | None = None
-    """Digest of the caller's API key; ``None`` without exactly one key of a possible length."""
+    api_key: ApiKey = KeyFault.MISSING
+    """Digest of the caller's API key, or why there is none."""
 
     @property
     def tokens(self) -> int:
--- a/src/chivehold/core/direct/organisations.py
+++ b/src/chivehold/core/direct/organisations.py
@@ -1,6 +1,6 @@
 """Organisations: which one a caller belongs to, how urgent its requests are, and its quota."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import StrEnum
 from hashlib import blake2b
 from typing import NamedTuple, NewType
@@ -13,6 +13,22 @@
 _DIGEST_BYTES = 16
 
 
+class KeyFault(StrEnum):
+    """Why a request's API key identifies no organisation."""
+
+    MISSING = "missing"
+    REPEATED = "repeated"
+    """The request has several keys, so that it is not certain who sent it."""
+    UNUSABLE = "unusable"
+    """The key is empty or too long."""
+    UNKNOWN = "unknown"
+    """No organisation holds the key."""
+
+
+ApiKey = KeyDigest | KeyFault
+"""The digest of a request's only API key, or why there is none."""
+
+
 class QuotaUnit(StrEnum):
     """What a quota counts."""
 
@@ -57,7 +73,7 @@
     """Finds the organisation of an API key.
 
     Args:
-        organisations: The organisations of the active configuration.
+        organisations: The organisations of the active configuration. No two hold the same key.
     """
 
     def __init__(self, organisations: Iterable[Organisation]) -> None:
@@ -67,9 +83,11 @@
             for digest in organisation.key_digests
         }
 
-    def find(self, digest: KeyDigest | None) -> Organisation | None:
-        """Return the organisation that holds a key, or ``None`` if none does."""
-        return None if digest is None else self._by_digest.get(digest)
+    def identify(self, key: ApiKey) -> Organisation | KeyFault:
+        """Return the organisation that holds a key, or why none is identified."""
+        if isinstance(key, KeyFault):
+            return key
+        return self._by_digest.get(key, KeyFault.UNKNOWN)
 
 
 def digest_key(key: bytes) -> KeyDigest | None:
@@ -77,3 +95,16 @@
     if not 0 < len(key) <= MAX_KEY_BYTES:
         return None
     return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
+
+
+def read_api_key(values: Sequence[bytes]) -> ApiKey:
+    """Return the API key of a request.
+
+    Args:
+        values: The values of all headers that carry a key.
+    """
+    if not values:
+        return KeyFault.MISSING
+    if len(values) > 1:
+        return KeyFault.REPEATED
+    return digest_key(values[0]) or KeyFault.UNUSABLE
--- a/src/chivehold/core/direct/routes.py
+++ b/src/chivehold/core/direct/routes.py
@@ -5,7 +5,13 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from chivehold.core.direct.organisations import KeyDigest, Organisation, OrganisationIndex
+from chivehold.core.direct.organisation_list import OrganisationFault
+from chivehold.core.direct.organisations import (
+    ApiKey,
+    KeyFault,
+    Organisation,
+    OrganisationIndex,
+)
 
 
 class CallKind(StrEnum):
@@ -88,7 +94,13 @@
     services: Mapping[str, ServiceConfig]
     max_body_bytes: int
     organisations: tuple[Organisation, ...] = ()
-    """If there are any, callers identify themselves by an API key."""
+    organisation_faults: tuple[OrganisationFault, ...] = ()
+    """What is unusable in the organisations of the configuration."""
+
+    @property
+    def has_organisations(self) -> bool:
+        """Whether callers identify themselves by API keys, even if no organisation is usable."""
+        return bool(self.organisations or self.organisation_faults)
 
     def engine_config(self, service: str) -> EngineConfig | None:
         """Return the configuration of a service's engines, or ``None`` for a plain service."""
@@ -115,13 +127,13 @@
         """The configuration in force."""
         return self._table
 
-    def organisation_of(self, key_digest: KeyDigest | None) -> Organisation | None:
-        """Return the organisation that holds an API key, or ``None`` if none does."""
-        return self._organisations.find(key_digest)
+    def identify(self, key: ApiKey) -> Organisation | KeyFault:
+        """Return the organisation that holds an API key, or why none is identified."""
+        return self._organisations.identify(key)
 
     def needs_key(self, route: Route) -> bool:
         """Return whether callers of a route have to identify themselves by an API key."""
-        return bool(self._table.organisations) and not route.anonymous
+        return self._table.has_organisations and not route.anonymous
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or ``None``.
--- a/src/chivehold/core/direct/stream_origins.py
+++ b/src/chivehold/core/direct/stream_origins.py
@@ -30,15 +30,20 @@
     """Whether several streams with this key began at different versions."""
 
 
-def origin_key(host: str, target: bytes, request_id: str) -> OriginKey:
+def origin_key(host: str, target: bytes, request_id: str, organisation: str = "") -> OriginKey:
     """Return the key of the stream that a request begins.
 
     Args:
         host: The request's host.
         target: Its path and query; a caller that resumes a stream repeats them.
         request_id: Its id.
+        organisation: The name of its organisation, which may use the same ids as another; empty if
+            there is none.
     """
-    content = b"\0".join((host.lower().encode(), target, request_id.encode()))
+    parts = [host.lower().encode(), target, request_id.encode()]
+    if organisation:
+        parts.append(organisation.encode())
+    content = b"\0".join(parts)
     digest = blake2b(content, digest_size=_DIGEST_BYTES).digest()
     return OriginKey(urlsafe_b64encode(digest).decode())
 
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -170,6 +170,7 @@
             self._retries,
             self._metrics,
             BodyBudget(settings.max_held_bytes),
+            lambda: self._replicas.configuration_age_s(trio.current_time()),
         )
         self._replicas = StoreReplicas(
             store,
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -1,13 +1,14 @@
 """The ASGI application that serves callers."""
 
 import logging
+from collections.abc import Callable
 
 import trio
 
 from chivehold.bodies import BodyBudget, declared_body_bytes
 from chivehold.core.direct.crash_keys import prompt_part_keys, request_key
 from chivehold.core.direct.messages import Dialect, RawHeaders, RequestMetadata
-from chivehold.core.direct.organisations import Organisation
+from chivehold.core.direct.organisations import KeyFault, Organisation
 from chivehold.core.direct.returning_callers import ReturnDetector
 from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
 from chivehold.core.direct.shared_retries import SharedRetryBudget
@@ -17,10 +18,10 @@
 from chivehold.direct.refusals import (
     NO_REQUEST_ID,
     NO_ROUTE,
-    UNKNOWN_KEY,
     Refusal,
     not_run_refusal,
     send_refusal,
+    unidentified_refusal,
 )
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.exceptions import BudgetSpent
@@ -44,6 +45,8 @@
         retries: Counts each request for the retry budget.
         metrics: Counts and measures requests.
         bodies: Limits the memory held by the bodies of all requests in progress.
+        configuration_age_s: Returns the seconds since the store last confirmed the routes, or
+            ``None`` if it never did.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         retries: SharedRetryBudget,
         metrics: DirectMetrics,
         bodies: BodyBudget,
+        configuration_age_s: Callable[[], float | None],
     ) -> None:
         self._dialect = dialect
         self._plain = plain
@@ -61,6 +65,7 @@
         self._retries = retries
         self._metrics = metrics
         self._bodies = bodies
+        self._configuration_age_s = configuration_age_s
         self._return_detector = ReturnDetector()
         self._routes: RouteIndex | None = None
         self._is_draining = False
@@ -111,28 +116,33 @@
         headers: RawHeaders = scope["headers"]
         metadata = self._dialect.read_request(headers)
         route = routes.find(_host(headers), scope["raw_path"].decode("latin-1"))
-        if route is None or not metadata.request_id:
-            refusal = NO_ROUTE if route is None else NO_REQUEST_ID
-            self._log_refusal(metadata.request_id, refusal, routes)
-            await send_refusal(reply, refusal)
+        if route is None:
+            await self._refuse(metadata, NO_ROUTE, routes, reply)
             return
-        organisation = routes.organisation_of(metadata.key_digest)
-        if organisation is None and routes.needs_key(route):
-            self._log_refusal(metadata.request_id, UNKNOWN_KEY, routes)
-            await send_refusal(reply, UNKNOWN_KEY)
+        organisation = routes.identify(metadata.api_key)
+        if isinstance(organisation, KeyFault) and routes.needs_key(route):
+            await self._refuse_key(metadata, organisation, routes, reply)
+            return
+        if not metadata.request_id:
+            await self._refuse(metadata, NO_REQUEST_ID, routes, reply)
             return
         max_body_bytes = routes.table.max_body_bytes
         try:
             with self._bodies.reserve(declared_body_bytes(scope, max_body_bytes)) as reserved:
                 body = await read_body(receive, max_body_bytes, on_size=reserved.grow_to)
                 exchange = self._build_exchange(
-                    scope, metadata, route, routes, organisation, body, arrived_at
+                    scope,
+                    metadata,
+                    route,
+                    routes,
+                    None if isinstance(organisation, KeyFault) else organisation,
+                    body,
+                    arrived_at,
                 )
                 await self._serve_until_disconnect(exchange, receive, reply, routes)
         except BudgetSpent as error:
             refusal = not_run_refusal("bodies_full", error.detail, BODIES_FULL_RETRY_S)
-            self._log_refusal(metadata.request_id, refusal, routes)
-            await send_refusal(reply, refusal)
+            await self._refuse(metadata, refusal, routes, reply)
 
     def _build_exchange(
         self,
@@ -149,7 +159,7 @@
         host = _host(scope["headers"]).encode("latin-1")
         headers: RawHeaders = scope["headers"]
         name = organisation.name if organisation else None
-        if routes.table.organisations:
+        if routes.table.has_organisations:
             headers = self._dialect.identified_headers(headers, name)
         content_key = request_key(host, target, headers, body, name or "")
         limit_s = route.timeout_s
@@ -207,14 +217,36 @@
         self._metrics.observe_response_time(exchange.route.kind, exchange.age_s())
         return outcome
 
-    def _log_refusal(self, request_id: str, refusal: Refusal, routes: RouteIndex) -> None:
+    async def _refuse(
+        self,
+        metadata: RequestMetadata,
+        refusal: Refusal,
+        routes: RouteIndex,
+        reply: Reply,
+        configuration_age_ms: int | None = None,
+    ) -> None:
         log_event(
             _log,
             logging.INFO,
             "request refused",
-            request=request_id,
+            request=metadata.request_id,
             reason=refusal.reason,
             configuration=routes.table.version,
+            configuration_age_ms=configuration_age_ms,
+        )
+        await send_refusal(reply, refusal)
+
+    async def _refuse_key(
+        self, metadata: RequestMetadata, fault: KeyFault, routes: RouteIndex, reply: Reply
+    ) -> None:
+        self._metrics.count_unidentified(fault)
+        age_s = self._configuration_age_s()
+        await self._refuse(
+            metadata,
+            unidentified_refusal(fault),
+            routes,
+            reply,
+            configuration_age_ms=None if age_s is None else round(age_s * 1_000),
         )
 
 
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -7,6 +7,7 @@
 from aioprometheus.renderer import render
 
 from chivehold.core.direct.messages import UpstreamRecord
+from chivehold.core.direct.organisations import KeyFault
 from chivehold.core.direct.quarantine import OrderEvent
 from chivehold.metrics import RenderedMetrics
 
@@ -29,6 +30,12 @@
             None,
             registry,
         )
+        self._unidentified = Counter(
+            "chivehold_unidentified_requests_total",
+            "Requests refused with 401, by what is wrong with their API key.",
+            None,
+            registry,
+        )
         self._resumptions = Counter(
             "chivehold_resumptions_total",
             "Streams resumed by their callers, by service and how what began them was known, or why"
@@ -152,6 +159,10 @@
         """Count a request that has ended."""
         self._requests.inc({"kind": kind, "outcome": outcome})
 
+    def count_unidentified(self, fault: KeyFault) -> None:
+        """Count a request that was refused because of its API key."""
+        self._unidentified.inc({"reason": str(fault)})
+
     def count_attempt(self, service: str, verdict: str) -> None:
         """Count a call to an upstream."""
         self._attempts.inc({"service": service, "verdict": str(verdict)})
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -4,10 +4,14 @@
 
 import msgspec
 
+from chivehold.core.direct.organisations import KeyFault
 from chivehold.direct.exchange import Reply
 
 JSON = (b"content-type", b"application/json")
+CHALLENGE = (b"www-authenticate", b"ApiKey")
+"""Required by HTTP in each 401; the scheme has no parameters."""
 
+UNIDENTIFIED_STATUS = 401
 MAX_RETRY_AFTER_S = 5.0
 """Longest time to come back while upstreams want no requests; another may be added sooner."""
 
@@ -38,14 +42,26 @@
     return Refusal(status, reason, message)
 
 
-UNKNOWN_KEY = Refusal(401, "unknown_key", "no organisation holds this API key")
+_KEY_MESSAGES = {
+    KeyFault.MISSING: "the request has no API key",
+    KeyFault.REPEATED: "the request has several API keys",
+    KeyFault.UNUSABLE: "the API key is empty or too long",
+    KeyFault.UNKNOWN: "no organisation holds this API key",
+}
 NO_ROUTE = Refusal(404, "no_route", "no route for this host and path")
 NO_REQUEST_ID = Refusal(400, "no_request_id", "the request has no id")
 
 
+def unidentified_refusal(fault: KeyFault) -> Refusal:
+    """Return the response to a request that no organisation is known to have sent."""
+    return Refusal(UNIDENTIFIED_STATUS, f"key_{fault}", _KEY_MESSAGES[fault])
+
+
 async def send_refusal(reply: Reply, refusal: Refusal) -> None:
     """Send a refusal as a JSON response."""
     headers = [JSON]
+    if refusal.status == UNIDENTIFIED_STATUS:
+        headers.append(CHALLENGE)
     if refusal.retry_after_s is not None:
         headers.append((b"retry-after", f"{refusal.retry_after_s:.2f}".encode()))
     body = msgspec.json.encode({"reason": refusal.reason, "message": refusal.message})
--- a/src/chivehold/direct/resumptions.py
+++ b/src/chivehold/direct/resumptions.py
@@ -170,7 +170,12 @@
     metadata = exchange.metadata
     if metadata.resumes is None and metadata.last_event is not None:
         return None
-    return origin_key(exchange.host, exchange.target, metadata.resumes or metadata.request_id)
+    return origin_key(
+        exchange.host,
+        exchange.target,
+        metadata.resumes or metadata.request_id,
+        exchange.organisation.name if exchange.organisation else "",
+    )
 
 
 def _origin_at(upstream: UpstreamRecord) -> StreamOrigin:
--- a/src/chivehold/direct/store_replicas.py
+++ b/src/chivehold/direct/store_replicas.py
@@ -24,6 +24,9 @@
 Records expire after three intervals; the last heartbeat may be one interval old when it begins.
 """
 
+MAX_LOGGED_FAULTS = 20
+"""Faults of organisations to log for each version of the configuration."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -101,10 +104,14 @@
             nursery.start_soon(self._configuration_follower.run)
             nursery.start_soon(self._upstream_follower.run)
 
+    def configuration_age_s(self, now: float) -> float | None:
+        """Return the seconds since the store last confirmed the routes, or ``None`` if never."""
+        return self._route_tables.age_s(now)
+
     def dump(self, now: float) -> dict[str, Any]:
         """Return the age of both replicas for the operators' dump."""
         return {
-            "configuration_age_s": self._route_tables.age_s(now),
+            "configuration_age_s": self.configuration_age_s(now),
             "upstreams_revision": self._upstreams.revision,
             "upstreams_age_s": self._upstreams.age_s(now),
         }
@@ -120,8 +127,18 @@
             configuration=table.version,
             before=self._version,
             routes=len(table.routes),
+            organisations=len(table.organisations) or None,
             revision=self._route_tables.revision,
         )
+        for fault in table.organisation_faults[:MAX_LOGGED_FAULTS]:
+            log_event(
+                _log,
+                logging.WARNING,
+                "organisation unusable",
+                organisation=fault.organisation,
+                detail=fault.detail,
+                configuration=table.version,
+            )
         self._version = table.version
         self._handlers.apply_routes(table)
 
--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -59,6 +59,8 @@
         """When each request was received, on the trio clock."""
         self.received: list[dict[str, str]] = []
         """Headers of each received request, with ``method``, ``target`` and ``body`` added."""
+        self.received_headers: list[tuple[tuple[bytes, bytes], ...]] = []
+        """All headers of each received request, including repeated ones."""
         self.runs: list[str] = []
         """Ids of the requests that were run."""
         self.abandoned_requests: list[str] = []
@@ -66,13 +68,15 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
-        headers = {key.decode(): value.decode() for key, value in scope["headers"]}
+        raw_headers = tuple((bytes(key), bytes(value)) for key, value in scope["headers"])
+        headers = {key.decode(): value.decode("utf-8", "replace") for key, value in raw_headers}
         body = await read_body(receive, MAX_BODY_BYTES)
         target = scope["raw_path"].decode()
         if scope["query_string"]:
             target += "?" + scope["query_string"].decode()
         received = {**headers, "method": scope["method"], "target": target, "body": body.decode()}
         self.received.append(received)
+        self.received_headers.append(raw_headers)
         self.received_at.append(trio.current_time())
         response_ended = trio.Event()
 
--- a/src/chivehold/platform/configuration.py
+++ b/src/chivehold/platform/configuration.py
@@ -6,7 +6,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from chivehold.core.direct.organisations import Organisation, Quota, QuotaUnit, digest_key
+from chivehold.core.direct.organisation_list import DeclaredOrganisation, check_organisations
+from chivehold.core.direct.organisations import QuotaUnit
 from chivehold.core.direct.routes import (
     CallKind,
     EngineConfig,
@@ -19,7 +20,6 @@
 CONFIGURATION_KIND = "config"
 DEFAULT_BODY_BYTES = 4 << 20
 DEFAULT_TIMEOUT_MS = 30_000.0
-
 TOKEN_UNIT = "generate"
 
 _CALL_KINDS = {
@@ -69,17 +69,6 @@
     engine: NotRequired[_EngineJson | None]
 
 
-class _OrganisationJson(TypedDict):
-    name: str
-    apiKeys: NotRequired[list[str] | None]
-    priority: NotRequired[int | None]
-    unit: NotRequired[str | None]
-    plainTokens: NotRequired[float | None]
-    """Cost of a request without a number of tokens."""
-    ratePerS: NotRequired[float | None]
-    burst: NotRequired[float | None]
-
-
 class _LimitsJson(TypedDict):
     maxBodyBytes: NotRequired[int | None]
 
@@ -89,7 +78,8 @@
     routes: list[_RouteJson]
     services: list[_ServiceJson]
     limits: NotRequired[_LimitsJson | None]
-    tenants: NotRequired[list[_OrganisationJson] | None]
+    tenants: NotRequired[list[object] | None]
+    """Fields that cannot be used do not make the whole configuration unusable."""
 
 
 def decode_configuration(name: str, spec: bytes) -> Result[RouteTable, str]:
@@ -102,8 +92,8 @@
     routes = tuple(_decode_routes(decoded["routes"]))
     limits = decoded.get("limits") or {}
     max_body_bytes = limits.get("maxBodyBytes") or DEFAULT_BODY_BYTES
-    organisations = tuple(map(_decode_organisation, decoded.get("tenants") or ()))
-    return Success(RouteTable(decoded["version"], routes, services, max_body_bytes, organisations))
+    organisations = check_organisations(map(_read_organisation, decoded.get("tenants") or ()))
+    return Success(RouteTable(decoded["version"], routes, services, max_body_bytes, *organisations))
 
 
 def _decode_routes(routes: list[_RouteJson]) -> Iterator[Route]:
@@ -130,20 +120,17 @@
         )
 
 
-def _decode_organisation(organisation: _OrganisationJson) -> Organisation:
-    digests = (digest_key(key.encode()) for key in organisation.get("apiKeys") or ())
-    rate = organisation.get("ratePerS") or 0.0
-    quota = Quota(
-        rate=rate,
-        burst=organisation.get("burst") or 0.0,
-        unit=QuotaUnit.TOKENS if organisation.get("unit") == TOKEN_UNIT else QuotaUnit.REQUESTS,
-        default_tokens=int(organisation.get("plainTokens") or 0),
-    )
-    return Organisation(
-        name=organisation["name"],
-        key_digests=frozenset(digest for digest in digests if digest is not None),
-        priority=organisation.get("priority"),
-        quota=quota if rate > 0 else None,
+def _read_organisation(fields: object) -> DeclaredOrganisation:
+    if not isinstance(fields, dict):
+        return DeclaredOrganisation()
+    return DeclaredOrganisation(
+        name=fields.get("name"),
+        keys=fields.get("apiKeys"),
+        priority=fields.get("priority"),
+        rate=fields.get("ratePerS"),
+        burst=fields.get("burst"),
+        default_tokens=fields.get("plainTokens"),
+        unit=QuotaUnit.TOKENS if fields.get("unit") == TOKEN_UNIT else QuotaUnit.REQUESTS,
     )
 
 
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -19,7 +19,7 @@
     UpstreamRecord,
     UpstreamSignals,
 )
-from chivehold.core.direct.organisations import KeyDigest, digest_key
+from chivehold.core.direct.organisations import read_api_key
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -41,6 +41,7 @@
 API_KEY = b"x-api-key"
 ORGANISATION = b"x-chivehold-tenant"
 """Name of the organisation that holds the caller's API key; set by the system only."""
+IDENTITY_HEADERS = frozenset((API_KEY, ORGANISATION))
 MAX_REQUEST_ID_LENGTH = 256
 """Longest id that can name a request."""
 SIGNATURE = b"x-chivehold-server-stamp"
@@ -109,12 +110,14 @@
             last_event=None if last_event is None else last_event.decode("latin-1"),
             resumes=_parse_request_id(headers_by_name.get(RESUMES, b"")),
             prompt_parts=_parse_prompt_parts(headers_by_name.get(PROMPT_PARTS, b"")),
-            key_digest=_digest_api_key(headers),
+            api_key=read_api_key([value for name, value in headers if name == API_KEY]),
         )
 
     def identified_headers(self, headers: RawHeaders, organisation: str | None) -> RawHeaders:
         """Return a caller's headers with its organisation in place of its API key."""
-        kept = [header for header in headers if header[0] not in (API_KEY, ORGANISATION)]
+        # Some upstreams do not tell an underscore in a header's name from a hyphen.
+        replaced = {name for name, _ in headers if name.replace(b"_", b"-") in IDENTITY_HEADERS}
+        kept = [header for header in headers if header[0] not in replaced]
         if organisation is not None:
             kept.append((ORGANISATION, organisation.encode()))
         return kept
@@ -248,12 +251,6 @@
     return value if 0 <= value < 1e12 else None
 
 
-def _digest_api_key(headers: RawHeaders) -> KeyDigest | None:
-    """Return the digest of the API key, or ``None`` unless there is exactly one."""
-    keys = [value for name, value in headers if name == API_KEY]
-    return digest_key(keys[0]) if len(keys) == 1 else None
-
-
 def _parse_request_id(text: bytes) -> str | None:
     """Return the id of another request, or ``None`` if the text can be none."""
     if not 0 < len(text) <= MAX_REQUEST_ID_LENGTH:
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -1,7 +1,7 @@
 """Test harness: an entry without sidecars with fake store and upstreams, all in one process."""
 
 import os
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -108,20 +108,31 @@
         }
         self.store.put("servers", upstream.name, record | stage | dict(fields or {}))
 
-    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+    def configure(
+        self, version: int, routes: list[dict[str, Any]], organisations: object = None
+    ) -> None:
         """Write a configuration into the store."""
         services = [
             {"name": "plain", "healthPath": "/health", "maxConnections": 100},
             {"name": "model", "maxConnections": 100, "engine": ENGINE_CONFIG},
         ]
-        spec = {
+        spec: dict[str, Any] = {
             "version": version,
             "routes": routes,
             "services": services,
             "limits": {"maxBodyBytes": 100_000},
         }
+        if organisations is not None:
+            spec["tenants"] = organisations
         self.store.put("config", "main", spec)
 
+    async def apply(
+        self, version: int, routes: list[dict[str, Any]], organisations: object = None
+    ) -> None:
+        """Write a configuration into the store and wait until the entry uses it."""
+        self.configure(version, routes, organisations)
+        await wait_until(lambda: self.entry.dump()["configuration"] == version)
+
     async def call(
         self,
         path: str,
@@ -129,14 +140,20 @@
         method: str = "GET",
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        further: Sequence[tuple[bytes, bytes]] = (),
     ) -> HttpResponse:
-        """Send a request and read the complete response."""
+        """Send a request and read the complete response; ``further`` may repeat headers."""
         raw = [
             (key.encode(), value.encode()) for key, value in self._headers(request, headers).items()
         ]
         with trio.fail_after(10.0):
             async with self._client.relay(
-                self.address, method, path.encode(), step="call", headers=raw, body=body
+                self.address,
+                method,
+                path.encode(),
+                step="call",
+                headers=[*raw, *further],
+                body=body,
             ) as response:
                 chunks = [chunk async for chunk in response.chunks]
         text = tuple((key.decode(), value.decode()) for key, value in response.headers)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -12,6 +12,7 @@
     StageOrder,
     UpstreamSignals,
 )
+from chivehold.core.direct.organisations import ApiKey, KeyFault, digest_key
 from chivehold.platform.dialect import PlatformDialect
 from tests.core.direct.factories import upstream
 
@@ -63,6 +64,47 @@
         assert DIALECT.read_request(duplicated).request_id == "a"
 
 
+class TestApiKey:
+    KEY = (b"x-api-key", b"secret-1")
+
+    @pytest.mark.parametrize(
+        ("headers", "expected"),
+        [
+            ([], KeyFault.MISSING),
+            ([KEY, KEY], KeyFault.REPEATED),
+            ([KEY, (b"x-api-key", b"")], KeyFault.REPEATED),
+            ([(b"x-api-key", b"")], KeyFault.UNUSABLE),
+            ([(b"x-api-key", b"k" * 10_000)], KeyFault.UNUSABLE),
+            ([KEY], digest_key(b"secret-1")),
+        ],
+    )
+    def test_is_read(self, headers: list[tuple[bytes, bytes]], expected: ApiKey) -> None:
+        """Guards against a caller that is identified by one of several keys."""
+        assert DIALECT.read_request([*REQUEST, *headers]).api_key == expected
+
+    def test_organisation_replaces_it(self) -> None:
+        """Guards against a key at an upstream, and an organisation that the caller names itself."""
+        forged = [
+            self.KEY,
+            (b"x-chivehold-tenant", b"other"),
+            (b"x_chivehold_tenant", b"other"),
+            (b"x_api_key", b"secret-1"),
+            (b"x-chivehold-tenant", b""),
+            (b"connection", b"x-chivehold-tenant, x-api-key"),
+        ]
+        headers = DIALECT.identified_headers([*forged, *REQUEST], "Société")
+        sent = DIALECT.forwarded_headers(headers, upstream("i-1"), ForwardingOptions(1.0))
+        named = [value for name, value in sent if name.replace(b"_", b"-") == b"x-chivehold-tenant"]
+        assert named == ["Société".encode()]
+        assert not [name for name, value in sent if b"secret-1" in value]
+        assert set(REQUEST) - set(sent) == {(b"x-chivehold-deadline-ms", b"14000")}
+
+    def test_anonymous_caller_names_no_organisation(self) -> None:
+        """Guards against a caller without a key that claims to belong to an organisation."""
+        headers = DIALECT.identified_headers([(b"x-chivehold-tenant", b"other"), *REQUEST], None)
+        assert list(headers) == REQUEST
+
+
 class TestForwarded:
     def test_headers_added_by_the_entry(self) -> None:
         """The entry adds deadline, expected upstream, KV source, reservation and last event."""
