--- a/tests/direct/versioned.py
+++ b/tests/direct/versioned.py
@@ -85,6 +85,7 @@
     after: int | None = None,
     leaves_after: int | None = None,
     path: str = PATH,
+    key: str | None = None,
 ) -> Received:
     """Send a request for a stream and return what came of it.
 
@@ -95,9 +96,11 @@
         after: Number of the last event that the caller has.
         leaves_after: Close the connection after the event with this number.
         path: The path of the request.
+        key: The caller's API key.
     """
     headers = {"resumes": resumes} if resumes is not None else {}
     headers |= {"last-event-id": str(after)} if after is not None else {}
+    headers |= {"x-api-key": key} if key is not None else {}
     status, body, retry_after = 0, b"", None
     try:
         async with harness.stream(path, request, headers) as response:
