--- a/tests/fuzz/test_readers.py
+++ b/tests/fuzz/test_readers.py
@@ -11,6 +11,7 @@
 from chivehold.core.direct.events import EventSplitter, StreamEvent, is_newer_event
 from chivehold.core.direct.gossip import GossipItem
 from chivehold.core.direct.messages import RawHeaders
+from chivehold.core.direct.organisations import read_api_key
 from chivehold.core.direct.routes import RouteIndex
 from chivehold.exceptions import Malformed
 from chivehold.http_client import HttpClient, LinkError
@@ -82,11 +83,16 @@
 
     @cases("configurations")
     def test_configurations(self, data: bytes) -> None:
-        """A configuration is refused, or requests can be matched against it."""
+        """A configuration is refused, or requests can be matched against it and their callers."""
         for mutant in mutants(data, 5, MUTANTS):
             table = decode_configuration("main", mutant)
             if isinstance(table, Success):
-                RouteIndex(table.unwrap()).find("example.org", "/any/path")
+                routes = RouteIndex(table.unwrap())
+                routes.find("example.org", "/any/path")
+                routes.identify(read_api_key([b"key-1"]))
+                for organisation in routes.table.organisations:
+                    headers = DIALECT.identified_headers((), organisation.name)
+                    assert not set(b"\r\n\0") & set(headers[0][1])
 
     @cases("datagrams")
     def test_datagrams(self, data: bytes) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,15 +9,26 @@
 import trio
 
 from chivehold.core.identity import Outcome, RequestId
+from chivehold.fakes.identity import api_key
 from chivehold.fakes.output import prompt_digest
 from chivehold.history.events import Call, CallEnd, Violation
 from tests.soak.entries import Entry, loopback_address
 from tests.soak.upstreams import SOFTWARE_MARK, STREAM_EVENTS
-from tests.soak.world import HOST, PLAIN_TIMEOUT_MS, STREAM_TIMEOUT_MS, World
+from tests.soak.world import (
+    HOST,
+    ORGANISATIONS,
+    PLAIN_TIMEOUT_MS,
+    STREAM_TIMEOUT_MS,
+    World,
+)
 
 PATHS = ("/get/", "/post/", "/resume/", "/tell/")
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+PROBE_PATH = "/probe/"
+"""Path of the only route that needs no API key."""
+UNIDENTIFIED_STATUS = 401
+NOT_RUN_STATUSES = frozenset((UNIDENTIFIED_STATUS, 408, 421, 429, 503))
 DISCONNECT_SHARE = 0.15
+UNKNOWN_KEY_SHARE = 0.03
 SHARED_PART = "5a5a5a"
 """First part of all prompts."""
 READY_POLL_INTERVAL_S = 0.5
@@ -78,6 +89,8 @@
     """Versions of the software that wrote that output."""
     parts: tuple[str, ...] = ()
     """Further parts of a stream's prompt, between the shared first part and its own."""
+    organisation: str | None = ORGANISATIONS[0]
+    """Whose key the caller sends; ``None`` if it sends an unknown one."""
 
 
 class Callers:
@@ -125,8 +138,13 @@
         disconnect_after_s = (
             self._rng.uniform(0.0, 1.2 if is_stream else 0.1) if disconnects else None
         )
+        number = next(self._request_numbers)
         return OutgoingRequest(
-            path, f"prompt {next(self._request_numbers)}", deadline_s, disconnect_after_s
+            path,
+            f"prompt {number}",
+            deadline_s,
+            disconnect_after_s,
+            organisation=ORGANISATIONS[number % len(ORGANISATIONS)],
         )
 
     async def call(self, name: str, outgoing: OutgoingRequest) -> Call:
@@ -145,6 +163,7 @@
             body_digest=prompt_digest(outgoing.prompt),
         )
         invocation = self._world.recorder.start_call(call)
+        self._world.work_log.organisations[request] = outgoing.organisation
         reader = _AnswerReader(is_stream, outgoing.received_text, outgoing.software)
         end = CallEnd.CALLER_LEFT
         try:
@@ -159,6 +178,10 @@
             result = {"end": end, "outcome": outcome, "text": reader.text}
             self._world.recorder.update_call(invocation, **result, completed_at_s=time.time())
             self._software[request] = frozenset(reader.software)
+            is_known = outgoing.organisation is not None
+            if reader.status == (UNIDENTIFIED_STATUS if is_known else 200):
+                detail = f"{request} of {outgoing.organisation} got {reader.status}"
+                self._world.work_log.violations.append(Violation("identity", name, detail))
             if len(reader.software) > 1:
                 detail = f"{request} (resumes {outgoing.resumes or 'none'}) holds events of" + (
                     f" {sorted(reader.software)}"
@@ -172,6 +195,8 @@
 
     async def _make_random_request(self, name: str) -> None:
         outgoing = self.new_request(self._rng.choice(PATHS), self._rng.random() < DISCONNECT_SHARE)
+        if self._rng.random() < UNKNOWN_KEY_SHARE:
+            outgoing = outgoing._replace(organisation=None)
         call = await self.call(name, outgoing)
         if outgoing.path == "/resume/" and call.end is CallEnd.BROKEN and call.text:
             others = [
@@ -190,7 +215,7 @@
     async def ask_probe(self, name: str) -> str | None:
         """Return the probe service that an entry routes to, or ``None`` without a whole answer."""
         reader = _AnswerReader(is_stream=False)
-        outgoing = OutgoingRequest("/probe/", "", 1.0)
+        outgoing = OutgoingRequest(PROBE_PATH, "", 1.0)
         end: CallEnd | None = None
         with trio.move_on_after(1.5):
             end = await self._exchange(name, f"p{next(self._request_numbers)}", outgoing, reader)
@@ -206,6 +231,9 @@
             ("x-chivehold-token-count", "100,200"),
             ("x-chivehold-length-hint", "190"),
         ]
+        if outgoing.path != PROBE_PATH:
+            headers.append(("x-api-key", api_key(outgoing.organisation or "nobody")))
+            headers.append(("x-chivehold-tenant", "forged"))
         if outgoing.path in ("/resume/", "/tell/"):
             parts = (SHARED_PART, *outgoing.parts, prompt_digest(outgoing.prompt)[:12])
             prompt = ",".join(f"{part}:10" for part in parts)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 import httpcore
 import trio
 
+from chivehold.fakes.identity import KEY_MARK
 from chivehold.history.events import CallEnd, Violation
 from tests.soak.callers import PATHS, Callers
 from tests.soak.crashers import Crashers, CrashRecord, check_crashers
@@ -183,13 +184,16 @@
 
 
 def _check_processes(world: World) -> list[Violation]:
-    """Check for unexpected exits and for tracebacks in the logs."""
+    """Check for unexpected exits, and for tracebacks and API keys in the logs."""
     violations = []
     for entry in world.entries.values():
         violations += [
             Violation("process", entry.name, detail) for detail in entry.unexpected_exits
         ]
         for log in entry.logs:
-            if "Traceback" in log.read_text(errors="replace"):
+            text = log.read_text(errors="replace")
+            if "Traceback" in text:
                 violations.append(Violation("traceback", entry.name, str(log)))
+            if KEY_MARK in text:
+                violations.append(Violation("secret_keys", entry.name, str(log)))
     return violations
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from chivehold.core.identity import AttemptId, RequestId, UpstreamName
+from chivehold.fakes.identity import identity_fault
 from chivehold.fakes.output import output_tokens, prompt_digest
 from chivehold.fakes.platform_upstream import REQUEST_ID_HEADER, ModelEngine, PlainUpstream
 from chivehold.history.events import UpstreamEvent, UpstreamEventKind, Violation
@@ -53,6 +54,8 @@
         self.arrivals: list[Arrival] = []
         self.signals: list[SentSignal] = []
         self.violations: list[Violation] = []
+        self.organisations: dict[str, str | None] = {}
+        """The organisation of each request; ``None`` if it has no known key and must not run."""
         self._attempts: Counter[str] = Counter()
 
     def record_arrival(
@@ -60,6 +63,15 @@
     ) -> None:
         self.arrivals.append(Arrival(time.time(), service, request, is_prefill, upstream))
 
+    def check_identity(self, upstream: str, request: str, headers: Mapping[str, str]) -> None:
+        """Check that a request carries its caller's organisation and no API key."""
+        organisation = self.organisations.get(request)
+        fault = identity_fault(headers, organisation)
+        if fault is None and organisation is None:
+            fault = "it has no known key"
+        if fault is not None:
+            self.violations.append(Violation("identity", upstream, f"{request}: {fault}"))
+
     def record_signals(
         self, upstream: str, request: str, headers: Iterable[tuple[str, str]]
     ) -> None:
@@ -100,6 +112,7 @@
     ) -> None:
         request, announced = headers[REQUEST_ID_HEADER], tuple(self.response_headers)
         self._work_log.record_arrival("plain", request, self.run)
+        self._work_log.check_identity(self.run, request, headers)
         await super()._handle(scope, headers, body, send)
         sent = (header for header in announced if header in self.response_headers)
         self._work_log.record_signals(self.run, request, sent)
@@ -139,6 +152,7 @@
         if request is not None:
             is_prefill = headers.get("x-chivehold-stage") == "prefill"
             self._work_log.record_arrival("model", request, self.run, is_prefill)
+            self._work_log.check_identity(self.run, request, headers)
         await super()._handle(scope, headers, body, send)
         if request is not None:
             sent = (header for header in announced if header in self.response_headers)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,7 @@
 import trio
 
 from chivehold.core.identity import UpstreamName
+from chivehold.fakes.identity import api_key
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.history.events import Shutdown
 from chivehold.history.recorder import Recorder
@@ -30,6 +31,7 @@
 
 Their listings and those of the other upstreams fill more than one page of a list.
 """
+ORGANISATIONS = ("acme", "bolt", "société")
 PLAIN_TIMEOUT_MS = 2_000
 STREAM_TIMEOUT_MS = 6_000
 STAGE_POLL_INTERVAL_S = 0.2
@@ -175,7 +177,12 @@
             },
         ]
         services += [{"name": f"probe-{number}"} for number in range(PROBES)]
-        spec = {"version": self.configuration, "routes": self._routes(), "services": services}
+        spec = {
+            "version": self.configuration,
+            "routes": self._routes(),
+            "services": services,
+            "tenants": [{"name": name, "apiKeys": [api_key(name)]} for name in ORGANISATIONS],
+        }
         self.store.put("config", "main", spec)
 
     def version_of(self, probe: str) -> int:
@@ -280,7 +287,7 @@
         return [
             _route("/get/", "idempotent", "plain", maxAttempts=2),
             _route("/post/", "non_idempotent", "plain", maxAttempts=3),
-            _route("/probe/", "idempotent", probe),
+            _route("/probe/", "idempotent", probe, anonymous=True),
             _stream("/resume/", resumable=True, maxAttempts=3),
             _stream("/tell/", resumable=False, maxAttempts=3),
         ]
