Quotas of organisations are shared by all entries

Each entry keeps one token bucket for each organisation, charged with its own use at once and with that of the other entries when they report it. A request over the quota gets 429.

--- a/src/chivehold/core/direct/gossip.py
+++ b/src/chivehold/core/direct/gossip.py
@@ -15,6 +15,8 @@
 from random import Random
 from typing import NamedTuple
 
+from chivehold.core.direct.usage_reports import UsageReport
+
 ROUND_S = 0.1
 """Time between two rounds in which new facts are sent."""
 FANOUT = 4
@@ -65,6 +67,8 @@
     """Digest of the ids of the facts that the sender knows, if it asks for facts."""
     asks_for_items: bool
     """Whether a receiver with another digest is to send all its facts."""
+    usage: UsageReport | None = None
+    """If set, the message carries only this."""
 
 
 class OutgoingMessage(NamedTuple):
@@ -118,6 +122,11 @@
         """The address that other entries send messages to; empty if there is none yet."""
         return self._address
 
+    @property
+    def listed(self) -> Mapping[str, str]:
+        """The addresses of the other listed entries, by name."""
+        return self._listed
+
     def set_address(self, address: str) -> None:
         """Set the address that other entries send messages to."""
         self._address = address
--- /dev/null
+++ b/src/chivehold/core/direct/quotas.py
@@ -0,0 +1,280 @@
+"""Quotas of organisations: one token bucket for all entries together, kept at each entry.
+
+Each entry charges its own use at once and that of the others when they report it. A bucket fills at
+the organisation's rate, reduced by the equal shares of the entries that report nothing, since they
+may be using them. Its level may fall below zero: use that was reported late is repaid.
+
+Two limits make up for late reports. A part of the slack is granted as debt, so that callers within
+their quota are not rejected because of a stale view. And what an entry admits on the strength of
+reports of one age is bounded, since the others may be admitting as much at the same time.
+"""
+
+import math
+from collections.abc import Iterable, Iterator, Mapping
+from hashlib import blake2b
+from typing import NamedTuple
+
+from chivehold.core.direct.organisations import Organisation, Quota
+
+DEBT_SHARE = 0.5
+"""Part of the slack that is granted as debt; the rest is left for use that is reported late."""
+STALE_VIEW_SHARE = 0.5
+"""Part of what a full bucket could grant that one entry may use on reports of one age."""
+SLOT_S = 0.125
+"""Resolution with which recent use is remembered."""
+SLOTS = 24
+_ID_BYTES = 8
+
+OrganisationId = int
+"""Digest of an organisation's name, short enough for reports."""
+
+
+class QuotaPolicy(NamedTuple):
+    """What an organisation may use beyond rate and burst, over all entries together."""
+
+    window_s: float
+    """Any window of this length is bounded."""
+    overshoot: float
+    """Share of the quota of a window that may be used in addition."""
+    slack: float
+    """Units that may be used in addition in a window."""
+
+    def excess(self, quota: Quota) -> float:
+        """Return how much more than rate and burst may be used in a window."""
+        return self.overshoot * (quota.rate * self.window_s + quota.burst) + self.slack
+
+
+class View(NamedTuple):
+    """What an entry knows of the use of the other entries."""
+
+    entries: int
+    """Entries of the deployment, including this one."""
+    heard: int
+    """Entries whose reports arrive, including this one."""
+    oldest_report_s: float
+    """Age of the oldest report among those of the entries heard; 0 without any."""
+
+    @property
+    def share(self) -> float:
+        """Part of each quota that is left to the entries heard."""
+        return min(1.0, self.heard / self.entries)
+
+
+class QuotaDecision(NamedTuple):
+    """Whether a request is within the quota of its organisation, and why."""
+
+    organisation: str
+    cost: float
+    admitted: bool
+    level: float
+    """Level of the bucket after the request, if it is admitted."""
+    oldest_report_s: float
+    """Age of the oldest report that the decision is based on."""
+    retry_after_s: float = 0.0
+    """Time until the bucket has room for the request, if it is rejected."""
+
+
+class QuotaUse(NamedTuple):
+    """The state of one quota, for operators."""
+
+    organisation: str
+    quota: Quota
+    level: float
+    used: float
+    """Net cost of the requests that this entry has admitted."""
+    rejected: float
+    """Cost of the requests that this entry has rejected."""
+
+
+class RecentUse:
+    """Sums of what was used in the last few seconds."""
+
+    def __init__(self) -> None:
+        self._slots: dict[int, float] = {}
+
+    def add(self, amount: float, now: float) -> None:
+        """Add a use."""
+        slot = math.floor(now / SLOT_S)
+        if slot not in self._slots:
+            self._slots = {at: sum_ for at, sum_ in self._slots.items() if at > slot - SLOTS}
+        self._slots[slot] = self._slots.get(slot, 0.0) + amount
+
+    def since(self, at: float) -> float:
+        """Return the use since a moment, rounded down to the resolution."""
+        first = math.floor(at / SLOT_S)
+        return sum(amount for slot, amount in self._slots.items() if slot >= first)
+
+
+class QuotaBucket:
+    """The bucket of one organisation as one entry sees it; starts empty.
+
+    Args:
+        name: The organisation's name.
+        quota: Its quota.
+        now: Monotonic time in seconds.
+    """
+
+    def __init__(self, name: str, quota: Quota, now: float) -> None:
+        self._name = name
+        self._quota = quota
+        self._level = 0.0
+        self._filled_at = now
+        self._own = RecentUse()
+        self._all = RecentUse()
+        self._used = 0.0
+        self._rejected = 0.0
+
+    @property
+    def quota(self) -> Quota:
+        """The quota in force."""
+        return self._quota
+
+    def state(self, share: float, now: float) -> QuotaUse:
+        """Return the state for operators."""
+        self._fill(share, now)
+        return QuotaUse(self._name, self._quota, self._level, self._used, self._rejected)
+
+    def configure(self, quota: Quota, share: float, now: float) -> None:
+        """Apply a changed quota: a smaller burst cuts the level, a larger one fills at the rate."""
+        self._fill(share, now)
+        self._quota = quota
+        self._level = min(self._level, quota.burst * share)
+
+    def decide(self, cost: float, policy: QuotaPolicy, view: View, now: float) -> QuotaDecision:
+        """Charge a request if there is room for it."""
+        self._fill(view.share, now)
+        wait_s = self._wait_s(cost, policy, view, now) if cost > 0 else 0.0
+        if wait_s > 0:
+            self._rejected += cost
+        else:
+            self.charge(cost, now)
+        return QuotaDecision(
+            self._name, cost, wait_s <= 0, self._level, view.oldest_report_s, wait_s
+        )
+
+    def charge(self, amount: float, now: float) -> None:
+        """Charge use of this entry; a negative amount is a refund."""
+        self._used += amount
+        self._own.add(amount, now)
+        self.charge_reported(amount, now)
+
+    def charge_reported(self, amount: float, now: float) -> None:
+        """Charge use that another entry has reported; a negative amount is a refund."""
+        self._all.add(amount, now)
+        self._level -= amount
+
+    def lose_share(self, before: float, after: float, unheard_since: float, now: float) -> None:
+        """Leave a part of the quota to entries that have not been heard since a moment.
+
+        The level that all entries had in common at that moment is divided, and so is what has been
+        filled in since. What the remaining entries have used since counts against their part.
+        """
+        self._fill(before, now)
+        used = self._all.since(unheard_since)
+        common = self._level + used
+        if common > 0:
+            self._level = common * after / before - used
+
+    def _fill(self, share: float, now: float) -> None:
+        elapsed_s = max(0.0, now - self._filled_at)
+        self._filled_at = max(self._filled_at, now)
+        filled = self._level + elapsed_s * self._quota.rate * share
+        self._level = min(filled, self._quota.burst * share)
+
+    def _wait_s(self, cost: float, policy: QuotaPolicy, view: View, now: float) -> float:
+        """Return the time until a request has room; 0 if it has room now."""
+        # A request larger than the burst is admitted once the bucket is full.
+        needed = min(cost, self._quota.burst * view.share)
+        debt = DEBT_SHARE * policy.slack / view.entries
+        missing = needed - debt - self._level
+        wait_s = missing / (self._quota.rate * view.share) if missing > 0 else 0.0
+        if view.heard > 1:
+            most = self._most_on_one_view(policy, view)
+            recent = self._own.since(now - view.oldest_report_s)
+            if recent + min(cost, most) > most:
+                wait_s = max(wait_s, view.oldest_report_s, SLOT_S)
+        return wait_s
+
+    def _most_on_one_view(self, policy: QuotaPolicy, view: View) -> float:
+        """Return how much this entry may use on reports that are as old as the oldest one."""
+        filled = self._quota.rate * view.oldest_report_s
+        equal = (policy.excess(self._quota) + filled) / view.entries
+        return max(equal, STALE_VIEW_SHARE * view.share * (self._quota.burst + filled))
+
+
+class Quotas:
+    """The buckets of all organisations that have a quota.
+
+    Args:
+        policy: What may be used beyond rate and burst.
+    """
+
+    def __init__(self, policy: QuotaPolicy) -> None:
+        self._policy = policy
+        self._buckets: dict[OrganisationId, QuotaBucket] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether any organisation has a quota."""
+        return bool(self._buckets)
+
+    def set_policy(self, policy: QuotaPolicy) -> None:
+        """Apply changed settings."""
+        self._policy = policy
+
+    def configure(self, organisations: Iterable[Organisation], share: float, now: float) -> None:
+        """Apply the organisations of a new configuration."""
+        buckets: dict[OrganisationId, QuotaBucket] = {}
+        for organisation in organisations:
+            if organisation.quota is None:
+                continue
+            key = organisation_id(organisation.name)
+            bucket = self._buckets.get(key)
+            if bucket is None:
+                bucket = QuotaBucket(organisation.name, organisation.quota, now)
+            elif bucket.quota != organisation.quota:
+                bucket.configure(organisation.quota, share, now)
+            buckets[key] = bucket
+        self._buckets = buckets
+
+    def decide(
+        self, key: OrganisationId, cost: float, view: View, now: float
+    ) -> QuotaDecision | None:
+        """Charge a request if there is room for it; ``None`` if the organisation has no quota."""
+        bucket = self._buckets.get(key)
+        return bucket.decide(cost, self._policy, view, now) if bucket else None
+
+    def refund(self, key: OrganisationId, cost: float, now: float) -> None:
+        """Give back the cost of a request that has not run."""
+        if bucket := self._buckets.get(key):
+            bucket.charge(-cost, now)
+
+    def charge_reported(self, used: Mapping[OrganisationId, float], now: float) -> None:
+        """Charge what another entry has reported."""
+        for key, amount in used.items():
+            if bucket := self._buckets.get(key):
+                bucket.charge_reported(amount, now)
+
+    def lose_share(self, before: float, after: float, unheard_since: float, now: float) -> None:
+        """Leave a part of all quotas to entries that have not been heard since a moment."""
+        for bucket in self._buckets.values():
+            bucket.lose_share(before, after, unheard_since, now)
+
+    def fill(self, share: float, now: float) -> None:
+        """Fill all buckets up to now; required before the share of the quotas grows."""
+        for bucket in self._buckets.values():
+            bucket.state(share, now)
+
+    def rate(self, key: OrganisationId) -> float:
+        """Return the rate of an organisation, or 0 if it has no quota."""
+        bucket = self._buckets.get(key)
+        return bucket.quota.rate if bucket else 0.0
+
+    def states(self, share: float, now: float) -> Iterator[QuotaUse]:
+        """Yield the state of each quota."""
+        return (bucket.state(share, now) for bucket in self._buckets.values())
+
+
+def organisation_id(name: str) -> OrganisationId:
+    """Return the digest by which reports name an organisation."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=_ID_BYTES).digest(), "big")
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -14,7 +14,9 @@
 from chivehold.bodies import BodyBudget
 from chivehold.core.direct.fleet import Fleet, FleetChange
 from chivehold.core.direct.gossip import Gossip
+from chivehold.core.direct.quotas import QuotaPolicy
 from chivehold.core.direct.routes import EngineConfig, RouteIndex, RouteTable
+from chivehold.core.direct.shared_quotas import Membership, SharedQuotas
 from chivehold.core.direct.shared_retries import SharedRetryBudget
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
 from chivehold.core.direct.upstream_limits import UpstreamLimits
@@ -30,12 +32,14 @@
 from chivehold.direct.platform_binding import PlatformBinding
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.quarantines import Quarantines
+from chivehold.direct.quota_gate import QuotaGate
 from chivehold.direct.reservations import EngineMemoryReserver
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.signals import SignalReader
 from chivehold.direct.stage_controller import StageController, suspended_s
 from chivehold.direct.store_replicas import ChangeHandlers, StoreReplicas
 from chivehold.direct.stream_calls import StreamCalls
+from chivehold.direct.usage_exchange import UsageExchange
 from chivehold.direct.version_tracking import VersionTracking
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import App, ServerLimits, serve_http
@@ -58,6 +62,7 @@
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
 INCARNATION_BYTES = 6
+USAGE_INCARNATION_BITS = 62
 
 _log = logging.getLogger(__name__)
 
@@ -116,7 +121,22 @@
         )
         name = EntryIncarnation(f"{settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
         self._gossip = Gossip(settings.name, rng)
-        self._gossip_socket = GossipSocket(self._gossip, lambda item: exchange.receive(item))
+        self._gossip_socket = GossipSocket(
+            self._gossip,
+            lambda item: exchange.receive(item),
+            lambda received: self._usage_exchange.receive(received),
+        )
+        self._quotas = SharedQuotas(
+            settings.name,
+            1 + secrets.randbits(USAGE_INCARNATION_BITS),
+            _quota_policy(settings),
+            lambda: Membership(self._roster.names, self._roster.count),
+            rng,
+        )
+        self._quota_gate = QuotaGate(self._quotas, rng)
+        self._usage_exchange = UsageExchange(
+            settings.name, self._quotas, self._gossip, self._gossip_socket, nursery
+        )
         exchange = FactExchange(name, self._gossip_socket.publish)
         signals = SignalReader(self._fleet, platform.dialect, self._metrics, exchange)
         engines = EngineClient(self._fleet, self._client, platform.dialect, signals, nursery)
@@ -170,6 +190,7 @@
             self._retries,
             self._metrics,
             BodyBudget(settings.max_held_bytes),
+            self._quota_gate,
         )
         self._replicas = StoreReplicas(
             store,
@@ -321,6 +342,7 @@
     def _apply_settings(self, settings: DirectSettings) -> None:
         self._settings = settings
         self._configure_retries(self._roster.count)
+        self._quotas.set_policy(_quota_policy(settings))
 
     def _configure_retries(self, entries: int) -> None:
         """Apply the retry settings, with the extra divided by the number of entries."""
@@ -328,6 +350,7 @@
 
     def _apply_routes(self, table: RouteTable) -> None:
         self._version_tracking.apply_routes(table)
+        self._usage_exchange.apply_routes(table)
         self._callers.apply_routes(RouteIndex(table))
 
     def _apply_fleet_change(self, change: FleetChange) -> None:
@@ -358,6 +381,7 @@
         return self._crash_protection.unready_reason() or self._version_tracking.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
+        self._metrics.set_quotas(self._quota_gate.figures())
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
@@ -384,10 +408,15 @@
             },
             "quarantines": list(self.quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
+            **({"quotas": self._quotas.dump(now)} if self._quotas.is_active else {}),
             "log_lines_dropped": self._logs.dropped,
         }
 
 
+def _quota_policy(settings: DirectSettings) -> QuotaPolicy:
+    return QuotaPolicy(settings.quota_window_s, settings.quota_overshoot, settings.quota_slack)
+
+
 def _settings_to_log(settings: DirectSettings) -> dict[str, object]:
     """Return the settings to log, without the configured listen addresses."""
     return {
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -11,9 +11,10 @@
 from chivehold.core.direct.returning_callers import ReturnDetector
 from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
 from chivehold.core.direct.shared_retries import SharedRetryBudget
-from chivehold.direct.exchange import Exchange, Reply
+from chivehold.direct.exchange import Exchange, Reply, RequestProgress
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.plain_calls import PlainCalls
+from chivehold.direct.quota_gate import QuotaGate
 from chivehold.direct.refusals import (
     NO_REQUEST_ID,
     NO_ROUTE,
@@ -44,6 +45,7 @@
         retries: Counts each request for the retry budget.
         metrics: Counts and measures requests.
         bodies: Limits the memory held by the bodies of all requests in progress.
+        quota_gate: Admits the requests within the quota of their organisation.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         retries: SharedRetryBudget,
         metrics: DirectMetrics,
         bodies: BodyBudget,
+        quota_gate: QuotaGate,
     ) -> None:
         self._dialect = dialect
         self._plain = plain
@@ -61,6 +64,7 @@
         self._retries = retries
         self._metrics = metrics
         self._bodies = bodies
+        self._quota_gate = quota_gate
         self._return_detector = ReturnDetector()
         self._routes: RouteIndex | None = None
         self._is_draining = False
@@ -121,13 +125,40 @@
             self._log_refusal(metadata.request_id, UNKNOWN_KEY, routes)
             await send_refusal(reply, UNKNOWN_KEY)
             return
+        charge = self._quota_gate.admit(organisation, metadata)
+        if isinstance(charge, Refusal):
+            self._metrics.count_request(route.kind, charge.reason)
+            await send_refusal(reply, charge)
+            return
+        progress = RequestProgress()
+        try:
+            await self._read_and_serve(
+                scope, receive, reply, metadata, route, routes, organisation, arrived_at, progress
+            )
+        finally:
+            if charge is not None and (reply.has_not_run or not progress.was_sent):
+                self._quota_gate.refund(charge)
+
+    async def _read_and_serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        reply: Reply,
+        metadata: RequestMetadata,
+        route: Route,
+        routes: RouteIndex,
+        organisation: Organisation | None,
+        arrived_at: float,
+        progress: RequestProgress,
+    ) -> None:
+        """Read a request's body and serve the request."""
         max_body_bytes = routes.table.max_body_bytes
         try:
             with self._bodies.reserve(declared_body_bytes(scope, max_body_bytes)) as reserved:
                 body = await read_body(receive, max_body_bytes, on_size=reserved.grow_to)
                 exchange = self._build_exchange(
                     scope, metadata, route, routes, organisation, body, arrived_at
-                )
+                )._replace(progress=progress)
                 await self._serve_until_disconnect(exchange, receive, reply, routes)
         except BudgetSpent as error:
             refusal = not_run_refusal("bodies_full", error.detail, BODIES_FULL_RETRY_S)
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -16,6 +16,14 @@
 _log = logging.getLogger(__name__)
 
 
+class RequestProgress:
+    """How far a request has come."""
+
+    def __init__(self) -> None:
+        self.was_sent = False
+        """Whether an attempt to send it to an upstream has begun."""
+
+
 class Exchange(NamedTuple):
     """A received request with its route and time limits, in seconds of the monotonic clock."""
 
@@ -44,6 +52,7 @@
     """The quarantined content that this request is let through with, to see if it is harmless."""
     organisation: Organisation | None = None
     """The organisation that holds the caller's API key, if there is one."""
+    progress: RequestProgress | None = None
 
     @property
     def priority(self) -> int:
@@ -57,6 +66,11 @@
         """The request's id."""
         return self.metadata.request_id
 
+    def record_sending(self) -> None:
+        """Record that an attempt to send the request to an upstream begins."""
+        if self.progress is not None:
+            self.progress.was_sent = True
+
     def time_left_s(self) -> float:
         """Return the time left until the request expires, in seconds; negative afterwards."""
         return self.expires_at - trio.current_time()
@@ -88,6 +102,8 @@
         self._should_close = should_close
         self._started = False
         self._ended = False
+        self.has_not_run = False
+        """Whether the request was refused and has certainly not run."""
 
     @property
     def started(self) -> bool:
--- a/src/chivehold/direct/gossip_socket.py
+++ b/src/chivehold/direct/gossip_socket.py
@@ -5,12 +5,13 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import trio
 
 from chivehold.core.direct.gossip import Gossip, GossipItem
+from chivehold.core.direct.shared_quotas import ReceivedReport
 from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
 from chivehold.rpc.convert_gossip import decode_message, encode_message
@@ -20,6 +21,9 @@
 ItemHandler = Callable[[GossipItem], None]
 """Called with each fact that another entry has published and that is new."""
 
+ReportHandler = Callable[[ReceivedReport], None]
+"""Called with each report of another entry on the use of quotas."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -38,11 +42,19 @@
     Args:
         gossip: What this entry knows.
         on_item: Called with each fact that is new.
+        on_report: Called with each report on the use of quotas.
     """
 
-    def __init__(self, gossip: Gossip, on_item: ItemHandler) -> None:
+    def __init__(
+        self,
+        gossip: Gossip,
+        on_item: ItemHandler,
+        on_report: ReportHandler = lambda received: None,
+    ) -> None:
         self._gossip = gossip
         self._on_item = on_item
+        self._on_report = on_report
+        self._socket: trio.socket.SocketType | None = None
         self._wake = trio.Event()
         self.traffic = GossipTraffic()
 
@@ -51,6 +63,12 @@
         if self._gossip.publish(item, trio.current_time()):
             self._wake.set()
 
+    async def send(self, datagram: bytes, addresses: Iterable[str]) -> None:
+        """Send a datagram to other entries; does nothing while no address is bound."""
+        if self._socket is not None:
+            for address in addresses:
+                await self._send_to(self._socket, address, datagram)
+
     async def run(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -69,6 +87,7 @@
             await sock.bind((host.strip("[]"), int(port)))
             bound = f"{host}:{sock.getsockname()[1]}"
             self._gossip.set_address(bound)
+            self._socket = sock
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive, sock)
                 nursery.start_soon(self._send, sock)
@@ -86,12 +105,16 @@
             traffic = self.traffic
             self.traffic = traffic._replace(received=traffic.received + 1)
             try:
-                items = self._gossip.receive(decode_message(datagram, now), now)
+                message = decode_message(datagram, now)
             except Malformed as error:
                 self.traffic = self.traffic._replace(unreadable=traffic.unreadable + 1)
                 log_event(_log, logging.WARNING, "datagram unreadable", error, sender=sender[0])
                 continue
-            for item in items:
+            if message.usage is not None:
+                address = _address_text(sender)
+                self._on_report(ReceivedReport(message.sender, address, message.usage))
+                continue
+            for item in self._gossip.receive(message, now):
                 self._on_item(item)
             self._wake.set()
 
@@ -115,3 +138,9 @@
         self.traffic = traffic._replace(
             sent=traffic.sent + 1, sent_bytes=traffic.sent_bytes + len(datagram)
         )
+
+
+def _address_text(address: tuple[str, int]) -> str:
+    """Return ``host:port`` of a socket address."""
+    host, port = address[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter as Counts
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -14,6 +15,25 @@
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
 
 
+class QuotaFigures(NamedTuple):
+    """The figures of one organisation, or of several together."""
+
+    organisation: str
+    level: float
+    rate: float
+    used: float
+    rejected: float
+
+
+QUOTA_FIELDS = {
+    "level": "What each organisation may use at once, as this entry sees it.",
+    "rate": "What each organisation may use per second, over all entries.",
+    "used": "Net cost of each organisation's requests admitted here since the start.",
+    "rejected": "Cost of each organisation's requests rejected here since the start.",
+}
+"""Fields of ``QuotaFigures`` with the descriptions of their gauges."""
+
+
 class DirectMetrics:
     """Counters, histograms and gauges of one entry."""
 
@@ -108,6 +128,11 @@
         self._upstreams = Gauge(
             "chivehold_upstreams", "Upstreams by service and software version.", None, registry
         )
+        self._quota_gauges = {
+            field: Gauge(f"chivehold_quota_{field}", text, None, registry)
+            for field, text in QUOTA_FIELDS.items()
+        }
+        self._quota_labels: set[str] = set()
         self._log_lines_dropped = Gauge(
             "chivehold_log_lines_dropped",
             "Log lines left out to bound their volume.",
@@ -148,6 +173,16 @@
         """Record the number of quarantines in force."""
         self._quarantines.set({}, count)
 
+    def set_quotas(self, figures: Iterable[QuotaFigures]) -> None:
+        """Replace the figures of the organisations."""
+        values = {each.organisation: each._asdict() for each in figures}
+        for field, gauge in self._quota_gauges.items():
+            for label in self._quota_labels - values.keys():
+                del gauge.values[{"organisation": label}]
+            for label, fields in values.items():
+                gauge.set({"organisation": label}, fields[field])
+        self._quota_labels = set(values)
+
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request that has ended."""
         self._requests.inc({"kind": kind, "outcome": outcome})
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -21,16 +21,18 @@
     message: str
     retry_after_s: float | None = None
     """Seconds after which to retry; set only if the request has certainly not run."""
+    has_not_run: bool = False
+    """Whether the request has certainly not run."""
 
 
 def not_run_refusal(reason: str, message: str, retry_after_s: float) -> Refusal:
     """Return the response to a request that has not run and will not run."""
-    return Refusal(503, reason, message, retry_after_s)
+    return Refusal(503, reason, message, retry_after_s, has_not_run=True)
 
 
 def final_refusal(reason: str, message: str) -> Refusal:
     """Return the response to a request that has not run and could not run later either."""
-    return Refusal(503, reason, message)
+    return Refusal(503, reason, message, has_not_run=True)
 
 
 def unknown_outcome_refusal(status: int, reason: str, message: str) -> Refusal:
@@ -38,6 +40,12 @@
     return Refusal(status, reason, message)
 
 
+def quota_refusal(retry_after_s: float) -> Refusal:
+    """Return the response to a request that is over the quota of its organisation."""
+    message = "the organisation's quota is used up"
+    return Refusal(429, "quota", message, retry_after_s, has_not_run=True)
+
+
 UNKNOWN_KEY = Refusal(401, "unknown_key", "no organisation holds this API key")
 NO_ROUTE = Refusal(404, "no_route", "no route for this host and path")
 NO_REQUEST_ID = Refusal(400, "no_request_id", "the request has no id")
@@ -45,6 +53,7 @@
 
 async def send_refusal(reply: Reply, refusal: Refusal) -> None:
     """Send a refusal as a JSON response."""
+    reply.has_not_run = refusal.has_not_run
     headers = [JSON]
     if refusal.retry_after_s is not None:
         headers.append((b"retry-after", f"{refusal.retry_after_s:.2f}".encode()))
--- a/src/chivehold/rpc/convert_gossip.py
+++ b/src/chivehold/rpc/convert_gossip.py
@@ -12,12 +12,15 @@
 from chivehold.core.direct.gossip import MAX_LIFETIME_S, GossipItem, GossipMessage
 from chivehold.core.direct.messages import UpstreamIncarnation
 from chivehold.core.direct.quarantine import Quarantine
+from chivehold.core.direct.usage_reports import MAX_USAGES, Usage, UsageReport
 from chivehold.exceptions import Malformed
 from chivehold.rpc import chivehold_pb2 as pb
 
 MS_PER_S = 1_000
 MAX_AGE_MS = (1 << 32) - 1
 MAX_ID_LENGTH = 200
+MAX_USED = 1 << 53
+"""Largest sum in a report; larger ones cannot be charged precisely."""
 
 
 def encode_message(message: GossipMessage, now: float) -> bytes:
@@ -39,6 +42,18 @@
     ).SerializeToString()
 
 
+def encode_usage(sender: str, report: UsageReport) -> bytes:
+    """Return the datagram of a report on the use of quotas."""
+    usage = pb.UsageReport(
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        organisations=[usage.organisation for usage in report.usages],
+        used=[usage.used for usage in report.usages],
+        recent=[usage.recent for usage in report.usages],
+    )
+    return pb.GossipMessage(sender=sender, usage=usage).SerializeToString()
+
+
 def decode_message(datagram: bytes, now: float) -> GossipMessage:
     """Parse a datagram.
 
@@ -51,9 +66,16 @@
         raise Malformed("decode GossipMessage", "", str(error)) from error
     if not message.sender:
         raise Malformed("decode GossipMessage.sender", "", "empty")
+    if len(message.sender) > MAX_ID_LENGTH:
+        raise Malformed("decode GossipMessage.sender", "", message.sender[:MAX_ID_LENGTH])
     items = (_item_from_proto(item, now) for item in message.items)
     return GossipMessage(
-        message.sender, message.address, tuple(items), message.digest, message.asks_for_items
+        message.sender,
+        message.address,
+        tuple(items),
+        message.digest,
+        message.asks_for_items,
+        _usage_from_proto(message.usage) if message.HasField("usage") else None,
     )
 
 
@@ -104,6 +126,18 @@
     return GossipItem(item.id, item.fact, now - item.age_ms / MS_PER_S, lifetime_s)
 
 
+def _usage_from_proto(message: pb.UsageReport) -> UsageReport:
+    count = len(message.organisations)
+    if count > MAX_USAGES or count != len(message.used) or count != len(message.recent):
+        raise Malformed("decode UsageReport.organisations", "", str(count))
+    if not message.incarnation or not message.sequence:
+        raise Malformed("decode UsageReport.sequence", "", str(message.sequence))
+    usages = tuple(map(Usage, message.organisations, message.used, message.recent))
+    if any(max(usage.used, abs(usage.recent)) > MAX_USED for usage in usages):
+        raise Malformed("decode UsageReport.used", "", "too large")
+    return UsageReport(message.incarnation, message.sequence, usages)
+
+
 def _end_to_proto(end: UpstreamEnd, published_at: float) -> pb.UpstreamEndFact:
     return pb.UpstreamEndFact(
         upstream=end.upstream.name,
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -175,6 +175,12 @@
     """How long such content is refused."""
     quarantine_trial_s: float = DEFAULT_CRASH_POLICY.trial_s
     """Time after which one such request is let through, to see whether it is harmless."""
+    quota_window_s: float = 8.0
+    """Window in which the use of an organisation is bounded by its quota."""
+    quota_overshoot: float = 0.0
+    """Share of the quota of a window that may be used in addition."""
+    quota_slack: float = 0.0
+    """Units that may be used in addition in a window, over all entries."""
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
@@ -313,6 +319,9 @@
         float, msgspec.Meta(gt=0, le=86_400, description="seconds above 0, at most 86400")
     ]
     quarantine_trial_s: _Seconds
+    quota_window_s: _Seconds
+    quota_overshoot: _Share
+    quota_slack: _Rate
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
