--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -89,6 +89,17 @@
     """The body is encoded, so a proxy on the way has altered it."""
 
 
+class ReportedLoad(NamedTuple):
+    """An upstream's load as it reports it itself."""
+
+    running: int
+    waiting: int
+    slots: int
+    """Number of requests that it runs at once."""
+    slowness: float | None = None
+    """How many times as long as usual its work takes now; ``None`` if not reported."""
+
+
 class UpstreamSignals(NamedTuple):
     """What an upstream says of itself in the headers of a response."""
 
@@ -100,6 +111,9 @@
     """Requests per second that it takes from all entries together."""
     ends_limit: bool = False
     """It names no limit in a response that would have named one."""
+    load: ReportedLoad | None = None
+    load_unreadable: bool = False
+    """It reports a load that cannot be parsed."""
 
 
 class KvSource(NamedTuple):
--- a/src/chivehold/direct/signals.py
+++ b/src/chivehold/direct/signals.py
@@ -55,6 +55,8 @@
         rate_before = self._fleet.max_rate(upstream)
         was_leaving = self._fleet.is_leaving(upstream)
         self._fleet.record_signals(upstream, signals, sent_at, now)
+        if signals.load_unreadable:
+            self._metrics.count_upstream_signal(upstream.service, "unreadable load")
         max_rate = self._fleet.max_rate(upstream)
         if max_rate != rate_before:
             self._metrics.count_upstream_signal(upstream.service, "limit")
--- /dev/null
+++ b/src/chivehold/header_values.py
@@ -0,0 +1,22 @@
+"""Parsing of numbers in header values that another program has written."""
+
+import re
+
+_COUNTS = re.compile(rb"\s*\d{1,6}\s*(?:,\s*\d{1,6}\s*)*")
+MAX_NUMBER = 1e12
+
+
+def parse_number(text: bytes | None) -> float | None:
+    """Return a number that is not negative, or ``None`` if the text is absent or none."""
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < MAX_NUMBER else None
+
+
+def parse_counts(text: bytes) -> tuple[int, ...] | None:
+    """Return whole numbers of at most six digits, separated by commas, or ``None``."""
+    return tuple(map(int, text.split(b","))) if _COUNTS.fullmatch(text) else None
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -12,6 +12,7 @@
     EngineReport,
     ForwardingOptions,
     RawHeaders,
+    ReportedLoad,
     RequestMetadata,
     ResponseMetadata,
     Stage,
@@ -20,6 +21,7 @@
     UpstreamSignals,
 )
 from chivehold.core.direct.organisations import KeyDigest, digest_key
+from chivehold.header_values import parse_counts, parse_number
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -51,6 +53,8 @@
 """Seconds for which an upstream that refuses a request wants none from this entry."""
 SERVER_LIMIT = b"server-limit"
 """Requests a second that an upstream in need takes from all entries together."""
+SERVER_LOAD = b"x-chivehold-server-load"
+"""Requests running and waiting, slots, and optionally the present slowness in percent."""
 CONTENT_ENCODING = b"content-encoding"
 PLATFORM_PREFIX = b"x-chivehold-"
 MISDIRECTED_STATUS = 421
@@ -96,9 +100,9 @@
     def read_request(self, headers: RawHeaders) -> RequestMetadata:
         """Parse a caller's headers; values that cannot be parsed are treated as absent."""
         headers_by_name = dict(reversed(headers))
-        deadline_ms = _parse_number(headers_by_name.get(DEADLINE_MS))
-        counts = [_parse_number(part) for part in headers_by_name.get(TOKEN_COUNT, b"").split(b",")]
-        hint = _parse_number(headers_by_name.get(LENGTH_HINT))
+        deadline_ms = parse_number(headers_by_name.get(DEADLINE_MS))
+        counts = [parse_number(part) for part in headers_by_name.get(TOKEN_COUNT, b"").split(b",")]
+        hint = parse_number(headers_by_name.get(LENGTH_HINT))
         last_event = headers_by_name.get(LAST_EVENT_ID)
         return RequestMetadata(
             request_id=headers_by_name.get(REQUEST_ID, b"").decode("latin-1"),
@@ -143,13 +147,16 @@
         if status == MISDIRECTED_STATUS:
             return None
         headers_by_name = dict(headers)
-        max_rate = _parse_number(headers_by_name.get(SERVER_LIMIT)) or None
+        max_rate = parse_number(headers_by_name.get(SERVER_LIMIT)) or None
         retry_after = headers_by_name.get(RETRY_AFTER)
+        load = _parse_load(headers_by_name.get(SERVER_LOAD, b""))
         return UpstreamSignals(
             leaving=headers_by_name.get(SERVER_LEAVING) == b"1",
             pause_s=_parse_pause_s(retry_after) if status == PUSH_BACK_STATUS else None,
             max_rate=max_rate,
             ends_limit=max_rate is None and REQUEST_ID in headers_by_name,
+            load=load,
+            load_unreadable=load is None and SERVER_LOAD in headers_by_name,
         )
 
     def response_headers(self, headers: RawHeaders) -> list[tuple[bytes, bytes]]:
@@ -238,16 +245,6 @@
     return name.startswith(PLATFORM_PREFIX)
 
 
-def _parse_number(text: bytes | None) -> float | None:
-    if text is None:
-        return None
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if 0 <= value < 1e12 else None
-
-
 def _digest_api_key(headers: RawHeaders) -> KeyDigest | None:
     """Return the digest of the API key, or ``None`` unless there is exactly one."""
     keys = [value for name, value in headers if name == API_KEY]
@@ -271,13 +268,22 @@
     """Return the seconds in a ``Retry-After``; one that cannot be read counts as a short pause."""
     if text is None:
         return None
-    pause_s = _parse_number(text)
+    pause_s = parse_number(text)
     if pause_s is None:
         log_event(_log, logging.WARNING, "upstream pause unreadable", detail=text[:40])
         return UNREADABLE_PAUSE_S
     return pause_s
 
 
+def _parse_load(text: bytes) -> ReportedLoad | None:
+    """Return the load in a response's header, or ``None`` if it cannot be one."""
+    counts = parse_counts(text) or ()
+    if len(counts) not in (3, 4) or 0 in counts[2:]:
+        return None
+    slowness = counts[3] / 100 if len(counts) > 3 else None
+    return ReportedLoad(counts[0], counts[1], counts[2], slowness)
+
+
 def _decode_text_field(body: bytes, field: str) -> str | None:
     try:
         decoded: Mapping[str, object] = msgspec.json.decode(body, type=dict[str, object])
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -7,6 +7,7 @@
     EngineReport,
     ForwardingOptions,
     KvSource,
+    ReportedLoad,
     ResponseMetadata,
     Stage,
     StageOrder,
@@ -182,6 +183,33 @@
         signals = UpstreamSignals(leaving=True, pause_s=2.5, max_rate=0.5)
         assert DIALECT.read_signals(503, headers) == signals
 
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [(b"3,1,6", ReportedLoad(3, 1, 6)), (b" 3, 1,6 ,250", ReportedLoad(3, 1, 6, 2.5))],
+    )
+    def test_load_is_parsed(self, text: bytes, load: ReportedLoad) -> None:
+        """A load has three figures, or four with the present slowness in percent."""
+        signals = DIALECT.read_signals(200, [(b"x-chivehold-server-load", text)])
+        assert signals is not None and signals.load == load and not signals.load_unreadable
+
+    @pytest.mark.parametrize(
+        "text",
+        [b"", b",,", b"3", b"3,1", b"3,1,6,100,1", b"-3,1,6", b"3,1,6,-1", b"3,1,6,0", b"3,1,0"]
+        + [
+            b"3,1,6,1e3",
+            b"3,1.5,6",
+            b"nan,1,6",
+            b"9999999,1,6",
+            b"3,1,\xff",
+            b"3 1 6",
+            b"9" * 9_000,
+        ],
+    )
+    def test_senseless_load_is_ignored(self, text: bytes) -> None:
+        """A load that cannot be one, of whatever kind, is counted and is no error."""
+        signals = DIALECT.read_signals(200, [(b"x-chivehold-server-load", text)])
+        assert signals is not None and signals.load is None and signals.load_unreadable
+
     def test_response_of_another_upstream_says_nothing(self) -> None:
         """A misdirected request brings the words of whoever has the address now."""
         assert DIALECT.read_signals(421, [(b"server-leaving", b"1")]) is None
