Learn the speed of each engine; choose plain upstreams by expected response time

A slow prefill engine counted as a busy one, since one fastest time was kept for all. Plain upstreams that report their load are chosen by service time, present slowness and work.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -6,6 +6,15 @@
 from random import Random
 from typing import NamedTuple
 
+from chivehold.core.direct.expected_response import (
+    COST_JITTER,
+    MIN_USUAL_SHARE,
+    ReportedWork,
+    UpstreamWork,
+    better_of_two_first,
+    expected_response_s,
+    service_time_s,
+)
 from chivehold.core.direct.messages import (
     Stage,
     UpstreamIncarnation,
@@ -13,6 +22,8 @@
     UpstreamSignals,
     incarnation_of,
 )
+from chivehold.core.direct.reported_load import ReportedLoads
+from chivehold.core.direct.speeds import Speeds, WorkKind
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
 from chivehold.core.smoothing import MovingAverage
 
@@ -37,10 +48,6 @@
 """
 FULL_MEMORY_S = 0.5
 """How long a decode engine that had no room is asked after the others."""
-FAILURE_COST_S = 0.5
-"""Cost of a failed attempt to the caller; weighted by the upstream's failure rate."""
-COST_JITTER = 0.1
-"""Random share added to the cost, so that entries that see the same load choose differently."""
 
 
 class Verdict(StrEnum):
@@ -107,6 +114,18 @@
         self._is_confirmed = is_confirmed
         self._upstreams: dict[str, UpstreamRecord] = {}
         self._stats: dict[UpstreamIncarnation, _UpstreamStats] = {}
+        self._loads = ReportedLoads()
+        self._speeds = Speeds()
+
+    @property
+    def loads(self) -> ReportedLoads:
+        """The load that upstreams have reported."""
+        return self._loads
+
+    @property
+    def speeds(self) -> Speeds:
+        """The speeds of the upstreams."""
+        return self._speeds
 
     @property
     def upstreams(self) -> tuple[UpstreamRecord, ...]:
@@ -123,6 +142,8 @@
             if not self._stats[known].in_flight:
                 del self._stats[known]
         self._admission.forget_limits_of_others(current)
+        self._loads.forget_others(current)
+        self._speeds.forget_others(current)
         return FleetChange(
             tuple(upstream for name, upstream in self._upstreams.items() if name not in before),
             tuple(upstream for name, upstream in before.items() if name not in self._upstreams),
@@ -186,7 +207,13 @@
             if upstream.name not in excluded and self.may_send(upstream, now)
         ]
         healthy = [upstream for upstream in candidates if not self.is_suspended(upstream, now)]
-        return sorted(healthy or candidates, key=lambda upstream: self._cost(upstream, now))
+        with_reports = stage is Stage.NONE and any(
+            self._loads.report_of(incarnation_of(upstream), now) for upstream in candidates
+        )
+        ranked = sorted(
+            healthy or candidates, key=lambda upstream: self._cost(upstream, with_reports, now)
+        )
+        return better_of_two_first(ranked, self._rng) if with_reports else ranked
 
     def may_send(self, upstream: UpstreamRecord, now: float) -> bool:
         """Return whether the upstream wants a request now, by what it has said itself."""
@@ -284,6 +311,10 @@
         stats.reserved_tokens -= tokens
         if latency_s is not None:
             stats.latency.add(latency_s)
+            if upstream.stage is Stage.NONE:
+                incarnation = incarnation_of(upstream)
+                service_s = service_time_s(latency_s, self._loads.report_of(incarnation, now))
+                self._speeds.record(_kind_of(upstream), incarnation, service_s)
         self._record_verdict(stats, verdict, now)
         return max(0.0, stats.suspended_until - now)
 
@@ -310,7 +341,10 @@
         self, upstream: UpstreamRecord, signals: UpstreamSignals, sent_at: float, now: float
     ) -> None:
         """Record what an upstream has said of itself; see ``UpstreamAdmission.record``."""
-        self._admission.record(incarnation_of(upstream), signals, sent_at, now)
+        incarnation = incarnation_of(upstream)
+        self._admission.record(incarnation, signals, sent_at, now)
+        if signals.load is not None:
+            self._loads.record(incarnation, signals.load, self.in_flight(upstream), now)
         self._update_leaving(upstream.name)
 
     def record_leaving(self, upstream: UpstreamIncarnation) -> None:
@@ -377,14 +411,31 @@
         refused_until = stats.full_at + FULL_MEMORY_S if tokens >= stats.full_for_tokens else now
         return max(0.0, refused_until - now), stats.reserved_tokens * self._rng.uniform(1, 1.1)
 
-    def _cost(self, upstream: UpstreamRecord, now: float) -> float:
+    def _cost(self, upstream: UpstreamRecord, with_reports: bool, now: float) -> float:
         stats = self._stats_of(upstream)
-        latency_s = stats.latency.value_or(DEFAULT_LATENCY_S)
-        cost_s = latency_s * (1 + stats.in_flight)
-        cost_s += FAILURE_COST_S * stats.failure_rate.value_or(0.0)
+        work = UpstreamWork(
+            stats.latency.value_or(DEFAULT_LATENCY_S),
+            stats.in_flight,
+            stats.failure_rate.value_or(0.0),
+        )
+        reported = self._reported_work(upstream, work.latency_s, now) if with_reports else None
+        cost_s = expected_response_s(work, reported)
         cost_s += REMOTE_ZONE_COST_S * (upstream.zone != self._zone)
         return cost_s * self._rng.uniform(1.0, 1.0 + COST_JITTER)
 
+    def _reported_work(
+        self, upstream: UpstreamRecord, latency_s: float, now: float
+    ) -> ReportedWork:
+        incarnation = incarnation_of(upstream)
+        usual_s = self._speeds.usual_s(_kind_of(upstream), incarnation) or latency_s
+        if self._speeds.is_known(_kind_of(upstream), incarnation):
+            usual_s = max(usual_s, MIN_USUAL_SHARE * latency_s)
+        return ReportedWork(
+            usual_s,
+            self._loads.others(incarnation, now),
+            self._loads.slowness(incarnation, now),
+        )
+
     def _record_verdict(self, stats: _UpstreamStats, verdict: Verdict, now: float) -> None:
         if verdict is Verdict.GONE:
             stats.gone_until = now + GONE_PAUSE_S
@@ -400,3 +451,7 @@
                 doublings = min(stats.consecutive_failures - FAILURES_TO_SUSPEND, 8)
                 pause_s = min(MAX_SUSPENSION_S, MIN_SUSPENSION_S * 2**doublings)
                 stats.suspended_until = max(stats.suspended_until, now + pause_s)
+
+
+def _kind_of(upstream: UpstreamRecord) -> WorkKind:
+    return WorkKind(upstream.service, upstream.stage)
--- a/src/chivehold/core/direct/prefill_load.py
+++ b/src/chivehold/core/direct/prefill_load.py
@@ -5,15 +5,20 @@
 an equal share of the engines' capacity; beyond that it uses an engine while a prefill there is
 expected to take no longer than the caller of this module has patience for. All other prompts are
 prefilled by decode engines.
+
+Engines differ in speed. The duration of a prefill that has its engine to itself is the fastest that
+the service's engines have shown, times the engine's relative speed, times its present slowness.
 """
 
 import math
-from collections import deque
+from collections.abc import Collection
+from statistics import mean
 from typing import NamedTuple
 
-from chivehold.core.direct.messages import UpstreamIncarnation
+from chivehold.core.direct.messages import Stage, UpstreamIncarnation
+from chivehold.core.direct.reported_load import ReportedLoads
+from chivehold.core.direct.speeds import Speeds, WorkKind
 
-SAMPLES_KEPT = 60
 FASTEST_QUANTILE = 0.1
 """The fastest tenth of all prefills is taken to have had the engine to itself."""
 NEWEST_WEIGHT = 0.5
@@ -40,10 +45,20 @@
 
 
 class PrefillLoad:
-    """One entry's estimate of the load on the prefill engines of one service."""
+    """One entry's estimate of the load on the prefill engines of one service.
+
+    Args:
+        service: The service.
+        speeds: The speeds of its engines.
+        loads: The load that its engines report.
+    """
 
-    def __init__(self) -> None:
-        self._s_per_token: deque[float] = deque(maxlen=SAMPLES_KEPT)
+    def __init__(
+        self, service: str = "", speeds: Speeds | None = None, loads: ReportedLoads | None = None
+    ) -> None:
+        self._kind = WorkKind(service, Stage.PREFILL)
+        self._speeds = speeds or Speeds()
+        self._loads = loads or ReportedLoads()
         self._estimates: dict[UpstreamIncarnation, _LoadEstimate] = {}
         self._running: dict[UpstreamIncarnation, list[float]] = {}
         self._credit_s = 0.0
@@ -69,10 +84,13 @@
             patience_s: How long a prefill may take beyond this entry's share, in seconds.
             now: Monotonic time in seconds.
         """
-        unshared_s = self._unshared_s(tokens)
         gained_s = (now - self._refilled_at) * engines / max(1, entries)
-        self._credit_s = min(BURST_PROMPTS * unshared_s, self._credit_s + gained_s)
+        most_s = BURST_PROMPTS * tokens * self._fastest_s_per_token()
+        self._credit_s = min(most_s, self._credit_s + gained_s)
         self._refilled_at = now
+        if self._is_being_probed(engine):
+            return False
+        unshared_s = self._unshared_s(engine, tokens, now)
         if self._credit_s >= unshared_s:
             return True
         return self.expected_s(engine, tokens, now) <= patience_s
@@ -80,11 +98,11 @@
     def expected_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
         """Return how long a prefill engine would take for a prompt sent now, in seconds."""
         others = max(self.estimated_prompts(engine, now) - 1.0, len(self._running.get(engine, ())))
-        return self._unshared_s(tokens) * (1.0 + others)
+        return self._unshared_s(engine, tokens, now) * (1.0 + others)
 
     def record_start(self, engine: UpstreamIncarnation, tokens: int, now: float) -> None:
         """Record that a prefill was sent, and charge its time to this entry's share."""
-        self._credit_s = max(0.0, self._credit_s - self._unshared_s(tokens))
+        self._credit_s = max(0.0, self._credit_s - self._unshared_s(engine, tokens, now))
         self._running.setdefault(engine, []).append(now)
 
     def record_end(self, engine: UpstreamIncarnation, started_at: float) -> None:
@@ -96,9 +114,10 @@
     def record_duration(
         self, engine: UpstreamIncarnation, tokens: int, took_s: float, now: float
     ) -> None:
-        """Update the load estimate from the duration of a completed prefill."""
-        self._s_per_token.append(took_s / max(1, tokens))
-        prompts = max(1.0, took_s / self._unshared_s(tokens))
+        """Learn the engine's speed and load from the duration of a completed prefill."""
+        unit_s = took_s / max(1, tokens) / self._loads.slowness(engine, now)
+        self._speeds.record(self._kind, engine, unit_s / self._crowd(engine, now))
+        prompts = max(1.0, took_s / self._unshared_s(engine, tokens, now))
         before = self.estimated_prompts(engine, now)
         self._estimates[engine] = _LoadEstimate(before + NEWEST_WEIGHT * (prompts - before), now)
 
@@ -108,21 +127,59 @@
         self._estimates[engine] = _LoadEstimate(prompts, now)
 
     def estimated_prompts(self, engine: UpstreamIncarnation, now: float) -> float:
-        """Return the estimated number of prompts at an engine; 1 if nothing is known."""
+        """Return the estimated number of prompts at an engine.
+
+        Of an engine without a sample it is the mean of the others, so that one that starts while
+        they are busy is not flooded by all entries; 1 if nothing is known.
+        """
         estimate = self._estimates.get(engine)
-        if estimate is None:
+        if estimate is not None:
+            return _prompts_now(estimate, now)
+        if self._speeds.is_known(self._kind, engine):
             return 1.0
-        remembered: float = 0.5 ** ((now - estimate.updated_at) / LOAD_HALF_LIFE_S)
-        return 1.0 + (estimate.prompts - 1.0) * remembered
+        return mean([_prompts_now(known, now) for known in self._estimates.values()] or [1.0])
 
     def timeout_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
         """Return the timeout of a prefill, in seconds."""
         expected_s = self.expected_s(engine, tokens, now)
         return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s))
 
-    def _unshared_s(self, tokens: int) -> float:
-        """Return the duration of a prefill that has the engine to itself, in seconds."""
-        if not self._s_per_token:
-            return max(1, tokens) * DEFAULT_S_PER_TOKEN
-        s_per_token = sorted(self._s_per_token)
-        return max(1, tokens) * s_per_token[math.floor(len(s_per_token) * FASTEST_QUANTILE)]
+    def forget_others(self, engines: Collection[UpstreamIncarnation]) -> None:
+        """Forget the load estimates of all engines except these."""
+        for known in [known for known in self._estimates if known not in engines]:
+            del self._estimates[known]
+
+    def _unshared_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
+        """Return the duration of a prefill that has an engine to itself, in seconds."""
+        s_per_token = self._fastest_s_per_token() * self._speeds.relative(self._kind, engine)
+        return max(1, tokens) * s_per_token * self._loads.slowness(engine, now)
+
+    def _fastest_s_per_token(self) -> float:
+        """Return the time per token at an engine of median speed without other prompts."""
+        s_per_token = sorted(
+            sample / self._speeds.relative(self._kind, engine)
+            for engine, sample in self._speeds.all_samples(self._kind)
+        )
+        if not s_per_token:
+            return DEFAULT_S_PER_TOKEN
+        return s_per_token[math.floor(len(s_per_token) * FASTEST_QUANTILE)]
+
+    def _is_being_probed(self, engine: UpstreamIncarnation) -> bool:
+        """Return whether a prompt runs at an engine of unknown speed while others are known."""
+        return (
+            engine in self._running
+            and not self._speeds.is_known(self._kind, engine)
+            and any(True for _ in self._speeds.all_samples(self._kind))
+        )
+
+    def _crowd(self, engine: UpstreamIncarnation, now: float) -> float:
+        """Return by how many prompts an engine's time was divided, by its report; 1 without one."""
+        report = self._loads.report_of(engine, now)
+        if report is None:
+            return 1.0
+        return max(1.0, (report.load.running + report.load.waiting + 1) / 2)
+
+
+def _prompts_now(estimate: _LoadEstimate, now: float) -> float:
+    remembered: float = 0.5 ** ((now - estimate.updated_at) / LOAD_HALF_LIFE_S)
+    return 1.0 + (estimate.prompts - 1.0) * remembered
--- a/src/chivehold/core/direct/reported_load.py
+++ b/src/chivehold/core/direct/reported_load.py
@@ -12,7 +12,7 @@
 
 WORK_HALF_LIFE_S = 0.2
 """Half-life of what a report says about the work of other entries."""
-SLOWNESS_HALF_LIFE_S = 0.4
+SLOWNESS_HALF_LIFE_S = 0.2
 """Half-life of a reported slowness; a temporary slowdown lasts some 0.6 s."""
 MAX_SLOWNESS_AGE_S = 0.6
 """A slowness reported longer ago says nothing about now."""
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -118,7 +118,9 @@
         return self._paces.setdefault(service, PaceMonitor())
 
     def _load_of(self, service: str) -> PrefillLoad:
-        return self._loads.setdefault(service, PrefillLoad())
+        if service not in self._loads:
+            self._loads[service] = PrefillLoad(service, self._fleet.speeds, self._fleet.loads)
+        return self._loads[service]
 
     async def _prefill_at(
         self, load: PrefillLoad, exchange: Exchange, upstream: UpstreamRecord
--- a/tests/core/direct/test_prefill_load.py
+++ b/tests/core/direct/test_prefill_load.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from chivehold.core.direct.messages import UpstreamIncarnation
+from chivehold.core.direct.messages import ReportedLoad, UpstreamIncarnation
 from chivehold.core.direct.prefill_load import MAX_TIMEOUT_S, MIN_TIMEOUT_S, PrefillLoad
+from chivehold.core.direct.reported_load import ReportedLoads
 
 ENGINE = UpstreamIncarnation("p", 1)
 TOKENS = 3_000
@@ -130,3 +131,60 @@
             load.record_start(ENGINE, TOKENS, 0.0)
         assert not load.may_use(ENGINE, TOKENS, 1, 100, PATIENCE_S, 0.0)
         assert load.may_use(ENGINE, TOKENS, 1, 100, MAX_TIMEOUT_S, 0.0)
+
+
+class TestSpeeds:
+    """Three prefill engines, of which one takes 2.4 times as long as the others."""
+
+    FAST, SLOW, NEW = (UpstreamIncarnation(name, 1) for name in ("fast", "slow", "new"))
+
+    @pytest.fixture
+    def loads(self) -> ReportedLoads:
+        return ReportedLoads()
+
+    @pytest.fixture
+    def load(self, loads: ReportedLoads) -> PrefillLoad:
+        made = PrefillLoad(loads=loads)
+        for _ in range(10):
+            for engine in (self.FAST, UpstreamIncarnation("fast too", 1)):
+                made.record_duration(engine, TOKENS, UNSHARED_S, 0.0)
+            made.record_duration(self.SLOW, TOKENS, 2.4 * UNSHARED_S, 0.0)
+        return made
+
+    def test_slow_engine_is_not_taken_for_a_busy_one(self, load: PrefillLoad) -> None:
+        """A fault of one time for all engines: a slow one seemed to have two prompts always."""
+        assert load.estimated_prompts(self.SLOW, 0.0) == pytest.approx(1.0, abs=0.3)
+        assert load.expected_s(self.SLOW, TOKENS, 0.0) == pytest.approx(0.24, rel=0.2)
+        assert load.expected_s(self.FAST, TOKENS, 0.0) == pytest.approx(0.1, rel=0.2)
+
+    def test_fast_engine_is_used_to_its_capacity(self, load: PrefillLoad) -> None:
+        """In a demand wave, more prompts are sent to a fast engine than to a slow one."""
+        sent = {self.FAST: 0, self.SLOW: 0}
+        for engine in sent:
+            while load.may_use(engine, TOKENS, 3, 1_000, 0.5, 0.0):
+                load.record_start(engine, TOKENS, 0.0)
+                sent[engine] += 1
+        assert sent[self.FAST] >= 2 * sent[self.SLOW] > 0
+
+    def test_slowdown_leaves_the_speed(self, load: PrefillLoad, loads: ReportedLoads) -> None:
+        """A temporary slowdown lengthens what is expected now, and not what is usual."""
+        for number in range(10):
+            loads.record(self.FAST, ReportedLoad(1, 0, 8, 2.5), 1, float(number))
+            load.record_duration(self.FAST, TOKENS, 2.5 * UNSHARED_S, float(number))
+        assert load.expected_s(self.FAST, TOKENS, 9.0) == pytest.approx(0.25, rel=0.2)
+        assert load.expected_s(self.FAST, TOKENS, 11.0) == pytest.approx(0.1, rel=0.2)
+
+    def test_timeout_leaves_room_for_slow_engines(self, load: PrefillLoad) -> None:
+        """A prefill at a slow engine is not given up as failed."""
+        assert load.timeout_s(self.SLOW, TOKENS, 0.0) > 0.9
+        assert load.timeout_s(self.FAST, TOKENS, 0.0) == MIN_TIMEOUT_S
+
+    def test_new_engine_is_probed(self, load: PrefillLoad) -> None:
+        """An engine that starts during a demand wave gets one prompt of an entry at a time."""
+        load.record_timeout(self.FAST, 0.0)
+        assert load.estimated_prompts(self.NEW, 0.0) > 1.0
+        assert load.may_use(self.NEW, TOKENS, 3, 4, 1.0, 1.0)
+        load.record_start(self.NEW, TOKENS, 1.0)
+        assert not load.may_use(self.NEW, TOKENS, 3, 4, 1.0, 1.0)
+        load.record_duration(self.NEW, TOKENS, UNSHARED_S, 1.1)
+        assert load.may_use(self.NEW, TOKENS, 3, 4, 1.0, 1.1)
