--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -6,7 +6,13 @@
 import trio
 
 from chivehold.core.direct.fleet import Fleet
-from chivehold.core.direct.messages import Stage, UpstreamRecord, incarnation_of
+from chivehold.core.direct.local_prefill import LocalPrefills
+from chivehold.core.direct.messages import (
+    Stage,
+    UpstreamIncarnation,
+    UpstreamRecord,
+    incarnation_of,
+)
 from chivehold.core.direct.pace import PaceMonitor
 from chivehold.core.direct.prefill_load import PrefillLoad
 from chivehold.core.direct.shared_retries import SharedRetryBudget
@@ -60,6 +66,7 @@
         self._retries = retries
         self._loads: dict[str, PrefillLoad] = {}
         self._paces: dict[str, PaceMonitor] = {}
+        self._local_prefills: dict[str, LocalPrefills] = {}
 
     async def run(self, exchange: Exchange) -> PrefilledCache | None:
         """Prefill a prompt, or return ``None`` if the decode engine has to prefill it.
@@ -74,6 +81,18 @@
             return None
         return await self._prefill_at(load, exchange, upstream)
 
+    def record_local_prefill(
+        self, exchange: Exchange, upstream: UpstreamRecord, took_s: float
+    ) -> None:
+        """Record the time to the first event of a prompt that its decode engine prefilled.
+
+        Only where engines report how slow they are now: elsewhere they count as equally fast, and
+        a separate prefill is always the faster one.
+        """
+        if self._fleet.loads.reports_slowness(incarnation_of(upstream)):
+            local = self._local_prefills_of(exchange.service)
+            local.record(exchange.metadata.prompt_tokens, took_s)
+
     def record_not_fetched(self, exchange: Exchange, prefilled: PrefilledCache) -> None:
         """Suspend the prefill engine whose KV cache a decode engine could not fetch."""
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
@@ -112,7 +131,19 @@
             if load.may_use(engine, tokens, len(healthy), entries, patience_s, now)
         )
         chosen = next(usable, None)
-        return healthy[chosen] if chosen else None
+        if chosen is None or self._is_local_sooner(load.expected_s(chosen, tokens, now), exchange):
+            return None
+        return healthy[chosen]
+
+    def _is_local_sooner(self, separate_s: float, exchange: Exchange) -> bool:
+        """Return whether the decode engine is to prefill the prompt, as that is sooner done."""
+        if self._pace_of(exchange.service).is_disturbed(trio.current_time()):
+            return False
+        local = self._local_prefills_of(exchange.service)
+        return local.is_sooner(exchange.metadata.prompt_tokens, separate_s)
+
+    def _local_prefills_of(self, service: str) -> LocalPrefills:
+        return self._local_prefills.setdefault(service, LocalPrefills())
 
     def _pace_of(self, service: str) -> PaceMonitor:
         return self._paces.setdefault(service, PaceMonitor())
@@ -125,7 +156,7 @@
     ) -> PrefilledCache | None:
         engine, tokens = incarnation_of(upstream), exchange.metadata.prompt_tokens
         started_at = trio.current_time()
-        timeout_s = min(load.timeout_s(engine, tokens, started_at), exchange.time_left_s())
+        timeout_s = min(self._timeout_s(load, engine, exchange), exchange.time_left_s())
         detail: object = f"no answer within {timeout_s:.2f} s"
         pause_s = FAILED_PAUSE_S
         load.record_start(engine, tokens, started_at)
@@ -147,6 +178,15 @@
         exchange.log("prefill failed", peer=upstream.name, detail=detail)
         return None
 
+    def _timeout_s(
+        self, load: PrefillLoad, engine: UpstreamIncarnation, exchange: Exchange
+    ) -> float:
+        """Return the timeout of a prefill; giving up is of use only while a local one may do."""
+        tokens, now = exchange.metadata.prompt_tokens, trio.current_time()
+        left_s = exchange.arrived_at + exchange.route.latency_target_s - now
+        useful_s = self._local_prefills_of(exchange.service).useful_wait_s(tokens, left_s)
+        return max(load.timeout_s(engine, tokens, now), useful_s)
+
     def _record_duration(
         self, load: PrefillLoad, exchange: Exchange, prefilled: PrefilledCache
     ) -> None:
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -166,6 +166,12 @@
         """Prefill the prompt, or return ``None`` if the decode engine has to do it."""
         return await self._prefill_scheduler.run(exchange)
 
+    def record_local_prefill(
+        self, exchange: Exchange, upstream: UpstreamRecord, took_s: float
+    ) -> None:
+        """Record the time to the first event of a prompt that its decode engine prefilled."""
+        self._prefill_scheduler.record_local_prefill(exchange, upstream, took_s)
+
     def release_refused(self, reservation: MemoryReservation, by_engine: bool) -> None:
         """Release the reservation of a refused request.
 
@@ -412,6 +418,8 @@
         watch = self._calls.crashes.start_attempt(
             self._exchange, reservation.upstream, self._has_settled
         )
+        sent_at = trio.current_time()
+        is_local_prefill = source is None and self._relay.last_event is None
         try:
             with trio.move_on_at(self._exchange.expires_at):
                 async with self._calls.engines.decode(
@@ -429,3 +437,6 @@
             return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, error.detail)
         finally:
             self._has_settled = watch.has_settled
+            if is_local_prefill and self._relay.started_at is not None:
+                took_s = self._relay.started_at - sent_at
+                self._calls.record_local_prefill(self._exchange, reservation.upstream, took_s)
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -73,6 +73,12 @@
         self._on_pace = on_pace
         self._gaps = EventGaps(exchange.route.event_gap_target_s)
         self._last_event = exchange.metadata.last_event
+        self._started_at: float | None = None
+
+    @property
+    def started_at(self) -> float | None:
+        """When the caller was sent the first event, on the trio clock; ``None`` before."""
+        return self._started_at
 
     @property
     def last_event(self) -> str | None:
@@ -202,6 +208,7 @@
         self._last_event = events[-1].event_id or self._last_event
 
     async def _start_reply(self, headers: RawHeaders) -> None:
+        self._started_at = trio.current_time()
         self._metrics.observe_response_time("stream", self._exchange.age_s())
         self._exchange.log("first event", event_id=self._last_event)
         await self._reply.send_head(OK_STATUS, self._dialect.response_headers(headers))
