--- a/src/chivehold/core/direct/reported_load.py
+++ b/src/chivehold/core/direct/reported_load.py
@@ -67,6 +67,11 @@
             return 1.0
         return 1.0 + (report.load.slowness - 1.0) * _weight(report.at, now, SLOWNESS_HALF_LIFE_S)
 
+    def reports_slowness(self, upstream: UpstreamIncarnation) -> bool:
+        """Return whether the latest report of an upstream, however old, stated its slowness."""
+        report = self._reports.get(upstream)
+        return report is not None and report.load.slowness is not None
+
     def age_s(self, upstream: UpstreamIncarnation, now: float) -> float | None:
         """Return the age of the latest report in seconds, or ``None`` without one."""
         report = self._reports.get(upstream)
