--- a/src/chivehold/core/direct/quotas.py
+++ b/src/chivehold/core/direct/quotas.py
@@ -4,8 +4,9 @@
 the organisation's rate, reduced by the equal shares of the entries that report nothing, since they
 may be using them. Its level may fall below zero: use that was reported late is repaid.
 
-Two limits make up for late reports. A part of the slack is granted as debt, so that callers within
-their quota are not rejected because of a stale view. And what an entry admits on the strength of
+Two limits make up for late reports. A part of what the policy tolerates beyond rate and burst is
+granted as debt, so that callers within their quota are not rejected for a short burst or because of
+a stale view. And what an entry admits on the strength of
 reports of one age is bounded, since the others may be admitting as much at the same time.
 """
 
@@ -17,7 +18,7 @@
 from chivehold.core.direct.organisations import Organisation, Quota
 
 DEBT_SHARE = 0.5
-"""Part of the slack that is granted as debt; the rest is left for use that is reported late."""
+"""Part of the excess that is granted as debt; the rest is left for use that is reported late."""
 STALE_VIEW_SHARE = 0.5
 """Part of what a full bucket could grant that one entry may use on reports of one age."""
 SLOT_S = 0.125
@@ -185,7 +186,7 @@
         """Return the time until a request has room; 0 if it has room now."""
         # A request larger than the burst is admitted once the bucket is full.
         needed = min(cost, self._quota.burst * view.share)
-        debt = DEBT_SHARE * policy.slack / view.entries
+        debt = DEBT_SHARE * policy.excess(self._quota) * view.share
         missing = needed - debt - self._level
         wait_s = missing / (self._quota.rate * view.share) if missing > 0 else 0.0
         if view.heard > 1:
