A quota's bucket is filled before reported use is charged

The cap on the level otherwise erased use that was reported after an idle period. The debt is granted to the entries that hear each other together, so that it does not shrink with their number.

--- a/src/chivehold/core/direct/quotas.py
+++ b/src/chivehold/core/direct/quotas.py
@@ -43,6 +43,11 @@
         """Return how much more than rate and burst may be used in a window."""
         return self.overshoot * (quota.rate * self.window_s + quota.burst) + self.slack
 
+    @property
+    def debt(self) -> float:
+        """How far below zero the level may fall by requests that are admitted."""
+        return DEBT_SHARE * self.slack
+
 
 class View(NamedTuple):
     """What an entry knows of the use of the other entries."""
@@ -147,19 +152,20 @@
         if wait_s > 0:
             self._rejected += cost
         else:
-            self.charge(cost, now)
+            self.charge(cost, view.share, now)
         return QuotaDecision(
             self._name, cost, wait_s <= 0, self._level, view.oldest_report_s, wait_s
         )
 
-    def charge(self, amount: float, now: float) -> None:
+    def charge(self, amount: float, share: float, now: float) -> None:
         """Charge use of this entry; a negative amount is a refund."""
         self._used += amount
         self._own.add(amount, now)
-        self.charge_reported(amount, now)
+        self.charge_reported(amount, share, now)
 
-    def charge_reported(self, amount: float, now: float) -> None:
+    def charge_reported(self, amount: float, share: float, now: float) -> None:
         """Charge use that another entry has reported; a negative amount is a refund."""
+        self._fill(share, now)
         self._all.add(amount, now)
         self._level -= amount
 
@@ -185,7 +191,7 @@
         """Return the time until a request has room; 0 if it has room now."""
         # A request larger than the burst is admitted once the bucket is full.
         needed = min(cost, self._quota.burst * view.share)
-        debt = DEBT_SHARE * policy.slack / view.entries
+        debt = policy.debt * view.share
         missing = needed - debt - self._level
         wait_s = missing / (self._quota.rate * view.share) if missing > 0 else 0.0
         if view.heard > 1:
@@ -198,7 +204,8 @@
     def _most_on_one_view(self, policy: QuotaPolicy, view: View) -> float:
         """Return how much this entry may use on reports that are as old as the oldest one."""
         filled = self._quota.rate * view.oldest_report_s
-        equal = (policy.excess(self._quota) + filled) / view.entries
+        others = max(1, view.entries - 1)
+        equal = (policy.excess(self._quota) - policy.debt) / others + filled / view.entries
         return max(equal, STALE_VIEW_SHARE * view.share * (self._quota.burst + filled))
 
 
@@ -244,16 +251,18 @@
         bucket = self._buckets.get(key)
         return bucket.decide(cost, self._policy, view, now) if bucket else None
 
-    def refund(self, key: OrganisationId, cost: float, now: float) -> None:
+    def refund(self, key: OrganisationId, cost: float, share: float, now: float) -> None:
         """Give back the cost of a request that has not run."""
         if bucket := self._buckets.get(key):
-            bucket.charge(-cost, now)
+            bucket.charge(-cost, share, now)
 
-    def charge_reported(self, used: Mapping[OrganisationId, float], now: float) -> None:
+    def charge_reported(
+        self, used: Mapping[OrganisationId, float], share: float, now: float
+    ) -> None:
         """Charge what another entry has reported."""
         for key, amount in used.items():
             if bucket := self._buckets.get(key):
-                bucket.charge_reported(amount, now)
+                bucket.charge_reported(amount, share, now)
 
     def lose_share(self, before: float, after: float, unheard_since: float, now: float) -> None:
         """Leave a part of all quotas to entries that have not been heard since a moment."""
--- a/src/chivehold/core/direct/shared_quotas.py
+++ b/src/chivehold/core/direct/shared_quotas.py
@@ -132,7 +132,7 @@
         """Give back the cost of an admitted request that has certainly not run."""
         key = organisation_id(decision.organisation)
         self._own.add(key, -decision.cost)
-        self._quotas.refund(key, decision.cost, now)
+        self._quotas.refund(key, decision.cost, self._view(now).share, now)
 
     def receive(self, received: ReceivedReport, now: float) -> bool:
         """Apply a report; return whether it was one of this cell that is not outdated."""
@@ -147,7 +147,7 @@
             return False
         if received.sender not in self._members:
             self._note_unlisted(received, now)
-        self._quotas.charge_reported(used, now)
+        self._quotas.charge_reported(used, before.share, now)
         if is_first:
             self._gain_share(before, now)
         return True
