--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import NamedTuple
 
+from chivehold.core.direct.decode_choice import STREAMS_HALF_LIFE_S, EngineMemory, fullness
 from chivehold.core.direct.expected_response import (
     COST_JITTER,
     MIN_USUAL_SHARE,
@@ -255,8 +256,8 @@
 
         Engines that have just refused a request of this size or a smaller one come last, the latest
         refusal at the end: their memory is freed only when a stream ends. Among the others, those
-        with the least memory used by this entry come first. A random factor spreads entries that
-        see the same load.
+        with the least memory in use come first, as far as it is known, and fast ones before slow
+        ones. A random factor spreads entries that see the same load.
 
         A stream that begins may do so at any software version, but at one that not all entries can
         know of yet only if there is no other.
@@ -332,6 +333,10 @@
         stats.suspended_until = max(stats.suspended_until, now + min_pause_s)
         return stats.suspended_until - now
 
+    def record_event_time(self, upstream: UpstreamRecord, s_per_event: float) -> None:
+        """Record the mean time between the events of a stream that kept its pace."""
+        self._speeds.record(_kind_of(upstream), incarnation_of(upstream), s_per_event)
+
     def suspend(self, upstream: UpstreamRecord, until: float) -> None:
         """Suspend an upstream until a time; a suspension is never shortened."""
         stats = self._stats_of(upstream)
@@ -407,9 +412,16 @@
         return self._stats.setdefault(incarnation_of(upstream), _UpstreamStats())
 
     def _fullness(self, upstream: UpstreamRecord, tokens: int, now: float) -> tuple[float, float]:
-        stats = self._stats_of(upstream)
+        stats, incarnation = self._stats_of(upstream), incarnation_of(upstream)
         refused_until = stats.full_at + FULL_MEMORY_S if tokens >= stats.full_for_tokens else now
-        return max(0.0, refused_until - now), stats.reserved_tokens * self._rng.uniform(1, 1.1)
+        relative = self._speeds.relative(_kind_of(upstream), incarnation)
+        engine = EngineMemory(
+            max(0.0, refused_until - now),
+            stats.reserved_tokens,
+            self._loads.others(incarnation, now, STREAMS_HALF_LIFE_S),
+            relative * self._loads.slowness(incarnation, now),
+        )
+        return fullness(engine, tokens, self._rng.uniform(1.0, 1.0 + COST_JITTER))
 
     def _cost(self, upstream: UpstreamRecord, with_reports: bool, now: float) -> float:
         stats = self._stats_of(upstream)
--- a/src/chivehold/core/direct/reported_load.py
+++ b/src/chivehold/core/direct/reported_load.py
@@ -55,10 +55,12 @@
         report = self._reports.get(upstream)
         return report if report is not None and now - report.at <= MAX_AGE_S else None
 
-    def others(self, upstream: UpstreamIncarnation, now: float) -> float:
+    def others(
+        self, upstream: UpstreamIncarnation, now: float, half_life_s: float = WORK_HALF_LIFE_S
+    ) -> float:
         """Return the requests of other entries at an upstream, weighted by the report's age."""
         report = self.report_of(upstream, now)
-        return report.others * _weight(report.at, now, WORK_HALF_LIFE_S) if report else 0.0
+        return report.others * _weight(report.at, now, half_life_s) if report else 0.0
 
     def slowness(self, upstream: UpstreamIncarnation, now: float) -> float:
         """Return how many times as long as usual work takes at an upstream now; 1 if unknown."""
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -79,8 +79,12 @@
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
         exchange.log("KV cache not fetched", peer=prefilled.upstream.name)
 
-    def record_pace(self, upstream: UpstreamRecord, is_late: bool) -> None:
+    def record_pace(
+        self, upstream: UpstreamRecord, is_late: bool, s_per_event: float | None
+    ) -> None:
         """Record a stream that finished on time, or one whose first late gap has just ended."""
+        if s_per_event is not None:
+            self._fleet.record_event_time(upstream, s_per_event)
         pace, now = self._pace_of(upstream.service), trio.current_time()
         was_disturbed = pace.is_disturbed(now)
         pace.record_stream(upstream.name, is_late, now)
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -17,11 +17,14 @@
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.http_client import RawResponse
 
-PaceHandler = Callable[[UpstreamRecord, bool], None]
-"""Called with the engine of a stream and whether the stream is late."""
+PaceHandler = Callable[[UpstreamRecord, bool, float | None], None]
+"""Called with the engine of a stream, whether the stream is late, and the mean time between its
+events in seconds, if it has ended on time and had enough of them.
+"""
 
 EVENT_TIMEOUT_S = 1.5
 """A resumable stream without a new event for this time is resumed at another engine."""
+MIN_EVENTS_FOR_SPEED = 8
 OK_STATUS = 200
 MAX_ERROR_BODY_BYTES = 1 << 16
 
@@ -163,6 +166,7 @@
         self._gaps.record_resumption()
         splitter = EventSplitter()
         progress_at = trio.current_time()
+        event_times: list[float] = []
         while True:
             chunk = await _next_chunk(response.chunks, progress_at + event_timeout_s)
             if chunk is None:
@@ -174,6 +178,7 @@
             ]
             if events:
                 progress_at = trio.current_time()
+                event_times += [progress_at] * len(events)
                 watch.record_output()
                 await self._relay_events(response.headers, upstream, events)
         if splitter.remainder:
@@ -186,7 +191,7 @@
         await self._reply.send_end()
         self.log_end("stream ended")
         if not self._gaps.late:
-            self._on_pace(upstream, False)
+            self._on_pace(upstream, False, _mean_gap_s(event_times))
         return AttemptResult(AttemptEnd.WHOLE, Verdict.SOUND)
 
     async def _relay_events(
@@ -197,7 +202,7 @@
         gap = self._gaps.record_event(trio.current_time())
         is_first_late = self._gaps.late == 1 and self._gaps.is_late(gap)
         if is_first_late and gap.position is not GapPosition.RESUMED:
-            self._on_pace(upstream, True)
+            self._on_pace(upstream, True, None)
         await self._reply.send_chunk(b"".join(event.raw for event in events))
         self._last_event = events[-1].event_id or self._last_event
 
@@ -218,6 +223,12 @@
     """The engine completed no new event within the timeout."""
 
 
+def _mean_gap_s(times: Sequence[float]) -> float | None:
+    if len(times) < MIN_EVENTS_FOR_SPEED:
+        return None
+    return (times[-1] - times[0]) / (len(times) - 1)
+
+
 def _failed(detail: str) -> AttemptResult:
     return AttemptResult(AttemptEnd.BROKEN, Verdict.FAILED, detail)
 
