Plain services: adaptive limits, a short queue at the entry, later hedges

Limits arise only from refusals of upstreams that report their load. A request that finds no room waits in order of priority and arrival, or is refused at once if it could not be served in time.

--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import NamedTuple
 
+from chivehold.core.direct.concurrency_limits import ConcurrencyLimits
 from chivehold.core.direct.decode_choice import STREAMS_HALF_LIFE_S, EngineMemory, fullness
 from chivehold.core.direct.expected_response import (
     COST_JITTER,
@@ -30,6 +31,7 @@
 
 DEFAULT_LATENCY_S = 0.08
 """Latency assumed for an upstream that has not responded yet."""
+MIN_SERVICE_TIME_S = 0.001
 LATENCY_WEIGHT = 0.2
 """Weight of the newest latency in the moving average."""
 FAILURE_WEIGHT = 0.15
@@ -117,6 +119,7 @@
         self._stats: dict[UpstreamIncarnation, _UpstreamStats] = {}
         self._loads = ReportedLoads()
         self._speeds = Speeds()
+        self._limits = ConcurrencyLimits()
 
     @property
     def loads(self) -> ReportedLoads:
@@ -145,6 +148,7 @@
         self._admission.forget_limits_of_others(current)
         self._loads.forget_others(current)
         self._speeds.forget_others(current)
+        self._limits.forget_others(current)
         return FleetChange(
             tuple(upstream for name, upstream in self._upstreams.items() if name not in before),
             tuple(upstream for name, upstream in before.items() if name not in self._upstreams),
@@ -209,7 +213,7 @@
         ]
         healthy = [upstream for upstream in candidates if not self.is_suspended(upstream, now)]
         with_reports = stage is Stage.NONE and any(
-            self._loads.report_of(incarnation_of(upstream), now) for upstream in candidates
+            self.reports_load(upstream, now) for upstream in candidates
         )
         ranked = sorted(
             healthy or candidates, key=lambda upstream: self._cost(upstream, with_reports, now)
@@ -240,6 +244,52 @@
         )
         return min(waits_s, default=None)
 
+    def with_room(
+        self, service: str, now: float, excluded: Collection[str] = ()
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams of a plain service that have room for a request, best first."""
+        ranked = self.ranked(service, Stage.NONE, now, excluded)
+        return [upstream for upstream in ranked if self._allows(upstream, now)]
+
+    def has_room(self, service: str, now: float) -> bool:
+        """Return whether waiting would not help: an upstream has room, or there is none at all."""
+        candidates = [
+            upstream
+            for upstream in self.available(service, Stage.NONE, now)
+            if self.may_send(upstream, now)
+        ]
+        return not candidates or any(self._allows(upstream, now) for upstream in candidates)
+
+    def expected_wait_s(self, service: str, position: int, now: float) -> float:
+        """Return when a request that waits for room is expected to have been served, in seconds.
+
+        Args:
+            service: The plain service.
+            position: Number of requests that go before it.
+            now: Monotonic time in seconds.
+        """
+        available = self.available(service, Stage.NONE, now)
+        times_s = [self.service_time_s(upstream, now) for upstream in available]
+        rate = sum(
+            (self.limit(upstream, now) or 1.0) / time_s
+            for upstream, time_s in zip(available, times_s, strict=True)
+        )
+        return (position + 1) / rate + min(times_s) if available else 0.0
+
+    def service_time_s(self, upstream: UpstreamRecord, now: float) -> float:
+        """Return how long a plain upstream works on a request now, without waiting, in seconds."""
+        latency_s = self._stats_of(upstream).latency.value_or(DEFAULT_LATENCY_S)
+        reported = self._reported_work(upstream, latency_s, now)
+        return max(MIN_SERVICE_TIME_S, reported.usual_s * reported.slowness)
+
+    def limit(self, upstream: UpstreamRecord, now: float) -> float | None:
+        """Return how many requests of this entry an upstream may have, ``None`` if any number."""
+        return self._limits.limit(incarnation_of(upstream), now)
+
+    def reports_load(self, upstream: UpstreamRecord, now: float) -> bool:
+        """Return whether an upstream has lately reported its load."""
+        return self._loads.report_of(incarnation_of(upstream), now) is not None
+
     def is_suspended(self, upstream: UpstreamRecord, now: float) -> bool:
         """Return whether an upstream is to get new work only if no other can take it."""
         return self._stats_of(upstream).suspended_until > now
@@ -283,6 +333,7 @@
     def spend_permit(self, upstream: UpstreamRecord, now: float) -> None:
         """Count a request that is about to be sent against the upstream's limit, if any."""
         self._admission.spend_permit(incarnation_of(upstream), now)
+        self._limits.record_start(incarnation_of(upstream), now)
 
     def record_start(self, upstream: UpstreamRecord, tokens: int = 0) -> None:
         """Record a call to an upstream and the tokens of memory reserved for it."""
@@ -308,6 +359,8 @@
             tokens: The tokens passed to ``record_start``.
         """
         stats = self._stats_of(upstream)
+        if upstream.stage is Stage.NONE:
+            self._adapt_limit(upstream, verdict, now)
         stats.in_flight -= 1
         stats.reserved_tokens -= tokens
         if latency_s is not None:
@@ -423,6 +476,17 @@
         )
         return fullness(engine, tokens, self._rng.uniform(1.0, 1.0 + COST_JITTER))
 
+    def _allows(self, upstream: UpstreamRecord, now: float) -> bool:
+        service_s, in_flight = self.service_time_s(upstream, now), self.in_flight(upstream)
+        return self._limits.allows(incarnation_of(upstream), in_flight, service_s, now)
+
+    def _adapt_limit(self, upstream: UpstreamRecord, verdict: Verdict, now: float) -> None:
+        incarnation = incarnation_of(upstream)
+        if verdict is Verdict.SOUND:
+            self._limits.record_success(incarnation)
+        elif verdict is Verdict.FULL and self.reports_load(upstream, now):
+            self._limits.record_refusal(incarnation, self.in_flight(upstream), now)
+
     def _cost(self, upstream: UpstreamRecord, with_reports: bool, now: float) -> float:
         stats = self._stats_of(upstream)
         work = UpstreamWork(
--- a/src/chivehold/core/direct/prefill_load.py
+++ b/src/chivehold/core/direct/prefill_load.py
@@ -59,6 +59,7 @@
         self._kind = WorkKind(service, Stage.PREFILL)
         self._speeds = speeds or Speeds()
         self._loads = loads or ReportedLoads()
+        self._fastest_s_per_token = DEFAULT_S_PER_TOKEN
         self._estimates: dict[UpstreamIncarnation, _LoadEstimate] = {}
         self._running: dict[UpstreamIncarnation, list[float]] = {}
         self._credit_s = 0.0
@@ -85,7 +86,7 @@
             now: Monotonic time in seconds.
         """
         gained_s = (now - self._refilled_at) * engines / max(1, entries)
-        most_s = BURST_PROMPTS * tokens * self._fastest_s_per_token()
+        most_s = BURST_PROMPTS * tokens * self._fastest_s_per_token
         self._credit_s = min(most_s, self._credit_s + gained_s)
         self._refilled_at = now
         if self._is_being_probed(engine):
@@ -117,6 +118,7 @@
         """Learn the engine's speed and load from the duration of a completed prefill."""
         unit_s = took_s / max(1, tokens) / self._loads.slowness(engine, now)
         self._speeds.record(self._kind, engine, unit_s / self._crowd(engine, now))
+        self._update_fastest()
         prompts = max(1.0, took_s / self._unshared_s(engine, tokens, now))
         before = self.estimated_prompts(engine, now)
         self._estimates[engine] = _LoadEstimate(before + NEWEST_WEIGHT * (prompts - before), now)
@@ -151,25 +153,23 @@
 
     def _unshared_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
         """Return the duration of a prefill that has an engine to itself, in seconds."""
-        s_per_token = self._fastest_s_per_token() * self._speeds.relative(self._kind, engine)
+        s_per_token = self._fastest_s_per_token * self._speeds.relative(self._kind, engine)
         return max(1, tokens) * s_per_token * self._loads.slowness(engine, now)
 
-    def _fastest_s_per_token(self) -> float:
-        """Return the time per token at an engine of median speed without other prompts."""
+    def _update_fastest(self) -> None:
+        """Update the time per token at an engine of median speed without other prompts."""
         s_per_token = sorted(
             sample / self._speeds.relative(self._kind, engine)
             for engine, sample in self._speeds.all_samples(self._kind)
         )
-        if not s_per_token:
-            return DEFAULT_S_PER_TOKEN
-        return s_per_token[math.floor(len(s_per_token) * FASTEST_QUANTILE)]
+        self._fastest_s_per_token = s_per_token[math.floor(len(s_per_token) * FASTEST_QUANTILE)]
 
     def _is_being_probed(self, engine: UpstreamIncarnation) -> bool:
         """Return whether a prompt runs at an engine of unknown speed while others are known."""
         return (
             engine in self._running
             and not self._speeds.is_known(self._kind, engine)
-            and any(True for _ in self._speeds.all_samples(self._kind))
+            and self._speeds.has_samples(self._kind)
         )
 
     def _crowd(self, engine: UpstreamIncarnation, now: float) -> float:
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -29,6 +29,7 @@
     send_refusal,
     unknown_outcome_refusal,
 )
+from chivehold.direct.room_waiting import RoomWaiting
 from chivehold.direct.signals import SignalReader
 from chivehold.http_client import HttpClient, LinkBroken, NothingSent
 
@@ -39,6 +40,8 @@
 """Unreachable upstreams that a request may skip, outside the retry budget, before it is refused."""
 HEDGE_DELAY_SHARE = 0.45
 """Share of the latency target after which a hedged request goes to a second upstream."""
+HEDGE_FACTOR = 2.0
+"""A request is not hedged before this multiple of what its upstream usually takes."""
 FULL_RETRY_S = 0.25
 NO_UPSTREAM_RETRY_S = 0.5
 MIN_ERROR_STATUS = 500
@@ -106,6 +109,7 @@
         self._retries = retries
         self._metrics = metrics
         self._crashes = crashes
+        self._room = RoomWaiting(fleet)
 
     async def serve(self, exchange: Exchange, reply: Reply) -> str:
         """Answer a request, and return its outcome for logs and metrics."""
@@ -119,11 +123,21 @@
         return response.reason
 
     def next_upstream(self, exchange: Exchange, tried: set[str]) -> UpstreamRecord | None:
-        """Return the best upstream that has not been tried, or ``None`` if there is none."""
-        now = trio.current_time()
-        ranked = self._fleet.ranked(exchange.service, Stage.NONE, now, tried)
+        """Return the best upstream with room that has not been tried, or ``None``."""
+        ranked = self._fleet.with_room(exchange.service, trio.current_time(), tried)
         return ranked[0] if ranked else None
 
+    async def wait_for_room(self, exchange: Exchange) -> Refusal | None:
+        """Wait until an upstream has room, or return why the request is refused."""
+        return await self._room.wait(exchange)
+
+    def usual_response_s(self, upstream: UpstreamRecord) -> float:
+        """Return how long an upstream that is known to be slow takes; 0 if it is not known."""
+        now = trio.current_time()
+        if not self._fleet.reports_load(upstream, now):
+            return 0.0
+        return self._fleet.service_time_s(upstream, now)
+
     def try_spend_retry(self, exchange: Exchange) -> bool:
         """Spend one retry, or return ``False`` if the shared budget is exhausted."""
         return self._retries.try_spend(exchange.service, trio.current_time())
@@ -163,6 +177,7 @@
             if verdict is not Verdict.SOUND:
                 latency_s = None
             suspended_s = self._fleet.record_end(upstream, verdict, now, latency_s)
+            self._room.notify(exchange.service)
             self._metrics.count_attempt(exchange.service, verdict)
             if verdict not in (Verdict.SOUND, Verdict.UNKNOWN):
                 exchange.log(
@@ -238,9 +253,12 @@
         return response
 
     async def _await_response(self) -> CompleteResponse | Refusal:
-        if not self._start_attempt():
+        if refusal := await self._calls.wait_for_room(self._exchange):
+            return refusal
+        upstream = self._start_attempt()
+        if upstream is None:
             return self._not_run("no_upstream", "no upstream takes requests", NO_UPSTREAM_RETRY_S)
-        hedge_at = self._hedge_at()
+        hedge_at = self._hedge_at(upstream)
         while self._running:
             if self._is_suspect:
                 hedge_at = math.inf
@@ -308,25 +326,28 @@
         exchange.log("request repeated", reason=reason)
         self._start_attempt()
 
-    def _start_attempt(self) -> bool:
+    def _start_attempt(self) -> UpstreamRecord | None:
         upstream = self._calls.next_upstream(self._exchange, self._tried)
         if upstream is None:
-            return False
+            return None
         self._tried.add(upstream.name)
         self._running += 1
         self._calls.record_start(upstream)
         self._exchange.log("attempt started", peer=upstream.name)
         self._nursery.start_soon(self._attempt, upstream)
-        return True
+        return upstream
 
     async def _attempt(self, upstream: UpstreamRecord) -> None:
         self._send.send_nowait(await self._calls.send(self._exchange, upstream))
 
-    def _hedge_at(self) -> float:
+    def _hedge_at(self, upstream: UpstreamRecord) -> float:
+        """Return when to hedge; later at an upstream that is known to be slow."""
         route = self._exchange.route
         if not route.retryable or route.max_upstreams < 2:
             return math.inf
-        return self._exchange.arrived_at + HEDGE_DELAY_SHARE * route.latency_target_s
+        hedge_at = self._exchange.arrived_at + HEDGE_DELAY_SHARE * route.latency_target_s
+        usual_s = self._calls.usual_response_s(upstream)
+        return max(hedge_at, trio.current_time() + HEDGE_FACTOR * usual_s) if usual_s else hedge_at
 
     def _timed_out(self) -> Refusal:
         return unknown_outcome_refusal(504, "timeout", "no upstream answered in time")
