Waiting streams are ordered by priority, with turns for overdue ones

Late requests go by first arrival, so that a returning caller keeps its position. One in eight grants goes to a request that has waited for half of its caller's wait.

--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -1,14 +1,30 @@
 """The queue of requests that wait for memory at a decode engine.
 
-In a burst more requests arrive than the engines can decode. Requests that can still be answered on
-time are served before late ones: serving a late one first would make both late. On-time requests
-are ordered by the time they have left, late ones by arrival. A stream that has started and lost its
-engine goes before all others. A request that its caller is about to
-abandon is refused early enough for the caller to retry.
+In a burst more requests arrive than the engines can decode. A stream that has started and lost its
+engine goes before all others. Among the rest the more urgent priority goes first. Within a priority
+requests that can still be answered on time are served before late ones: serving a late one first
+would make both late. On-time requests are ordered by the time they have left, late ones by first
+arrival. A request that its caller is about to abandon is refused early enough for the caller to
+retry.
+
+A late request that has waited for half of the time that its caller waits is overdue. One in
+``GRANTS_PER_TURN`` grants goes to the overdue request that arrived first, whatever its priority, so
+that no priority, organisation or size of prompt is passed over for ever.
 """
 
+import math
 from typing import NamedTuple
 
+OVERDUE_SHARE = 0.5
+"""Share of a caller's wait after which its request is overdue.
+
+The other half leaves time for several turns before the caller leaves.
+"""
+GRANTS_PER_TURN = 8
+"""An overdue request gets one grant in so many; urgent ones lose at most this share."""
+MAX_TURN_S = 0.5
+"""Longest time for which an overdue request that no engine has room for holds back the others."""
+
 
 class Waiter(NamedTuple):
     """A request that waits for memory at a decode engine; times are monotonic, in seconds."""
@@ -28,17 +44,40 @@
     """Version of the engine's software that a started stream needs."""
     has_started: bool = False
     """The caller has received events, and would notice any wait as a gap."""
+    priority: int = 0
+    """0 is the most urgent."""
+    organisation: str | None = None
+    """Name of the caller's organisation, if it has one."""
+    waited_before_s: float = 0.0
+    """How long the caller has waited before this retry; 0 where the order ignores retries."""
+    expires_at: float = math.inf
+    """When the caller's deadline expires."""
+    leaves_at: float = math.inf
+    """Memory granted later than this brings the first event after the caller has left."""
+
+    @property
+    def first_arrived_at(self) -> float:
+        """When the caller sent the first request; earlier than ``arrived_at`` for a retry."""
+        return self.arrived_at - self.waited_before_s
 
     def is_late(self, now: float) -> bool:
         """Return whether memory granted now misses the target; never for a started stream."""
         return not self.has_started and self.on_time_until < now
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the request has waited for so long that it gets a turn."""
+        waited_s = now - self.arrived_at
+        longest_s = self.gives_up_at - self.arrived_at
+        return self.is_late(now) and waited_s > OVERDUE_SHARE * longest_s
+
 
 class WaitQueue:
     """The requests of one service that wait for memory."""
 
     def __init__(self) -> None:
         self._waiters: dict[str, Waiter] = {}
+        self._grants_since_turn = 0
+        self._turn_began_at: float | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -53,9 +92,53 @@
 
     def next_waiter(self, now: float) -> Waiter | None:
         """Return the request to serve next, or ``None`` if the queue is empty."""
-        return min(self._waiters.values(), key=lambda waiter: _priority(waiter, now), default=None)
+        first = min(self._waiters.values(), key=lambda waiter: _order(waiter, now), default=None)
+        if first is None or first.has_started:
+            return first
+        return self._overdue_waiter(first, now) or first
 
+    def record_grant(self, waiter: Waiter, now: float) -> None:
+        """Record that a request of the queue, which it may have left, was granted memory."""
+        if self._turn_began_at is not None:
+            self._end_turn()
+        elif any(_passes_over(waiter, other, now) for other in self._waiters.values()):
+            self._grants_since_turn += 1
 
-def _priority(waiter: Waiter, now: float) -> tuple[bool, bool, float]:
+    def ahead_of(self, waiter: Waiter, now: float) -> list[Waiter]:
+        """Return the requests that are served before one, which need not be in the queue."""
+        position = _order(waiter, now)
+        return [
+            other
+            for other in self._waiters.values()
+            if other.request != waiter.request and _order(other, now) <= position
+        ]
+
+    def _overdue_waiter(self, first: Waiter, now: float) -> Waiter | None:
+        """Return the overdue request whose turn it is, if it is the turn of one."""
+        if self._grants_since_turn < GRANTS_PER_TURN - 1:
+            return None
+        overdue = [other for other in self._waiters.values() if _passes_over(first, other, now)]
+        if not overdue:
+            return None
+        if self._turn_began_at is None:
+            self._turn_began_at = now
+        elif now - self._turn_began_at > MAX_TURN_S:
+            self._end_turn()
+            return None
+        return min(overdue, key=lambda waiter: waiter.first_arrived_at)
+
+    def _end_turn(self) -> None:
+        self._grants_since_turn = 0
+        self._turn_began_at = None
+
+
+def _order(waiter: Waiter, now: float) -> tuple[bool, int, bool, float]:
     late = waiter.is_late(now)
-    return (not waiter.has_started, late, waiter.arrived_at if late else waiter.on_time_until)
+    due_at = waiter.first_arrived_at if late else waiter.on_time_until
+    return (not waiter.has_started, waiter.priority, late, due_at)
+
+
+def _passes_over(first: Waiter, other: Waiter, now: float) -> bool:
+    """Return whether an overdue request waits because another one is preferred to it."""
+    is_preferred = (first.priority, first.organisation) != (other.priority, other.organisation)
+    return is_preferred and other.is_overdue(now)
--- a/tests/core/direct/test_waiting.py
+++ b/tests/core/direct/test_waiting.py
@@ -101,3 +101,73 @@
         for now in (10.0, 10.5, 12.0):
             first = queue.next_waiter(now)
             assert first is not None and first.request == "r2"
+
+
+class TestPriorities:
+    def test_order(self) -> None:
+        """A burst of the least urgent class waits behind a more urgent request that came last."""
+        queue = WaitQueue()
+        for number in range(5):
+            queue.add(waiter(number, 0.1 * number)._replace(priority=2))
+        queue.add(waiter(8, 0.9)._replace(priority=1))
+        queue.add(waiter(9, 1.0)._replace(priority=0))
+        for now in (1.0, 2.0):
+            assert served(queue, now, 2) == ["r9", "r8"]
+            for number, priority in ((8, 1), (9, 0)):
+                queue.add(waiter(number, 1.0)._replace(priority=priority))
+
+    def test_returning_caller_keeps_its_position(self) -> None:
+        """All classes at twice the capacity: a retry goes before a late request that came first."""
+        queue = WaitQueue()
+        queue.add(waiter(1, 0.0))
+        queue.add(waiter(2, 1.0)._replace(waited_before_s=4.0, on_time_until=0.0))
+        assert served(queue, 1.5, 1) == ["r2"]
+
+    def test_least_urgent_is_not_passed_over_for_ever(self) -> None:
+        """All classes at twice the capacity: the overdue get one in eight grants, and no more."""
+        queue = WaitQueue()
+        overdue = [waiter(number, 0.0)._replace(priority=2) for number in range(10)]
+        for late in overdue:
+            queue.add(late)
+        order = []
+        for number in range(100, 132):
+            queue.add(waiter(number, 2.0))
+            order += served(queue, 2.0, 1)
+        assert [place for place, request in enumerate(order) if int(request[1:]) < 10] == [
+            7,
+            15,
+            23,
+            31,
+        ]
+
+    def test_overdue_request_without_room_does_not_block(self) -> None:
+        """Long prompts among short ones: a turn that no engine has room for ends."""
+        queue = WaitQueue()
+        queue.add(waiter(1, 0.0, tokens=9_000)._replace(priority=2))
+        for number in range(10, 20):
+            queue.add(waiter(number, 2.0))
+        served(queue, 2.0, 7)
+        names = [getattr(queue.next_waiter(now), "request", "") for now in (2.0, 2.4, 2.6)]
+        assert names == ["r1", "r1", "r17"]
+
+    def test_equal_requests_take_no_turns(self) -> None:
+        """Requests of one priority are served in the same order as ever, also if overdue."""
+        queue = WaitQueue()
+        queue.add(waiter(0, 0.0))
+        order = []
+        for number in range(100, 120):
+            queue.add(waiter(number, 2.0))
+            order += served(queue, 2.0, 1)
+        assert "r0" not in order
+
+
+def served(queue: WaitQueue, now: float, count: int) -> list[str]:
+    """Grant memory to the next requests and return their ids."""
+    order = []
+    for _ in range(count):
+        following = queue.next_waiter(now)
+        assert following is not None
+        queue.remove(following.request)
+        queue.record_grant(following, now)
+        order.append(following.request)
+    return order
