Priorities hold across entries; waits are bounded by what callers lose

Less urgent requests poll full engines less often while more urgent ones are served, and engines get the urgency of prefills and streams. A first request waits while it can be on time, a returning caller for as long as it stays; what cannot be served is refused at once, by an estimate from this entry's grants that is checked afterwards. Only where streams of a service differ in priority or organisation.

--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -121,6 +121,8 @@
     """Id of the memory reservation that the request uses."""
     last_event: str | None = None
     """Id of the event after which a stream is resumed."""
+    urgency: int | None = None
+    """How urgent the request is among those at the engine; 0 is first."""
 
 
 class EngineCall(NamedTuple):
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 import signal
+from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -16,6 +17,7 @@
 from chivehold.core.direct.gossip import Gossip
 from chivehold.core.direct.routes import EngineConfig, RouteIndex, RouteTable
 from chivehold.core.direct.shared_retries import SharedRetryBudget
+from chivehold.core.direct.stream_priorities import StreamPriorities, priorities_by_service
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
 from chivehold.core.direct.upstream_limits import UpstreamLimits
 from chivehold.core.identity import EntryIncarnation
@@ -107,6 +109,7 @@
             lambda upstream: self._version_tracking.is_confirmed(upstream),
         )
         self._metrics = DirectMetrics()
+        self._priorities: Mapping[str, StreamPriorities] = {}
         self._retries = SharedRetryBudget(
             settings.retry_share,
             settings.retry_extra,
@@ -121,7 +124,13 @@
         signals = SignalReader(self._fleet, platform.dialect, self._metrics, exchange)
         engines = EngineClient(self._fleet, self._client, platform.dialect, signals, nursery)
         self._reserver = EngineMemoryReserver(
-            self._fleet, engines, self._engine_config, nursery, rng
+            self._fleet,
+            engines,
+            self._engine_config,
+            self._stream_priorities,
+            self._metrics,
+            nursery,
+            rng,
         )
         store = CountedStore(
             platform.open_store(settings.store_address, self._store_client),
@@ -166,6 +175,7 @@
                 self._metrics,
                 self._crash_protection.watch,
                 self._version_tracking.resumptions,
+                self._stream_priorities,
             ),
             self._retries,
             self._metrics,
@@ -328,6 +338,7 @@
 
     def _apply_routes(self, table: RouteTable) -> None:
         self._version_tracking.apply_routes(table)
+        self._priorities = priorities_by_service(table)
         self._callers.apply_routes(RouteIndex(table))
 
     def _apply_fleet_change(self, change: FleetChange) -> None:
@@ -340,6 +351,9 @@
         for service in {upstream.service for upstream in (*change.added, *change.changed)}:
             self._reserver.notify_freed(service)
 
+    def _stream_priorities(self, service: str) -> StreamPriorities:
+        return self._priorities.get(service, StreamPriorities())
+
     def _route_table(self) -> RouteTable | None:
         routes = self._callers.routes
         return routes.table if routes else None
--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -166,7 +166,9 @@
             yield response
 
     async def _run_prefill(self, exchange: Exchange, upstream: UpstreamRecord) -> str:
-        forwarding = ForwardingOptions(exchange.time_left_s(), prefill_only=True)
+        forwarding = ForwardingOptions(
+            exchange.time_left_s(), prefill_only=True, urgency=exchange.urgency
+        )
         headers = self._dialect.forwarded_headers(exchange.headers, upstream, forwarding)
         sent_at = trio.current_time()
         async with self._client.relay(
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -44,6 +44,8 @@
     """The quarantined content that this request is let through with, to see if it is harmless."""
     organisation: Organisation | None = None
     """The organisation that holds the caller's API key, if there is one."""
+    urgency: int | None = None
+    """Urgency stated to engines; ``None`` where all streams of the service are equally urgent."""
 
     @property
     def priority(self) -> int:
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter as Counts
 from collections.abc import Iterable, Sequence
+from enum import StrEnum
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -14,6 +15,19 @@
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
 
 
+class WaitOutcome(StrEnum):
+    """How the wait of a stream for memory ended, where streams of a service differ in priority."""
+
+    ON_TIME = "on_time"
+    LATE = "late"
+    REFUSED_AT_ONCE = "refused_at_once"
+    """On the estimate of the wait."""
+    REFUSED_AFTER_WAIT = "refused_after_wait"
+    """It was queued, and refused in the end."""
+    REFUSED_WRONGLY = "refused_wrongly"
+    """It was refused at once, counted as that, too, and could have been served."""
+
+
 class DirectMetrics:
     """Counters, histograms and gauges of one entry."""
 
@@ -78,6 +92,18 @@
             registry=registry,
             buckets=WAIT_BUCKETS_S,
         )
+        self._wait_ends = Counter(
+            "chivehold_priority_waits_total",
+            "Waits of streams for memory that ended, by service, priority and outcome.",
+            None,
+            registry,
+        )
+        self._priority_waits = Histogram(
+            "chivehold_priority_wait_seconds",
+            "Time that streams waited for memory, by service and priority.",
+            registry=registry,
+            buckets=WAIT_BUCKETS_S,
+        )
         self._prefill_times = Histogram(
             "chivehold_prefill_seconds",
             "Time that prefill engines took for a prompt.",
@@ -168,6 +194,16 @@
         """Record how long a stream waited for decode memory, in seconds."""
         self._reservation_waits.observe({"service": service}, float(wait_s))
 
+    def count_wait_end(self, service: str, priority: int, outcome: WaitOutcome) -> None:
+        """Count a stream whose wait for memory ended."""
+        labels = {"service": service, "priority": str(priority), "outcome": str(outcome)}
+        self._wait_ends.inc(labels)
+
+    def observe_priority_wait(self, service: str, priority: int, wait_s: float) -> None:
+        """Record how long a stream of a priority waited for memory, in seconds."""
+        labels = {"service": service, "priority": str(priority)}
+        self._priority_waits.observe(labels, float(wait_s))
+
     def observe_prefill(self, service: str, took_s: float) -> None:
         """Record how long a prefill took, in seconds."""
         self._prefill_times.observe({"service": service}, float(took_s))
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -8,19 +8,24 @@
 import trio
 
 from chivehold.core.direct.fleet import Fleet, Verdict
+from chivehold.core.direct.grant_rate import GrantRate
 from chivehold.core.direct.messages import Stage, UpstreamRecord
+from chivehold.core.direct.refusal_checks import RefusalChecks
 from chivehold.core.direct.reservations import MemoryReservation, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
+from chivehold.core.direct.stream_priorities import (
+    ServedPriorities,
+    StreamPriorities,
+    equal_poll_interval_s,
+)
+from chivehold.core.direct.wait_bounds import is_hopeless, retry_after_s
 from chivehold.core.direct.waiting import Waiter, WaitQueue
 from chivehold.direct.engines import EngineClient
+from chivehold.direct.metrics import DirectMetrics, WaitOutcome
 from chivehold.direct.refusals import MAX_RETRY_AFTER_S
 from chivehold.http_client import LinkError
 from chivehold.logs import log_event
 
-POLL_INTERVAL_S = 0.03
-"""Poll interval while all engines are full; entries are not notified of memory freed by others."""
-LATE_POLL_INTERVAL_S = 0.15
-"""Poll interval for a late request, longer so that on-time requests of other entries go first."""
 POLL_JITTER = 0.3
 NO_ENGINE_RETRY_S = 1.0
 NO_ANSWER_PAUSE_S = 0.5
@@ -56,6 +61,8 @@
         fleet: The engines.
         engines: Client of the engines.
         engine_config: Returns the configuration of a service's engines.
+        priorities: Returns the priorities of a service's streams.
+        metrics: Counts the requests by priority where those differ.
         nursery: Runs one task per queue with waiting requests.
         rng: Source of the jitter.
     """
@@ -65,12 +72,16 @@
         fleet: Fleet,
         engines: EngineClient,
         engine_config: Callable[[str], EngineConfig | None],
+        priorities: Callable[[str], StreamPriorities],
+        metrics: DirectMetrics,
         nursery: trio.Nursery,
         rng: Random,
     ) -> None:
         self._fleet = fleet
         self._engines = engines
         self._engine_config = engine_config
+        self._priorities = priorities
+        self._metrics = metrics
         self._nursery = nursery
         self._rng = rng
         self._queues: dict[_QueueKey, _Queue] = {}
@@ -79,6 +90,9 @@
         """Wait for memory until the waiter's ``gives_up_at``."""
         key = _QueueKey(service, waiter.software)
         queue = self._queues.setdefault(key, _Queue())
+        is_ordered = self._priorities(service).is_ordered
+        if is_ordered and (refusal := self._refusal_at_once(service, queue, waiter)):
+            return refusal
         pending = _Pending(waiter)
         queue.add(pending)
         if not queue.is_served:
@@ -93,8 +107,10 @@
             raise
         finally:
             queue.remove(waiter.request)
+        if is_ordered:
+            self._count_end(service, waiter, pending.result)
         if pending.result is None:
-            return ReservationRefused("full", queue.retry_after_s(self._rng))
+            return self._refusal_after_wait(queue, waiter, is_ordered)
         return pending.result
 
     def release(self, reservation: MemoryReservation) -> None:
@@ -127,12 +143,15 @@
                     queue.waiters.remove(waiter.request)
                     continue
                 if not await self._grant(key.service, queue, waiter):
-                    poll_s = POLL_INTERVAL_S
-                    if waiter.is_late(trio.current_time()):
-                        poll_s = LATE_POLL_INTERVAL_S
+                    now = trio.current_time()
+                    queue.grant_rate.record_waiting(True, now)
+                    poll_s = equal_poll_interval_s(waiter, now)
+                    if self._priorities(key.service).is_ordered:
+                        poll_s = queue.served.poll_interval_s(waiter, now)
                     await queue.wait(poll_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
         finally:
             queue.is_served = False
+            queue.grant_rate.record_waiting(False, trio.current_time())
             if key.software is not None:
                 del self._queues[key]
                 # Requests for which any version will do may have its engines now.
@@ -172,11 +191,55 @@
                 continue
             reservation = MemoryReservation(upstream, hold, waiter.tokens)
             self._fleet.record_start(upstream, waiter.tokens)
+            self._record_grant(service, queue, waiter)
             if not queue.resolve(waiter.request, reservation):
                 self.release(reservation)
             return True
         return False
 
+    def _refusal_at_once(
+        self, service: str, queue: "_Queue", waiter: Waiter
+    ) -> ReservationRefused | None:
+        """Return the refusal of a request that would wait in vain."""
+        now = trio.current_time()
+        queue.served.record_arrival(waiter.priority, now)
+        expected_s = queue.expected_wait_s(waiter, now)
+        if not is_hopeless(waiter, expected_s, now):
+            return None
+        queue.refusals.record_refusal(waiter)
+        self._metrics.count_wait_end(service, waiter.priority, WaitOutcome.REFUSED_AT_ONCE)
+        return ReservationRefused(
+            "expected_wait", retry_after_s(waiter, expected_s, now, self._rng)
+        )
+
+    def _refusal_after_wait(
+        self, queue: "_Queue", waiter: Waiter, is_ordered: bool
+    ) -> ReservationRefused:
+        if not is_ordered:
+            return ReservationRefused("full", queue.retry_after_s(self._rng))
+        now = trio.current_time()
+        expected_s = queue.expected_wait_s(waiter, now)
+        return ReservationRefused("full", retry_after_s(waiter, expected_s, now, self._rng))
+
+    def _count_end(
+        self, service: str, waiter: Waiter, result: MemoryReservation | ReservationRefused | None
+    ) -> None:
+        """Count how the wait of a request ended that was not cancelled."""
+        now = trio.current_time()
+        outcome = WaitOutcome.REFUSED_AFTER_WAIT
+        if isinstance(result, MemoryReservation):
+            outcome = WaitOutcome.LATE if waiter.is_late(now) else WaitOutcome.ON_TIME
+        self._metrics.count_wait_end(service, waiter.priority, outcome)
+        self._metrics.observe_priority_wait(service, waiter.priority, now - waiter.arrived_at)
+
+    def _record_grant(self, service: str, queue: "_Queue", waiter: Waiter) -> None:
+        """Record a grant for the order of the queue and for the estimates."""
+        now = trio.current_time()
+        queue.waiters.record_grant(waiter, now)
+        queue.grant_rate.record_grant(waiter.tokens, now)
+        for wrong in queue.refusals.wrong_refusals(waiter, now):
+            self._metrics.count_wait_end(service, wrong.priority, WaitOutcome.REFUSED_WRONGLY)
+
     def _is_waited_for(self, upstream: UpstreamRecord) -> bool:
         """Return whether streams that need an engine's version wait for it, which go first."""
         queue = self._queues.get(_QueueKey(upstream.service, upstream.software))
@@ -212,6 +275,9 @@
 
     def __init__(self) -> None:
         self.waiters = WaitQueue()
+        self.grant_rate = GrantRate()
+        self.served = ServedPriorities()
+        self.refusals = RefusalChecks()
         self.is_served = False
         self.wake = trio.Event()
         self._pending: dict[str, _Pending] = {}
@@ -243,5 +309,10 @@
             await self.wake.wait()
         self.wake = trio.Event()
 
+    def expected_wait_s(self, waiter: Waiter, now: float) -> float | None:
+        """Return how long a request would wait in the order of the queue, if that is known."""
+        ahead = sum(other.tokens for other in self.waiters.ahead_of(waiter, now))
+        return self.grant_rate.wait_s(ahead, waiter.tokens, now)
+
     def retry_after_s(self, rng: Random) -> float:
         return rng.uniform(*self.RETRY_AFTER_RANGE_S)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -1,5 +1,7 @@
 """Streams of model services: reserve decode memory, prefill at another engine, relay the events."""
 
+from collections.abc import Callable
+
 import trio
 
 from chivehold.core.direct.fleet import Fleet, Verdict
@@ -8,6 +10,8 @@
 from chivehold.core.direct.reservations import MemoryReservation, MemoryReserver, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
 from chivehold.core.direct.shared_retries import SharedRetryBudget
+from chivehold.core.direct.stream_priorities import StreamPriorities
+from chivehold.core.direct.wait_bounds import with_bounds
 from chivehold.core.direct.waiting import Waiter
 from chivehold.direct.crash_watch import MAX_ENDS_UNDER_REQUEST, CrashWatch
 from chivehold.direct.engines import EngineClient, PrefilledCache
@@ -58,6 +62,7 @@
         metrics: Counts attempts and records durations.
         crashes: Watches the attempts for those that end their engine.
         resumptions: Finds the software version at which a resumed stream goes on.
+        priorities: Returns the priorities of a service's streams.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         metrics: DirectMetrics,
         crashes: CrashWatch,
         resumptions: Resumptions,
+        priorities: Callable[[str], StreamPriorities],
     ) -> None:
         self._fleet = fleet
         self._engines = engines
@@ -79,6 +85,7 @@
         self._metrics = metrics
         self._crashes = crashes
         self._resumptions = resumptions
+        self._priorities = priorities
         self._length_estimators: dict[str, OutputLengthEstimator] = {}
 
     async def serve(self, exchange: Exchange, reply: Reply, engine_config: EngineConfig) -> str:
@@ -90,6 +97,8 @@
                 await send_refusal(reply, software)
                 return software.reason
             exchange = exchange._replace(software=software)
+        urgency = self._priorities(exchange.service).urgency(exchange.priority)
+        exchange = exchange._replace(urgency=urgency)
         stream = _StreamRequest(self, exchange, reply, engine_config)
         try:
             refusal = await stream.run()
@@ -235,13 +244,22 @@
         gives_up_at = on_time_until + MAX_LATE_WAIT_S
         if exchange.waited_before_s:
             gives_up_at = exchange.arrived_at + MAX_WAIT_S
-        return Waiter(
+        waiter = Waiter(
             request=exchange.request_id,
             tokens=min(tokens, engine_config.kv_capacity or tokens),
             arrived_at=exchange.arrived_at,
             on_time_until=on_time_until,
             gives_up_at=min(gives_up_at, exchange.expires_at),
         )
+        if not self._priorities(exchange.service).is_ordered:
+            return waiter
+        waiter = waiter._replace(
+            priority=exchange.priority,
+            organisation=exchange.organisation.name if exchange.organisation else None,
+            waited_before_s=exchange.waited_before_s,
+            expires_at=exchange.expires_at,
+        )
+        return with_bounds(waiter, exchange.route)
 
     def _length_estimator(self, service: str) -> OutputLengthEstimator:
         return self._length_estimators.setdefault(service, OutputLengthEstimator())
@@ -408,6 +426,7 @@
             kv_source=source,
             hold=reservation.hold,
             last_event=self._relay.last_event,
+            urgency=self._exchange.urgency,
         )
         watch = self._calls.crashes.start_attempt(
             self._exchange, reservation.upstream, self._has_settled
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -35,6 +35,7 @@
 STAGE = b"x-chivehold-stage"
 KV_SOURCE = b"x-chivehold-kv-from"
 HOLD = b"x-chivehold-hold"
+URGENCY = b"x-chivehold-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 """Id of the request that brought the first event of a stream that its caller resumes."""
@@ -67,7 +68,7 @@
         DEADLINE_MS,
         b"x-chivehold-kv-backup",
         b"x-chivehold-pin-ms",
-        b"x-chivehold-request-urgency",
+        URGENCY,
         b"x-chivehold-expect-version",
         b"kv-fetch",
         b"x-chivehold-kv-fetch",
@@ -230,6 +231,8 @@
         yield KV_SOURCE, f"{forwarding.kv_source.address}/{forwarding.kv_source.handle}".encode()
     if forwarding.hold is not None:
         yield HOLD, forwarding.hold.encode()
+    if forwarding.urgency is not None:
+        yield URGENCY, str(forwarding.urgency).encode()
     if forwarding.last_event is not None:
         yield LAST_EVENT_ID, forwarding.last_event.encode()
 
--- a/tests/direct/test_reservations.py
+++ b/tests/direct/test_reservations.py
@@ -12,7 +12,9 @@
 from chivehold.core.direct.messages import Stage, UpstreamRecord, UpstreamSignals
 from chivehold.core.direct.reservations import MemoryReservation, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
+from chivehold.core.direct.stream_priorities import StreamPriorities
 from chivehold.core.direct.waiting import Waiter
+from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.reservations import EngineMemoryReserver
 from chivehold.http_client import LinkBroken
 from tests.core.direct import factories
@@ -47,11 +49,21 @@
         self.released.append(hold)
 
 
-def make_reserver(engine: Engine, nursery: trio.Nursery, seed: int) -> EngineMemoryReserver:
+def make_reserver(
+    engine: Engine, nursery: trio.Nursery, seed: int, priorities: tuple[int, ...] = ()
+) -> EngineMemoryReserver:
     fleet = factories.fleet(seed)
     fleet.replace([upstream("d", Stage.DECODE)])
     calls: object = engine
-    return EngineMemoryReserver(fleet, calls, lambda _: ENGINE_CONFIG, nursery, Random(seed))  # type: ignore[arg-type]
+    return EngineMemoryReserver(
+        fleet,
+        calls,  # type: ignore[arg-type]
+        lambda _: ENGINE_CONFIG,
+        lambda _: StreamPriorities(priorities),
+        DirectMetrics(),
+        nursery,
+        Random(seed),
+    )
 
 
 def make_waiter(request: str, on_time_for_s: float, tokens: int = 100) -> Waiter:
@@ -165,3 +177,56 @@
             await trio.sleep(0.01)
             assert engine.calls >= 2
             nursery.cancel_scope.cancel()
+
+
+class TestPriorities:
+    async def test_urgent_request_goes_first_at_another_entry(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """A burst of the least urgent class mostly leaves memory to an urgent one elsewhere."""
+        first = 0
+        for seed in range(20):
+            engine = Engine()
+            order: list[str] = []
+            async with trio.open_nursery() as nursery:
+                busy = make_reserver(engine, nursery, seed, (0, 2))
+                urgent = make_reserver(engine, nursery, seed + 100, (0, 2))
+                # The entry of the burst has served urgent requests before.
+                with trio.move_on_after(0.1):
+                    await busy.reserve("s", make_waiter("before", 1.0))
+                for number in range(3):
+                    least = make_waiter(f"least{number}", 2.0)._replace(priority=2)
+                    nursery.start_soon(reserve_memory, busy, least, order)
+                nursery.start_soon(reserve_memory, urgent, make_waiter("urgent", 2.0), order)
+                await trio.sleep(0.3 + Random(seed).random() * 0.2)
+                engine.free = 100
+                await trio.sleep(0.3)
+                nursery.cancel_scope.cancel()
+            first += order[:1] == ["urgent"]
+        assert first >= 15
+
+    async def test_refused_at_once_and_checked(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """Half of the engines gone: what cannot be served is not queued, and errors are counted."""
+        engine = Engine()
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(engine, nursery, 1, (0, 1))
+            for number in range(3):
+                waiter = make_waiter(f"r{number}", 1.0)
+                nursery.start_soon(reserver.reserve, "s", waiter)
+            await trio.sleep(2.5)
+            asked_at = trio.current_time()
+            refused = await reserver.reserve(
+                "s", make_waiter("r", 1.0)._replace(priority=1, leaves_at=asked_at + 2.0)
+            )
+            assert isinstance(refused, ReservationRefused)
+            assert (refused.reason, trio.current_time()) == ("expected_wait", asked_at)
+            assert refused.retry_after_s > 3.0
+            engine.free = 400
+            later = make_waiter("later", 1.0)._replace(priority=1)
+            assert isinstance(await reserver.reserve("s", later), MemoryReservation)
+            text = reserver._metrics.render(["text/plain"], 0, 0, False, 0).body.decode()
+            assert 'outcome="refused_at_once",priority="1",service="s"} 1' in text
+            assert 'outcome="refused_wrongly",priority="1",service="s"} 1' in text
+            nursery.cancel_scope.cancel()
--- a/tests/direct/test_stream_calls.py
+++ b/tests/direct/test_stream_calls.py
@@ -9,7 +9,7 @@
 
 from chivehold.fakes.platform_upstream import ModelEngine
 from chivehold.http_client import LinkBroken
-from tests.direct.harness import EntryHarness, running_entry, wait_until
+from tests.direct.harness import ROUTES, EntryHarness, running_entry, wait_until
 
 ALL_EVENTS = [1, 2, 3, 4, 5]
 
@@ -92,6 +92,29 @@
             assert engines.runs() == 1
 
 
+class TestUrgency:
+    @pytest.mark.parametrize("priority", [None, 2])
+    async def test_stated_where_priorities_differ(
+        self, tmp_path: Path, priority: int | None
+    ) -> None:
+        """Engines order by the streams' priorities only where those differ."""
+        async with model_service(tmp_path) as (harness, engines):
+            other = ROUTES if priority is None else [*ROUTES[:-1], ROUTES[-1] | {"priority": 2}]
+            harness.configure(2, other)
+            await wait_until(lambda: harness.entry.dump()["configuration"] == 2)
+            claimed = {"x-chivehold-request-urgency": "0"}
+            for path in ("/tell/a", "/resume/a"):
+                assert await harness.events(path, f"r{path}", **claimed) == ALL_EVENTS
+            seen = {
+                (call["target"], call.get("x-chivehold-request-urgency"))
+                for engine in engines.all
+                for call in engine.received
+                if call["target"] in ("/tell/a", "/resume/a")
+            }
+            wanted = (None, None) if priority is None else ("0", "2")
+            assert seen == {("/tell/a", wanted[0]), ("/resume/a", wanted[1])}
+
+
 class TestPace:
     async def test_prompts_wait_for_prefill_engine(self, tmp_path: Path) -> None:
         """Once streams have missed their gap target, no prompt is left to the decode engines."""
