Organisations share scarce memory, and long prompts get it, too

Among requests of one priority, organisations that were granted more than an equal share lately come last and poll less often. Requests larger than usual poll more often, and get turns among smaller ones. Factors of the poll intervals keep one priority's requests before those of the next.

--- a/src/chivehold/core/direct/stream_priorities.py
+++ b/src/chivehold/core/direct/stream_priorities.py
@@ -5,16 +5,27 @@
 
 from chivehold.core.direct.routes import CallKind, Route, RouteTable
 from chivehold.core.direct.waiting import Waiter
+from chivehold.core.smoothing import MovingAverage
 
 POLL_INTERVAL_S = 0.03
 """Poll interval while all engines are full; entries are not notified of memory freed by others."""
 LATE_POLL_INTERVAL_S = 0.15
 """Poll interval for a late request, longer so that on-time requests of other entries go first."""
-PRIORITY_POLL_FACTOR = 4.0
+PRIORITY_POLL_FACTOR = 5.0
 """Each more urgent priority that is served lengthens the poll interval by this factor."""
 LATE_POLL_FACTOR = 2.0
-"""The same factor for late requests where priorities differ."""
+"""The same factor for late requests where priorities differ.
+
+With the next one it stays below that of a priority, which goes before both.
+"""
+OVER_SHARE_POLL_FACTOR = 2.0
+"""The same factor for organisations that were granted more than their share."""
+MIN_POLL_INTERVAL_S = 0.01
 MAX_POLL_INTERVAL_S = 0.5
+LARGE_POLL_EXPONENT = 2.0
+"""Exponent of the size by which large requests poll more often."""
+SIZE_WEIGHT = 0.03
+"""Weight of one request in the usual size."""
 SERVED_WINDOW_S = 30.0
 """A priority is being served while a request of it arrived at this entry so recently."""
 MAX_URGENCY = 9
@@ -47,15 +58,23 @@
 
     def __init__(self) -> None:
         self._arrived_at: dict[int, float] = {}
+        self._usual_tokens = MovingAverage(SIZE_WEIGHT)
 
-    def record_arrival(self, priority: int, now: float) -> None:
-        """Record a request."""
+    def record_arrival(self, priority: int, tokens: int, now: float) -> None:
+        """Record a request and the memory that it needs."""
+        self._usual_tokens.add(tokens)
         self._arrived_at = {
             known: at for known, at in self._arrived_at.items() if at > now - SERVED_WINDOW_S
         } | {priority: now}
 
-    def poll_interval_s(self, waiter: Waiter, now: float) -> float:
-        """Return when to ask full engines again for the first request of the queue, in seconds."""
+    def poll_interval_s(self, waiter: Waiter, is_over_share: bool, now: float) -> float:
+        """Return when to ask full engines again for the first request of the queue, in seconds.
+
+        Args:
+            waiter: The request.
+            is_over_share: Whether its organisation was granted more than its share.
+            now: Monotonic time in seconds.
+        """
         if waiter.has_started:
             return POLL_INTERVAL_S
         more_urgent = sum(
@@ -64,9 +83,15 @@
         )
         steps = max(0, more_urgent - waiter.is_overdue(now))
         interval_s = POLL_INTERVAL_S * PRIORITY_POLL_FACTOR**steps
+        if is_over_share:
+            interval_s *= OVER_SHARE_POLL_FACTOR
         if waiter.is_late(now):
             interval_s *= LATE_POLL_FACTOR
-        return min(interval_s, MAX_POLL_INTERVAL_S)
+        usual_tokens = self._usual_tokens.value_or(waiter.tokens)
+        if waiter.tokens > usual_tokens:
+            # Room for it is rare and soon taken by smaller requests.
+            interval_s *= (usual_tokens / waiter.tokens) ** LARGE_POLL_EXPONENT
+        return min(max(interval_s, MIN_POLL_INTERVAL_S), MAX_POLL_INTERVAL_S)
 
 
 def equal_poll_interval_s(waiter: Waiter, now: float) -> float:
--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -1,11 +1,12 @@
 """The queue of requests that wait for memory at a decode engine.
 
 In a burst more requests arrive than the engines can decode. A stream that has started and lost its
-engine goes before all others. Among the rest the more urgent priority goes first. Within a priority
-requests that can still be answered on time are served before late ones: serving a late one first
-would make both late. On-time requests are ordered by the time they have left, late ones by first
-arrival. A request that its caller is about to abandon is refused early enough for the caller to
-retry.
+engine goes before all others. Among the rest the more urgent priority goes first, and within a
+priority organisations that have not had more than their share of what was granted lately. Among
+those, requests that can still be answered on time are served before late ones: serving a late one
+first would make both late. On-time requests are ordered by the time they have left, late ones by
+first arrival. A request that its caller is about to abandon is refused early enough for the caller
+to retry.
 
 A late request that has waited for half of the time that its caller waits is overdue. One in
 ``GRANTS_PER_TURN`` grants goes to the overdue request that arrived first, whatever its priority, so
@@ -13,7 +14,10 @@
 """
 
 import math
-from typing import NamedTuple
+from collections.abc import Mapping
+from typing import NamedTuple, cast
+
+from chivehold.core.direct.fair_shares import FairShares
 
 OVERDUE_SHARE = 0.5
 """Share of a caller's wait after which its request is overdue.
@@ -53,7 +57,10 @@
     expires_at: float = math.inf
     """When the caller's deadline expires."""
     leaves_at: float = math.inf
-    """Memory granted later than this brings the first event after the caller has left."""
+    """Memory granted later than this brings the first event after the caller has left.
+
+    Infinite where streams do not differ in priority or organisation; such requests get no turns.
+    """
 
     @property
     def first_arrived_at(self) -> float:
@@ -67,8 +74,7 @@
     def is_overdue(self, now: float) -> bool:
         """Return whether the request has waited for so long that it gets a turn."""
         waited_s = now - self.arrived_at
-        longest_s = self.gives_up_at - self.arrived_at
-        return self.is_late(now) and waited_s > OVERDUE_SHARE * longest_s
+        return self.is_late(now) and waited_s > OVERDUE_SHARE * (self.leaves_at - self.arrived_at)
 
 
 class WaitQueue:
@@ -76,6 +82,7 @@
 
     def __init__(self) -> None:
         self._waiters: dict[str, Waiter] = {}
+        self._shares = FairShares()
         self._grants_since_turn = 0
         self._turn_began_at: float | None = None
 
@@ -92,25 +99,39 @@
 
     def next_waiter(self, now: float) -> Waiter | None:
         """Return the request to serve next, or ``None`` if the queue is empty."""
-        first = min(self._waiters.values(), key=lambda waiter: _order(waiter, now), default=None)
+        over = self.over_share(now)
+        first = min(
+            self._waiters.values(), key=lambda waiter: _order(waiter, over, now), default=None
+        )
         if first is None or first.has_started:
             return first
         return self._overdue_waiter(first, now) or first
 
     def record_grant(self, waiter: Waiter, now: float) -> None:
         """Record that a request of the queue, which it may have left, was granted memory."""
+        self._shares.record_grant(waiter.organisation, waiter.tokens, now)
         if self._turn_began_at is not None:
             self._end_turn()
         elif any(_passes_over(waiter, other, now) for other in self._waiters.values()):
             self._grants_since_turn += 1
 
+    def over_share(self, now: float) -> frozenset[str]:
+        """Return the waiting organisations that were granted more than their share."""
+        names = frozenset(other.organisation for other in self._waiters.values()) - {None}
+        return self._shares.over_share(cast(frozenset[str], names), now)
+
+    def granted_lately(self, now: float) -> Mapping[str, int]:
+        """Return the tokens granted lately by organisation."""
+        return self._shares.dump(now)
+
     def ahead_of(self, waiter: Waiter, now: float) -> list[Waiter]:
         """Return the requests that are served before one, which need not be in the queue."""
-        position = _order(waiter, now)
+        over = self.over_share(now)
+        position = _order(waiter, over, now)
         return [
             other
             for other in self._waiters.values()
-            if other.request != waiter.request and _order(other, now) <= position
+            if other.request != waiter.request and _order(other, over, now) <= position
         ]
 
     def _overdue_waiter(self, first: Waiter, now: float) -> Waiter | None:
@@ -132,13 +153,16 @@
         self._turn_began_at = None
 
 
-def _order(waiter: Waiter, now: float) -> tuple[bool, int, bool, float]:
+def _order(
+    waiter: Waiter, over_share: frozenset[str], now: float
+) -> tuple[bool, int, bool, bool, float]:
     late = waiter.is_late(now)
     due_at = waiter.first_arrived_at if late else waiter.on_time_until
-    return (not waiter.has_started, waiter.priority, late, due_at)
+    is_over = waiter.organisation in over_share
+    return (not waiter.has_started, waiter.priority, is_over, late, due_at)
 
 
 def _passes_over(first: Waiter, other: Waiter, now: float) -> bool:
     """Return whether an overdue request waits because another one is preferred to it."""
-    is_preferred = (first.priority, first.organisation) != (other.priority, other.organisation)
-    return is_preferred and other.is_overdue(now)
+    is_like = (first.priority, first.organisation) == (other.priority, other.organisation)
+    return other.is_overdue(now) and (not is_like or first.tokens < other.tokens)
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -147,7 +147,8 @@
                     queue.grant_rate.record_waiting(True, now)
                     poll_s = equal_poll_interval_s(waiter, now)
                     if self._priorities(key.service).is_ordered:
-                        poll_s = queue.served.poll_interval_s(waiter, now)
+                        is_over = waiter.organisation in queue.waiters.over_share(now)
+                        poll_s = queue.served.poll_interval_s(waiter, is_over, now)
                     await queue.wait(poll_s * self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER))
         finally:
             queue.is_served = False
@@ -202,7 +203,7 @@
     ) -> ReservationRefused | None:
         """Return the refusal of a request that would wait in vain."""
         now = trio.current_time()
-        queue.served.record_arrival(waiter.priority, now)
+        queue.served.record_arrival(waiter.priority, waiter.tokens, now)
         expected_s = queue.expected_wait_s(waiter, now)
         if not is_hopeless(waiter, expected_s, now):
             return None
--- a/tests/core/direct/capacity_model.py
+++ b/tests/core/direct/capacity_model.py
@@ -57,7 +57,7 @@
     """What an entry decides."""
 
     def waiter(self, call: Call) -> Waiter: ...
-    def poll_s(self, served: ServedPriorities, waiter: Waiter, now: float) -> float: ...
+    def poll_s(self, entry: "Entry", waiter: Waiter, now: float) -> float: ...
     def is_hopeless(self, waiter: Waiter, wait_s: float | None, now: float) -> bool: ...
     def retry_after_s(
         self, waiter: Waiter, wait_s: float | None, now: float, rng: Random
@@ -76,8 +76,9 @@
         )
         return wait_bounds.with_bounds(waiter, ROUTES[call.priority])
 
-    def poll_s(self, served: ServedPriorities, waiter: Waiter, now: float) -> float:
-        return served.poll_interval_s(waiter, now)
+    def poll_s(self, entry: "Entry", waiter: Waiter, now: float) -> float:
+        is_over = waiter.organisation in entry.queue.over_share(now)
+        return entry.served.poll_interval_s(waiter, is_over, now)
 
     def is_hopeless(self, waiter: Waiter, wait_s: float | None, now: float) -> bool:
         return wait_bounds.is_hopeless(waiter, wait_s, now)
@@ -96,7 +97,7 @@
             gives_up_at=waiter.on_time_until + 0.25 if is_first else call.at + 2.8
         )
 
-    def poll_s(self, served: ServedPriorities, waiter: Waiter, now: float) -> float:
+    def poll_s(self, entry: "Entry", waiter: Waiter, now: float) -> float:
         return equal_poll_interval_s(waiter, now)
 
     def is_hopeless(self, waiter: Waiter, wait_s: float | None, now: float) -> bool:
@@ -115,7 +116,7 @@
     burst_s: tuple[float, float] = (15.0, 20.0)
     end_s: float = 30.0
     favoured: float = 1.0
-    """Weight of the first of 16 organisations within the burst."""
+    """By how much the largest of 16 organisations exceeds its usual demand within the burst."""
     long_prompts: float = 0.0
     """Share of prompts that are twice as long."""
 
@@ -128,7 +129,7 @@
             now += rng.expovariate(sum(rates))
             number += 1
             priority = rng.choices(range(len(rates)), rates)[0]
-            weights = [self.favoured if is_burst else 1.0] + [1.0] * 15
+            weights = [4.0 * (self.favoured if is_burst else 1.0)] + [1.0] * 15
             organisation = f"o{rng.choices(range(16), weights)[0]}"
             tokens = int(200 + 2_400 * rng.uniform(0.5, 1.5) + 760 * rng.uniform(0.5, 1.5))
             if rng.random() < self.long_prompts:
@@ -136,7 +137,9 @@
             yield Call(number, priority, tokens, rng.uniform(0.5, 1.5), now, now, organisation)
 
 
-class _Entry:
+class Entry:
+    """One entry with its queue."""
+
     def __init__(self) -> None:
         self.queue = WaitQueue()
         self.waiting: dict[str, tuple[Call, Waiter]] = {}
@@ -161,7 +164,7 @@
     ) -> None:
         self._policy = policy
         self._rng = rng
-        self._entries = [_Entry() for _ in range(entries)]
+        self._entries = [Entry() for _ in range(entries)]
         self._free = [ENGINE_TOKENS] * 22
         self._lost_engines_at = lost_engines_at
         self._ends: list[tuple[float, int, int]] = []
@@ -192,7 +195,7 @@
     def _arrive(self, call: Call, now: float) -> Iterator[Outcome]:
         entry = self._rng.choice(self._entries)
         waiter = self._policy.waiter(call)
-        entry.served.record_arrival(call.priority, now)
+        entry.served.record_arrival(call.priority, call.tokens, now)
         wait_s = entry.wait_s(waiter, now)
         if self._policy.is_hopeless(waiter, wait_s, now):
             yield from self._refuse(call, waiter, wait_s, now)
@@ -201,12 +204,12 @@
         entry.queue.add(waiter)
         entry.waiting[waiter.request] = call, waiter
 
-    def _poll(self, entry: _Entry, now: float) -> Iterator[Outcome]:
+    def _poll(self, entry: Entry, now: float) -> Iterator[Outcome]:
         while entry.poll_at <= now and (first := entry.queue.next_waiter(now)) is not None:
             self.polls += 1
             engine = max(range(22), key=self._free.__getitem__)
             if self._free[engine] < first.tokens:
-                poll_s = self._policy.poll_s(entry.served, first, now)
+                poll_s = self._policy.poll_s(entry, first, now)
                 entry.poll_at = now + poll_s * self._rng.uniform(0.7, 1.3)
                 return
             call, _ = entry.remove(first.request)
--- a/tests/core/direct/test_capacity.py
+++ b/tests/core/direct/test_capacity.py
@@ -8,10 +8,20 @@
 
 import pytest
 
-from tests.core.direct.capacity_model import RATES, Equal, Load, Model, Outcome, Present, shares
+from tests.core.direct.capacity_model import (
+    RATES,
+    USUAL_TOKENS,
+    Equal,
+    Load,
+    Model,
+    Outcome,
+    Present,
+    shares,
+)
 
-SEEDS = range(4)
+SEEDS = range(6)
 NEVER_S = 1e9
+LONG_TOKENS = 2 * USUAL_TOKENS
 TWICE = Load([rate * 2 for rate in RATES])
 LEAST_URGENT = Load((RATES[0] * 0.8, RATES[1] * 0.8, RATES[2] * 4.5))
 
@@ -51,6 +61,15 @@
         assert urgent_goes_first(run(Present(), load, lost_engines_at))
         assert not urgent_goes_first(run(Equal(), load, lost_engines_at))
 
+    def test_long_prompts_among_short_ones(self) -> None:
+        """Guards against long prompts whose callers leave as short ones take what is freed."""
+        load = Load([rate * 1.3 for rate in RATES], long_prompts=0.1)
+        lost = [
+            sum(out.result == "lost" for out in run(policy, load) if out.call.tokens >= LONG_TOKENS)
+            for policy in (Present(), Equal())
+        ]
+        assert lost[0] <= 0.75 * lost[1]
+
     def test_fewer_lost_and_fewer_polls(self) -> None:
         """All at twice the capacity: fewer callers leave unserved, and engines are asked less."""
         lost, polls = {}, {}
--- a/tests/core/direct/test_stream_priorities.py
+++ b/tests/core/direct/test_stream_priorities.py
@@ -51,9 +51,9 @@
         """A burst of the least urgent class polls seldom, but not if there is nothing else."""
         least = Waiter("r", 1, 100.0, 102.0, 103.0, priority=2)
         served = ServedPriorities()
-        served.record_arrival(2, 100.0)
-        assert served.poll_interval_s(least, 100.0) == pytest.approx(0.03)
-        served.record_arrival(0, 100.0)
-        served.record_arrival(1, 100.0)
-        assert served.poll_interval_s(least, 100.0) > 0.3
-        assert served.poll_interval_s(least, 140.0) < 0.1
+        served.record_arrival(2, 1, 100.0)
+        assert served.poll_interval_s(least, False, 100.0) == pytest.approx(0.03)
+        served.record_arrival(0, 1, 100.0)
+        served.record_arrival(1, 1, 100.0)
+        assert served.poll_interval_s(least, False, 100.0) > 0.3
+        assert served.poll_interval_s(least, False, 140.0) < 0.1
--- a/tests/core/direct/test_waiting.py
+++ b/tests/core/direct/test_waiting.py
@@ -3,6 +3,7 @@
 The tests drive the queue on a simulated clock; there is no engine and no network.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 
 from chivehold.core.direct.waiting import Waiter, WaitQueue
@@ -126,7 +127,7 @@
     def test_least_urgent_is_not_passed_over_for_ever(self) -> None:
         """All classes at twice the capacity: the overdue get one in eight grants, and no more."""
         queue = WaitQueue()
-        overdue = [waiter(number, 0.0)._replace(priority=2) for number in range(10)]
+        overdue = [waiter(number, 0.0)._replace(priority=2, leaves_at=3.0) for number in range(10)]
         for late in overdue:
             queue.add(late)
         order = []
@@ -143,13 +144,31 @@
     def test_overdue_request_without_room_does_not_block(self) -> None:
         """Long prompts among short ones: a turn that no engine has room for ends."""
         queue = WaitQueue()
-        queue.add(waiter(1, 0.0, tokens=9_000)._replace(priority=2))
+        queue.add(waiter(1, 0.0, tokens=9_000)._replace(leaves_at=3.0))
         for number in range(10, 20):
             queue.add(waiter(number, 2.0))
         served(queue, 2.0, 7)
         names = [getattr(queue.next_waiter(now), "request", "") for now in (2.0, 2.4, 2.6)]
         assert names == ["r1", "r1", "r17"]
 
+    def test_organisation_at_five_times_its_usual(self) -> None:
+        """One organisation at five times its usual gets its share, and what others leave."""
+        granted = Counter[str]()
+        queue = WaitQueue()
+        for number in range(400):
+            now = 0.1 * number
+            sender = "large" if number % 6 else f"small{number % 12}"
+            queue.add(waiter(number, now)._replace(organisation=sender))
+            if number % 2:
+                following = queue.next_waiter(now)
+                assert following is not None
+                granted[str(following.organisation)] += 1
+                queue.remove(following.request)
+                queue.record_grant(following, now)
+        # Both small ones want a sixth of the grants each and are served in full but for the last.
+        assert granted["small0"] + granted["small6"] >= 400 // 6 - 2
+        assert granted["large"] >= 200 - 400 // 6 - 1
+
     def test_equal_requests_take_no_turns(self) -> None:
         """Requests of one priority are served in the same order as ever, also if overdue."""
         queue = WaitQueue()
