--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -53,6 +53,8 @@
     organisation: Organisation | None = None
     """The organisation that holds the caller's API key, if there is one."""
     progress: RequestProgress | None = None
+    urgency: int | None = None
+    """Urgency stated to engines; ``None`` where all streams of the service are equally urgent."""
 
     @property
     def priority(self) -> int:
