Entries and sidecars can measure what holds their event loop

With loop_monitor, the longest step of each kind of task, with its CPU time, and the longest delays of deadlines, waits, rounds and garbage collections are in the dump and in the metrics. Without it no instrument is added to the loop. The soak has an option that switches it on in the entries.

--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -40,6 +40,7 @@
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import App, ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, log_event
+from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import RenderedMetrics
 from chivehold.settings import DirectSettings
 from chivehold.store.counted import CountedStore
@@ -79,6 +80,7 @@
         platform: The platform's adapter.
         logs: Counts the dropped log lines.
         nursery: Runs the background tasks; cancelled at the end.
+        loop_monitor: What the event loop is measured by, if it is.
     """
 
     def __init__(
@@ -88,9 +90,11 @@
         platform: PlatformBinding,
         logs: DroppedLogLines,
         nursery: trio.Nursery,
+        loop_monitor: LoopMonitor | None = None,
     ) -> None:
         self._settings = settings
         self._logs = logs
+        self._loop_monitor = loop_monitor
         self._nursery = nursery
         rng = self._rng = Random(secrets.randbits(64))
         self._drain_requested = trio.Event()
@@ -358,6 +362,7 @@
         return self._crash_protection.unready_reason() or self._version_tracking.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
+        self._metrics.loop.update(self._loop_monitor)
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
@@ -385,6 +390,7 @@
             "quarantines": list(self.quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
             "log_lines_dropped": self._logs.dropped,
+            "loop": self._loop_monitor.dump() if self._loop_monitor else None,
         }
 
 
@@ -409,8 +415,9 @@
     Raises:
         OSError: An address cannot be bound.
     """
-    async with trio.open_nursery() as nursery:
-        entry = DirectEntry(settings, path, platform, logs, nursery)
-        await entry.run()
-        nursery.cancel_scope.cancel()
-    await entry.close()
+    with monitored_loop(settings.loop_monitor) as loop_monitor:
+        async with trio.open_nursery() as nursery:
+            entry = DirectEntry(settings, path, platform, logs, nursery, loop_monitor)
+            await entry.run()
+            nursery.cancel_scope.cancel()
+        await entry.close()
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -8,6 +8,7 @@
 
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.quarantine import OrderEvent
+from chivehold.loop_metrics import LoopMetrics
 from chivehold.metrics import RenderedMetrics
 
 RESPONSE_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
@@ -114,6 +115,12 @@
             None,
             registry,
         )
+        self._loop = LoopMetrics(registry)
+
+    @property
+    def loop(self) -> LoopMetrics:
+        """The metrics of the event loop."""
+        return self._loop
 
     def set_upstreams(self, upstreams: Iterable[UpstreamRecord]) -> None:
         """Record the number of upstreams of each service by the version of their software."""
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -29,6 +29,7 @@
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import ServerLimits, serve_http
 from chivehold.logs import log_event
+from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import EntryMetrics
 from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
@@ -71,10 +72,17 @@
     Args:
         settings: The entry's settings.
         nursery: Runs the background tasks; cancelled after the drain.
+        loop_monitor: What the event loop is measured by, if it is.
     """
 
-    def __init__(self, settings: EntrySettings, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        nursery: trio.Nursery,
+        loop_monitor: LoopMonitor | None = None,
+    ) -> None:
         self._settings = settings
+        self._loop_monitor = loop_monitor
         self._nursery = nursery
         self._rng = Random(secrets.randbits(64))
         random_name = secrets.token_hex(INCARNATION_BYTES)
@@ -188,6 +196,7 @@
                 self._incarnation,
                 lambda: self._replica.revision,
                 self._unready_reason,
+                self._loop_monitor,
             )
             operator = await servers.start(
                 _serve_app, operator_app, settings.operator_address, operator_limits, shutdown
@@ -278,6 +287,7 @@
             "declarations_digest": self._replica.digest,
             "heartbeats_with": sorted(active),
             "core": self._driver.dump(),
+            "loop": self._loop_monitor.dump() if self._loop_monitor else None,
         }
 
 
@@ -296,11 +306,12 @@
     Raises:
         OSError: An address cannot be listened on.
     """
-    async with trio.open_nursery() as nursery:
-        entry = Entry(settings, nursery)
-        await entry.run(task_status)
-        nursery.cancel_scope.cancel()
-    await entry.close()
+    with monitored_loop(settings.loop_monitor) as loop_monitor:
+        async with trio.open_nursery() as nursery:
+            entry = Entry(settings, nursery, loop_monitor)
+            await entry.run(task_status)
+            nursery.cancel_scope.cancel()
+        await entry.close()
 
 
 async def _serve_app(
--- a/src/chivehold/entry/operator_http.py
+++ b/src/chivehold/entry/operator_http.py
@@ -5,6 +5,7 @@
 from chivehold.core.identity import EntryIncarnation
 from chivehold.entry.driver import EntryDriver
 from chivehold.http_server import Receive, Scope, Send, respond, respond_error, respond_json
+from chivehold.loop_monitor import LoopMonitor
 from chivehold.metrics import EntryMetrics
 
 
@@ -17,6 +18,7 @@
         incarnation: This run of the entry.
         revision: Returns the revision of the declarations in force.
         unready_reason: Returns why the entry should get no requests; empty when it is ready.
+        loop_monitor: What the event loop is measured by, if it is.
     """
 
     def __init__(
@@ -26,12 +28,14 @@
         incarnation: EntryIncarnation,
         revision: Callable[[], int],
         unready_reason: Callable[[], str],
+        loop_monitor: LoopMonitor | None = None,
     ) -> None:
         self._driver = driver
         self._metrics = metrics
         self._incarnation = incarnation
         self._revision = revision
         self._unready_reason = unready_reason
+        self._loop_monitor = loop_monitor
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -49,6 +53,7 @@
         accepted = [value.decode("latin-1") for key, value in scope["headers"] if key == b"accept"]
         targets = self._driver.dump()["targets"]
         in_progress = self._driver.in_progress
+        self._metrics.loop.update(self._loop_monitor)
         rendered = self._metrics.render(accepted, targets, in_progress, self._revision())
         await respond(send, 200, rendered.body, rendered.content_type)
 
--- a/src/chivehold/metrics.py
+++ b/src/chivehold/metrics.py
@@ -8,6 +8,7 @@
 
 from chivehold.core.identity import Outcome
 from chivehold.core.targets import TargetDump
+from chivehold.loop_metrics import LoopMetrics
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0, float("inf"))
 BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.015, 0.02, 0.025, 0.05, 0.1, 0.5, float("inf"))
@@ -62,6 +63,12 @@
             "Revision of the declarations in force.",
             registry=self._registry,
         )
+        self._loop = LoopMetrics(self._registry)
+
+    @property
+    def loop(self) -> LoopMetrics:
+        """The metrics of the event loop."""
+        return self._loop
 
     def count_request(self, traffic_class: str, outcome: Outcome) -> None:
         """Count an ended request; a rejected one without its class, which may be unknown."""
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -86,6 +86,8 @@
     drain_timeout_s: float = 900.0
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_level: LogLevel = LogLevel.INFO
+    loop_monitor: bool = False
+    """Whether to measure what holds the event loop and how late it wakes up."""
     policy: Policy = Policy()
 
 
@@ -120,6 +122,8 @@
     max_answer_bytes: int = 8 * MIB
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_level: LogLevel = LogLevel.INFO
+    loop_monitor: bool = False
+    """Whether to measure what holds the event loop and how late it wakes up."""
     policy: Policy = Policy()
 
 
@@ -178,6 +182,8 @@
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
+    loop_monitor: bool = False
+    """Whether to measure what holds the event loop and how late it wakes up."""
 
 
 class PolicyTable(TypedDict, total=False):
@@ -242,6 +248,7 @@
     drain_timeout_s: _Seconds
     log_format: LogFormat
     log_level: LogLevel
+    loop_monitor: bool
     policy: PolicyTable
 
 
@@ -272,6 +279,7 @@
     max_answer_bytes: _Bytes
     log_format: LogFormat
     log_level: LogLevel
+    loop_monitor: bool
     policy: PolicyTable
 
 
@@ -316,6 +324,7 @@
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
+    loop_monitor: bool
 
 
 def read_direct_settings(path: Path) -> DirectSettings:
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -43,6 +43,7 @@
     serve_http,
 )
 from chivehold.logs import log_event
+from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
 from chivehold.settings import SidecarSettings
@@ -88,10 +89,18 @@
         settings: The sidecar's settings.
         nursery: Runs the tasks that call the upstream.
         http: The HTTP client for calls to the upstream.
+        loop_monitor: What the event loop is measured by, if it is.
     """
 
-    def __init__(self, settings: SidecarSettings, nursery: trio.Nursery, http: HttpClient) -> None:
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        nursery: trio.Nursery,
+        http: HttpClient,
+        loop_monitor: LoopMonitor | None = None,
+    ) -> None:
         self._settings = settings
+        self._loop_monitor = loop_monitor
         self._core = SidecarCore(_core_config(settings), settings.policy)
         self._metrics = SidecarMetrics()
         self._sessions = Sessions()
@@ -173,6 +182,7 @@
         report = self._core.report(trio.current_time())
         match scope["path"]:
             case "/metrics":
+                self._metrics.loop.update(self._loop_monitor)
                 body, content_type = self._metrics.render(report, len(self._sessions))
                 await respond(send, 200, body, content_type)
             case "/healthz":
@@ -244,6 +254,7 @@
             "tasks_at_upstream": len(self._tasks),
             "takes_keys": self._control.accepts_keys,
             "declarations_revision": self._declarations.revision,
+            "loop": self._loop_monitor.dump() if self._loop_monitor else None,
         }
 
 
@@ -264,10 +275,20 @@
         OSError: An address cannot be bound.
     """
     shutdown = trio.Event() if shutdown is None else shutdown
+    with monitored_loop(settings.loop_monitor) as loop_monitor:
+        await _run_sidecar(settings, loop_monitor, shutdown, task_status)
+
+
+async def _run_sidecar(
+    settings: SidecarSettings,
+    loop_monitor: LoopMonitor | None,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[SidecarAddresses],
+) -> None:
     stop_listener, listener_stopped = trio.Event(), trio.Event()
     http = HttpClient(ClientLimits(max_answer_bytes=settings.max_answer_bytes))
     async with trio.open_nursery() as nursery:
-        sidecar = Sidecar(settings, nursery, http)
+        sidecar = Sidecar(settings, nursery, http, loop_monitor)
         await sidecar.poll_status()
         nursery.start_soon(sidecar.run_timer)
         nursery.start_soon(sidecar.poll_forever)
--- a/src/chivehold/sidecar/metrics.py
+++ b/src/chivehold/sidecar/metrics.py
@@ -10,6 +10,7 @@
     SidecarCommand,
 )
 from chivehold.core.wire import FrameKind, LoadReport, UpstreamState
+from chivehold.loop_metrics import LoopMetrics
 
 _GAUGES = {
     "places": "Places of the upstream",
@@ -39,6 +40,12 @@
         }
         self._state = self._gauge("state", "1 for the state that the upstream is in")
         self._sessions = self._gauge("sessions", "Streams, prefills and calls open to entries")
+        self._loop = LoopMetrics(self._registry)
+
+    @property
+    def loop(self) -> LoopMetrics:
+        """The metrics of the event loop."""
+        return self._loop
 
     def count(self, command: SidecarCommand) -> None:
         """Count a command of the core."""
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import trio
 
 from chivehold.direct.app import DirectEntry
@@ -178,6 +179,13 @@
         )
         return response.body
 
+    async def dump(self) -> dict[str, Any]:
+        """Return the entry's state."""
+        response = await self._client.call(
+            self.operator_address, "GET", "/dump", step="dump", timeout_s=2.0
+        )
+        return dict(msgspec.json.decode(response.body))
+
     async def post_operator(self, path: str, body: bytes) -> int:
         """Send a request to the entry's operator address and return the answer's status."""
         response = await self._client.call(
--- a/tests/direct/test_process.py
+++ b/tests/direct/test_process.py
@@ -56,7 +56,7 @@
 
 @asynccontextmanager
 async def program(
-    tmp_path: Path, shutdown_s: float = 8.0
+    tmp_path: Path, shutdown_s: float = 8.0, loop_monitor: bool = False
 ) -> AsyncIterator[tuple[Program, EntryHarness, PlainUpstream, Path]]:
     settings = tmp_path / "entry.toml"
     async with trio.open_nursery() as nursery:
@@ -65,12 +65,16 @@
         upstream = PlainUpstream("x")
         await harness.add_upstream(upstream, "plain")
         store = await harness.listen(harness.store)
-        settings.write_text(SETTINGS.format(store=store, shutdown_s=shutdown_s))
+        text = SETTINGS.format(store=store, shutdown_s=shutdown_s)
+        if loop_monitor:
+            text += "loop_monitor = true\n"
+        settings.write_text(text)
         started = Program(settings)
         try:
             await wait_until(lambda: started.logged("entry started"), 15.0)
             (line,) = started.logged("entry started")
             harness.address, harness.ready_address = line["callers"], line["ready"]
+            harness.operator_address = line["operator"]
             await wait_until(lambda: started.logged("upstream listed"))
             yield started, harness, upstream, settings
         finally:
@@ -132,6 +136,23 @@
             await wait_until(lambda: started.logged("settings not reloaded"))
             assert started.process.poll() is None
 
+    async def test_event_loop_is_measured(self, tmp_path: Path) -> None:
+        """With the setting, metrics and dump tell what has held the event loop."""
+        async with program(tmp_path, loop_monitor=True) as (_, harness, upstream, _):
+            await harness.call("/get/a", "r")
+            assert upstream.runs == ["r"]
+            metrics = (await harness.metrics()).decode()
+            assert 'chivehold_loop_longest_step_seconds{task="chivehold.' in metrics
+            assert 'chivehold_loop_longest_delay_seconds{delay="round"}' in metrics
+            steps = (await harness.dump())["loop"]["steps"]
+            assert any(kind.startswith("chivehold.store.follower.") for kind in steps)
+
+    async def test_event_loop_is_not_measured_by_default(self, tmp_path: Path) -> None:
+        """Without the setting there is nothing of it in metrics and dump."""
+        async with program(tmp_path) as (_, harness, _, _):
+            assert b"chivehold_loop_longest_step_seconds{" not in await harness.metrics()
+            assert (await harness.dump())["loop"] is None
+
     def test_invalid_settings(self, tmp_path: Path) -> None:
         """Every problem is reported with file and key, and the exit code is 1."""
         settings = tmp_path / "entry.toml"
--- a/tests/sidecar/test_app.py
+++ b/tests/sidecar/test_app.py
@@ -349,6 +349,17 @@
             await wait_until(leaving)
             dump = await rig.decode.dump()
             assert (dump["name"], dump["core"]["state"]) == ("decode-1", "leaving")
+            assert dump["loop"] is None
+            assert "chivehold_loop_longest_step_seconds{" not in metrics
+
+    async def test_event_loop_is_measured(self) -> None:
+        """With the setting, metrics and dump tell what has held the event loop."""
+        async with start_rig() as rig:
+            await rig.start_sidecar(Role.DECODE, loop_monitor=True)
+            await trio.sleep(0.2)
+            metrics = (await rig.decode.operator("/metrics")).body.decode()
+            assert 'chivehold_loop_longest_step_seconds{task="chivehold.' in metrics
+            assert (await rig.decode.dump())["loop"]["steps"]
 
     async def test_reused_prefix_blocks_are_reported(self) -> None:
         """A second prompt with the same blocks reuses them, and the load report lists them."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -44,6 +44,7 @@
     parser.add_argument("--faults", type=int, default=14)
     parser.add_argument("--signals", type=int, default=0, help="faults told in headers")
     parser.add_argument("--crashers", type=int, default=0, help="1: some requests end upstreams")
+    parser.add_argument("--loop-monitor", type=int, default=0, help="1: entries measure their loop")
     parser.add_argument("--load-s", type=float, default=12.0)
     parser.add_argument("--rate", type=float, default=25.0, help="requests a second")
     parser.add_argument("--directory", type=Path, default=Path("target/soak"))
@@ -61,7 +62,16 @@
 
 
 def _run_in_subprocess(arguments: argparse.Namespace, seed: int) -> tuple[int, int, str]:
-    fields = ("entries", "faults", "signals", "crashers", "load_s", "rate", "directory")
+    fields = (
+        "entries",
+        "faults",
+        "signals",
+        "crashers",
+        "loop_monitor",
+        "load_s",
+        "rate",
+        "directory",
+    )
     options = [f"--{field.replace('_', '-')}={getattr(arguments, field)}" for field in fields]
     command = [sys.executable, "-m", "tests.soak", f"--seed={seed}", *options]
     completed = subprocess.run(command, capture_output=True, text=True, check=False)
@@ -74,7 +84,14 @@
     plan = draw_plan(
         arguments.seed, arguments.entries, arguments.load_s, arguments.faults, arguments.signals
     )
-    result = trio.run(run_plan, plan, directory, arguments.rate, bool(arguments.crashers))
+    result = trio.run(
+        run_plan,
+        plan,
+        directory,
+        arguments.rate,
+        bool(arguments.crashers),
+        bool(arguments.loop_monitor),
+    )
     _print_result(result, directory)
     return EXIT_VIOLATIONS if result.violations else 0
 
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -38,6 +38,7 @@
 entries_most = {entries}
 idle_timeout_s = {idle_s}
 log_lines_per_s = 2000
+loop_monitor = {loop_monitor}
 """
 
 
@@ -50,9 +51,18 @@
         store: The link to the store.
         callers: The link that callers use; each start sets its target to the new process.
         directory: Directory for settings and logs.
+        has_loop_monitor: Whether the process measures its event loop.
     """
 
-    def __init__(self, name: str, count: int, store: Link, callers: Link, directory: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        count: int,
+        store: Link,
+        callers: Link,
+        directory: Path,
+        has_loop_monitor: bool = False,
+    ) -> None:
         self.name = name
         self.store = store
         self.callers = callers
@@ -63,6 +73,7 @@
         """Exits of the process that no fault and no shutdown caused."""
         self._count = count
         self._directory = directory
+        self._has_loop_monitor = has_loop_monitor
         self._process: subprocess.Popen[bytes] | None = None
         self._exit_expected = False
         self._start_lock = trio.Lock()
@@ -90,6 +101,7 @@
             shutdown_s=SHUTDOWN_TIMEOUT_S,
             entries=self._count,
             idle_s=idle_s,
+            loop_monitor=str(self._has_loop_monitor).lower(),
         )
         self._settings.write_text(text)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -41,7 +41,11 @@
 
 
 async def run_plan(
-    plan: Plan, directory: Path, rate: float, has_crashers: bool = False
+    plan: Plan,
+    directory: Path,
+    rate: float,
+    has_crashers: bool = False,
+    has_loop_monitor: bool = False,
 ) -> RunResult:
     """Run a plan, and write logs, settings and the times of faults into the directory.
 
@@ -50,10 +54,11 @@
         directory: An empty directory.
         rate: Requests per second.
         has_crashers: Whether some requests end the upstreams that run them.
+        has_loop_monitor: Whether the entries measure their event loop.
     """
     violations: list[Violation] = []
     async with trio.open_nursery() as nursery:
-        world = World(plan, directory, nursery)
+        world = World(plan, directory, nursery, has_loop_monitor)
         lags: list[OwnLag] = []
         nursery.start_soon(_measure_own_lag, lags)
         try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -89,10 +89,18 @@
         plan: The plan of the run, which names the entries.
         directory: Directory for settings and logs.
         nursery: Runs the store, the upstreams and the links.
+        has_loop_monitor: Whether the entries measure their event loop.
     """
 
-    def __init__(self, plan: Plan, directory: Path, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        directory: Path,
+        nursery: trio.Nursery,
+        has_loop_monitor: bool = False,
+    ) -> None:
         self._plan = plan
+        self._has_loop_monitor = has_loop_monitor
         self._directory = directory
         self._nursery = nursery
         self._engines: dict[str, SoakEngine] = {}
@@ -254,7 +262,9 @@
         await to_store.accept()
         await callers.accept()
         count = len(self._plan.entries)
-        self.entries[name] = Entry(name, count, to_store, callers, self._directory)
+        self.entries[name] = Entry(
+            name, count, to_store, callers, self._directory, self._has_loop_monitor
+        )
 
     async def _listen(self, app: App, serve_scope: trio.CancelScope) -> str:
         async def serve(task_status: trio.TaskStatus[str]) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,8 @@
 """Reading and validating settings files."""
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -69,6 +71,22 @@
         assert (settings.role, settings.entry_lease_s) == (Role.DECODE, 1.5)
         assert settings.policy == Policy()
 
+    # Guards against a daemon whose loop is measured unasked, or whose file cannot ask for it.
+    @pytest.mark.parametrize(
+        ("text", "read"),
+        [
+            (ENTRY, read_entry_settings),
+            (SIDECAR, read_sidecar_settings),
+            (DIRECT, read_direct_settings),
+        ],
+    )
+    def test_event_loop_is_measured_on_request(
+        self, tmp_path: Path, text: str, read: Callable[[Path], Any]
+    ) -> None:
+        """Each daemon has the setting, and it is off by default."""
+        assert read(self._write(tmp_path, text)).loop_monitor is False
+        assert read(self._write(tmp_path, text + "loop_monitor = true\n")).loop_monitor is True
+
     def test_policy_has_a_key_for_every_decision(self, tmp_path: Path) -> None:
         """Each field of the policy can be set; sidecars accept the same table as entries."""
         assert set(PolicyTable.__annotations__) == set(Policy._fields)
