Loop monitor tells a step without a core from a blocked one

The scheduler's time in the run queue is measured beside the CPU time of the thread, as queued_ms in the log lines and in the dump. A long step with neither was stopped or blocked.

--- a/src/chivehold/loop_monitor.py
+++ b/src/chivehold/loop_monitor.py
@@ -1,8 +1,8 @@
 """Measures what delays a process: steps that hold the event loop, and wake-ups that come late.
 
 Tasks share one thread. Each runs until it next waits, and during such a step no other task runs and
-no deadline is noticed. Whether the process itself was the cause is told by the CPU time of a step:
-if it is far below the time that has passed, the process was waiting for the machine.
+no deadline is noticed. What a long step did is told by the times of the thread: it has computed, it
+was ready to run and had no core, or it was blocked.
 """
 
 import gc
@@ -11,11 +11,12 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from enum import StrEnum
-from typing import NamedTuple, TypedDict
+from typing import Any, NamedTuple, TypedDict
 
 import trio
 
 from chivehold.logs import log_event
+from chivehold.thread_times import ThreadClock, ThreadTimes
 
 MAX_KINDS = 64
 """Kinds of tasks that are measured separately; it bounds the labels of the metric."""
@@ -47,8 +48,8 @@
     seconds: float
     at: float
     """When it ended, on the monitor's clock."""
-    cpu_s: float | None = None
-    """CPU time of the thread meanwhile, if measured."""
+    thread: ThreadTimes
+    """Times of the thread meanwhile."""
 
 
 class PeakJson(TypedDict, total=False):
@@ -56,6 +57,7 @@
 
     ms: float
     cpu_ms: float
+    queued_ms: float
     ago_s: float
 
 
@@ -72,27 +74,30 @@
 
     Args:
         clock: Returns the time in seconds.
-        cpu_clock: Returns the CPU time of the thread in seconds.
+        thread_times: Returns the times of the thread.
         deadline_delay: Returns for how many seconds the earliest deadline has passed.
     """
 
     def __init__(
         self,
+        thread_times: Callable[[], ThreadTimes],
         clock: Callable[[], float] = time.perf_counter,
-        cpu_clock: Callable[[], float] = time.thread_time,
         deadline_delay: Callable[[], float] | None = None,
     ) -> None:
         self._clock = clock
-        self._cpu_clock = cpu_clock
+        self._thread_times = thread_times
         self._deadline_delay = deadline_delay or _current_deadline_delay
         self._steps: dict[str, Peak] = {}
         self._delays: dict[Delay, Peak] = {}
         self._checked_at = clock()
         """When the loop last looked for deadlines that have passed."""
+        self._times_checked = thread_times()
+        """The times of the thread at that moment."""
         self._wait_ends_at: float | None = None
         """When the current wait for events ends at the latest; ``None`` if it does not wait."""
         self._step_started_at: float | None = None
-        self._step_cpu_s = 0.0
+        self._step_times = self._times_checked
+        self._collection_times = self._times_checked
         self._collection_started_at: float | None = None
 
     @property
@@ -107,7 +112,7 @@
 
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
         """Note when a step begins."""
-        self._step_cpu_s = self._cpu_clock()
+        self._step_times = self._thread_times()
         self._step_started_at = self._clock()
 
     def after_task_step(self, task: trio.lowlevel.Task) -> None:
@@ -121,9 +126,9 @@
         is_longest = kind not in self._steps or held_s > self._steps[kind].seconds
         if not is_longest and held_s < LOG_FROM_S:
             return
-        cpu_s = self._cpu_clock() - self._step_cpu_s
+        thread = self._thread_times().since(self._step_times)
         if is_longest:
-            self._steps[kind] = Peak(held_s, now, cpu_s)
+            self._steps[kind] = Peak(held_s, now, thread)
         if held_s >= LOG_FROM_S:
             log_event(
                 _log,
@@ -131,30 +136,36 @@
                 "event loop held",
                 task=task.name,
                 held_ms=round(held_s * MS_PER_S),
-                cpu_ms=round(cpu_s * MS_PER_S),
+                **_to_log(thread),
             )
 
     def before_io_wait(self, timeout: float) -> None:
         """Record how long all steps since the last wait took."""
         now = self._clock()
-        self._record(Delay.ROUND, now - self._checked_at, now)
+        self._record(Delay.ROUND, now - self._checked_at, now, self._times_checked)
         self._wait_ends_at = now + timeout if timeout > 0 else None
 
     def after_io_wait(self, timeout: float) -> None:
         """Record how late the loop wakes up, and how late it notices a deadline."""
         now = self._clock()
+        times_before, self._times_checked = self._times_checked, self._thread_times()
         # No deadline can have passed before the end of the wait or the last look, whichever it is.
         earliest = self._checked_at
         if self._wait_ends_at is not None:
             earliest = self._wait_ends_at
-            self._record(Delay.WAIT, now - earliest, now)
+            self._record(Delay.WAIT, now - earliest, now, times_before)
         # The runtime's statistics are costly, so they are read only if there may be a new peak.
         if now - earliest > min(self._longest_s(Delay.DEADLINE), LOG_FROM_S):
             late_s = self._deadline_delay()
-            self._record(Delay.DEADLINE, late_s, now)
+            self._record(Delay.DEADLINE, late_s, now, times_before)
             if late_s >= LOG_FROM_S:
-                late_ms = round(late_s * MS_PER_S)
-                log_event(_log, logging.WARNING, "deadline noticed late", late_ms=late_ms)
+                log_event(
+                    _log,
+                    logging.WARNING,
+                    "deadline noticed late",
+                    late_ms=round(late_s * MS_PER_S),
+                    **_to_log(self._times_checked.since(times_before)),
+                )
         self._checked_at = now
 
     def note_collection(self, phase: str, details: Mapping[str, int]) -> None:
@@ -162,9 +173,10 @@
         now = self._clock()
         if phase == "start":
             self._collection_started_at = now
+            self._collection_times = self._thread_times()
         elif self._collection_started_at is not None:
-            self._record(Delay.COLLECTION, now - self._collection_started_at, now)
-            self._collection_started_at = None
+            took_s, self._collection_started_at = now - self._collection_started_at, None
+            self._record(Delay.COLLECTION, took_s, now, self._collection_times)
 
     def dump(self) -> LoopDump:
         """Return the state shown to operators."""
@@ -184,9 +196,9 @@
         known = self._delays.get(delay)
         return 0.0 if known is None else known.seconds
 
-    def _record(self, delay: Delay, seconds: float, now: float) -> None:
+    def _record(self, delay: Delay, seconds: float, now: float, times_before: ThreadTimes) -> None:
         if seconds > self._longest_s(delay):
-            self._delays[delay] = Peak(seconds, now)
+            self._delays[delay] = Peak(seconds, now, self._thread_times().since(times_before))
 
 
 @contextmanager
@@ -199,7 +211,8 @@
     if not is_enabled:
         yield None
         return
-    monitor = LoopMonitor()
+    thread_clock = ThreadClock()
+    monitor = LoopMonitor(thread_clock.read)
     trio.lowlevel.add_instrument(monitor)
     gc.callbacks.append(monitor.note_collection)
     try:
@@ -209,14 +222,24 @@
         # Trio has removed a monitor that has raised an exception.
         with suppress(KeyError):
             trio.lowlevel.remove_instrument(monitor)
+        thread_clock.close()
 
 
 def _current_deadline_delay() -> float:
     return -trio.lowlevel.current_statistics().seconds_to_next_deadline
 
 
+def _to_log(thread: ThreadTimes) -> dict[str, Any]:
+    queued_ms = None if thread.queued_s is None else round(thread.queued_s * MS_PER_S)
+    return {"cpu_ms": round(thread.cpu_s * MS_PER_S), "queued_ms": queued_ms}
+
+
 def _to_json(peak: Peak, now: float) -> PeakJson:
-    shown = PeakJson(ms=round(peak.seconds * MS_PER_S, 2), ago_s=round(now - peak.at, 2))
-    if peak.cpu_s is not None:
-        shown["cpu_ms"] = round(peak.cpu_s * MS_PER_S, 2)
+    shown = PeakJson(
+        ms=round(peak.seconds * MS_PER_S, 2),
+        cpu_ms=round(peak.thread.cpu_s * MS_PER_S, 2),
+        ago_s=round(now - peak.at, 2),
+    )
+    if peak.thread.queued_s is not None:
+        shown["queued_ms"] = round(peak.thread.queued_s * MS_PER_S, 2)
     return shown
--- a/tests/test_loop_monitor.py
+++ b/tests/test_loop_monitor.py
@@ -20,6 +20,7 @@
     LoopMonitor,
     monitored_loop,
 )
+from chivehold.thread_times import ThreadTimes
 
 HOLD_S = 0.05
 TASK_PREFIX = f"{__name__}."
@@ -34,23 +35,28 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        self.cpu_s = 1.0
+        self.times = ThreadTimes(1.0, 2.0)
         self.late_s = -1.0
         self.questions = 0
-        self.monitor = LoopMonitor(lambda: self.now, lambda: self.cpu_s, self._deadline_delay)
+        self.monitor = LoopMonitor(lambda: self.times, lambda: self.now, self._deadline_delay)
 
-    def step(self, name: str, held_s: float, cpu_s: float = 0.0) -> None:
+    def step(self, name: str, held_s: float, cpu_s: float = 0.0, queued_s: float = 0.0) -> None:
         task: Any = _NamedTask(name)
         self.monitor.before_task_step(task)
         self.now += held_s
-        self.cpu_s += cpu_s
+        self._pass(cpu_s, queued_s)
         self.monitor.after_task_step(task)
 
-    def wait(self, timeout_s: float, waits_s: float) -> None:
+    def wait(self, timeout_s: float, waits_s: float, queued_s: float = 0.0) -> None:
         self.monitor.before_io_wait(timeout_s)
         self.now += waits_s
+        self._pass(0.0, queued_s)
         self.monitor.after_io_wait(timeout_s)
 
+    def _pass(self, cpu_s: float, queued_s: float) -> None:
+        queued_before_s = self.times.queued_s or 0.0
+        self.times = ThreadTimes(self.times.cpu_s + cpu_s, queued_before_s + queued_s)
+
     def _deadline_delay(self) -> float:
         self.questions += 1
         return self.late_s
@@ -83,15 +89,15 @@
 
 class TestSteps:
     def test_longest_step_of_each_kind(self, loop: _Loop) -> None:
-        """The longest step of a kind is kept, with its CPU time."""
+        """The longest step of a kind is kept, with the times of the thread in it."""
         loop.step("a", 0.01, 0.01)
         loop.step("a", 0.04, 0.03)
         loop.step("a", 0.02, 0.02)
-        loop.step("b", 0.03, 0.0)
+        loop.step("b", 0.03, 0.0, 0.02)
         assert list(loop.monitor.dump()["steps"]) == ["a", "b"]
         assert loop.monitor.steps["a"].seconds == pytest.approx(0.04)
-        assert loop.monitor.steps["a"].cpu_s == pytest.approx(0.03)
-        assert loop.monitor.steps["b"].cpu_s == 0.0
+        assert loop.monitor.steps["a"].thread == pytest.approx((0.03, 0.0))
+        assert loop.monitor.steps["b"].thread == pytest.approx((0.0, 0.02))
 
     # Guards against metrics whose labels grow without bound.
     def test_kinds_are_bounded(self, loop: _Loop) -> None:
@@ -112,8 +118,9 @@
     def test_long_steps_are_logged(self, loop: _Loop, lines: _Lines) -> None:
         """Each long step is logged, also one that is not the longest."""
         loop.step("a", 0.5)
-        loop.step("a", 0.3, 0.1)
+        loop.step("a", 0.3, 0.1, 0.2)
         loop.step("a", 0.01)
+        assert [line["queued_ms"] for line in lines.fields] == [0, 200]
         assert [line["held_ms"] for line in lines.fields] == [500, 300]
         assert [line["cpu_ms"] for line in lines.fields] == [0, 100]
 
@@ -133,8 +140,9 @@
         """A process that gets no CPU time comes back late from its wait."""
         loop.wait(1.0, 0.5)
         assert Delay.WAIT not in loop.monitor.delays
-        loop.wait(1.0, 1.3)
+        loop.wait(1.0, 1.3, queued_s=0.25)
         assert loop.monitor.delays[Delay.WAIT].seconds == pytest.approx(0.3)
+        assert loop.monitor.delays[Delay.WAIT].thread.queued_s == pytest.approx(0.25)
 
     def test_deadline_that_passes_during_a_step(self, loop: _Loop) -> None:
         """The delay of a deadline is what the loop says, not the length of the step."""
@@ -188,9 +196,7 @@
         name, *_ = monitor.dump()["steps"]
         assert name == f"{TASK_PREFIX}_hold"
         assert monitor.steps[name].seconds >= HOLD_S
-        cpu_s = monitor.steps[name].cpu_s
-        assert cpu_s is not None
-        assert cpu_s < HOLD_S
+        assert monitor.steps[name].thread.cpu_s < HOLD_S
         assert monitor.delays[Delay.ROUND].seconds >= HOLD_S
         assert monitor.delays[Delay.DEADLINE].seconds >= HOLD_S / 2
         assert monitor.delays[Delay.COLLECTION].seconds > 0
