Daemons keep their modules out of garbage collections

A full collection went through everything that the modules have created: 30 to 33 ms of CPU time in each entry of the soak, up to 0.21 s by the clock beside four busy processes.

--- a/src/chivehold/direct/__main__.py
+++ b/src/chivehold/direct/__main__.py
@@ -9,6 +9,7 @@
 
 from chivehold.direct.app import run_direct_entry
 from chivehold.exceptions import SettingsInvalid
+from chivehold.garbage import exempt_existing_objects
 from chivehold.logs import set_up_bounded_logging
 from chivehold.platform import BINDING
 from chivehold.settings import read_direct_settings
@@ -29,6 +30,7 @@
     logs = set_up_bounded_logging(
         settings.log_format, settings.log_level, settings.name, settings.log_lines_per_s
     )
+    exempt_existing_objects()
     trio.run(run_direct_entry, settings, path, BINDING, logs)
     return 0
 
--- a/src/chivehold/entry/__main__.py
+++ b/src/chivehold/entry/__main__.py
@@ -9,6 +9,7 @@
 
 from chivehold.entry.app import EntryAddresses, run_entry
 from chivehold.exceptions import SettingsInvalid
+from chivehold.garbage import exempt_existing_objects
 from chivehold.logs import set_up_logging
 from chivehold.settings import EntrySettings, read_entry_settings
 
@@ -25,6 +26,7 @@
         print("\n".join(error.problems), file=sys.stderr)
         return EXIT_SETTINGS_INVALID
     set_up_logging(settings.log_format, settings.log_level, settings.name)
+    exempt_existing_objects()
     trio.run(_run, settings)
     return 0
 
--- a/src/chivehold/sidecar/__main__.py
+++ b/src/chivehold/sidecar/__main__.py
@@ -9,6 +9,7 @@
 import trio
 
 from chivehold.exceptions import SettingsInvalid
+from chivehold.garbage import exempt_existing_objects
 from chivehold.logs import set_up_logging
 from chivehold.settings import SidecarSettings, read_sidecar_settings
 from chivehold.sidecar.app import run_sidecar
@@ -47,6 +48,7 @@
         print("\n".join(error.problems), file=sys.stderr)
         return EXIT_SETTINGS_INVALID
     set_up_logging(settings.log_format, settings.log_level, settings.name)
+    exempt_existing_objects()
     trio.run(run_until_signal, settings)
     return 0
 
