--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -118,7 +118,9 @@
         self._upstreams: dict[str, UpstreamRecord] = {}
         self._stats: dict[UpstreamIncarnation, _UpstreamStats] = {}
         self._loads = ReportedLoads()
-        self._speeds = Speeds()
+        self._uneven_services: set[str] = set()
+        """Services whose upstreams state how slow they are now."""
+        self._speeds = Speeds(self._uneven_services.__contains__)
         self._limits = ConcurrencyLimits()
 
     @property
@@ -401,7 +403,9 @@
         """Record what an upstream has said of itself; see ``UpstreamAdmission.record``."""
         incarnation = incarnation_of(upstream)
         self._admission.record(incarnation, signals, sent_at, now)
-        if signals.load is not None:
+        if signals.load is not None and signals.load.slowness is not None:
+            self._uneven_services.add(upstream.service)
+        if signals.load is not None and upstream.service in self._uneven_services:
             self._loads.record(incarnation, signals.load, self.in_flight(upstream), now)
         self._update_leaving(upstream.name)
 
--- a/src/chivehold/core/direct/prefill_load.py
+++ b/src/chivehold/core/direct/prefill_load.py
@@ -137,7 +137,7 @@
         estimate = self._estimates.get(engine)
         if estimate is not None:
             return _prompts_now(estimate, now)
-        if self._speeds.is_known(self._kind, engine):
+        if self._speeds.is_known(self._kind, engine) or not self._may_differ:
             return 1.0
         return mean([_prompts_now(known, now) for known in self._estimates.values()] or [1.0])
 
@@ -146,6 +146,10 @@
         expected_s = self.expected_s(engine, tokens, now)
         return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s))
 
+    @property
+    def _may_differ(self) -> bool:
+        return self._speeds.may_differ(self._kind.service)
+
     def forget_others(self, engines: Collection[UpstreamIncarnation]) -> None:
         """Forget the load estimates of all engines except these."""
         for known in [known for known in self._estimates if known not in engines]:
@@ -167,7 +171,8 @@
     def _is_being_probed(self, engine: UpstreamIncarnation) -> bool:
         """Return whether a prompt runs at an engine of unknown speed while others are known."""
         return (
-            engine in self._running
+            self._may_differ
+            and engine in self._running
             and not self._speeds.is_known(self._kind, engine)
             and self._speeds.has_samples(self._kind)
         )
--- a/src/chivehold/core/direct/speeds.py
+++ b/src/chivehold/core/direct/speeds.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 from statistics import fmean, median
 from typing import NamedTuple
 
@@ -70,11 +70,21 @@
 
 
 class Speeds:
-    """Samples of the time per unit of work, by upstream and kind of work."""
+    """Samples of the time per unit of work, by upstream and kind of work.
 
-    def __init__(self) -> None:
+    Args:
+        may_differ: Returns whether the upstreams of a service may differ in speed; where they do
+            not, differences between samples come from load alone.
+    """
+
+    def __init__(self, may_differ: Callable[[str], bool] = lambda service: True) -> None:
+        self._may_differ = may_differ
         self._kinds: dict[WorkKind, _Samples] = {}
 
+    def may_differ(self, service: str) -> bool:
+        """Return whether the upstreams of a service may differ in speed."""
+        return self._may_differ(service)
+
     def record(self, kind: WorkKind, upstream: UpstreamIncarnation, s_per_unit: float) -> None:
         """Record the time that a unit of work took, without what load and slowness added."""
         self._kinds.setdefault(kind, _Samples()).add(upstream, s_per_unit)
@@ -107,7 +117,9 @@
 
         It is 1 for an upstream without samples, and close to 1 for one with few.
         """
-        return self._kinds[kind].relative(upstream) if kind in self._kinds else 1.0
+        if kind not in self._kinds or not self._may_differ(kind.service):
+            return 1.0
+        return self._kinds[kind].relative(upstream)
 
     def forget_others(self, upstreams: Collection[UpstreamIncarnation]) -> None:
         """Forget the samples of all upstreams except these."""
