--- a/src/chivehold/core/direct/quotas.py
+++ b/src/chivehold/core/direct/quotas.py
@@ -20,6 +20,8 @@
 """Part of the slack that is granted as debt; the rest is left for use that is reported late."""
 STALE_VIEW_SHARE = 0.5
 """Part of what a full bucket could grant that one entry may use on reports of one age."""
+STALE_VIEW_SHARE_AT_START = 0.25
+"""The same until the bucket has been full for the first time."""
 SLOT_S = 0.125
 """Resolution with which recent use is remembered."""
 SLOTS = 24
@@ -128,6 +130,11 @@
         self._all = RecentUse()
         self._used = 0.0
         self._rejected = 0.0
+        self._has_been_full = False
+        """Whether nothing is left of what was used before this process started.
+
+        Until then no debt is granted, since the other entries may already have granted it.
+        """
 
     @property
     def quota(self) -> Quota:
@@ -177,21 +184,34 @@
         """
         self._fill(before, now)
         used = self._all.since(unheard_since)
-        common = self._level + used
-        if common > 0:
-            self._level = common * after / before - used
+        self._level = (self._level + used) * after / before - used
+
+    def gain_share(self, before: float, after: float, now: float) -> None:
+        """Join with entries that are heard again.
+
+        They have taken debt as much as this one. What they have left is not granted again.
+        """
+        self._fill(before, now)
+        if self._level < 0:
+            self._level *= after / before
+
+    def max_unreported(self, policy: QuotaPolicy, view: View) -> float:
+        """Return the use that every entry may have at once without the others knowing."""
+        return (policy.excess(self._quota) - policy.debt) / max(1, view.entries - 1)
 
     def _fill(self, share: float, now: float) -> None:
         elapsed_s = max(0.0, now - self._filled_at)
         self._filled_at = max(self._filled_at, now)
         filled = self._level + elapsed_s * self._quota.rate * share
-        self._level = min(filled, self._quota.burst * share)
+        full = self._quota.burst * share
+        self._has_been_full = self._has_been_full or filled >= full
+        self._level = min(filled, full)
 
     def _wait_s(self, cost: float, policy: QuotaPolicy, view: View, now: float) -> float:
         """Return the time until a request has room; 0 if it has room now."""
         # A request larger than the burst is admitted once the bucket is full.
         needed = min(cost, self._quota.burst * view.share)
-        debt = policy.debt * view.share
+        debt = policy.debt * view.share if self._has_been_full else 0.0
         missing = needed - debt - self._level
         wait_s = missing / (self._quota.rate * view.share) if missing > 0 else 0.0
         if view.heard > 1:
@@ -204,9 +224,9 @@
     def _most_on_one_view(self, policy: QuotaPolicy, view: View) -> float:
         """Return how much this entry may use on reports that are as old as the oldest one."""
         filled = self._quota.rate * view.oldest_report_s
-        others = max(1, view.entries - 1)
-        equal = (policy.excess(self._quota) - policy.debt) / others + filled / view.entries
-        return max(equal, STALE_VIEW_SHARE * view.share * (self._quota.burst + filled))
+        equal = self.max_unreported(policy, view) + filled / view.entries
+        part = STALE_VIEW_SHARE if self._has_been_full else STALE_VIEW_SHARE_AT_START
+        return max(equal, part * view.share * (self._quota.burst + filled))
 
 
 class Quotas:
@@ -251,6 +271,11 @@
         bucket = self._buckets.get(key)
         return bucket.decide(cost, self._policy, view, now) if bucket else None
 
+    def max_unreported(self, key: OrganisationId, view: View) -> float:
+        """Return the use of an organisation that is to be reported at once."""
+        bucket = self._buckets.get(key)
+        return bucket.max_unreported(self._policy, view) if bucket else math.inf
+
     def refund(self, key: OrganisationId, cost: float, share: float, now: float) -> None:
         """Give back the cost of a request that has not run."""
         if bucket := self._buckets.get(key):
@@ -269,10 +294,10 @@
         for bucket in self._buckets.values():
             bucket.lose_share(before, after, unheard_since, now)
 
-    def fill(self, share: float, now: float) -> None:
-        """Fill all buckets up to now; required before the share of the quotas grows."""
+    def gain_share(self, before: float, after: float, now: float) -> None:
+        """Join with entries that are heard again, for all quotas."""
         for bucket in self._buckets.values():
-            bucket.state(share, now)
+            bucket.gain_share(before, after, now)
 
     def rate(self, key: OrganisationId) -> float:
         """Return the rate of an organisation, or 0 if it has no quota."""
--- a/src/chivehold/core/direct/shared_quotas.py
+++ b/src/chivehold/core/direct/shared_quotas.py
@@ -24,7 +24,7 @@
 
 REPORT_JITTER = 0.1
 EARLY_REPORT_S = 0.1
-"""Shortest time between two reports, when another entry has just been heard for the first time."""
+"""Shortest time between two reports; an early one follows much use, or a process just heard."""
 UNLISTED_S = 30.0
 """An entry that is not listed gets reports for this time after one from it."""
 MAX_UNLISTED = 48
@@ -123,9 +123,12 @@
         if organisation.quota is None:
             return None
         key, cost = organisation_id(organisation.name), organisation.quota.cost(tokens)
-        decision = self._quotas.decide(key, cost, self._view(now), now)
+        view = self._view(now)
+        decision = self._quotas.decide(key, cost, view, now)
         if decision is not None and decision.admitted:
             self._own.add(key, cost)
+            if self._own.unreported(key) >= self._quotas.max_unreported(key, view):
+                self._report_early(now)
         return decision
 
     def refund(self, decision: QuotaDecision, now: float) -> None:
@@ -149,7 +152,8 @@
             self._note_unlisted(received, now)
         self._quotas.charge_reported(used, before.share, now)
         if is_first:
-            self._gain_share(before, now)
+            self._view(now)
+            self._report_early(now)
         return True
 
     def next_report_at(self) -> float:
@@ -213,7 +217,7 @@
             since = silence.since if silence else now
             self._quotas.lose_share(self._share, view.share, since, now)
         elif view.share > self._share:
-            self._quotas.fill(self._share, now)
+            self._quotas.gain_share(self._share, view.share, now)
         self._share = view.share
         return view
 
@@ -223,10 +227,7 @@
         entries = max(heard, listed + self._peers.unlisted_heard())
         return View(entries, heard, self._peers.oldest_report_s(now))
 
-    def _gain_share(self, before: View, now: float) -> None:
-        """Count an entry that is heard for the first time, and report to it soon."""
-        self._quotas.fill(before.share, now)
-        self._view(now)
+    def _report_early(self, now: float) -> None:
         self._next_report_at = min(
             self._next_report_at, max(now, self._last_report_at + EARLY_REPORT_S)
         )
--- a/src/chivehold/core/direct/usage_reports.py
+++ b/src/chivehold/core/direct/usage_reports.py
@@ -79,6 +79,11 @@
         use.repeats_left = REPEATS
         self._changed[organisation] = use
 
+    def unreported(self, organisation: OrganisationId) -> float:
+        """Return the use since the last report that named an organisation."""
+        use = self._uses.get(organisation)
+        return use.used - use.reported if use else 0.0
+
     def next_report(self, peers: int) -> UsageReport:
         """Return the report that is due, to be sent to a number of entries.
 
@@ -86,13 +91,12 @@
         report is the largest part of their quota.
         """
         self._sequence += 1
-        chosen = sorted(self._changed, key=self._unreported, reverse=True)[: max_usages(peers)]
+        chosen = sorted(self._changed, key=self._urgency, reverse=True)[: max_usages(peers)]
         usages = tuple(self._report(organisation) for organisation in chosen)
         return UsageReport(self._incarnation, self._sequence, usages)
 
-    def _unreported(self, organisation: OrganisationId) -> float:
-        use = self._changed[organisation]
-        return abs(use.used - use.reported) / max(self._rate(organisation), 1.0)
+    def _urgency(self, organisation: OrganisationId) -> float:
+        return abs(self.unreported(organisation)) / max(self._rate(organisation), 1.0)
 
     def _report(self, organisation: OrganisationId) -> Usage:
         use = self._changed[organisation]
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -133,10 +133,10 @@
             lambda: Membership(self._roster.names, self._roster.count),
             rng,
         )
-        self._quota_gate = QuotaGate(self._quotas, rng)
         self._usage_exchange = UsageExchange(
             settings.name, self._quotas, self._gossip, self._gossip_socket, nursery
         )
+        self._quota_gate = QuotaGate(self._quotas, self._usage_exchange.reschedule, rng)
         exchange = FactExchange(name, self._gossip_socket.publish)
         signals = SignalReader(self._fleet, platform.dialect, self._metrics, exchange)
         engines = EngineClient(self._fleet, self._client, platform.dialect, signals, nursery)
--- a/src/chivehold/direct/quota_gate.py
+++ b/src/chivehold/direct/quota_gate.py
@@ -1,7 +1,7 @@
 """Admits callers' requests within the quota of their organisation, and refunds those not run."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import trio
@@ -29,11 +29,13 @@
 
     Args:
         quotas: The quotas, shared with the other entries.
+        reschedule: Called after each decision; it may have made the next report due earlier.
         rng: Draws the jitter of retry times.
     """
 
-    def __init__(self, quotas: SharedQuotas, rng: Random) -> None:
+    def __init__(self, quotas: SharedQuotas, reschedule: Callable[[], None], rng: Random) -> None:
         self._quotas = quotas
+        self._reschedule = reschedule
         self._rng = rng
 
     def admit(
@@ -48,6 +50,7 @@
         if organisation is None or organisation.quota is None or metadata.is_resumption:
             return None
         decision = self._quotas.decide(organisation, metadata.tokens, trio.current_time())
+        self._reschedule()
         if decision is None or decision.admitted:
             return decision
         retry_after_s = self._with_jitter(decision.retry_after_s)
--- a/src/chivehold/direct/usage_exchange.py
+++ b/src/chivehold/direct/usage_exchange.py
@@ -1,6 +1,7 @@
 """Sends this entry's usage reports and applies those of the others, while there are quotas."""
 
 import logging
+import math
 
 import trio
 
@@ -40,6 +41,7 @@
         self._nursery = nursery
         self._sending: trio.CancelScope | None = None
         self._wake = trio.Event()
+        self._asleep_until = -math.inf
 
     def apply_routes(self, table: RouteTable) -> None:
         """Apply the organisations of a new configuration."""
@@ -57,15 +59,19 @@
 
     def receive(self, received: ReceivedReport) -> None:
         """Apply a report of another entry."""
-        due_before = self._quotas.next_report_at()
         self._quotas.receive(received, trio.current_time())
-        if self._quotas.next_report_at() < due_before:
+        self.reschedule()
+
+    def reschedule(self) -> None:
+        """Send the next report earlier if it has become due earlier."""
+        if self._quotas.next_report_at() < self._asleep_until:
             self._wake.set()
 
     async def _send_reports(self, scope: trio.CancelScope) -> None:
         with scope:
             while True:
-                with trio.move_on_at(self._quotas.next_report_at()):
+                self._asleep_until = self._quotas.next_report_at()
+                with trio.move_on_at(self._asleep_until):
                     await self._wake.wait()
                 self._wake = trio.Event()
                 outgoing = self._quotas.next_report(trio.current_time())
