chivehold explain: where a request would be routed now, and why

The answer comes from the code that serves requests, on copies of what that code changes. Prefill choices, reservations and queues are read through their own methods.

--- a/src/chivehold/commands/application.py
+++ b/src/chivehold/commands/application.py
@@ -11,6 +11,7 @@
 from chivehold.commands.check import CheckSettingsCommand
 from chivehold.commands.daemons import DirectCommand, EntryCommand, SidecarCommand
 from chivehold.commands.exits import ExitCode, exit_code_for_status
+from chivehold.commands.explain import ExplainCommand
 from chivehold.commands.nodes import DrainCommand, DumpCommand
 from chivehold.commands.quarantine import QuarantineCommand
 from chivehold.commands.read import GetCommand, StatusCommand, WatchCommand
@@ -25,6 +26,7 @@
     DrainCommand,
     DumpCommand,
     EntryCommand,
+    ExplainCommand,
     GetCommand,
     QuarantineCommand,
     SidecarCommand,
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -22,6 +22,7 @@
 from chivehold.direct.caller_app import CallerApp
 from chivehold.direct.crash_protection import CrashProtection
 from chivehold.direct.engines import EngineClient
+from chivehold.direct.explanations import Explainer, QuestionJson
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.gossip_socket import GossipSocket
 from chivehold.direct.metrics import DirectMetrics
@@ -140,6 +141,27 @@
         self._version_tracking = VersionTracking(
             settings.name, name, store, lambda: self._roster.count, self._metrics, rng
         )
+        prefills = PrefillScheduler(
+            self._fleet, engines, self._metrics, lambda: self._roster.count, self._retries
+        )
+        streams = StreamCalls(
+            self._fleet,
+            engines,
+            prefills,
+            self._reserver,
+            self._retries,
+            self._metrics,
+            self._crash_protection.watch,
+            self._version_tracking.resumptions,
+        )
+        self._explainer = Explainer(
+            platform.dialect,
+            lambda: self._callers.routes,
+            self._fleet,
+            streams,
+            self._reserver,
+            prefills,
+        )
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
@@ -151,22 +173,7 @@
                 self._metrics,
                 self._crash_protection.watch,
             ),
-            StreamCalls(
-                self._fleet,
-                engines,
-                PrefillScheduler(
-                    self._fleet,
-                    engines,
-                    self._metrics,
-                    lambda: self._roster.count,
-                    self._retries,
-                ),
-                self._reserver,
-                self._retries,
-                self._metrics,
-                self._crash_protection.watch,
-                self._version_tracking.resumptions,
-            ),
+            streams,
             self._retries,
             self._metrics,
             BodyBudget(settings.max_held_bytes),
@@ -241,6 +248,7 @@
             self._render_metrics,
             self.dump,
             lambda key, is_active: self.quarantines.order(key, is_active, "operator"),
+            self.explain,
         )
         async with trio.open_nursery() as servers:
 
@@ -388,6 +396,11 @@
             "log_lines_dropped": self._logs.dropped,
         }
 
+    def explain(self, question: QuestionJson) -> dict[str, object]:
+        """Return where a request would be routed now and why, without changing any state."""
+        ages = self._replicas.dump(trio.current_time())
+        return self._explainer.explain(question) | ages
+
 
 def _settings_to_log(settings: DirectSettings) -> dict[str, object]:
     """Return the settings to log, without the configured listen addresses."""
--- a/src/chivehold/direct/operator_app.py
+++ b/src/chivehold/direct/operator_app.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.direct.explanations import MAX_QUESTION_BYTES, QuestionJson, decode_question
 from chivehold.http_server import (
     Receive,
     Scope,
@@ -39,13 +40,14 @@
 
 
 class OperatorApp:
-    """Serves ``/metrics``, ``/readyz``, ``/dump`` and ``/quarantines``.
+    """Serves ``/metrics``, ``/readyz``, ``/dump``, ``/quarantines`` and ``/explain``.
 
     Args:
         unready_reason: Returns why the entry is not ready, or an empty string if it is.
         render_metrics: Returns the metrics in a format listed in the ``accept`` headers.
         dump: Returns the state.
         order_quarantine: Called with the content to refuse, or to refuse no longer.
+        explain: Returns where a request would be routed.
     """
 
     def __init__(
@@ -54,10 +56,12 @@
         render_metrics: Callable[[list[str]], RenderedMetrics],
         dump: Callable[[], Mapping[str, object]],
         order_quarantine: Callable[[CrashKey, bool], None],
+        explain: Callable[[QuestionJson], Mapping[str, object]],
     ) -> None:
         self._ready = ReadyApp(unready_reason)
         self._render_metrics = render_metrics
         self._dump = dump
+        self._explain = explain
         self._order_quarantine = order_quarantine
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -73,6 +77,8 @@
             await respond_json(send, 200, self._dump())
         elif path == "/quarantines":
             await self._handle_quarantines(scope, receive, send)
+        elif path == "/explain":
+            await self._handle_explain(receive, send)
         else:
             await respond_error(send, 404, "not_found", "no such page")
 
@@ -86,6 +92,14 @@
             self._order_quarantine(CrashKey(order["kind"], order["value"]), order["active"])
         await respond_json(send, 200, self._dump()["quarantines"])
 
+    async def _handle_explain(self, receive: Receive, send: Send) -> None:
+        try:
+            question = decode_question(await read_body(receive, MAX_QUESTION_BYTES))
+        except msgspec.DecodeError as error:
+            await respond_error(send, 400, "malformed", str(error))
+            return
+        await respond_json(send, 200, self._explain(question))
+
 
 class QuarantineOrderJson(TypedDict):
     """Body of an operator's order to quarantine content, or to lift its quarantine."""
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -1,10 +1,13 @@
 """Choice of a prefill engine for each prompt, and the prefill there."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from copy import copy, deepcopy
+from typing import NamedTuple
 
 import trio
 
+from chivehold.core.direct.explanation import rehearsal_of
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.messages import Stage, UpstreamRecord, incarnation_of
 from chivehold.core.direct.pace import PaceMonitor
@@ -34,6 +37,15 @@
 """How long an engine is avoided after one of its KV caches expired or could not be fetched."""
 
 
+class RehearsedPrefill(NamedTuple):
+    """Where a prompt would be prefilled now."""
+
+    engine: str | None
+    """Name of the engine; ``None`` if the decode engine would do it."""
+    expected_s: Mapping[str, float]
+    """How long each engine would take, by its name, in seconds."""
+
+
 class PrefillScheduler:
     """Chooses a prefill engine for each prompt and runs the prefill there.
 
@@ -74,6 +86,24 @@
             return None
         return await self._prefill_at(load, exchange, upstream)
 
+    def rehearse(self, exchange: Exchange) -> RehearsedPrefill:
+        """Return where a prompt would be prefilled now, without changing any state."""
+        rehearsal = copy(self)
+        rehearsal._fleet = rehearsal_of(self._fleet)
+        rehearsal._loads, rehearsal._paces = deepcopy((self._loads, self._paces))
+        load = rehearsal._load_of(exchange.service)
+        chosen = rehearsal._choose_engine(load, exchange)
+        tokens, now = exchange.metadata.prompt_tokens, trio.current_time()
+        engines = self._fleet.upstreams
+        return RehearsedPrefill(
+            chosen.name if chosen else None,
+            {
+                engine.name: load.expected_s(incarnation_of(engine), tokens, now)
+                for engine in engines
+                if engine.service == exchange.service and engine.stage is Stage.PREFILL
+            },
+        )
+
     def record_not_fetched(self, exchange: Exchange, prefilled: PrefilledCache) -> None:
         """Suspend the prefill engine whose KV cache a decode engine could not fetch."""
         self._fleet.suspend(prefilled.upstream, trio.current_time() + NOT_FETCHED_PAUSE_S)
