--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -26,6 +26,7 @@
 from chivehold.direct.caller_app import CallerApp
 from chivehold.direct.crash_protection import CrashProtection
 from chivehold.direct.engines import EngineClient
+from chivehold.direct.explanations import Explainer, QuestionJson
 from chivehold.direct.fact_exchange import FactExchange
 from chivehold.direct.gossip_socket import GossipSocket
 from chivehold.direct.metrics import DirectMetrics
@@ -173,6 +174,28 @@
         self._version_tracking = VersionTracking(
             settings.name, name, store, lambda: self._roster.count, self._metrics, rng
         )
+        prefills = PrefillScheduler(
+            self._fleet, engines, self._metrics, lambda: self._roster.count, self._retries
+        )
+        streams = StreamCalls(
+            self._fleet,
+            engines,
+            prefills,
+            self._reserver,
+            self._retries,
+            self._metrics,
+            self._crash_protection.watch,
+            self._version_tracking.resumptions,
+            self._stream_priorities,
+        )
+        self._explainer = Explainer(
+            platform.dialect,
+            lambda: self._callers.routes,
+            self._fleet,
+            streams,
+            self._reserver,
+            prefills,
+        )
         self._callers = CallerApp(
             platform.dialect,
             PlainCalls(
@@ -184,23 +207,7 @@
                 self._metrics,
                 self._crash_protection.watch,
             ),
-            StreamCalls(
-                self._fleet,
-                engines,
-                PrefillScheduler(
-                    self._fleet,
-                    engines,
-                    self._metrics,
-                    lambda: self._roster.count,
-                    self._retries,
-                ),
-                self._reserver,
-                self._retries,
-                self._metrics,
-                self._crash_protection.watch,
-                self._version_tracking.resumptions,
-                self._stream_priorities,
-            ),
+            streams,
             self._retries,
             self._metrics,
             BodyBudget(settings.max_held_bytes),
@@ -276,6 +283,7 @@
             self._render_metrics,
             self.dump,
             lambda key, is_active: self.quarantines.order(key, is_active, "operator"),
+            self.explain,
         )
         async with trio.open_nursery() as servers:
 
@@ -433,6 +441,11 @@
             "loop": self._loop_monitor.dump() if self._loop_monitor else None,
         }
 
+    def explain(self, question: QuestionJson) -> dict[str, object]:
+        """Return where a request would be routed now and why, without changing any state."""
+        ages = self._replicas.dump(trio.current_time())
+        return self._explainer.explain(question) | ages
+
 
 def _quota_policy(settings: DirectSettings) -> QuotaPolicy:
     return QuotaPolicy(settings.quota_window_s, settings.quota_overshoot, settings.quota_slack)
