Prefills end with the lease of their memory; memory of callers that left is freed at once

A prefill that outlasted the lease of the reservation lost both. A caller that left while its decode call was being sent left the memory reserved until the lease ended. Lost prefills are counted by step. Only where streams of a service differ in priority or organisation.

--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -28,6 +28,17 @@
     """It was refused at once, counted as that, too, and could have been served."""
 
 
+class LostPrefill(StrEnum):
+    """The step at which the work of a prefill was lost."""
+
+    CALLER_LEFT = "caller_left"
+    """The caller left between the prefill and the end of the stream."""
+    LEASE = "lease"
+    """The prefill was given up before the decode engine's memory would have been lost."""
+    REFUSED = "refused"
+    """The decode engine refused the request: it lost the memory, or could not fetch the cache."""
+
+
 class DirectMetrics:
     """Counters, histograms and gauges of one entry."""
 
@@ -110,6 +121,12 @@
             registry=registry,
             buckets=WAIT_BUCKETS_S,
         )
+        self._lost_prefills = Counter(
+            "chivehold_lost_prefills_total",
+            "Prefills whose work was lost, by service and step.",
+            None,
+            registry,
+        )
         self._longest_gaps = Histogram(
             "chivehold_longest_gap_seconds",
             "Longest time between two events of a stream, by service.",
@@ -208,6 +225,10 @@
         """Record how long a prefill took, in seconds."""
         self._prefill_times.observe({"service": service}, float(took_s))
 
+    def count_lost_prefill(self, service: str, step: LostPrefill) -> None:
+        """Count a prefill whose work was lost."""
+        self._lost_prefills.inc({"service": service, "step": str(step)})
+
     def observe_event_gaps(self, service: str, longest_s: float, late: int) -> None:
         """Record the longest gap of a stream, in seconds, and how many exceeded the target."""
         self._longest_gaps.observe({"service": service}, longest_s)
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -16,7 +16,7 @@
 from chivehold.direct.crash_watch import MAX_ENDS_UNDER_REQUEST, CrashWatch
 from chivehold.direct.engines import EngineClient, PrefilledCache
 from chivehold.direct.exchange import Exchange, Reply
-from chivehold.direct.metrics import DirectMetrics
+from chivehold.direct.metrics import DirectMetrics, LostPrefill
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.refusals import (
     Refusal,
@@ -46,6 +46,11 @@
 """
 REFUSING_ENGINE_PAUSE_S = 3.0
 """Suspension of a decode engine that refuses a request for which it granted memory."""
+LEASE_MARGIN_S = 0.3
+"""How long before the end of a reservation's lease the request must be sent to its engine.
+
+The lease begins while the reservation is being made, which may take 0.25 s.
+"""
 MIN_TIME_LEFT_S = 0.1
 FULL_RETRY_S = 2.0
 
@@ -186,6 +191,14 @@
         if by_engine:
             self._fleet.suspend(reservation.upstream, trio.current_time() + REFUSING_ENGINE_PAUSE_S)
 
+    def release_hold(self, reservation: MemoryReservation) -> None:
+        """Release a reservation at its engine that a request sent there may not have used."""
+        self._engines.release_hold(reservation.upstream, reservation.hold)
+
+    def is_ordered(self, exchange: Exchange) -> bool:
+        """Return whether the streams of a request's service differ in priority or organisation."""
+        return self._priorities(exchange.service).is_ordered
+
     def record_length(
         self, exchange: Exchange, engine_config: EngineConfig, last_event: str | None
     ) -> None:
@@ -251,7 +264,7 @@
             on_time_until=on_time_until,
             gives_up_at=min(gives_up_at, exchange.expires_at),
         )
-        if not self._priorities(exchange.service).is_ordered:
+        if not self.is_ordered(exchange):
             return waiter
         waiter = waiter._replace(
             priority=exchange.priority,
@@ -387,7 +400,7 @@
         sent = False
         try:
             if self._should_prefill() and not self._is_quarantined():
-                prefilled = await self._calls.prefill(self._exchange)
+                prefilled = await self._prefill()
             if self._is_quarantined():
                 result = AttemptResult(AttemptEnd.QUARANTINED, Verdict.UNKNOWN)
                 return result
@@ -395,18 +408,40 @@
             source = prefilled.source if prefilled else None
             result = await self._decode(reservation, source)
             return result
+        except trio.Cancelled:
+            if self._calls.is_ordered(self._exchange) and sent:
+                # The engine may not have taken up the request, and would keep the memory for it.
+                self._calls.release_hold(reservation)
+            self._count_lost_prefill(prefilled, LostPrefill.CALLER_LEFT)
+            raise
         finally:
             if sent:
                 self._calls.record_result(reservation, result)
             else:
                 self._calls.release(reservation)
             if result.end is AttemptEnd.NOT_RUN:
+                self._count_lost_prefill(prefilled, LostPrefill.REFUSED)
                 self._calls.release_refused(reservation, by_engine=sent and prefilled is None)
             if prefilled is not None and result.end is not AttemptEnd.WHOLE:
                 self._calls.free_kv_cache(
                     self._exchange, prefilled, result.end is AttemptEnd.NOT_RUN
                 )
 
+    async def _prefill(self) -> PrefilledCache | None:
+        """Prefill the prompt, but not for longer than the memory stays reserved."""
+        if not self._calls.is_ordered(self._exchange):
+            return await self._calls.prefill(self._exchange)
+        lease_s = self._engine_config.max_hold_s
+        with trio.move_on_after(max(0.0, lease_s - LEASE_MARGIN_S)):
+            return await self._calls.prefill(self._exchange)
+        self._calls.metrics.count_lost_prefill(self._exchange.service, LostPrefill.LEASE)
+        self._exchange.log("prefill given up", reason=LostPrefill.LEASE, lease_s=lease_s)
+        return None
+
+    def _count_lost_prefill(self, prefilled: PrefilledCache | None, step: LostPrefill) -> None:
+        if prefilled is not None:
+            self._calls.metrics.count_lost_prefill(self._exchange.service, step)
+
     def _should_prefill(self) -> bool:
         """Return whether to prefill at another engine.
 
