--- a/src/chivehold/core/direct/reservations.py
+++ b/src/chivehold/core/direct/reservations.py
@@ -21,6 +21,8 @@
     reason: str
     retry_after_s: float | None
     """Seconds after which memory is likely to be free; ``None`` if none will be."""
+    expected_wait_s: float | None = None
+    """The estimated wait, in seconds, where one was made."""
 
 
 class MemoryReserver(Protocol):
--- a/src/chivehold/core/direct/waiting.py
+++ b/src/chivehold/core/direct/waiting.py
@@ -15,6 +15,7 @@
 
 import math
 from collections.abc import Mapping
+from enum import StrEnum
 from typing import NamedTuple, cast
 
 from chivehold.core.direct.fair_shares import FairShares
@@ -77,18 +78,46 @@
         return self.is_late(now) and waited_s > OVERDUE_SHARE * (self.leaves_at - self.arrived_at)
 
 
+class Precedence(StrEnum):
+    """Why a request was granted memory before one that had arrived earlier."""
+
+    STARTED = "started"
+    PRIORITY = "priority"
+    TURN = "turn"
+    """It was overdue, and had its turn."""
+    SHARE = "share"
+    """The other's organisation had been granted more than its share."""
+    ON_TIME = "on_time"
+    """It had less time left, or the other was late already."""
+
+
+class PassedOver(NamedTuple):
+    """How a waiting request was passed over."""
+
+    times: int
+    by: str
+    """Id of the request that was granted memory first before it."""
+    reason: Precedence
+
+
 class WaitQueue:
     """The requests of one service that wait for memory."""
 
     def __init__(self) -> None:
         self._waiters: dict[str, Waiter] = {}
         self._shares = FairShares()
+        self._passed_over: dict[str, PassedOver] = {}
         self._grants_since_turn = 0
         self._turn_began_at: float | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
 
+    @property
+    def waiters(self) -> tuple[Waiter, ...]:
+        """The requests that wait, in no particular order."""
+        return tuple(self._waiters.values())
+
     def add(self, waiter: Waiter) -> None:
         """Add a request."""
         self._waiters[waiter.request] = waiter
@@ -96,6 +125,11 @@
     def remove(self, request_id: str) -> None:
         """Remove a request if it is in the queue."""
         self._waiters.pop(request_id, None)
+        self._passed_over.pop(request_id, None)
+
+    def passed_over(self, request_id: str) -> PassedOver | None:
+        """Return how a request of the queue was passed over, if it was."""
+        return self._passed_over.get(request_id)
 
     def next_waiter(self, now: float) -> Waiter | None:
         """Return the request to serve next, or ``None`` if the queue is empty."""
@@ -109,6 +143,7 @@
 
     def record_grant(self, waiter: Waiter, now: float) -> None:
         """Record that a request of the queue, which it may have left, was granted memory."""
+        self._record_passed_over(waiter, now)
         self._shares.record_grant(waiter.organisation, waiter.tokens, now)
         if self._turn_began_at is not None:
             self._end_turn()
@@ -134,6 +169,20 @@
             if other.request != waiter.request and _order(other, over, now) <= position
         ]
 
+    def _record_passed_over(self, granted: Waiter, now: float) -> None:
+        over = self.over_share(now)
+        for other in self._waiters.values():
+            if (
+                other.first_arrived_at >= granted.first_arrived_at
+                or other.request == granted.request
+            ):
+                continue
+            known = self._passed_over.get(other.request)
+            if known is None:
+                reason = _precedence(granted, other, over, self._turn_began_at is not None)
+                known = PassedOver(0, granted.request, reason)
+            self._passed_over[other.request] = known._replace(times=known.times + 1)
+
     def _overdue_waiter(self, first: Waiter, now: float) -> Waiter | None:
         """Return the overdue request whose turn it is, if it is the turn of one."""
         if self._grants_since_turn < GRANTS_PER_TURN - 1:
@@ -162,6 +211,19 @@
     return (not waiter.has_started, waiter.priority, is_over, late, due_at)
 
 
+def _precedence(
+    granted: Waiter, other: Waiter, over_share: frozenset[str], is_turn: bool
+) -> Precedence:
+    if granted.has_started and not other.has_started:
+        return Precedence.STARTED
+    if granted.priority != other.priority:
+        return Precedence.PRIORITY if granted.priority < other.priority else Precedence.TURN
+    if is_turn:
+        return Precedence.TURN
+    is_over = other.organisation in over_share and granted.organisation not in over_share
+    return Precedence.SHARE if is_over else Precedence.ON_TIME
+
+
 def _passes_over(first: Waiter, other: Waiter, now: float) -> bool:
     """Return whether an overdue request waits because another one is preferred to it."""
     is_like = (first.priority, first.organisation) == (other.priority, other.organisation)
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -372,6 +372,7 @@
         return self._crash_protection.unready_reason() or self._version_tracking.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
+        self._metrics.set_waiting(self._reserver.waiting_by_priority())
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
@@ -398,6 +399,7 @@
             },
             "quarantines": list(self.quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
+            "scarce_memory": list(self._reserver.dump(now)),
             "log_lines_dropped": self._logs.dropped,
         }
 
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -9,9 +9,13 @@
 
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.quarantine import OrderEvent
+from chivehold.core.direct.waiting import Waiter
 from chivehold.metrics import RenderedMetrics
 
 RESPONSE_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
+MAX_ORGANISATIONS = 64
+"""Label values for organisations; the others count together."""
+OTHER_ORGANISATIONS = "other"
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
 
 
@@ -109,6 +113,20 @@
             None,
             registry,
         )
+        self._organisations: set[str] = set()
+        self._organisation_waits = Counter(
+            "chivehold_organisation_waits_total",
+            "Waits of streams for memory that ended, by organisation and outcome.",
+            None,
+            registry,
+        )
+        self._waiting_labels: set[tuple[tuple[str, str], tuple[str, str]]] = set()
+        self._waiting = Gauge(
+            "chivehold_waiting_streams",
+            "Streams that wait for memory, by service and priority.",
+            None,
+            registry,
+        )
         self._priority_waits = Histogram(
             "chivehold_priority_wait_seconds",
             "Time that streams waited for memory, by service and priority.",
@@ -211,10 +229,27 @@
         """Record how long a stream waited for decode memory, in seconds."""
         self._reservation_waits.observe({"service": service}, float(wait_s))
 
-    def count_wait_end(self, service: str, priority: int, outcome: WaitOutcome) -> None:
+    def count_wait_end(self, service: str, waiter: Waiter, outcome: WaitOutcome) -> None:
         """Count a stream whose wait for memory ended."""
-        labels = {"service": service, "priority": str(priority), "outcome": str(outcome)}
+        labels = {"service": service, "priority": str(waiter.priority), "outcome": str(outcome)}
         self._wait_ends.inc(labels)
+        if waiter.organisation is not None:
+            name = self._organisation_label(waiter.organisation)
+            self._organisation_waits.inc({"organisation": name, "outcome": str(outcome)})
+
+    def set_waiting(self, queues: Iterable[tuple[str, int, int]]) -> None:
+        """Record how many streams wait, by service and priority."""
+        for labels in self._waiting_labels:
+            self._waiting.set(dict(labels), 0)
+        for service, priority, count in queues:
+            labels = (("service", service), ("priority", str(priority)))
+            self._waiting_labels.add(labels)
+            self._waiting.set(dict(labels), count)
+
+    def _organisation_label(self, name: str) -> str:
+        if len(self._organisations) < MAX_ORGANISATIONS:
+            self._organisations.add(name)
+        return name if name in self._organisations else OTHER_ORGANISATIONS
 
     def observe_priority_wait(self, service: str, priority: int, wait_s: float) -> None:
         """Record how long a stream of a priority waited for memory, in seconds."""
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -1,7 +1,10 @@
 """Reservations of decode memory, recorded at the engines themselves under a lease."""
 
 import logging
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from heapq import nlargest
+from operator import itemgetter
 from random import Random
 from typing import NamedTuple
 
@@ -19,7 +22,7 @@
     equal_poll_interval_s,
 )
 from chivehold.core.direct.wait_bounds import is_hopeless, retry_after_s
-from chivehold.core.direct.waiting import Waiter, WaitQueue
+from chivehold.core.direct.waiting import PassedOver, Waiter, WaitQueue
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.metrics import DirectMetrics, WaitOutcome
 from chivehold.direct.refusals import MAX_RETRY_AFTER_S
@@ -31,6 +34,9 @@
 NO_ANSWER_PAUSE_S = 0.5
 """Shortest suspension of an engine that did not answer."""
 
+MAX_DUMPED = 64
+"""Organisations in the dump, those that were granted most."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -48,6 +54,7 @@
         self.waiter = waiter
         self.resolved = trio.Event()
         self.result: MemoryReservation | ReservationRefused | None = None
+        self.passed_over: PassedOver | None = None
 
     def resolve(self, result: MemoryReservation | ReservationRefused) -> None:
         self.result = result
@@ -106,6 +113,8 @@
                 self.release(pending.result)
             raise
         finally:
+            if is_ordered:
+                _log_passed_over(service, waiter, queue.passed_over(waiter.request))
             queue.remove(waiter.request)
         if is_ordered:
             self._count_end(service, waiter, pending.result)
@@ -134,6 +143,23 @@
             counts[key.service] += len(queue.waiters)
         return counts
 
+    def waiting_by_priority(self) -> Iterator[tuple[str, int, int]]:
+        """Yield service, priority and number of waiting requests where priorities matter."""
+        counts = Counter(
+            (key.service, waiter.priority)
+            for key, queue in self._queues.items()
+            if self._priorities(key.service).is_ordered
+            for waiter in queue.waiters.waiters
+        )
+        for (service, priority), count in counts.items():
+            yield service, priority, count
+
+    def dump(self, now: float) -> Iterator[dict[str, object]]:
+        """Yield the state of each queue in which streams differ, for the operators' dump."""
+        for key, queue in self._queues.items():
+            if self._priorities(key.service).is_ordered:
+                yield {"service": key.service, "software": key.software, **queue.dump(now)}
+
     async def _serve_queue(self, key: _QueueKey, queue: "_Queue") -> None:
         """Reserve memory for the next waiter until the queue is empty."""
         try:
@@ -208,9 +234,9 @@
         if not is_hopeless(waiter, expected_s, now):
             return None
         queue.refusals.record_refusal(waiter)
-        self._metrics.count_wait_end(service, waiter.priority, WaitOutcome.REFUSED_AT_ONCE)
+        self._metrics.count_wait_end(service, waiter, WaitOutcome.REFUSED_AT_ONCE)
         return ReservationRefused(
-            "expected_wait", retry_after_s(waiter, expected_s, now, self._rng)
+            "expected_wait", retry_after_s(waiter, expected_s, now, self._rng), expected_s
         )
 
     def _refusal_after_wait(
@@ -220,7 +246,8 @@
             return ReservationRefused("full", queue.retry_after_s(self._rng))
         now = trio.current_time()
         expected_s = queue.expected_wait_s(waiter, now)
-        return ReservationRefused("full", retry_after_s(waiter, expected_s, now, self._rng))
+        retry_s = retry_after_s(waiter, expected_s, now, self._rng)
+        return ReservationRefused("full", retry_s, expected_s)
 
     def _count_end(
         self, service: str, waiter: Waiter, result: MemoryReservation | ReservationRefused | None
@@ -230,7 +257,7 @@
         outcome = WaitOutcome.REFUSED_AFTER_WAIT
         if isinstance(result, MemoryReservation):
             outcome = WaitOutcome.LATE if waiter.is_late(now) else WaitOutcome.ON_TIME
-        self._metrics.count_wait_end(service, waiter.priority, outcome)
+        self._metrics.count_wait_end(service, waiter, outcome)
         self._metrics.observe_priority_wait(service, waiter.priority, now - waiter.arrived_at)
 
     def _record_grant(self, service: str, queue: "_Queue", waiter: Waiter) -> None:
@@ -239,7 +266,7 @@
         queue.waiters.record_grant(waiter, now)
         queue.grant_rate.record_grant(waiter.tokens, now)
         for wrong in queue.refusals.wrong_refusals(waiter, now):
-            self._metrics.count_wait_end(service, wrong.priority, WaitOutcome.REFUSED_WRONGLY)
+            self._metrics.count_wait_end(service, wrong, WaitOutcome.REFUSED_WRONGLY)
 
     def _is_waited_for(self, upstream: UpstreamRecord) -> bool:
         """Return whether streams that need an engine's version wait for it, which go first."""
@@ -297,6 +324,7 @@
         pending = self._pending.get(request_id)
         if pending is None or pending.result is not None:
             return False
+        pending.passed_over = self.waiters.passed_over(request_id)
         self.waiters.remove(request_id)
         pending.resolve(result)
         return True
@@ -310,6 +338,28 @@
             await self.wake.wait()
         self.wake = trio.Event()
 
+    def passed_over(self, request_id: str) -> PassedOver | None:
+        """Return how a request was passed over, whether it still waits or not."""
+        pending = self._pending.get(request_id)
+        return (
+            pending.passed_over
+            if pending and pending.passed_over
+            else (self.waiters.passed_over(request_id))
+        )
+
+    def dump(self, now: float) -> dict[str, object]:
+        waiters = self.waiters.waiters
+        return {
+            "waiting_by_priority": dict(Counter(str(waiter.priority) for waiter in waiters)),
+            "longest_wait_ms": round(
+                1_000 * max((now - waiter.arrived_at for waiter in waiters), default=0.0)
+            ),
+            "granted_lately": dict(
+                nlargest(MAX_DUMPED, self.waiters.granted_lately(now).items(), itemgetter(1))
+            ),
+            "over_share": sorted(self.waiters.over_share(now)),
+        }
+
     def expected_wait_s(self, waiter: Waiter, now: float) -> float | None:
         """Return how long a request would wait in the order of the queue, if that is known."""
         ahead = sum(other.tokens for other in self.waiters.ahead_of(waiter, now))
@@ -317,3 +367,21 @@
 
     def retry_after_s(self, rng: Random) -> float:
         return rng.uniform(*self.RETRY_AFTER_RANGE_S)
+
+
+def _log_passed_over(service: str, waiter: Waiter, passed_over: PassedOver | None) -> None:
+    """Log, once for each request, why others were granted memory before it."""
+    if passed_over is not None:
+        log_event(
+            _log,
+            logging.INFO,
+            "request passed over",
+            service=service,
+            request=waiter.request,
+            priority=waiter.priority,
+            organisation=waiter.organisation,
+            times=passed_over.times,
+            by=passed_over.by,
+            reason=passed_over.reason,
+            waited_ms=round((trio.current_time() - waiter.arrived_at) * 1_000),
+        )
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -1,5 +1,6 @@
 """Streams of model services: reserve decode memory, prefill at another engine, relay the events."""
 
+import logging
 from collections.abc import Callable
 
 import trio
@@ -156,7 +157,13 @@
                 here=self._fleet.in_flight(result.upstream),
             )
         else:
-            exchange.log("place refused", reason=result.reason, waited_ms=waited_ms)
+            exchange.log(
+                "place refused",
+                logging.INFO,
+                reason=result.reason,
+                waited_ms=waited_ms,
+                **self._priority_fields(exchange, result),
+            )
         return result
 
     def release(self, reservation: MemoryReservation) -> None:
@@ -274,6 +281,20 @@
         )
         return with_bounds(waiter, exchange.route)
 
+    def _priority_fields(
+        self, exchange: Exchange, refused: ReservationRefused
+    ) -> dict[str, object]:
+        """Return the fields of the log that say why a request of a priority was refused."""
+        if not self.is_ordered(exchange):
+            return {}
+        wait_s, retry_s = refused.expected_wait_s, refused.retry_after_s
+        return {
+            "priority": exchange.priority,
+            "organisation": exchange.organisation.name if exchange.organisation else None,
+            "expected_wait_ms": None if wait_s is None else round(wait_s * 1_000),
+            "retry_after_ms": None if retry_s is None else round(retry_s * 1_000),
+        }
+
     def _length_estimator(self, service: str) -> OutputLengthEstimator:
         return self._length_estimators.setdefault(service, OutputLengthEstimator())
 
--- a/tests/core/direct/test_waiting.py
+++ b/tests/core/direct/test_waiting.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from chivehold.core.direct.waiting import Waiter, WaitQueue
+from chivehold.core.direct.waiting import PassedOver, Precedence, Waiter, WaitQueue
 
 TARGET_S = 0.7
 MAX_WAIT_S = 2.8
@@ -169,6 +169,17 @@
         assert granted["small0"] + granted["small6"] >= 400 // 6 - 2
         assert granted["large"] >= 200 - 400 // 6 - 1
 
+    def test_why_a_request_was_passed_over(self) -> None:
+        """All classes at twice the capacity: the first reason and the number are kept."""
+        queue = WaitQueue()
+        queue.add(waiter(1, 0.0)._replace(priority=2))
+        queue.add(waiter(2, 1.0)._replace(priority=1))
+        queue.add(waiter(3, 1.1)._replace(priority=0))
+        served(queue, 1.2, 2)
+        assert queue.passed_over("r1") == PassedOver(2, "r3", Precedence.PRIORITY)
+        served(queue, 1.2, 1)
+        assert queue.passed_over("r1") is None
+
     def test_equal_requests_take_no_turns(self) -> None:
         """Requests of one priority are served in the same order as ever, also if overdue."""
         queue = WaitQueue()
--- a/tests/direct/test_reservations.py
+++ b/tests/direct/test_reservations.py
@@ -4,8 +4,10 @@
 and without a network.
 """
 
+import logging
 from random import Random
 
+import pytest
 import trio
 import trio.testing
 
@@ -230,3 +232,26 @@
             assert 'outcome="refused_at_once",priority="1",service="s"} 1' in text
             assert 'outcome="refused_wrongly",priority="1",service="s"} 1' in text
             nursery.cancel_scope.cancel()
+
+    async def test_passed_over_is_logged_once(
+        self, autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """All classes at twice the capacity: one line says why a request waited behind others."""
+        caplog.set_level(logging.INFO)
+        engine = Engine()
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(engine, nursery, 1, (0, 2))
+            least = make_waiter("least", 2.0)._replace(priority=2)
+            nursery.start_soon(reserver.reserve, "s", least)
+            await trio.sleep(0.1)
+            for number in range(3):
+                urgent = make_waiter(f"urgent{number}", 2.0)
+                nursery.start_soon(reserver.reserve, "s", urgent)
+            await trio.sleep(0.1)
+            (dumped,) = reserver.dump(trio.current_time())
+            assert dumped["waiting_by_priority"] == {"2": 1, "0": 3}
+            engine.free = 400
+            await trio.sleep(2.0)
+            nursery.cancel_scope.cancel()
+        lines = [record for record in caplog.records if "passed over" in record.getMessage()]
+        assert len(lines) == 1
