--- a/src/chivehold/core/direct/stream_priorities.py
+++ b/src/chivehold/core/direct/stream_priorities.py
@@ -20,7 +20,6 @@
 """
 OVER_SHARE_POLL_FACTOR = 2.0
 """The same factor for organisations that were granted more than their share."""
-MIN_POLL_INTERVAL_S = 0.01
 MAX_POLL_INTERVAL_S = 0.5
 LARGE_POLL_EXPONENT = 2.0
 """Exponent of the size by which large requests poll more often."""
@@ -91,7 +90,7 @@
         if waiter.tokens > usual_tokens:
             # Room for it is rare and soon taken by smaller requests.
             interval_s *= (usual_tokens / waiter.tokens) ** LARGE_POLL_EXPONENT
-        return min(max(interval_s, MIN_POLL_INTERVAL_S), MAX_POLL_INTERVAL_S)
+        return min(max(interval_s, POLL_INTERVAL_S), MAX_POLL_INTERVAL_S)
 
 
 def equal_poll_interval_s(waiter: Waiter, now: float) -> float:
--- a/src/chivehold/core/direct/wait_bounds.py
+++ b/src/chivehold/core/direct/wait_bounds.py
@@ -4,7 +4,7 @@
 without events after a time that follows from the targets of its route, and retry once after a
 refusal. A first request waits while it can be on time: one that waits longer is late anyway and
 takes memory from those that are not. A caller comes back only once, so the retry waits for as long
-as its caller does.
+as its caller does; so does a request that is late already as an engine has failed it.
 """
 
 from random import Random
@@ -42,11 +42,17 @@
     )
 
 
-def with_bounds(waiter: Waiter, route: Route) -> Waiter:
-    """Return a request of a route with the times at which it gives up and its caller leaves."""
+def with_bounds(waiter: Waiter, route: Route, now: float) -> Waiter:
+    """Return a request with the times at which it gives up and its caller leaves.
+
+    Args:
+        waiter: The request.
+        route: Its route.
+        now: Monotonic time in seconds; later than the arrival if an attempt has failed.
+    """
     leaves_at = waiter.arrived_at + caller_wait_s(route) - LATE_FIRST_EVENT_ALLOWANCE_S
     waiter = waiter._replace(leaves_at=min(leaves_at, waiter.expires_at))
-    return waiter._replace(gives_up_at=_gives_up_at(waiter))
+    return waiter._replace(gives_up_at=_gives_up_at(waiter, now))
 
 
 def is_hopeless(waiter: Waiter, expected_wait_s: float | None, now: float) -> bool:
@@ -77,10 +83,10 @@
     return rng.uniform(shortest_s, min(longest_s, shortest_s * RETRY_SPREAD))
 
 
-def _gives_up_at(waiter: Waiter) -> float:
+def _gives_up_at(waiter: Waiter, now: float) -> float:
     refused_at = max(waiter.on_time_until, waiter.arrived_at)
     may_return = _longest_retry_after_s(waiter, refused_at) >= DETECTED_GAP_S
-    if may_return and not waiter.waited_before_s:
+    if may_return and not waiter.waited_before_s and now <= refused_at:
         return min(refused_at, waiter.leaves_at)
     return waiter.leaves_at
 
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -279,7 +279,7 @@
             waited_before_s=exchange.waited_before_s,
             expires_at=exchange.expires_at,
         )
-        return with_bounds(waiter, exchange.route)
+        return with_bounds(waiter, exchange.route, trio.current_time())
 
     def _priority_fields(
         self, exchange: Exchange, refused: ReservationRefused
--- a/tests/core/direct/capacity_model.py
+++ b/tests/core/direct/capacity_model.py
@@ -74,7 +74,7 @@
             waited_before_s=call.at - call.first_at,
             expires_at=call.first_at + DEADLINE_S,
         )
-        return wait_bounds.with_bounds(waiter, ROUTES[call.priority])
+        return wait_bounds.with_bounds(waiter, ROUTES[call.priority], call.at)
 
     def poll_s(self, entry: "Entry", waiter: Waiter, now: float) -> float:
         is_over = waiter.organisation in entry.queue.over_share(now)
--- a/tests/core/direct/test_wait_bounds.py
+++ b/tests/core/direct/test_wait_bounds.py
@@ -16,24 +16,28 @@
 class TestWait:
     def test_first_request_waits_while_it_can_be_on_time(self) -> None:
         """All classes at twice the capacity: a late first request takes no memory of others."""
-        assert with_bounds(WAITER, ROUTE).gives_up_at == pytest.approx(0.45)
+        assert with_bounds(WAITER, ROUTE, 0.0).gives_up_at == pytest.approx(0.45)
 
     def test_returning_caller_is_waited_for(self) -> None:
         """A caller that does not come back again waits until it would leave, 3.2 s less a stream's
         start."""
         waiter = WAITER._replace(waited_before_s=4.0, on_time_until=-3.5)
-        assert with_bounds(waiter, ROUTE).gives_up_at == pytest.approx(2.6)
+        assert with_bounds(waiter, ROUTE, 0.0).gives_up_at == pytest.approx(2.6)
 
     def test_caller_that_cannot_return_is_waited_for(self) -> None:
         """With a deadline too short for a retry, a first request waits like a returning one."""
         waiter = WAITER._replace(expires_at=6.0)
-        assert with_bounds(waiter, ROUTE).gives_up_at == pytest.approx(2.6)
+        assert with_bounds(waiter, ROUTE, 0.0).gives_up_at == pytest.approx(2.6)
+
+    def test_failed_by_an_engine(self) -> None:
+        """Half of the engines gone: a request that lost its engine is not refused unasked."""
+        assert with_bounds(WAITER, ROUTE, 0.9).gives_up_at == pytest.approx(2.6)
 
 
 class TestRefusal:
     def test_at_once_only_if_the_caller_leaves_before(self) -> None:
         """An estimate beyond the target, but within the caller's wait, refuses nothing."""
-        waiter = with_bounds(WAITER, ROUTE)
+        waiter = with_bounds(WAITER, ROUTE, 0.0)
         assert not is_hopeless(waiter, None, 0.0)
         assert not is_hopeless(waiter, 2.5, 0.0)
         assert is_hopeless(waiter, 2.7, 0.0)
@@ -42,7 +46,7 @@
     def test_caller_honours_retry_after(self, wait_s: float | None) -> None:
         """At any load callers come back at different times, recognised and within a third."""
         rng = Random(1)
-        waiter = with_bounds(WAITER, ROUTE)
+        waiter = with_bounds(WAITER, ROUTE, 0.0)
         times = [retry_after_s(waiter, wait_s, 0.45, rng) for _ in range(100)]
         assert max(times) <= (14.0 - 0.45) / 3
         assert min(times) >= 2.5
@@ -50,7 +54,7 @@
 
     def test_longer_queue_sends_callers_further(self) -> None:
         """The time depends on the load."""
-        waiter = with_bounds(WAITER, ROUTE)
+        waiter = with_bounds(WAITER, ROUTE, 0.0)
         short, long = (
             min(retry_after_s(waiter, wait_s, 0.0, Random(seed)) for seed in range(50))
             for wait_s in (0.5, 3.6)
