--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -410,6 +410,7 @@
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
         self._metrics.set_quotas(self._quota_gate.figures())
         self._metrics.loop.update(self._loop_monitor)
+        self._metrics.set_waiting(self._reserver.waiting_by_priority())
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
@@ -437,6 +438,7 @@
             "quarantines": list(self.quarantines.dump(now)),
             "waiting_for_places": self._reserver.waiting_counts(),
             **({"quotas": self._quotas.dump(now)} if self._quotas.is_active else {}),
+            "scarce_memory": list(self._reserver.dump(now)),
             "log_lines_dropped": self._logs.dropped,
             "loop": self._loop_monitor.dump() if self._loop_monitor else None,
         }
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -11,10 +11,14 @@
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.organisations import KeyFault
 from chivehold.core.direct.quarantine import OrderEvent
+from chivehold.core.direct.waiting import Waiter
 from chivehold.loop_metrics import LoopMetrics
 from chivehold.metrics import RenderedMetrics
 
 RESPONSE_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
+MAX_ORGANISATIONS = 64
+"""Label values for organisations; the others count together."""
+OTHER_ORGANISATIONS = "other"
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
 
 
@@ -50,6 +54,17 @@
     """It was refused at once, counted as that, too, and could have been served."""
 
 
+class LostPrefill(StrEnum):
+    """The step at which the work of a prefill was lost."""
+
+    CALLER_LEFT = "caller_left"
+    """The caller left between the prefill and the end of the stream."""
+    LEASE = "lease"
+    """The prefill was given up before the decode engine's memory would have been lost."""
+    REFUSED = "refused"
+    """The decode engine refused the request: it lost the memory, or could not fetch the cache."""
+
+
 class DirectMetrics:
     """Counters, histograms and gauges of one entry."""
 
@@ -126,6 +141,20 @@
             None,
             registry,
         )
+        self._organisations: set[str] = set()
+        self._organisation_waits = Counter(
+            "chivehold_organisation_waits_total",
+            "Waits of streams for memory that ended, by organisation and outcome.",
+            None,
+            registry,
+        )
+        self._waiting_labels: set[tuple[tuple[str, str], tuple[str, str]]] = set()
+        self._waiting = Gauge(
+            "chivehold_waiting_streams",
+            "Streams that wait for memory, by service and priority.",
+            None,
+            registry,
+        )
         self._priority_waits = Histogram(
             "chivehold_priority_wait_seconds",
             "Time that streams waited for memory, by service and priority.",
@@ -138,6 +167,12 @@
             registry=registry,
             buckets=WAIT_BUCKETS_S,
         )
+        self._lost_prefills = Counter(
+            "chivehold_lost_prefills_total",
+            "Prefills whose work was lost, by service and step.",
+            None,
+            registry,
+        )
         self._longest_gaps = Histogram(
             "chivehold_longest_gap_seconds",
             "Longest time between two events of a stream, by service.",
@@ -247,10 +282,27 @@
         """Record how long a stream waited for decode memory, in seconds."""
         self._reservation_waits.observe({"service": service}, float(wait_s))
 
-    def count_wait_end(self, service: str, priority: int, outcome: WaitOutcome) -> None:
+    def count_wait_end(self, service: str, waiter: Waiter, outcome: WaitOutcome) -> None:
         """Count a stream whose wait for memory ended."""
-        labels = {"service": service, "priority": str(priority), "outcome": str(outcome)}
+        labels = {"service": service, "priority": str(waiter.priority), "outcome": str(outcome)}
         self._wait_ends.inc(labels)
+        if waiter.organisation is not None:
+            name = self._organisation_label(waiter.organisation)
+            self._organisation_waits.inc({"organisation": name, "outcome": str(outcome)})
+
+    def set_waiting(self, queues: Iterable[tuple[str, int, int]]) -> None:
+        """Record how many streams wait, by service and priority."""
+        for labels in self._waiting_labels:
+            self._waiting.set(dict(labels), 0)
+        for service, priority, count in queues:
+            labels = (("service", service), ("priority", str(priority)))
+            self._waiting_labels.add(labels)
+            self._waiting.set(dict(labels), count)
+
+    def _organisation_label(self, name: str) -> str:
+        if len(self._organisations) < MAX_ORGANISATIONS:
+            self._organisations.add(name)
+        return name if name in self._organisations else OTHER_ORGANISATIONS
 
     def observe_priority_wait(self, service: str, priority: int, wait_s: float) -> None:
         """Record how long a stream of a priority waited for memory, in seconds."""
@@ -261,6 +313,10 @@
         """Record how long a prefill took, in seconds."""
         self._prefill_times.observe({"service": service}, float(took_s))
 
+    def count_lost_prefill(self, service: str, step: LostPrefill) -> None:
+        """Count a prefill whose work was lost."""
+        self._lost_prefills.inc({"service": service, "step": str(step)})
+
     def observe_event_gaps(self, service: str, longest_s: float, late: int) -> None:
         """Record the longest gap of a stream, in seconds, and how many exceeded the target."""
         self._longest_gaps.observe({"service": service}, longest_s)
