--- a/tests/core/direct/test_shared_quotas.py
+++ b/tests/core/direct/test_shared_quotas.py
@@ -191,6 +191,22 @@
 
     def test_all_entries_killed(self) -> None:
         """Guards against granting the burst again after a restart of everything."""
+        fleet = QuotaFleet(24, organisations())
+        kills = [4.0, 8.0]
+
+        def kill_all(elapsed_s: float) -> None:
+            if kills and elapsed_s >= kills[0]:
+                kills.pop(0)
+                for name in sorted(fleet.names):
+                    fleet.kill(name)
+                    fleet.start(name)
+
+        outcome = demand(fleet, 20.0, on_time=kill_all)
+        assert not kills
+        assert outcome.worst <= 1.0
+
+    def test_all_entries_killed_in_a_flood(self) -> None:
+        """The same while all entries get requests at once, together 26 times the rate."""
         fleet = QuotaFleet(24, (organisation(),))
         fleet.run_until(fleet.now + 5.0)
         flooded(fleet, 4.0)
