--- a/src/chivehold/core/direct/shared_quotas.py
+++ b/src/chivehold/core/direct/shared_quotas.py
@@ -89,6 +89,8 @@
         self._own = OwnUsage(incarnation, self._quotas.rate)
         self._peers = PeerUsage()
         self._names: frozenset[str] | None = None
+        self._listed = 1
+        """Number of listed entries, including this one."""
         self._members: frozenset[str] = frozenset()
         self._unlisted: dict[str, _Unlisted] = {}
         self._share = 1.0
@@ -209,6 +211,7 @@
         membership = self._membership()
         if membership.names is not self._names:
             self._names = membership.names
+            self._listed = len(membership.names | {self._name})
             self._members = cell_members(self._name, membership.names)
             self._peers.set_members(self._members)
         silence = self._peers.mark_silent(now)
@@ -223,7 +226,7 @@
 
     def _current_view(self, membership: Membership, now: float) -> View:
         heard = 1 + self._peers.heard
-        listed = len(membership.names | {self._name}) if membership.names else membership.size
+        listed = self._listed if membership.names else membership.size
         entries = max(heard, listed + self._peers.unlisted_heard())
         return View(entries, heard, self._peers.oldest_report_s(now))
 
@@ -237,7 +240,7 @@
             return False
         if sender in self._members:
             return True
-        entries = len(self._names | {self._name}) if self._names else self._membership().size
+        entries = self._listed if self._names else self._membership().size
         return cell_of(sender, entries) == cell_of(self._name, entries)
 
     def _note_unlisted(self, received: ReceivedReport, now: float) -> None:
--- a/tests/direct/test_quotas.py
+++ b/tests/direct/test_quotas.py
@@ -8,7 +8,7 @@
 
 from chivehold.direct import usage_exchange
 from chivehold.fakes.metadata_store import MetadataStore
-from chivehold.fakes.platform_upstream import PlainUpstream
+from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
 from chivehold.http_client import HttpResponse
 from tests.direct.harness import ROUTES, EntryHarness, running_entries, running_entry, wait_until
 
@@ -106,6 +106,22 @@
             assert upstream.runs == ["r1"]
             assert own(harness)["used"] == COST
 
+    async def test_departed_while_waiting(self, tmp_path: Path) -> None:
+        """Guards against charging a caller that left before anything was sent to an engine."""
+        async with running_entry(tmp_path, entries_most=1) as harness:
+            engine = ModelEngine("d", "decode")
+            engine.held["other"] = engine.capacity
+            await harness.add_upstream(engine, "model")
+            await configure(harness, 2)
+            await full(harness)
+            await wait_until(lambda: harness.entry.dump()["upstreams"])
+            with trio.move_on_after(0.2):
+                await harness.call("/tell/a", "r1", "POST", headers=KEY | TOKENS)
+            assert not engine.runs
+            assert own(harness)["used"] == COST
+            await wait_until(lambda: harness.entry.dump()["in_progress"] == 0)
+            assert own(harness)["used"] == 0
+
     async def test_resumption_is_not_charged(self, tmp_path: Path) -> None:
         """Guards against charging a stream again when its caller resumes it."""
         async with running_entry(tmp_path, entries_most=1) as harness:
