--- a/tests/core/direct/test_shared_quotas.py
+++ b/tests/core/direct/test_shared_quotas.py
@@ -121,13 +121,15 @@
     fleet.reaches = lambda sender, receiver: True
 
 
-def flooded(fleet: QuotaFleet, duration_s: float, step_s: float = 0.1) -> None:
+def flooded(
+    fleet: QuotaFleet, duration_s: float, step_s: float = 0.1, cost: float = MEAN_COST
+) -> None:
     """Send more than the quota to all entries, evenly."""
     until = fleet.now + duration_s
     while fleet.now < until:
         fleet.run_until(fleet.now + step_s)
         for name in sorted(fleet.entries):
-            fleet.request(name)
+            fleet.request(name, cost=cost)
 
 
 def level(fleet: QuotaFleet, name: str) -> float:
@@ -403,13 +405,15 @@
     """Three entries under cuts, kills and changed limits, with more demand than the quota."""
 
     SIZE = 3
+    RATE = 80_000.0
 
     def __init__(self) -> None:
         super().__init__()
-        self.fleet = QuotaFleet(self.SIZE, (organisation(),))
+        start = organisation(rate=self.RATE, burst=self.RATE)
+        self.fleet = QuotaFleet(self.SIZE, (start,))
         self.cut: set[tuple[str, str]] = set()
         self.fleet.reaches = lambda sender, receiver: (sender, receiver) not in self.cut
-        self.limits = [(self.fleet.now, quota_of(organisation()))]
+        self.limits = [(self.fleet.now, quota_of(start))]
 
     @rule(number=st.integers(0, SIZE - 1), count=st.integers(1, 30), cost=st.integers(1, 15_000))
     def requests_come(self, number: int, count: int, cost: int) -> None:
@@ -434,12 +438,18 @@
         if both:
             self.cut.add((f"entry-{receiver}", f"entry-{sender}"))
 
+    @rule()
+    def cut_all_links(self) -> None:
+        """No entry receives anything."""
+        names = sorted(self.fleet.names)
+        self.cut.update((sender, receiver) for sender in names for receiver in names)
+
     @rule()
     def mend_links(self) -> None:
         """All links work again."""
         self.cut.clear()
 
-    @rule(rate=st.sampled_from([36_000.0, 54_000.0, 80_000.0]))
+    @rule(rate=st.sampled_from([36_000.0, 54_000.0, RATE]))
     def change_limit(self, rate: float) -> None:
         """A configuration changes the limit at all entries."""
         self.fleet.configure(organisation(rate=rate, burst=rate))
@@ -450,10 +460,10 @@
         """Advance the clock that all entries share."""
         self.fleet.run_until(self.fleet.now + seconds)
 
-    @rule(seconds=st.sampled_from([1.0, 3.0]))
+    @rule(seconds=st.sampled_from([1.0, 3.0, 6.0]))
     def flood(self, seconds: float) -> None:
         """Callers send more than the quota to all entries for a while."""
-        flooded(self.fleet, seconds, step_s=0.25)
+        flooded(self.fleet, seconds, cost=13_000.0)
 
     @invariant()
     def window_is_bounded(self) -> None:
