Requests in progress end when their key is removed, if the settings ask for it

strict_revoke ends them with 502 key_revoked, as upstreams may have run them. The explanation names engines that streams of their version wait for.

--- a/src/chivehold/core/direct/routes.py
+++ b/src/chivehold/core/direct/routes.py
@@ -135,6 +135,19 @@
         """Return whether callers of a route have to identify themselves by an API key."""
         return self._table.has_organisations and not route.anonymous
 
+    def revokes(self, route: Route, key: ApiKey, organisation: str | None) -> bool:
+        """Return whether a request that was accepted before is no longer its organisation's.
+
+        Args:
+            route: The request's route.
+            key: Its API key.
+            organisation: The name of the organisation that held the key then.
+        """
+        if not self.needs_key(route):
+            return False
+        identified = self.identify(key)
+        return isinstance(identified, KeyFault) or identified.name != organisation
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or ``None``.
 
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -32,6 +32,7 @@
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.quarantines import Quarantines
 from chivehold.direct.reservations import EngineMemoryReserver
+from chivehold.direct.revocations import Revocations
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.signals import SignalReader
 from chivehold.direct.stage_controller import StageController, suspended_s
@@ -178,6 +179,7 @@
             self._metrics,
             BodyBudget(settings.max_held_bytes),
             lambda: self._replicas.configuration_age_s(trio.current_time()),
+            Revocations(settings.strict_revoke),
         )
         self._replicas = StoreReplicas(
             store,
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -16,6 +16,7 @@
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.plain_calls import PlainCalls
 from chivehold.direct.refusals import (
+    KEY_REVOKED,
     NO_REQUEST_ID,
     NO_ROUTE,
     Refusal,
@@ -23,6 +24,7 @@
     send_refusal,
     unidentified_refusal,
 )
+from chivehold.direct.revocations import Revocations
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.exceptions import BudgetSpent
 from chivehold.http_server import Receive, Scope, Send, read_body, wait_for_disconnect
@@ -47,6 +49,7 @@
         bodies: Limits the memory held by the bodies of all requests in progress.
         configuration_age_s: Returns the seconds since the store last confirmed the routes, or
             ``None`` if it never did.
+        revocations: Ends the requests whose key is removed.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         metrics: DirectMetrics,
         bodies: BodyBudget,
         configuration_age_s: Callable[[], float | None],
+        revocations: Revocations,
     ) -> None:
         self._dialect = dialect
         self._plain = plain
@@ -66,6 +70,7 @@
         self._metrics = metrics
         self._bodies = bodies
         self._configuration_age_s = configuration_age_s
+        self._revocations = revocations
         self._return_detector = ReturnDetector()
         self._routes: RouteIndex | None = None
         self._is_draining = False
@@ -89,6 +94,7 @@
     def apply_routes(self, routes: RouteIndex) -> None:
         """Use these routes for all new requests."""
         self._routes = routes
+        self._revocations.apply_routes(routes)
         self._return_detector.forget_routes_except(
             frozenset(route.name for route in routes.table.routes)
         )
@@ -203,8 +209,13 @@
         outcome = DEPARTED
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            outcome = await self._serve(exchange, reply, routes)
+            with self._revocations.watch(exchange, nursery.cancel_scope) as watched:
+                outcome = await self._serve(exchange, reply, routes)
             nursery.cancel_scope.cancel()
+        if watched.is_revoked and outcome == DEPARTED:
+            outcome = KEY_REVOKED.reason
+            if not reply.started:
+                await send_refusal(reply, KEY_REVOKED)
         self._metrics.count_request(exchange.route.kind, outcome)
         exchange.log("request ended", outcome=outcome)
 
--- a/src/chivehold/direct/explanations.py
+++ b/src/chivehold/direct/explanations.py
@@ -139,7 +139,10 @@
         now = trio.current_time()
         waiter = self._waiter(exchange, engine_config)
         needs = ServiceNeeds(exchange.service, Stage.DECODE, waiter.tokens, exchange.software)
-        candidates = explain_candidates(self._fleet, needs, now)
+        candidates = [
+            self._with_waiting_streams(candidate, exchange)
+            for candidate in explain_candidates(self._fleet, needs, now)
+        ]
         prefill = self._prefills.rehearse(exchange) if exchange.route.separate_prefill else None
         expected_s = {} if prefill is None else prefill.expected_s
         prefill_needs = ServiceNeeds(exchange.service, Stage.PREFILL)
@@ -174,6 +177,16 @@
             software=exchange.software, has_started=exchange.software is not None
         )
 
+    def _with_waiting_streams(self, candidate: Candidate, exchange: Exchange) -> Candidate:
+        """Return an engine as excluded if streams that need its version wait for it."""
+        if candidate.rank is None or exchange.software is not None:
+            return candidate
+        if not self._reserver._is_waited_for(candidate.upstream):
+            return candidate
+        return candidate._replace(
+            rank=None, excluded="streams that need its version of the software wait for it"
+        )
+
     def _queue_position(self, exchange: Exchange, waiter: Waiter) -> tuple[int, int]:
         """Return the position that a request would have, and how many wait now."""
         for key, queue in self._reserver._queues.items():
@@ -234,9 +247,10 @@
 def _outcome(candidates: Sequence[Candidate]) -> str:
     if not candidates:
         return "503: the service has no upstreams"
-    if candidates[0].rank is None:
+    first = next((candidate for candidate in candidates if candidate.rank is not None), None)
+    if first is None:
         return "503: no upstream takes requests"
-    return f"asked first: {candidates[0].upstream.name}"
+    return f"asked first: {first.upstream.name}"
 
 
 def _candidate_json(candidate: Candidate) -> Explanation:
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -48,6 +48,9 @@
     KeyFault.UNUSABLE: "the API key is empty or too long",
     KeyFault.UNKNOWN: "no organisation holds this API key",
 }
+KEY_REVOKED = unknown_outcome_refusal(
+    502, "key_revoked", "the API key was removed while the request was in progress"
+)
 NO_ROUTE = Refusal(404, "no_route", "no route for this host and path")
 NO_REQUEST_ID = Refusal(400, "no_request_id", "the request has no id")
 
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -175,6 +175,8 @@
     """How long such content is refused."""
     quarantine_trial_s: float = DEFAULT_CRASH_POLICY.trial_s
     """Time after which one such request is let through, to see whether it is harmless."""
+    strict_revoke: bool = False
+    """Whether requests in progress are ended when their API key is removed."""
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
@@ -313,6 +315,7 @@
         float, msgspec.Meta(gt=0, le=86_400, description="seconds above 0, at most 86400")
     ]
     quarantine_trial_s: _Seconds
+    strict_revoke: bool
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
--- a/tests/direct/test_organisations.py
+++ b/tests/direct/test_organisations.py
@@ -23,6 +23,7 @@
 OPEN = route("/open/", "idempotent", "plain", anonymous=True)
 KEYED = {"x-api-key": KEY}
 UNIDENTIFIED = 401
+REVOKED = 502
 OTHER_ORGANISATION = 503
 ALL_EVENTS = [1, 2, 3, 4, 5]
 
@@ -330,6 +331,73 @@
             assert statuses == [200]
             assert check_calls(slow, sound) == 2
 
+    async def test_strict_revocation(self, tmp_path: Path) -> None:
+        """Guards against a removed key whose requests go on although the settings forbid it."""
+        plain, engine = PlainUpstream("x"), ModelEngine("d", "decode")
+        plain.silent, engine.event_s, engine.events = True, 0.05, 50
+        upstreams = [(plain, "plain"), (engine, "model")]
+        async with keyed_entry(tmp_path, upstreams, strict_revoke=True) as harness:
+            statuses: dict[str, int] = {}
+
+            async def call(key: str) -> None:
+                response = await harness.call("/post/a", key, "POST", headers={"x-api-key": key})
+                statuses[key] = response.status
+
+            begun = trio.Event()
+
+            async def stream() -> None:
+                with pytest.raises(LinkBroken):
+                    async with harness.stream("/tell/a", "s1", KEYED) as response:
+                        async for _ in response.chunks:
+                            begun.set()
+
+            with trio.fail_after(2.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call, KEY)
+                    nursery.start_soon(stream)
+                    await wait_until(lambda: plain.runs and begun.is_set())
+                    await harness.apply(3, [*ROUTES, OPEN], [BOLT])
+            assert statuses == {KEY: REVOKED}
+            await wait_until(lambda: plain.abandoned_requests and engine.abandoned_requests)
+            metrics = (await harness.metrics()).decode()
+            assert 'outcome="key_revoked"' in metrics
+
+    async def test_strict_revocation_while_the_body_arrives(self, tmp_path: Path) -> None:
+        """Guards against a request that begins to run after its key has been removed."""
+        upstream = PlainUpstream("x")
+        async with keyed_entry(tmp_path, [(upstream, "plain")], strict_revoke=True) as harness:
+            host, _, port = harness.address.rpartition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            head = b"POST /post/a HTTP/1.1\r\nhost: site.example\r\nx-chivehold-request-id: r\r\n"
+            await stream.send_all(head + f"x-api-key: {KEY}\r\n".encode())
+            await stream.send_all(b"content-length: 2\r\n\r\nx")
+            await wait_until(lambda: harness.entry.dump()["in_progress"])
+            await harness.apply(3, [*ROUTES, OPEN], [BOLT])
+            await stream.send_all(b"x")
+            with trio.fail_after(2.0):
+                assert (await stream.receive_some()).startswith(b"HTTP/1.1 502")
+            assert not upstream.runs
+            await stream.aclose()
+
+    async def test_strict_revocation_of_others(self, tmp_path: Path) -> None:
+        """Guards against requests that end although their key still holds, or is not needed."""
+        plain = PlainUpstream("x")
+        plain.work_s = 0.5
+        async with keyed_entry(tmp_path, [(plain, "plain")], strict_revoke=True) as harness:
+            statuses: list[int] = []
+
+            async def call(path: str, request: str, key: str) -> None:
+                response = await harness.call(path, request, headers={"x-api-key": key})
+                statuses.append(response.status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call, "/get/a", "r1", OTHER_KEY)
+                nursery.start_soon(call, "/open/a", "r2", KEY)
+                nursery.start_soon(call, "/open/a", "r3", "secret-unknown")
+                await wait_until(lambda: len(plain.runs) == 3)
+                await harness.apply(3, [*ROUTES, OPEN], [BOLT])
+            assert statuses == [200] * 3
+
     async def test_bad_organisation_stops_no_other(self, tmp_path: Path) -> None:
         """Guards against a revoked key that stays valid because of a fault elsewhere."""
         upstream = PlainUpstream("x")
