--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -37,6 +37,7 @@
 from chivehold.direct.quarantines import Quarantines
 from chivehold.direct.quota_gate import QuotaGate
 from chivehold.direct.reservations import EngineMemoryReserver
+from chivehold.direct.revocations import Revocations
 from chivehold.direct.settings_file import SettingsFile
 from chivehold.direct.signals import SignalReader
 from chivehold.direct.stage_controller import StageController, suspended_s
@@ -213,6 +214,7 @@
             BodyBudget(settings.max_held_bytes),
             lambda: self._replicas.configuration_age_s(trio.current_time()),
             self._quota_gate,
+            Revocations(settings.strict_revoke),
         )
         self._replicas = StoreReplicas(
             store,
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -17,6 +17,7 @@
 from chivehold.direct.plain_calls import PlainCalls
 from chivehold.direct.quota_gate import QuotaGate
 from chivehold.direct.refusals import (
+    KEY_REVOKED,
     NO_REQUEST_ID,
     NO_ROUTE,
     Refusal,
@@ -24,6 +25,7 @@
     send_refusal,
     unidentified_refusal,
 )
+from chivehold.direct.revocations import Revocations
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.exceptions import BudgetSpent
 from chivehold.http_server import Receive, Scope, Send, read_body, wait_for_disconnect
@@ -49,6 +51,7 @@
         configuration_age_s: Returns the seconds since the store last confirmed the routes, or
             ``None`` if it never did.
         quota_gate: Admits the requests within the quota of their organisation.
+        revocations: Ends the requests whose key is removed.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         bodies: BodyBudget,
         configuration_age_s: Callable[[], float | None],
         quota_gate: QuotaGate,
+        revocations: Revocations,
     ) -> None:
         self._dialect = dialect
         self._plain = plain
@@ -70,6 +74,7 @@
         self._bodies = bodies
         self._configuration_age_s = configuration_age_s
         self._quota_gate = quota_gate
+        self._revocations = revocations
         self._return_detector = ReturnDetector()
         self._routes: RouteIndex | None = None
         self._is_draining = False
@@ -93,6 +98,7 @@
     def apply_routes(self, routes: RouteIndex) -> None:
         """Use these routes for all new requests."""
         self._routes = routes
+        self._revocations.apply_routes(routes)
         self._return_detector.forget_routes_except(
             frozenset(route.name for route in routes.table.routes)
         )
@@ -229,8 +235,13 @@
         outcome = DEPARTED
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            outcome = await self._serve(exchange, reply, routes)
+            with self._revocations.watch(exchange, nursery.cancel_scope) as watched:
+                outcome = await self._serve(exchange, reply, routes)
             nursery.cancel_scope.cancel()
+        if watched.is_revoked and outcome == DEPARTED:
+            outcome = KEY_REVOKED.reason
+            if not reply.started:
+                await send_refusal(reply, KEY_REVOKED)
         self._metrics.count_request(exchange.route.kind, outcome)
         exchange.log("request ended", outcome=outcome)
 
--- a/src/chivehold/direct/refusals.py
+++ b/src/chivehold/direct/refusals.py
@@ -58,6 +58,9 @@
     return Refusal(429, "quota", message, retry_after_s, has_not_run=True)
 
 
+KEY_REVOKED = unknown_outcome_refusal(
+    502, "key_revoked", "the API key was removed while the request was in progress"
+)
 NO_ROUTE = Refusal(404, "no_route", "no route for this host and path")
 NO_REQUEST_ID = Refusal(400, "no_request_id", "the request has no id")
 
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -185,6 +185,8 @@
     """Share of the quota of a window that may be used in addition."""
     quota_slack: float = 0.0
     """Units that may be used in addition in a window, over all entries."""
+    strict_revoke: bool = False
+    """Whether requests in progress are ended when their API key is removed."""
     log_lines_per_s: int = 400
     log_format: LogFormat = LogFormat.JSON
     log_level: LogLevel = LogLevel.INFO
@@ -330,6 +332,7 @@
     quota_window_s: _Seconds
     quota_overshoot: _Share
     quota_slack: _Rate
+    strict_revoke: bool
     log_lines_per_s: _Count
     log_format: LogFormat
     log_level: LogLevel
