--- a/src/chivehold/direct/crash_protection.py
+++ b/src/chivehold/direct/crash_protection.py
@@ -9,6 +9,7 @@
 from chivehold.core.identity import EntryIncarnation
 from chivehold.direct.crash_watch import CrashWatch
 from chivehold.direct.fact_exchange import FactExchange
+from chivehold.direct.initial_load import InitialLoad
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.quarantine_trials import QuarantineTrials
 from chivehold.direct.quarantines import Quarantines
@@ -16,9 +17,6 @@
 from chivehold.store.api import ObjectStore
 from chivehold.store.quarantine_records import QuarantineRecords
 
-MAX_LOAD_WAIT_S = 2.0
-"""How long after its start an entry waits for the stored quarantines before it is ready."""
-
 
 class CrashProtection:
     """Builds and connects these parts.
@@ -45,7 +43,6 @@
         nursery: trio.Nursery,
         rng: Random,
     ) -> None:
-        self._started_at = trio.current_time()
         policy = _policy(settings)
         self._quarantines = Quarantines(
             policy,
@@ -63,6 +60,7 @@
             entries,
             rng,
         )
+        self._initial_load = InitialLoad("quarantines", lambda: self._records.is_loaded)
         trials = QuarantineTrials(
             self._quarantines, self._records.claim, policy.trial_s, entries, rng
         )
@@ -86,9 +84,7 @@
 
     def unready_reason(self) -> str:
         """Return why the entry is not ready yet, or an empty string if it is."""
-        if self._records.is_loaded or trio.current_time() >= self._started_at + MAX_LOAD_WAIT_S:
-            return ""
-        return "quarantines not read yet"
+        return self._initial_load.unready_reason()
 
 
 def _policy(settings: DirectSettings) -> CrashPolicy:
--- a/src/chivehold/direct/version_tracking.py
+++ b/src/chivehold/direct/version_tracking.py
@@ -10,14 +10,12 @@
 from chivehold.core.direct.software_versions import SoftwareVersions
 from chivehold.core.direct.stream_origins import StreamOrigins
 from chivehold.core.identity import EntryIncarnation
+from chivehold.direct.initial_load import InitialLoad
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.resumptions import Resumptions
 from chivehold.store.api import ObjectStore
 from chivehold.store.software_records import SoftwareRecords
 
-MAX_LOAD_WAIT_S = 2.0
-"""How long after its start an entry waits for the stored versions before it is ready."""
-
 
 class VersionTracking:
     """Builds and connects these parts.
@@ -40,12 +38,12 @@
         metrics: DirectMetrics,
         rng: Random,
     ) -> None:
-        self._started_at = trio.current_time()
-        self._versions = SoftwareVersions(self._started_at)
+        self._versions = SoftwareVersions(trio.current_time())
         self._origins = StreamOrigins()
         self._records = SoftwareRecords(
             store, name, incarnation, self._versions, self._origins, entries, rng
         )
+        self._initial_load = InitialLoad("software versions", lambda: self._records.is_loaded)
         self._resumptions = Resumptions(self._versions, self._origins, self._records, metrics)
 
     @property
@@ -74,9 +72,7 @@
 
     def unready_reason(self) -> str:
         """Return why the entry is not ready yet, or an empty string if it is."""
-        if self._records.is_loaded or trio.current_time() >= self._started_at + MAX_LOAD_WAIT_S:
-            return ""
-        return "software versions not read yet"
+        return self._initial_load.unready_reason()
 
     def dump(self) -> dict[str, object]:
         """Return the state shown to operators."""
