--- a/src/chivehold/core/direct/wait_bounds.py
+++ b/src/chivehold/core/direct/wait_bounds.py
@@ -25,6 +25,11 @@
 """Callers that are told to wait longer than this share of their remaining time do not retry."""
 RETRY_MARGIN_S = 0.2
 """Time that a refusal takes to its caller."""
+RETURNING_DOUBT = 2.0
+"""A returning caller is refused at once if the estimate exceeds its wait by this factor.
+
+The estimate is rough, as an entry sees only its own grants, and this caller does not come back.
+"""
 MIN_RETRY_AFTER_S = 3.0
 """Bursts last for seconds; a caller that comes back sooner mostly meets the same one."""
 RETRY_SPREAD = 1.3
@@ -65,7 +70,8 @@
     """
     if expected_wait_s is None or waiter.has_started:
         return False
-    return now + expected_wait_s > waiter.leaves_at
+    doubt = RETURNING_DOUBT if waiter.waited_before_s else 1.0
+    return expected_wait_s > doubt * (waiter.leaves_at - now)
 
 
 def retry_after_s(waiter: Waiter, expected_wait_s: float | None, now: float, rng: Random) -> float:
--- a/tests/core/direct/test_wait_bounds.py
+++ b/tests/core/direct/test_wait_bounds.py
@@ -41,6 +41,7 @@
         assert not is_hopeless(waiter, None, 0.0)
         assert not is_hopeless(waiter, 2.5, 0.0)
         assert is_hopeless(waiter, 2.7, 0.0)
+        assert not is_hopeless(waiter._replace(waited_before_s=4.0), 2.7, 0.0)
 
     @pytest.mark.parametrize("wait_s", [None, 0.5, 4.0, 30.0])
     def test_caller_honours_retry_after(self, wait_s: float | None) -> None:
