--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -28,6 +28,8 @@
     """On the estimate of the wait."""
     REFUSED_AFTER_WAIT = "refused_after_wait"
     """It was queued, and refused in the end."""
+    LEFT = "left"
+    """Its caller left."""
     REFUSED_WRONGLY = "refused_wrongly"
     """It was refused at once, counted as that, too, and could have been served."""
 
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -109,6 +109,8 @@
             with trio.move_on_at(waiter.gives_up_at):
                 await pending.resolved.wait()
         except trio.Cancelled:
+            if is_ordered:
+                self._metrics.count_wait_end(service, waiter, WaitOutcome.LEFT)
             if isinstance(pending.result, MemoryReservation):
                 self.release(pending.result)
             raise
@@ -218,8 +220,9 @@
                 continue
             reservation = MemoryReservation(upstream, hold, waiter.tokens)
             self._fleet.record_start(upstream, waiter.tokens)
-            self._record_grant(service, queue, waiter)
-            if not queue.resolve(waiter.request, reservation):
+            if queue.resolve(waiter.request, reservation):
+                self._record_grant(service, queue, waiter)
+            else:
                 self.release(reservation)
             return True
         return False
--- a/tests/direct/test_reservations.py
+++ b/tests/direct/test_reservations.py
@@ -255,3 +255,19 @@
             nursery.cancel_scope.cancel()
         lines = [record for record in caplog.records if "passed over" in record.getMessage()]
         assert len(lines) == 1
+
+    async def test_grant_to_a_caller_that_left_counts_for_nobody(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """One organisation at five times its usual: only memory that it got counts as its share."""
+        engine = Engine()
+        engine.free = 100
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(engine, nursery, 1, (0, 2))
+            with trio.move_on_after(0.0005):
+                await reserver.reserve("s", make_waiter("r", 2.0)._replace(organisation="o"))
+            await trio.sleep(0.1)
+            assert engine.released
+            (dumped,) = reserver.dump(trio.current_time())
+            assert dumped["granted_lately"] == {}
+            nursery.cancel_scope.cancel()
