--- a/tests/core/direct/test_waiting.py
+++ b/tests/core/direct/test_waiting.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from random import Random
 
 from chivehold.core.direct.waiting import PassedOver, Precedence, Waiter, WaitQueue
 
@@ -180,6 +181,27 @@
         served(queue, 1.2, 1)
         assert queue.passed_over("r1") is None
 
+    def test_equal_requests_keep_their_order(self) -> None:
+        """Guards against another order in deployments with one priority and no organisations."""
+        rng = Random(1)
+        for _ in range(200):
+            queue = WaitQueue()
+            added = [
+                waiter(number, rng.uniform(0.0, 3.0))._replace(has_started=rng.random() < 0.1)
+                for number in range(10)
+            ]
+            for made in added:
+                queue.add(made)
+            expected = sorted(
+                added,
+                key=lambda made: (
+                    not made.has_started,
+                    made.is_late(2.0),
+                    made.arrived_at if made.is_late(2.0) else made.on_time_until,
+                ),
+            )
+            assert served(queue, 2.0, 10) == [made.request for made in expected]
+
     def test_equal_requests_take_no_turns(self) -> None:
         """Requests of one priority are served in the same order as ever, also if overdue."""
         queue = WaitQueue()
