--- a/src/chivehold/core/direct/decode_choice.py
+++ b/src/chivehold/core/direct/decode_choice.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+REMOTE_SHARE = 0.25
+"""An engine in another zone counts as fuller by this share of a request."""
 STREAMS_HALF_LIFE_S = 1.5
 """Half-life of what a report says about the streams of other entries, which last some seconds."""
 
@@ -22,6 +24,8 @@
     """Streams of other entries, weighted by the age of the report."""
     slowness: float
     """How many times as long as at the service's median engine a stream takes there now."""
+    is_remote: bool = False
+    """It reports its load and is in another zone."""
 
 
 def fullness(engine: EngineMemory, tokens: int, noise: float) -> tuple[float, float]:
@@ -33,5 +37,6 @@
         noise: A random factor that spreads entries that see the same load.
     """
     used = engine.own_tokens + engine.other_streams * tokens
+    used += REMOTE_SHARE * tokens * engine.is_remote
     # Without reports and differences in speed, only the own reservations count.
     return engine.refused_for_s, (used + tokens) * engine.slowness * noise - tokens * noise
--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -11,9 +11,11 @@
 from chivehold.core.direct.expected_response import (
     COST_JITTER,
     MIN_USUAL_SHARE,
+    ZONE_TOLERANCE,
+    Candidate,
     ReportedWork,
     UpstreamWork,
-    better_of_two_first,
+    candidate_order,
     expected_response_s,
     service_time_s,
 )
@@ -27,6 +29,7 @@
 from chivehold.core.direct.reported_load import ReportedLoads
 from chivehold.core.direct.speeds import Speeds, WorkKind
 from chivehold.core.direct.upstream_admission import UpstreamAdmission
+from chivehold.core.direct.upstream_capacity import UpstreamCapacity
 from chivehold.core.smoothing import MovingAverage
 
 DEFAULT_LATENCY_S = 0.08
@@ -36,6 +39,8 @@
 """Weight of the newest latency in the moving average."""
 FAILURE_WEIGHT = 0.15
 """Weight of the newest call in the failure rate."""
+FAILURE_HALF_LIFE_S = 5.0
+"""Half-life of a failure rate, so that an upstream that works again is tried again."""
 FAILURES_TO_SUSPEND = 2
 """Consecutive failures after which an upstream is suspended."""
 MIN_SUSPENSION_S = 0.5
@@ -78,6 +83,7 @@
         self.reserved_tokens = 0
         self.latency = MovingAverage(LATENCY_WEIGHT)
         self.failure_rate = MovingAverage(FAILURE_WEIGHT)
+        self.failed_at = -math.inf
         self.consecutive_failures = 0
         self.suspended_until = 0.0
         self.gone_until = 0.0
@@ -215,10 +221,11 @@
         with_reports = stage is Stage.NONE and any(
             self.reports_load(upstream, now) for upstream in candidates
         )
-        ranked = sorted(
-            healthy or candidates, key=lambda upstream: self._cost(upstream, with_reports, now)
-        )
-        return better_of_two_first(ranked, self._rng) if with_reports else ranked
+        usable = healthy or candidates
+        if with_reports:
+            offers = {upstream: self._candidate(upstream, now) for upstream in usable}
+            return candidate_order(offers, self._zone, self._rng)
+        return sorted(usable, key=lambda upstream: self._cost(upstream))
 
     def may_send(self, upstream: UpstreamRecord, now: float) -> bool:
         """Return whether the upstream wants a request now, by what it has said itself."""
@@ -282,6 +289,11 @@
         reported = self._reported_work(upstream, latency_s, now)
         return max(MIN_SERVICE_TIME_S, reported.usual_s * reported.slowness)
 
+    def zone_factor(self, upstream: UpstreamRecord, now: float) -> float:
+        """Return by what to multiply an expected time, so that the own zone is preferred."""
+        is_remote = upstream.zone != self._zone and self.reports_load(upstream, now)
+        return ZONE_TOLERANCE if is_remote else 1.0
+
     def limit(self, upstream: UpstreamRecord, now: float) -> float | None:
         """Return how many requests of this entry an upstream may have, ``None`` if any number."""
         return self._limits.limit(incarnation_of(upstream), now)
@@ -444,8 +456,27 @@
                 "latency_s": round(stats.latency.value_or(0.0), 3),
                 "failing": round(stats.failure_rate.value_or(0.0), 2),
                 "suspended_s": round(max(0.0, stats.suspended_until - now), 2),
+                **self._capacity_of(upstream, now)._asdict(),
             }
 
+    def capacities(self, now: float) -> Iterator[tuple[UpstreamRecord, UpstreamCapacity]]:
+        """Yield what each upstream can do now, for the metrics."""
+        for upstream in self._upstreams.values():
+            yield upstream, self._capacity_of(upstream, now)
+
+    def _capacity_of(self, upstream: UpstreamRecord, now: float) -> UpstreamCapacity:
+        incarnation, kind = incarnation_of(upstream), _kind_of(upstream)
+        age_s = self._loads.age_s(incarnation, now)
+        limit = self._limits.limit(incarnation, now)
+        own = self._stats_of(upstream).in_flight
+        return UpstreamCapacity(
+            relative_time=round(self._speeds.relative(kind, incarnation), 2),
+            slowness=round(self._loads.slowness(incarnation, now), 2),
+            in_progress=round(own + self._loads.others(incarnation, now), 1),
+            report_age_s=None if age_s is None else round(age_s, 2),
+            limit=None if limit is None else round(limit, 2),
+        )
+
     def _update_leaving(self, name: str) -> None:
         listed = self._upstreams.get(name)
         if listed is not None:
@@ -473,6 +504,7 @@
             stats.reserved_tokens,
             self._loads.others(incarnation, now, STREAMS_HALF_LIFE_S),
             relative * self._loads.slowness(incarnation, now),
+            self.reports_load(upstream, now) and upstream.zone != self._zone,
         )
         return fullness(engine, tokens, self._rng.uniform(1.0, 1.0 + COST_JITTER))
 
@@ -487,17 +519,31 @@
         elif verdict is Verdict.FULL and self.reports_load(upstream, now):
             self._limits.record_refusal(incarnation, self.in_flight(upstream), now)
 
-    def _cost(self, upstream: UpstreamRecord, with_reports: bool, now: float) -> float:
+    def _cost(self, upstream: UpstreamRecord) -> float:
+        cost_s = expected_response_s(self._work_of(upstream), None)
+        cost_s += REMOTE_ZONE_COST_S * (upstream.zone != self._zone)
+        return cost_s * self._rng.uniform(1.0, 1.0 + COST_JITTER)
+
+    def _candidate(self, upstream: UpstreamRecord, now: float) -> Candidate:
+        work = self._work_of(upstream)
+        since_s = now - self._stats_of(upstream).failed_at
+        remembered: float = 0.5 ** (since_s / FAILURE_HALF_LIFE_S)
+        work = work._replace(failure_rate=work.failure_rate * remembered)
+        reported = self._reported_work(upstream, work.latency_s, now)
+        cost_s = expected_response_s(work, reported)
+        return Candidate(
+            cost_s * self._rng.uniform(1.0, 1.0 + COST_JITTER),
+            reported.usual_s * reported.slowness,
+            (work.in_flight + reported.others) / max(1, upstream.slots),
+        )
+
+    def _work_of(self, upstream: UpstreamRecord) -> UpstreamWork:
         stats = self._stats_of(upstream)
-        work = UpstreamWork(
+        return UpstreamWork(
             stats.latency.value_or(DEFAULT_LATENCY_S),
             stats.in_flight,
             stats.failure_rate.value_or(0.0),
         )
-        reported = self._reported_work(upstream, work.latency_s, now) if with_reports else None
-        cost_s = expected_response_s(work, reported)
-        cost_s += REMOTE_ZONE_COST_S * (upstream.zone != self._zone)
-        return cost_s * self._rng.uniform(1.0, 1.0 + COST_JITTER)
 
     def _reported_work(
         self, upstream: UpstreamRecord, latency_s: float, now: float
@@ -519,8 +565,10 @@
             stats.consecutive_failures = 0
             stats.failure_rate.add(0.0)
         elif verdict in (Verdict.ERROR, Verdict.FULL):
+            stats.failed_at = now
             stats.failure_rate.add(1.0)
         elif verdict is Verdict.FAILED:
+            stats.failed_at = now
             stats.failure_rate.add(1.0)
             stats.consecutive_failures += 1
             if stats.consecutive_failures >= FAILURES_TO_SUSPEND:
--- a/src/chivehold/core/direct/reported_load.py
+++ b/src/chivehold/core/direct/reported_load.py
@@ -10,12 +10,16 @@
 
 from chivehold.core.direct.messages import ReportedLoad, UpstreamIncarnation
 
-WORK_HALF_LIFE_S = 0.2
+WORK_HALF_LIFE_S = 0.8
 """Half-life of what a report says about the work of other entries."""
 SLOWNESS_HALF_LIFE_S = 0.2
 """Half-life of a reported slowness; a temporary slowdown lasts some 0.6 s."""
 MAX_SLOWNESS_AGE_S = 0.6
 """A slowness reported longer ago says nothing about now."""
+MAX_SLOWNESS = 3.0
+"""Highest slowness that is believed."""
+MAX_CROWD = 4
+"""Most requests that are believed to be at an upstream, as a multiple of its slots."""
 MAX_AGE_S = 5.0
 """Reports older than this are treated as if there had never been one."""
 
@@ -47,6 +51,7 @@
             own: This entry's calls in progress there, including the one that brought the report.
             now: Monotonic time in seconds.
         """
+        load = _believed(load)
         others = max(0, load.running + load.waiting - own)
         self._reports[upstream] = LoadReport(load, others, now)
 
@@ -80,6 +85,16 @@
             del self._reports[known]
 
 
+def _believed(load: ReportedLoad) -> ReportedLoad:
+    """Return a load with the figures limited, so that a wrong report does little harm."""
+    running = min(load.running, MAX_CROWD * load.slots)
+    return load._replace(
+        running=running,
+        waiting=min(load.waiting, MAX_CROWD * load.slots - running),
+        slowness=load.slowness and min(load.slowness, MAX_SLOWNESS),
+    )
+
+
 def _weight(at: float, now: float, half_life_s: float) -> float:
     weight: float = 0.5 ** (max(0.0, now - at) / half_life_s)
     return weight
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -358,6 +358,7 @@
         return self._crash_protection.unready_reason() or self._version_tracking.unready_reason()
 
     def _render_metrics(self, accepted: list[str]) -> RenderedMetrics:
+        self._metrics.set_capacities(self._fleet.capacities(trio.current_time()))
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -8,10 +8,13 @@
 
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.quarantine import OrderEvent
+from chivehold.core.direct.upstream_capacity import UpstreamCapacity, unevenness
 from chivehold.metrics import RenderedMetrics
 
 RESPONSE_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0, float("inf"))
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
+MAX_UPSTREAM_LABELS = 64
+CAPACITY_FIGURES = ("relative_time", "slowness", "in_progress")
 
 
 class DirectMetrics:
@@ -108,6 +111,18 @@
         self._upstreams = Gauge(
             "chivehold_upstreams", "Upstreams by service and software version.", None, registry
         )
+        self._capacity = Gauge(
+            "chivehold_upstream_capacity",
+            "Relative time per work, slowness and work in progress, by upstream and figure.",
+            None,
+            registry,
+        )
+        self._unevenness = Gauge(
+            "chivehold_unevenness",
+            "Deviation of work in progress among a service's upstreams over its mean.",
+            None,
+            registry,
+        )
         self._log_lines_dropped = Gauge(
             "chivehold_log_lines_dropped",
             "Log lines left out to bound their volume.",
@@ -124,6 +139,21 @@
             self._upstreams.set({"service": service, "software": software}, count)
         self._upstream_kinds = set(counts)
 
+    def set_capacities(self, capacities: Iterable[tuple[UpstreamRecord, UpstreamCapacity]]) -> None:
+        """Record what the upstreams can do, the first ``MAX_UPSTREAM_LABELS`` of them by name."""
+        known = sorted(capacities, key=lambda pair: pair[0].name)
+        self._capacity.values.clear()
+        for upstream, capacity in known[:MAX_UPSTREAM_LABELS]:
+            for figure in CAPACITY_FIGURES:
+                labels = {"upstream": upstream.name, "figure": figure}
+                self._capacity.set(labels, float(getattr(capacity, figure)))
+        by_service: dict[str, list[float]] = {}
+        for upstream, capacity in known:
+            kind = f"{upstream.service} {upstream.stage}".strip()
+            by_service.setdefault(kind, []).append(capacity.in_progress)
+        for kind, in_progress in by_service.items():
+            self._unevenness.set({"service": kind}, unevenness(in_progress))
+
     def count_order(self, service: str, accepted: bool) -> None:
         """Count an order to an engine."""
         self._orders.inc({"service": service, "accepted": str(accepted).lower()})
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -6,7 +6,12 @@
 import trio
 
 from chivehold.core.direct.fleet import Fleet
-from chivehold.core.direct.messages import Stage, UpstreamRecord, incarnation_of
+from chivehold.core.direct.messages import (
+    Stage,
+    UpstreamIncarnation,
+    UpstreamRecord,
+    incarnation_of,
+)
 from chivehold.core.direct.pace import PaceMonitor
 from chivehold.core.direct.prefill_load import PrefillLoad
 from chivehold.core.direct.shared_retries import SharedRetryBudget
@@ -110,9 +115,14 @@
         is_disturbed = self._pace_of(exchange.service).is_disturbed(now)
         share = DISTURBED_PATIENT_SHARE if is_disturbed else PATIENT_SHARE
         patience_s = share * exchange.route.latency_target_s
+
+        def expected_s(engine: UpstreamIncarnation) -> float:
+            expected_s = load.expected_s(engine, tokens, now)
+            return expected_s * self._fleet.zone_factor(healthy[engine], now)
+
         usable = (
             engine
-            for engine in sorted(healthy, key=lambda engine: load.expected_s(engine, tokens, now))
+            for engine in sorted(healthy, key=expected_s)
             if load.may_use(engine, tokens, len(healthy), entries, patience_s, now)
         )
         chosen = next(usable, None)
--- a/tests/core/direct/test_decode_choice.py
+++ b/tests/core/direct/test_decode_choice.py
@@ -82,3 +82,16 @@
                 report(made, number, 4, 1.0)
             firsts[order(made, 1.0)[0]] += 1
         assert max(firsts.values()) <= 30
+
+
+class TestZones:
+    def test_nearest_of_equally_full_engines(self) -> None:
+        """Engines of the own zone come first until they are fuller than those of the others."""
+        made = Fleet("a", Random(1), admission())
+        near, far = upstream("near", Stage.DECODE), upstream("far", Stage.DECODE, zone="b")
+        made.replace([far, near])
+        for engine, streams, first in [(far, 2, "near"), (near, 4, "far"), (near, 2, "near")]:
+            made.record_signals(
+                engine, UpstreamSignals(load=ReportedLoad(streams, 0, 64)), 1.0, 1.0
+            )
+            assert order(made, 1.0)[0] == first
