--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -9,6 +9,10 @@
 RawHeaders = Sequence[tuple[bytes, bytes]]
 """Headers in the order received, with names in lower case."""
 
+MAX_PLAUSIBLE_CROWD = 100
+"""Most requests that an upstream can have, as a multiple of its slots."""
+MAX_PLAUSIBLE_SLOWNESS = 20.0
+
 
 class Stage(StrEnum):
     """Stage of inference that a model engine runs; ``NONE`` for plain services."""
@@ -99,6 +103,14 @@
     slowness: float | None = None
     """How many times as long as usual its work takes now; ``None`` if not reported."""
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether an upstream that works can be so loaded and so slow."""
+        most = MAX_PLAUSIBLE_CROWD * self.slots
+        return self.running + self.waiting <= most and (
+            self.slowness is None or self.slowness <= MAX_PLAUSIBLE_SLOWNESS
+        )
+
 
 class UpstreamSignals(NamedTuple):
     """What an upstream says of itself in the headers of a response."""
--- a/src/chivehold/core/direct/prefill_load.py
+++ b/src/chivehold/core/direct/prefill_load.py
@@ -11,7 +11,6 @@
 """
 
 import math
-from collections.abc import Collection
 from statistics import mean
 from typing import NamedTuple
 
@@ -146,11 +145,6 @@
         expected_s = self.expected_s(engine, tokens, now)
         return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * expected_s))
 
-    def forget_others(self, engines: Collection[UpstreamIncarnation]) -> None:
-        """Forget the load estimates of all engines except these."""
-        for known in [known for known in self._estimates if known not in engines]:
-            del self._estimates[known]
-
     def _unshared_s(self, engine: UpstreamIncarnation, tokens: int, now: float) -> float:
         """Return the duration of a prefill that has an engine to itself, in seconds."""
         s_per_token = self._fastest_s_per_token * self._speeds.relative(self._kind, engine)
--- a/src/chivehold/core/direct/reported_load.py
+++ b/src/chivehold/core/direct/reported_load.py
@@ -18,7 +18,7 @@
 """A slowness reported longer ago says nothing about now."""
 MAX_SLOWNESS = 3.0
 """Highest slowness that is believed."""
-MAX_CROWD = 4
+MAX_CROWD = 5
 """Most requests that are believed to be at an upstream, as a multiple of its slots."""
 MAX_AGE_S = 5.0
 """Reports older than this are treated as if there had never been one."""
@@ -43,7 +43,7 @@
     def record(
         self, upstream: UpstreamIncarnation, load: ReportedLoad, own: int, now: float
     ) -> None:
-        """Record a report.
+        """Record a report; one that cannot be true is ignored.
 
         Args:
             upstream: The upstream.
@@ -51,6 +51,8 @@
             own: This entry's calls in progress there, including the one that brought the report.
             now: Monotonic time in seconds.
         """
+        if not load.is_plausible:
+            return
         load = _believed(load)
         others = max(0, load.running + load.waiting - own)
         self._reports[upstream] = LoadReport(load, others, now)
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -281,7 +281,8 @@
     if len(counts) not in (3, 4) or 0 in counts[2:]:
         return None
     slowness = counts[3] / 100 if len(counts) > 3 else None
-    return ReportedLoad(counts[0], counts[1], counts[2], slowness)
+    load = ReportedLoad(counts[0], counts[1], counts[2], slowness)
+    return load if load.is_plausible else None
 
 
 def _decode_text_field(body: bytes, field: str) -> str | None:
--- a/tests/direct/test_capacity_metrics.py
+++ b/tests/direct/test_capacity_metrics.py
@@ -1,8 +1,12 @@
 """Capacity of upstreams in the metrics: three speeds, evenness, and a bounded number of labels."""
 
+from pathlib import Path
+
 from chivehold.core.direct.upstream_capacity import UpstreamCapacity, unevenness
 from chivehold.direct.metrics import MAX_UPSTREAM_LABELS, DirectMetrics
+from chivehold.fakes.platform_upstream import PlainUpstream
 from tests.core.direct.factories import upstream
+from tests.direct.harness import running_entry, wait_until
 
 CAPACITY = UpstreamCapacity(2.4, 1.0, 3.0, 0.1, None)
 
@@ -27,6 +31,22 @@
         assert render(metrics).count('figure="slowness"') == MAX_UPSTREAM_LABELS
 
 
+class TestReports:
+    async def test_are_in_the_dump(self, tmp_path: Path) -> None:
+        """What an upstream reports is shown; what cannot be parsed is counted and is no error."""
+        async with running_entry(tmp_path) as harness:
+            reporting = PlainUpstream("u1")
+            await harness.add_upstream(reporting, "plain")
+            await wait_until(lambda: len(harness.entry.dump()["upstreams"]) == 1)
+            reporting.response_headers = [("x-chivehold-server-load", "9,3,6,250")]
+            assert (await harness.call("/get/x")).status == 200
+            (shown,) = harness.entry.dump()["upstreams"]
+            assert shown["slowness"] > 1.5 and shown["in_progress"] > 8
+            reporting.response_headers = [("x-chivehold-server-load", "many")]
+            assert (await harness.call("/get/x", "r2")).status == 200
+            assert b'signal="unreadable load"' in await harness.metrics()
+
+
 class TestUnevenness:
     def test_figure(self) -> None:
         """Equal work is 0, all work at one of four upstreams is well above 1."""
--- a/tests/direct/test_room_waiting.py
+++ b/tests/direct/test_room_waiting.py
@@ -59,3 +59,21 @@
                 assert trio.current_time() - before < 0.3
                 nursery.cancel_scope.cancel()
             assert "late" not in upstream.runs
+
+
+class TestHedging:
+    # Guards against doubling the load of a service whose machines are all known to be slow.
+    async def test_not_because_an_upstream_is_known_to_be_slow(self, tmp_path: Path) -> None:
+        """Once the service time is known, a request that takes as long as usual is not hedged."""
+        async with running_entry(tmp_path) as harness:
+            upstreams = [PlainUpstream("x"), PlainUpstream("y")]
+            for upstream in upstreams:
+                upstream.work_s = 0.3
+                upstream.response_headers = [("x-chivehold-server-load", "1,0,6")]
+                await harness.add_upstream(upstream, "plain")
+            await wait_until(lambda: len(harness.entry.dump()["upstreams"]) == 2)
+            for number in range(4):
+                await harness.call("/get/x", f"warm-{number}")
+            for number in range(3):
+                await harness.call("/get/x", f"r{number}")
+                assert sum(upstream.runs.count(f"r{number}") for upstream in upstreams) == 1
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -203,6 +203,8 @@
             b"3,1,\xff",
             b"3 1 6",
             b"9" * 9_000,
+            b"700,1,6",
+            b"3,1,6,2100",
         ],
     )
     def test_senseless_load_is_ignored(self, text: bytes) -> None:
