--- a/src/chivehold/core/direct/fleet.py
+++ b/src/chivehold/core/direct/fleet.py
@@ -212,20 +212,11 @@
             excluded: Names of upstreams to leave out.
             software: The version of their software; ``None`` for any.
         """
-        candidates = [
-            upstream
-            for upstream in self.available(service, stage, now, software)
-            if upstream.name not in excluded and self.may_send(upstream, now)
-        ]
-        healthy = [upstream for upstream in candidates if not self.is_suspended(upstream, now)]
-        with_reports = stage is Stage.NONE and any(
-            self.reports_load(upstream, now) for upstream in candidates
-        )
-        usable = healthy or candidates
-        if with_reports:
+        usable = self._usable(service, stage, now, excluded, software)
+        if stage is Stage.NONE and any(self.reports_load(upstream, now) for upstream in usable):
             offers = {upstream: self._candidate(upstream, now) for upstream in usable}
             return candidate_order(offers, self._zone, self._rng)
-        return sorted(usable, key=lambda upstream: self._cost(upstream))
+        return sorted(usable, key=self._cost)
 
     def may_send(self, upstream: UpstreamRecord, now: float) -> bool:
         """Return whether the upstream wants a request now, by what it has said itself."""
@@ -260,12 +251,8 @@
 
     def has_room(self, service: str, now: float) -> bool:
         """Return whether waiting would not help: an upstream has room, or there is none at all."""
-        candidates = [
-            upstream
-            for upstream in self.available(service, Stage.NONE, now)
-            if self.may_send(upstream, now)
-        ]
-        return not candidates or any(self._allows(upstream, now) for upstream in candidates)
+        usable = self._usable(service, Stage.NONE, now)
+        return not usable or any(self._allows(upstream, now) for upstream in usable)
 
     def expected_wait_s(self, service: str, position: int, now: float) -> float:
         """Return when a request that waits for room is expected to have been served, in seconds.
@@ -508,6 +495,23 @@
         )
         return fullness(engine, tokens, self._rng.uniform(1.0, 1.0 + COST_JITTER))
 
+    def _usable(
+        self,
+        service: str,
+        stage: Stage,
+        now: float,
+        excluded: Collection[str] = (),
+        software: str | None = None,
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that want a request; suspended ones only if all are suspended."""
+        candidates = [
+            upstream
+            for upstream in self.available(service, stage, now, software)
+            if upstream.name not in excluded and self.may_send(upstream, now)
+        ]
+        healthy = [upstream for upstream in candidates if not self.is_suspended(upstream, now)]
+        return healthy or candidates
+
     def _allows(self, upstream: UpstreamRecord, now: float) -> bool:
         service_s, in_flight = self.service_time_s(upstream, now), self.in_flight(upstream)
         return self._limits.allows(incarnation_of(upstream), in_flight, service_s, now)
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -132,9 +132,10 @@
         return await self._room.wait(exchange)
 
     def usual_response_s(self, upstream: UpstreamRecord) -> float:
-        """Return how long an upstream that is known to be slow takes; 0 if it is not known."""
+        """Return how long an upstream takes; 0 where none of its service reports its load."""
         now = trio.current_time()
-        if not self._fleet.reports_load(upstream, now):
+        available = self._fleet.available(upstream.service, Stage.NONE, now)
+        if not any(self._fleet.reports_load(other, now) for other in available):
             return 0.0
         return self._fleet.service_time_s(upstream, now)
 
--- a/tests/core/direct/test_concurrency_limits.py
+++ b/tests/core/direct/test_concurrency_limits.py
@@ -1,7 +1,10 @@
 """Limits on requests in progress at upstreams that refuse, as they do in a demand wave."""
 
 from chivehold.core.direct.concurrency_limits import FORGET_AFTER_S, ConcurrencyLimits
-from chivehold.core.direct.messages import UpstreamIncarnation
+from chivehold.core.direct.fleet import Verdict
+from chivehold.core.direct.messages import ReportedLoad, Stage, UpstreamIncarnation, UpstreamSignals
+from tests.core.direct import factories
+from tests.core.direct.factories import upstream
 
 UPSTREAM = UpstreamIncarnation("u", 1)
 
@@ -48,3 +51,20 @@
     def test_is_forgotten(self) -> None:
         """After the wave the limit ends, even if no request was sent meanwhile."""
         assert refused(times=4).limit(UPSTREAM, 0.7 + FORGET_AFTER_S) is None
+
+
+class TestRoom:
+    def test_suspended_upstream_is_no_room(self) -> None:
+        """A request was refused instead of waiting, as a suspended upstream seemed to have room."""
+        fleet = factories.fleet()
+        fleet.replace([upstream("full"), upstream("suspended")])
+        fleet.suspend(upstream("suspended"), 9.0)
+        fleet.record_start(upstream("full"))
+        fleet.record_start(upstream("full"))
+        signals = UpstreamSignals(load=ReportedLoad(6, 24, 6))
+        fleet.record_signals(upstream("full"), signals, 1.0, 1.0)
+        fleet.record_end(upstream("full"), Verdict.FULL, 1.0)
+        assert not fleet.has_room("s", 1.0)
+        assert fleet.with_room("s", 1.0) == []
+        assert fleet.ranked("s", Stage.NONE, 1.0)
+        assert 0 < fleet.expected_wait_s("s", 0, 1.0) < 2.0
--- a/tests/core/direct/test_even_load.py
+++ b/tests/core/direct/test_even_load.py
@@ -22,10 +22,23 @@
     return fleet.ranked("s", Stage.NONE, now)[0]
 
 
+def choose_as_before(fleet: Fleet, now: float) -> UpstreamRecord:
+    """Choose by own latency and own calls in progress; kept here to compare with."""
+
+    def cost(candidate: UpstreamRecord) -> float:
+        stats = fleet._stats_of(candidate)
+        cost_s = stats.latency.value_or(0.08) * (1 + stats.in_flight)
+        cost_s += 0.5 * stats.failure_rate.value_or(0.0)
+        return cost_s * fleet._rng.uniform(1.0, 1.1)
+
+    return min(fleet.upstreams, key=cost)
+
+
 @cache
 def run(shape: Shape) -> Figures:
     """Return the mean figures of several runs."""
-    runs = [Simulation(shape, seed, choose).run() for seed in SEEDS]
+    how = choose if shape.reports else choose_as_before
+    runs = [Simulation(shape, seed, how).run() for seed in SEEDS]
     names = runs[0].shares
     return Figures(
         mean(run.bad for run in runs),
@@ -36,7 +49,7 @@
 
 
 def baseline(shape: Shape) -> Figures:
-    """Return the figures without reports, where the former formula is in force unchanged."""
+    """Return the figures of the former choice."""
     return run(shape._replace(reports=False))
 
 
@@ -114,3 +127,11 @@
         """When all upstreams of a zone disappear, its entries use the others at once."""
         lost = run(Shape(24, EQUAL, 0.4, 15.0, zones=4, lost_zone_at=8.0))
         assert lost.bad <= 0.01
+
+
+class TestWithoutReports:
+    def test_choice_is_unchanged(self) -> None:
+        """Where no upstream reports its load, the former formula is in force."""
+        shape = Shape(4, EQUAL, 0.7, 6.0, reports=False)
+        now, before = (Simulation(shape, 1, how).run() for how in (choose, choose_as_before))
+        assert now == before
