--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -413,6 +413,7 @@
         self._metrics.set_quotas(self._quota_gate.figures())
         self._metrics.loop.update(self._loop_monitor)
         self._metrics.set_waiting(self._reserver.waiting_by_priority())
+        self._metrics.set_capacities(self._fleet.capacities(trio.current_time()))
         return self._metrics.render(
             accepted,
             self._callers.in_progress,
--- a/src/chivehold/direct/metrics.py
+++ b/src/chivehold/direct/metrics.py
@@ -11,6 +11,7 @@
 from chivehold.core.direct.messages import UpstreamRecord
 from chivehold.core.direct.organisations import KeyFault
 from chivehold.core.direct.quarantine import OrderEvent
+from chivehold.core.direct.upstream_capacity import UpstreamCapacity, unevenness
 from chivehold.core.direct.waiting import Waiter
 from chivehold.loop_metrics import LoopMetrics
 from chivehold.metrics import RenderedMetrics
@@ -20,6 +21,8 @@
 """Label values for organisations; the others count together."""
 OTHER_ORGANISATIONS = "other"
 WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 4.0, float("inf"))
+MAX_UPSTREAM_LABELS = 64
+CAPACITY_FIGURES = ("relative_time", "slowness", "in_progress")
 
 
 class QuotaFigures(NamedTuple):
@@ -204,6 +207,18 @@
             for field, text in QUOTA_FIELDS.items()
         }
         self._quota_labels: set[str] = set()
+        self._capacity = Gauge(
+            "chivehold_upstream_capacity",
+            "Relative time per work, slowness and work in progress, by upstream and figure.",
+            None,
+            registry,
+        )
+        self._unevenness = Gauge(
+            "chivehold_unevenness",
+            "Deviation of work in progress among a service's upstreams over its mean.",
+            None,
+            registry,
+        )
         self._log_lines_dropped = Gauge(
             "chivehold_log_lines_dropped",
             "Log lines left out to bound their volume.",
@@ -226,6 +241,21 @@
             self._upstreams.set({"service": service, "software": software}, count)
         self._upstream_kinds = set(counts)
 
+    def set_capacities(self, capacities: Iterable[tuple[UpstreamRecord, UpstreamCapacity]]) -> None:
+        """Record what the upstreams can do, the first ``MAX_UPSTREAM_LABELS`` of them by name."""
+        known = sorted(capacities, key=lambda pair: pair[0].name)
+        self._capacity.values.clear()
+        for upstream, capacity in known[:MAX_UPSTREAM_LABELS]:
+            for figure in CAPACITY_FIGURES:
+                labels = {"upstream": upstream.name, "figure": figure}
+                self._capacity.set(labels, float(getattr(capacity, figure)))
+        by_service: dict[str, list[float]] = {}
+        for upstream, capacity in known:
+            kind = f"{upstream.service} {upstream.stage}".strip()
+            by_service.setdefault(kind, []).append(capacity.in_progress)
+        for kind, in_progress in by_service.items():
+            self._unevenness.set({"service": kind}, unevenness(in_progress))
+
     def count_order(self, service: str, accepted: bool) -> None:
         """Count an order to an engine."""
         self._orders.inc({"service": service, "accepted": str(accepted).lower()})
