--- a/src/chivehold/core/direct/quotas.py
+++ b/src/chivehold/core/direct/quotas.py
@@ -16,7 +16,7 @@
 
 from chivehold.core.direct.organisations import Organisation, Quota
 
-DEBT_SHARE = 0.5
+DEBT_SHARE = 0.7
 """Part of the slack that is granted as debt; the rest is left for use that is reported late."""
 STALE_VIEW_SHARE = 0.5
 """Part of what a full bucket could grant that one entry may use on reports of one age."""
--- a/src/chivehold/direct/quota_gate.py
+++ b/src/chivehold/direct/quota_gate.py
@@ -44,10 +44,11 @@
         """Charge a request, or return its refusal.
 
         Returns:
-            ``None`` if nothing is charged: the organisation has no quota, or the request resumes a
-            stream that has been charged before.
+            ``None`` if nothing is charged, since the organisation has no quota.
         """
-        if organisation is None or organisation.quota is None or metadata.is_resumption:
+        # A caller's resumption is charged, too: its engine reads the prompt once more, and any
+        # request may claim to be one.
+        if organisation is None or organisation.quota is None:
             return None
         decision = self._quotas.decide(organisation, metadata.tokens, trio.current_time())
         self._reschedule()
