--- a/src/chivehold/core/direct/explanation.py
+++ b/src/chivehold/core/direct/explanation.py
@@ -36,7 +36,7 @@
     """Version of the software; ``None`` for any."""
 
 
-def rehearsal_of(fleet: Fleet) -> Fleet:
+def dry_run_copy(fleet: Fleet) -> Fleet:
     """Return a copy of a fleet on which choices can be tried without changing the fleet.
 
     The copy draws the same random numbers, so that it chooses what the fleet would choose next.
@@ -54,20 +54,20 @@
         needs: What the request needs.
         now: Monotonic time in seconds.
     """
-    rehearsal = rehearsal_of(fleet)
-    ranked = _ranked(rehearsal, needs, now)
+    copied = dry_run_copy(fleet)
+    ranked = _ranked(copied, needs, now)
     ranks = {upstream.name: rank for rank, upstream in enumerate(ranked, start=1)}
-    available = rehearsal.available(needs.service, needs.stage, now, needs.software)
+    available = copied.available(needs.service, needs.stage, now, needs.software)
     names = frozenset(upstream.name for upstream in available)
-    states = {state["upstream"]: state for state in rehearsal.dump(now)}
+    states = {state["upstream"]: state for state in copied.dump(now)}
     candidates = [
         Candidate(
             upstream,
             ranks.get(upstream.name),
-            "" if upstream.name in ranks else _exclusion(rehearsal, needs, upstream, names, now),
+            "" if upstream.name in ranks else _exclusion(copied, needs, upstream, names, now),
             states[upstream.name],
         )
-        for upstream in rehearsal.upstreams
+        for upstream in copied.upstreams
         if upstream.service == needs.service
     ]
     return tuple(sorted(candidates, key=_position))
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -196,6 +196,7 @@
             streams,
             self._reserver,
             prefills,
+            [self._quota_gate.explain],
         )
         self._callers = CallerApp(
             platform.dialect,
--- a/src/chivehold/direct/explanations.py
+++ b/src/chivehold/direct/explanations.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from copy import copy, deepcopy
 from typing import Annotated, NotRequired, TypedDict
 
 import msgspec
@@ -13,9 +12,9 @@
 from chivehold.core.direct.explanation import (
     Candidate,
     ServiceNeeds,
+    dry_run_copy,
     explain_candidates,
     queue_position,
-    rehearsal_of,
 )
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.messages import Dialect, RequestMetadata, Stage
@@ -128,7 +127,7 @@
     def _explain_plain(self, exchange: Exchange) -> Explanation:
         now = trio.current_time()
         candidates = explain_candidates(self._fleet, ServiceNeeds(exchange.service), now)
-        wait_s = rehearsal_of(self._fleet).wait_s(exchange.service, Stage.NONE, now)
+        wait_s = dry_run_copy(self._fleet).wait_s(exchange.service, Stage.NONE, now)
         return {
             "outcome": _outcome(candidates),
             "expected_wait_s": wait_s,
@@ -143,15 +142,15 @@
             self._with_waiting_streams(candidate, exchange)
             for candidate in explain_candidates(self._fleet, needs, now)
         ]
-        prefill = self._prefills.rehearse(exchange) if exchange.route.separate_prefill else None
+        prefill = self._prefills.dry_run(exchange) if exchange.route.separate_prefill else None
         expected_s = {} if prefill is None else prefill.expected_s
         prefill_needs = ServiceNeeds(exchange.service, Stage.PREFILL)
         prefill_engines = explain_candidates(self._fleet, prefill_needs, now)
         position, waiting = self._queue_position(exchange, waiter)
-        rehearsal = copy(self._reserver)
-        rehearsal._fleet = rehearsal_of(self._fleet)
-        refusal = rehearsal._refusal_without_engine(exchange.service, waiter)
-        wait_s = rehearsal._fleet.wait_s(exchange.service, Stage.DECODE, now, exchange.software)
+        fleet = dry_run_copy(self._fleet)
+        reserver = self._reserver.with_fleet(fleet)
+        refusal = reserver.refusal_without_engine(exchange.service, waiter)
+        wait_s = fleet.wait_s(exchange.service, Stage.DECODE, now, exchange.software)
         return {
             "outcome": f"503: {refusal.reason}" if refusal else _outcome(candidates),
             "retry_after_s": refusal.retry_after_s if refusal else None,
@@ -169,10 +168,8 @@
         }
 
     def _waiter(self, exchange: Exchange, engine_config: EngineConfig) -> Waiter:
-        """Return what would wait for memory; the copy keeps estimators from being created."""
-        rehearsal = copy(self._streams)
-        rehearsal._length_estimators = deepcopy(self._streams._length_estimators)
-        waiter = rehearsal._waiter(exchange, engine_config)
+        """Return what would wait for memory."""
+        waiter = self._streams.dry_run_waiter(exchange, engine_config)
         return waiter._replace(
             software=exchange.software, has_started=exchange.software is not None
         )
@@ -181,7 +178,7 @@
         """Return an engine as excluded if streams that need its version wait for it."""
         if candidate.rank is None or exchange.software is not None:
             return candidate
-        if not self._reserver._is_waited_for(candidate.upstream):
+        if not self._reserver.is_waited_for(candidate.upstream):
             return candidate
         return candidate._replace(
             rank=None, excluded="streams that need its version of the software wait for it"
@@ -189,11 +186,10 @@
 
     def _queue_position(self, exchange: Exchange, waiter: Waiter) -> tuple[int, int]:
         """Return the position that a request would have, and how many wait now."""
-        for key, queue in self._reserver._queues.items():
-            if (key.service, key.software) == (exchange.service, exchange.software):
-                position = queue_position(queue.waiters, waiter, trio.current_time())
-                return position, len(queue.waiters)
-        return 1, 0
+        waiting = self._reserver.waiting(exchange.service, exchange.software)
+        if waiting is None:
+            return 1, 0
+        return queue_position(waiting, waiter, trio.current_time()), len(waiting)
 
     def _metadata(self, question: QuestionJson) -> RequestMetadata:
         headers = [
--- a/src/chivehold/direct/prefills.py
+++ b/src/chivehold/direct/prefills.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from chivehold.core.direct.explanation import rehearsal_of
+from chivehold.core.direct.explanation import dry_run_copy
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.local_prefill import LocalPrefills
 from chivehold.core.direct.messages import (
@@ -43,7 +43,7 @@
 """How long an engine is avoided after one of its KV caches expired or could not be fetched."""
 
 
-class RehearsedPrefill(NamedTuple):
+class PlannedPrefill(NamedTuple):
     """Where a prompt would be prefilled now."""
 
     engine: str | None
@@ -105,18 +105,18 @@
             local = self._local_prefills_of(exchange.service)
             local.record(exchange.metadata.prompt_tokens, took_s)
 
-    def rehearse(self, exchange: Exchange) -> RehearsedPrefill:
+    def dry_run(self, exchange: Exchange) -> PlannedPrefill:
         """Return where a prompt would be prefilled now, without changing any state."""
-        rehearsal = copy(self)
-        rehearsal._fleet = rehearsal_of(self._fleet)
-        rehearsal._loads, rehearsal._paces, rehearsal._local_prefills = deepcopy(
+        copied = copy(self)
+        copied._fleet = dry_run_copy(self._fleet)
+        copied._loads, copied._paces, copied._local_prefills = deepcopy(
             (self._loads, self._paces, self._local_prefills)
         )
-        load = rehearsal._load_of(exchange.service)
-        chosen = rehearsal._choose_engine(load, exchange)
+        load = copied._load_of(exchange.service)
+        chosen = copied._choose_engine(load, exchange)
         tokens, now = exchange.metadata.prompt_tokens, trio.current_time()
         engines = self._fleet.upstreams
-        return RehearsedPrefill(
+        return PlannedPrefill(
             chosen.name if chosen else None,
             {
                 engine.name: load.expected_s(incarnation_of(engine), tokens, now)
--- a/src/chivehold/direct/quota_gate.py
+++ b/src/chivehold/direct/quota_gate.py
@@ -10,6 +10,7 @@
 from chivehold.core.direct.organisations import Organisation
 from chivehold.core.direct.quotas import QuotaDecision, QuotaUse
 from chivehold.core.direct.shared_quotas import SharedQuotas
+from chivehold.direct.exchange import Exchange
 from chivehold.direct.metrics import QuotaFigures
 from chivehold.direct.refusals import Refusal, quota_refusal
 from chivehold.logs import log_event
@@ -83,6 +84,19 @@
         largest = [_sum_of(state.organisation, (state,)) for state in states[: MAX_LABELS - 1]]
         return [*largest, _sum_of(OTHER_LABEL, states[MAX_LABELS - 1 :])]
 
+    def explain(self, exchange: Exchange) -> dict[str, object]:
+        """Return what is left of the quota of a request's organisation, if it has one."""
+        organisation = exchange.organisation
+        if organisation is None or organisation.quota is None:
+            return {}
+        states = self._quotas.states(trio.current_time())
+        levels = (state.level for state in states if state.organisation == organisation.name)
+        return {
+            "quota_level": next((round(level) for level in levels), None),
+            "quota_rate": organisation.quota.rate,
+            "cost": organisation.quota.cost(exchange.metadata.tokens),
+        }
+
     def _with_jitter(self, retry_after_s: float) -> float:
         spread_s = max(MIN_RETRY_JITTER_S, RETRY_JITTER * retry_after_s)
         return retry_after_s + self._rng.uniform(0.0, spread_s)
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterator
+from copy import copy
 from heapq import nlargest
 from operator import itemgetter
 from random import Random
@@ -162,11 +163,22 @@
             if self._priorities(key.service).is_ordered:
                 yield {"service": key.service, "software": key.software, **queue.dump(now)}
 
+    def with_fleet(self, fleet: Fleet) -> "EngineMemoryReserver":
+        """Return a copy that decides by another fleet; it shares the queues with this one."""
+        copied = copy(self)
+        copied._fleet = fleet
+        return copied
+
+    def waiting(self, service: str, software: str | None) -> WaitQueue | None:
+        """Return the requests that wait for engines of a software version, ``None`` if none do."""
+        queue = self._queues.get(_QueueKey(service, software))
+        return queue.waiters if queue else None
+
     async def _serve_queue(self, key: _QueueKey, queue: "_Queue") -> None:
         """Reserve memory for the next waiter until the queue is empty."""
         try:
             while (waiter := queue.waiters.next_waiter(trio.current_time())) is not None:
-                if refusal := self._refusal_without_engine(key.service, waiter):
+                if refusal := self.refusal_without_engine(key.service, waiter):
                     queue.resolve(waiter.request, refusal)
                     queue.waiters.remove(waiter.request)
                     continue
@@ -186,7 +198,7 @@
                 # Requests for which any version will do may have its engines now.
                 self.notify_freed(key.service)
 
-    def _refusal_without_engine(self, service: str, waiter: Waiter) -> ReservationRefused | None:
+    def refusal_without_engine(self, service: str, waiter: Waiter) -> ReservationRefused | None:
         """Return the refusal of a waiter for which no engine takes requests in time."""
         now = trio.current_time()
         if waiter.software is not None and not self._fleet.lists(service, waiter.software):
@@ -211,7 +223,7 @@
         ):
             if not self._fleet.may_send(upstream, trio.current_time()):
                 continue
-            if waiter.software is None and self._is_waited_for(upstream):
+            if waiter.software is None and self.is_waited_for(upstream):
                 continue
             # The permit covers the request that uses the reservation, too.
             self._fleet.spend_permit(upstream, trio.current_time())
@@ -271,7 +283,7 @@
         for wrong in queue.refusals.wrong_refusals(waiter, now):
             self._metrics.count_wait_end(service, wrong, WaitOutcome.REFUSED_WRONGLY)
 
-    def _is_waited_for(self, upstream: UpstreamRecord) -> bool:
+    def is_waited_for(self, upstream: UpstreamRecord) -> bool:
         """Return whether streams that need an engine's version wait for it, which go first."""
         queue = self._queues.get(_QueueKey(upstream.service, upstream.software))
         return queue is not None and len(queue.waiters) > 0
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from copy import copy, deepcopy
 
 import trio
 
@@ -257,6 +258,12 @@
         """The entry's metrics."""
         return self._metrics
 
+    def dry_run_waiter(self, exchange: Exchange, engine_config: EngineConfig) -> Waiter:
+        """Return what a request would wait for, without creating an estimator."""
+        copied = copy(self)
+        copied._length_estimators = deepcopy(self._length_estimators)
+        return copied._waiter(exchange, engine_config)
+
     def _waiter(self, exchange: Exchange, engine_config: EngineConfig) -> Waiter:
         metadata = exchange.metadata
         output = metadata.max_output_tokens
