--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,13 +20,18 @@
     stream_route,
 )
 
-PROMPT, OUTPUT = 6_000, 816
+PROMPT, OUTPUT = 6_600, 816
 HANG_SHARE = 0.45
 """Share of its requests that the one grey engine of six never answers."""
-DECODE_ENGINES = 5
-STREAMS_PER_S = 4.0
-RELEASE_GAP_S = 1.5
-EXIT_AFTER_S = 2.5
+DECODE_ENGINES = 4
+STREAMS_AT_ONCE = 8
+CYCLE_S = 3.4
+"""Time from one group of clients, and from one replaced engine, to the next."""
+START_LEAD_S = 0.1
+"""How long before an engine drains the one that replaces it is listed."""
+CLIENTS_AFTER_S = 0.25
+"""How long after that report the clients come."""
+EXIT_AFTER_S = 2.6
 """Time from the report that an engine drains to its end; ``drainMs`` and a little longer."""
 LENGTH_S = 95.0
 DRAIN_S = BOUNDS["drainMs"] / 1000
@@ -65,7 +70,7 @@
 
     async def replace(self):
         await self.add()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(START_LEAD_S)
         engine = self.ready.pop(0)
         self._store.put("servers", engine.name, engine.listing("draining"))
         self.draining_at[engine] = now()
@@ -95,12 +100,6 @@
         await entry.wait_ready()
     begun, tasks, answers = now(), [], []
 
-    async def releases():
-        await asyncio.sleep(4.0)
-        while now() < begun + LENGTH_S - 5.0:
-            tasks.append(asyncio.ensure_future(fleet.replace()))
-            await asyncio.sleep(RELEASE_GAP_S)
-
     async def stream(number):
         entry = entries[number % len(entries)]
         headers = stream_headers(number, PROMPT, OUTPUT)
@@ -108,12 +107,14 @@
             await send(record, entry.address, f"s{number}", "/audit/x", headers=headers, wait_s=14.0)
         )
 
-    tasks.append(asyncio.ensure_future(releases()))
     number = 0
     while now() < begun + LENGTH_S:
-        number += 1
-        tasks.append(asyncio.ensure_future(stream(number)))
-        await asyncio.sleep(1 / STREAMS_PER_S)
+        tasks.append(asyncio.ensure_future(fleet.replace()))
+        await asyncio.sleep(START_LEAD_S + CLIENTS_AFTER_S)
+        for _ in range(STREAMS_AT_ONCE):
+            number += 1
+            tasks.append(asyncio.ensure_future(stream(number)))
+        await asyncio.sleep(CYCLE_S - START_LEAD_S - CLIENTS_AFTER_S)
     await asyncio.sleep(4.0)
     for task in tasks:
         task.cancel()
