--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 LOSS_SLACK_S = 0.2
 GRACE_S = 8.0
 TIMEOUT_S = 14.0
-URGENT_PER_S = 2.5
+URGENT_PER_S = 5.0
 """Requests of the urgent route; the engines can serve about 1.7 streams a second."""
 PATIENT = 10
 """Clients of the patient route that come at once, and come again when told to."""
