Deeply nested values from other programs no longer end a process

Cause: the decoder raises RecursionError for such a value. Each reader of JSON listed the errors it expected; only those of callers' bodies listed this one. Elsewhere it left the task that follows the store, or that serves the reservations, and ended the process.

Change: core/untrusted_json.py raises one error for all faults of a text, and the readers of other processes' JSON (store, engines, services, peers, records) use it, so none can name too few. Claims, in msgpack, raise one error as well.

--- a/src/chivehold/core/claims.py
+++ b/src/chivehold/core/claims.py
@@ -142,7 +142,10 @@
     Raises:
         msgspec.DecodeError: The value is malformed.
     """
-    claims = msgspec.msgpack.decode(value, type=tuple[Claim, ...])
+    try:
+        claims = msgspec.msgpack.decode(value, type=tuple[Claim, ...])
+    except (UnicodeDecodeError, RecursionError) as error:
+        raise msgspec.DecodeError(str(error)) from error
     return {claim.key: claim for claim in claims}
 
 
--- a/src/chivehold/core/control_lease.py
+++ b/src/chivehold/core/control_lease.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from chivehold.core.identity import EntryIncarnation
+from chivehold.core.untrusted_json import decode_json
 
 TERM_S = 6.0
 RENEW_INTERVAL_S = 1.5
@@ -48,7 +49,7 @@
 def decode_lease(value: bytes) -> LeaseRecord:
     """Return a stored record; one that cannot be read counts as held by an unknown entry."""
     try:
-        return msgspec.json.decode(value, type=LeaseRecord)
+        return decode_json(value, LeaseRecord)
     except msgspec.DecodeError:
         return LeaseRecord(EntryIncarnation("unreadable"), TERM_S)
 
--- a/src/chivehold/direct/explanations.py
+++ b/src/chivehold/direct/explanations.py
@@ -21,6 +21,7 @@
 from chivehold.core.direct.organisations import KeyFault, Organisation
 from chivehold.core.direct.routes import CallKind, EngineConfig, Route, RouteIndex, choose_service
 from chivehold.core.direct.waiting import Waiter
+from chivehold.core.untrusted_json import decode_json
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.prefills import PrefillScheduler
 from chivehold.direct.reservations import EngineMemoryReserver
@@ -54,7 +55,7 @@
     Raises:
         msgspec.DecodeError: It is none.
     """
-    return msgspec.json.decode(body, type=QuestionJson)
+    return decode_json(body, QuestionJson)
 
 
 Explanation = dict[str, object]
--- a/src/chivehold/direct/operator_app.py
+++ b/src/chivehold/direct/operator_app.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.core.untrusted_json import decode_json
 from chivehold.direct.explanations import MAX_QUESTION_BYTES, QuestionJson, decode_question
 from chivehold.http_server import (
     Receive,
@@ -115,4 +116,4 @@
     Raises:
         msgspec.DecodeError: It is no order.
     """
-    return msgspec.json.decode(body, type=QuarantineOrderJson)
+    return decode_json(body, QuarantineOrderJson)
--- a/src/chivehold/entry/attempts.py
+++ b/src/chivehold/entry/attempts.py
@@ -15,6 +15,7 @@
     PrefillSettled,
 )
 from chivehold.core.identity import AttemptId, UpstreamName
+from chivehold.core.untrusted_json import decode_json
 from chivehold.core.wire import (
     AttemptFrame,
     AttemptOffer,
@@ -148,7 +149,7 @@
                 body=msgspec.json.encode(order),
                 headers=self._headers,
             )
-            accepted = msgspec.json.decode(answer.body, type=bool)
+            accepted = decode_json(answer.body, bool)
         except (LinkError, msgspec.DecodeError) as error:
             _log_link_lost(error, upstream, order.attempt)
             accepted = False
--- a/src/chivehold/platform/configuration.py
+++ b/src/chivehold/platform/configuration.py
@@ -16,6 +16,7 @@
     ServiceConfig,
     Split,
 )
+from chivehold.core.untrusted_json import decode_json
 
 CONFIGURATION_KIND = "config"
 DEFAULT_BODY_BYTES = 4 << 20
@@ -85,8 +86,8 @@
 def decode_configuration(name: str, spec: bytes) -> Result[RouteTable, str]:
     """Decode the operator's configuration, or return a description of the error."""
     try:
-        decoded = msgspec.json.decode(spec, type=_ConfigurationJson)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_json(spec, _ConfigurationJson)
+    except msgspec.DecodeError as error:
         return Failure(str(error))
     services = {service["name"]: _decode_service(service) for service in decoded["services"]}
     routes = tuple(_decode_routes(decoded["routes"]))
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -21,6 +21,7 @@
     UpstreamSignals,
 )
 from chivehold.core.direct.organisations import read_api_key
+from chivehold.core.untrusted_json import decode_json
 from chivehold.header_values import parse_counts, parse_number
 from chivehold.logs import log_event
 
@@ -196,8 +197,8 @@
     def read_report(self, body: bytes) -> EngineReport | None:
         """Return the engine's state, or ``None`` if the body cannot be decoded."""
         try:
-            decoded = msgspec.json.decode(body, type=_ReportJson)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            decoded = decode_json(body, _ReportJson)
+        except msgspec.DecodeError:
             return None
         return EngineReport(
             stage=_STAGES.get(decoded["stage"], Stage.NONE),
@@ -287,8 +288,8 @@
 
 def _decode_text_field(body: bytes, field: str) -> str | None:
     try:
-        decoded: Mapping[str, object] = msgspec.json.decode(body, type=dict[str, object])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        decoded: Mapping[str, object] = decode_json(body, dict[str, object])
+    except msgspec.DecodeError:
         return None
     value = decoded.get(field)
     return str(value) if isinstance(value, str | int) else None
--- a/src/chivehold/platform/store.py
+++ b/src/chivehold/platform/store.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from chivehold.core.store_version import MAX_ERA, era_of, revision_of, store_version
+from chivehold.core.untrusted_json import decode_json
 from chivehold.http_client import HttpClient, HttpResponse, LinkBroken, NothingSent
 from chivehold.logs import log_event
 from chivehold.store.api import (
@@ -109,7 +110,7 @@
         if response.status not in OK_STATUSES:
             return Failure(self._unavailable(step, response))
         try:
-            decoded = msgspec.json.decode(response.body, type=_ObjectJson)
+            decoded = decode_json(response.body, _ObjectJson)
             return Success(self._convert_object(kind, decoded))
         except msgspec.DecodeError as error:
             return Failure(Unavailable(step, self._address, str(error)))
@@ -182,7 +183,7 @@
         if response.status not in OK_STATUSES:
             return Failure(self._unavailable(step, response))
         try:
-            decoded = msgspec.json.decode(response.body, type=_EventsJson)
+            decoded = decode_json(response.body, _EventsJson)
         except msgspec.DecodeError as error:
             return Failure(Unavailable(step, self._address, str(error)))
         changes = tuple(
@@ -204,7 +205,7 @@
         if response.status not in OK_STATUSES:
             return self._unavailable(step, response)
         try:
-            return msgspec.json.decode(response.body, type=_PageJson)
+            return decode_json(response.body, _PageJson)
         except msgspec.DecodeError as error:
             return Unavailable(step, self._address, str(error))
 
@@ -247,7 +248,7 @@
     ) -> Result[StoredObject, WriteError]:
         if response.status in (*OK_STATUSES, CONFLICT_STATUS):
             try:
-                decoded = msgspec.json.decode(response.body, type=_ObjectJson)
+                decoded = decode_json(response.body, _ObjectJson)
                 stored = self._convert_object(kind, decoded)
             except msgspec.DecodeError as error:
                 return Failure(Unsure(step, self._address, str(error)))
@@ -309,7 +310,7 @@
 def _decode_own_spec(spec: bytes) -> tuple[bytes, tuple[str, ...]]:
     """Return an object's value and its last write's id, or empty ones if it is malformed."""
     try:
-        decoded = msgspec.json.decode(spec, type=_OwnSpec)
+        decoded = decode_json(spec, _OwnSpec)
     except msgspec.DecodeError:
         return b"", ()
     return decoded["value"].encode(), (decoded["operation"],)
--- a/src/chivehold/platform/upstream_records.py
+++ b/src/chivehold/platform/upstream_records.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from chivehold.core.direct.messages import Stage, UpstreamRecord
+from chivehold.core.untrusted_json import decode_json
 
 UPSTREAM_KIND = "servers"
 
@@ -37,8 +38,8 @@
 def decode_upstream(name: str, spec: bytes) -> Result[UpstreamRecord, str]:
     """Decode an upstream's record, or return a description of the error."""
     try:
-        decoded = msgspec.json.decode(spec, type=_UpstreamJson)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_json(spec, _UpstreamJson)
+    except msgspec.DecodeError as error:
         return Failure(str(error))
     if decoded["state"] not in _DRAINING_BY_STATE:
         return Failure(f"unknown state {decoded['state']!r}")
--- a/src/chivehold/sidecar/data_app.py
+++ b/src/chivehold/sidecar/data_app.py
@@ -16,6 +16,7 @@
     PrefillClosed,
     StreamClosed,
 )
+from chivehold.core.untrusted_json import decode_json
 from chivehold.core.wire import (
     AttemptFrame,
     AttemptOffer,
@@ -221,8 +222,8 @@
 
 def _decode(body: bytes | str, message_type: type[MessageT]) -> MessageT:
     try:
-        return msgspec.json.decode(body, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decode_json(body, message_type)
+    except msgspec.DecodeError as error:
         raise Malformed(f"decode {message_type.__name__}", "", str(error)) from error
 
 
--- a/src/chivehold/sidecar/engine_client.py
+++ b/src/chivehold/sidecar/engine_client.py
@@ -12,6 +12,7 @@
     EngineStatus,
     EngineTokens,
 )
+from chivehold.core.untrusted_json import decode_json
 from chivehold.core.wire import (
     AttemptOffer,
     EngineOrder,
@@ -198,7 +199,7 @@
     tokens: list[str] = []
     start = end = 0
     for line in lines:
-        content = msgspec.json.decode(line, type=DecodeLine)
+        content = decode_json(line, DecodeLine)
         if "total" in content:
             events.append(EngineFinished(attempt, content["total"]))
             break
@@ -223,14 +224,14 @@
     if answer.status != 200:
         raise LinkBroken(step, peer, f"status {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=answer_type)
+        return decode_json(answer.body, answer_type)
     except msgspec.DecodeError as error:
         raise LinkBroken(step, peer, str(error)) from error
 
 
 def _decode_reason(body: bytes) -> Reason:
     try:
-        return Reason(msgspec.json.decode(body, type=EngineError)["reason"])
+        return Reason(decode_json(body, EngineError)["reason"])
     except (msgspec.DecodeError, ValueError):
         return Reason.ENGINE_FAILED
 
--- a/src/chivehold/sidecar/service_client.py
+++ b/src/chivehold/sidecar/service_client.py
@@ -8,6 +8,7 @@
 
 from chivehold.core.identity import AttemptId
 from chivehold.core.sidecar_messages import EngineStatus
+from chivehold.core.untrusted_json import decode_json
 from chivehold.core.wire import CallContent, CallResult, Reason
 from chivehold.http_client import HttpClient, LinkBroken, LinkError, NothingSent
 from chivehold.sidecar.sessions import CallSession
@@ -115,6 +116,6 @@
 
 def _is_leaving(body: bytes) -> bool:
     try:
-        return msgspec.json.decode(body, type=ServiceStatus).get("leaving", False)
+        return decode_json(body, ServiceStatus).get("leaving", False)
     except msgspec.DecodeError:
         return False
--- a/src/chivehold/store/client.py
+++ b/src/chivehold/store/client.py
@@ -10,6 +10,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from chivehold.core.untrusted_json import decode_json
 from chivehold.http_client import HttpClient, HttpResponse, LinkBroken, NothingSent
 from chivehold.store.api import (
     Conflict,
@@ -165,7 +166,7 @@
             if response.status == OK_STATUS:
                 return Success(decode_stored(response.body))
             if response.status == CONFLICT_STATUS:
-                decoded = msgspec.json.decode(response.body, type=ConflictJson)
+                decoded = decode_json(response.body, ConflictJson)
                 return Failure(Conflict(step, self._address, decoded["current_version"]))
         except msgspec.DecodeError as error:
             return Failure(Unsure(step, self._address, str(error)))
@@ -192,7 +193,7 @@
 
 
 def _decode_vms(body: bytes) -> VmList:
-    decoded = msgspec.json.decode(body, type=VmsJson)
+    decoded = decode_json(body, VmsJson)
     return VmList(tuple(decoded["live"]), tuple(decoded["leaving"]))
 
 
--- a/src/chivehold/store/object_json.py
+++ b/src/chivehold/store/object_json.py
@@ -2,8 +2,7 @@
 
 from typing import NotRequired, TypedDict
 
-import msgspec
-
+from chivehold.core.untrusted_json import decode_json
 from chivehold.store.api import Snapshot, StoredObject
 
 CONFLICT_STATUS = 409
@@ -70,7 +69,7 @@
     Raises:
         msgspec.DecodeError: The body is malformed.
     """
-    return _from_json(msgspec.json.decode(body, type=StoredJson))
+    return _from_json(decode_json(body, StoredJson))
 
 
 def decode_snapshot(body: bytes) -> Snapshot:
@@ -79,7 +78,7 @@
     Raises:
         msgspec.DecodeError: The body is malformed.
     """
-    decoded = msgspec.json.decode(body, type=SnapshotJson)
+    decoded = decode_json(body, SnapshotJson)
     return Snapshot(decoded["revision"], tuple(map(_from_json, decoded["objects"])))
 
 
--- a/src/chivehold/store/quarantine_records.py
+++ b/src/chivehold/store/quarantine_records.py
@@ -17,6 +17,7 @@
 from chivehold.core.direct.crash_keys import CrashKey, KeyKind
 from chivehold.core.direct.quarantine import Quarantine
 from chivehold.core.identity import EntryIncarnation
+from chivehold.core.untrusted_json import decode_json
 from chivehold.logs import log_event
 from chivehold.store.api import Conflict, ObjectStore, StoredObject
 from chivehold.store.client import Write, write_and_confirm
@@ -165,8 +166,8 @@
     if not stored.value:
         return {}
     try:
-        records = msgspec.json.decode(stored.value, type=list[_RecordJson])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        records = decode_json(stored.value, list[_RecordJson])
+    except msgspec.DecodeError as error:
         log_event(_log, logging.ERROR, "stored quarantines unreadable", error)
         return {}
     now = time.time()
--- a/src/chivehold/store/roster.py
+++ b/src/chivehold/store/roster.py
@@ -18,6 +18,7 @@
 
 from chivehold.core.identity import EntryIncarnation
 from chivehold.core.store_version import era_of
+from chivehold.core.untrusted_json import decode_json
 from chivehold.logs import log_event
 from chivehold.store.api import Conflict, ObjectStore, StoredObject
 from chivehold.store.client import Write, write_and_confirm
@@ -204,6 +205,6 @@
 def _decode_address(value: bytes) -> str:
     """Return the address in an entry's object, empty if an earlier version has written it."""
     try:
-        return msgspec.json.decode(value, type=_EntryJson)["address"]
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(value, _EntryJson)["address"]
+    except msgspec.DecodeError:
         return ""
--- a/src/chivehold/store/software_records.py
+++ b/src/chivehold/store/software_records.py
@@ -24,6 +24,7 @@
 )
 from chivehold.core.identity import EntryIncarnation
 from chivehold.core.store_version import era_of, store_version
+from chivehold.core.untrusted_json import decode_json
 from chivehold.logs import log_event
 from chivehold.store.api import Conflict, NotFound, ObjectStore, StoredObject
 from chivehold.store.client import Write, write_and_confirm
@@ -290,8 +291,8 @@
         if not stored.name.startswith(ORIGINS_PREFIX):
             continue
         try:
-            yield from msgspec.json.decode(stored.value, type=list[_OriginsJson])
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            yield from decode_json(stored.value, list[_OriginsJson])
+        except msgspec.DecodeError as error:
             log_event(_log, logging.ERROR, "stored origins unreadable", error, name=stored.name)
 
 
@@ -319,8 +320,8 @@
 
 def _decode_table(stored: StoredObject) -> VersionTable:
     try:
-        table = msgspec.json.decode(stored.value, type=dict[str, list[str]])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        table = decode_json(stored.value, dict[str, list[str]])
+    except msgspec.DecodeError as error:
         log_event(_log, logging.ERROR, "stored software versions unreadable", error)
         return {}
     return {service: frozenset(versions) for service, versions in table.items()}
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -26,6 +26,12 @@
     (b"x-chivehold-deadline-ms", b"14000"),
     (b"last-event-id", b"3"),
 ]
+DEPTH = 1_500
+"""More levels than the decoder of JSON goes down."""
+
+
+def nested(field: str) -> bytes:
+    return b'{"%s": ' % field.encode() + b"[" * DEPTH + b"]" * DEPTH + b"}"
 
 
 class TestRequest:
@@ -188,7 +194,7 @@
         assert (call.method, call.path) == ("POST", "/v1/hold-take")
         assert msgspec.json.decode(call.body) == {"tokens": 1_540, "ttlMs": 2_000}
         assert DIALECT.read_hold(b'{"hold":"h-7"}') == "h-7"
-        for body in (b"", b"[]", b'{"hold":null}', b"\xff"):
+        for body in (b"", b"[]", b'{"hold":null}', b"\xff", nested("hold")):
             assert DIALECT.read_hold(body) is None
 
     def test_order(self) -> None:
@@ -211,6 +217,7 @@
         expected = EngineReport(Stage.DECODE, False, 2, 12, 1, 41_000, 90_000)
         assert DIALECT.read_report(body) == expected
         assert DIALECT.read_report(b"{}") is None
+        assert DIALECT.read_report(nested("busy")) is None
 
 
 class TestSignals:
