One unreadable object no longer hides the others of its kind

An entry that starts meanwhile knows no upstream.

Cause: a page of the list, or the events of a watch, are decoded at once. The decoder checks escapes and depth also in the parts that are kept raw, so one value that it cannot read makes the whole answer unreadable. That counted as an outage of the store, which ends only with the object.

Change: an answer that the decoder refuses is split into its parts and decoded object by object. An object whose value cannot be read is passed on with it, so it names no upstream, and its removal is seen. One whose name cannot be read is left out and logged.

--- a/src/chivehold/platform/store.py
+++ b/src/chivehold/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from chivehold.core.lenient_json import decode_readable
 from chivehold.core.store_version import MAX_ERA, era_of, revision_of, store_version
 from chivehold.core.untrusted_json import decode_json
 from chivehold.http_client import HttpClient, HttpResponse, LinkBroken, NothingSent
@@ -110,7 +111,7 @@
         if response.status not in OK_STATUSES:
             return Failure(self._unavailable(step, response))
         try:
-            decoded = decode_json(response.body, _ObjectJson)
+            decoded = decode_readable(response.body, _ObjectJson, _log_unreadable)
             return Success(self._convert_object(kind, decoded))
         except msgspec.DecodeError as error:
             return Failure(Unavailable(step, self._address, str(error)))
@@ -183,7 +184,7 @@
         if response.status not in OK_STATUSES:
             return Failure(self._unavailable(step, response))
         try:
-            decoded = decode_json(response.body, _EventsJson)
+            decoded = decode_readable(response.body, _EventsJson, _log_unreadable)
         except msgspec.DecodeError as error:
             return Failure(Unavailable(step, self._address, str(error)))
         changes = tuple(
@@ -205,7 +206,7 @@
         if response.status not in OK_STATUSES:
             return self._unavailable(step, response)
         try:
-            return decode_json(response.body, _PageJson)
+            return decode_readable(response.body, _PageJson, _log_unreadable)
         except msgspec.DecodeError as error:
             return Unavailable(step, self._address, str(error))
 
@@ -248,7 +249,7 @@
     ) -> Result[StoredObject, WriteError]:
         if response.status in (*OK_STATUSES, CONFLICT_STATUS):
             try:
-                decoded = decode_json(response.body, _ObjectJson)
+                decoded = decode_readable(response.body, _ObjectJson, _log_unreadable)
                 stored = self._convert_object(kind, decoded)
             except msgspec.DecodeError as error:
                 return Failure(Unsure(step, self._address, str(error)))
@@ -300,6 +301,10 @@
         return Unavailable(step, self._address, f"status {response.status}")
 
 
+def _log_unreadable(error: msgspec.DecodeError) -> None:
+    log_event(_log, logging.WARNING, "stored object unreadable", detail=error)
+
+
 def _parse_era(text: str) -> int | None:
     """Return the number of an era, or ``None``; ``int`` refuses very many digits."""
     if not text.isdecimal() or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,8 @@
 from functools import partial
 from random import Random
 
+import msgspec
+import pytest
 import trio
 import trio.testing
 from returns.result import Failure
@@ -21,6 +23,12 @@
 from chivehold.store.roster import ENTRY_KIND, EntryRoster
 
 OWN = "own"
+DEPTH = 1_500
+"""More levels than the decoder of JSON goes down."""
+UNREADABLE = [
+    pytest.param(b'{"zone": ' + b"[" * DEPTH + b"]" * DEPTH + b"}", id="nested"),
+    pytest.param(rb'{"zone": "caf\ud83d"}', id="lone surrogate"),
+]
 
 
 @asynccontextmanager
@@ -55,6 +63,43 @@
             assert [stored.deleted for stored in changes.objects] == [False, True]
             assert changes.revision == fake.revision
 
+    # Guards against a list that stays as it was because of one object of another program.
+    @pytest.mark.parametrize("spec", UNREADABLE)
+    async def test_list_with_an_unreadable_object(self, spec: bytes) -> None:
+        """The other objects are read, and that one has its name and its value as it is."""
+        async with open_store() as (fake, store):
+            fake.put("servers", "a", {})
+            fake.put("servers", "foreign", msgspec.Raw(spec))
+            fake.put("servers", "z", {})
+            listed = (await store.list("servers")).unwrap()
+            values = {stored.name: stored.value for stored in listed.objects}
+            assert values == {"a": b"{}", "foreign": spec, "z": b"{}"}
+            assert listed.revision == fake.revision
+            assert (await store.get("servers", "foreign")).unwrap().value == spec
+
+    # Guards against changes that are not seen because of one object of another program.
+    @pytest.mark.parametrize("spec", UNREADABLE)
+    async def test_watch_with_an_unreadable_object(self, spec: bytes) -> None:
+        """Changes of other objects are returned, and the removal of that one."""
+        async with open_store() as (fake, store):
+            since = fake.revision
+            fake.put("servers", "foreign", msgspec.Raw(spec))
+            fake.put("servers", "a", {})
+            fake.remove("servers", "foreign")
+            changes = (await store.watch(["servers"], since, 1.0)).unwrap()
+            seen = [(stored.name, stored.deleted) for stored in changes.objects]
+            assert seen == [("foreign", False), ("a", False), ("foreign", True)]
+            assert changes.revision == fake.revision
+
+    @pytest.mark.parametrize("spec", UNREADABLE)
+    async def test_all_pages_with_unreadable_objects(self, spec: bytes) -> None:
+        """Further pages are read, also after a page that ends with such an object."""
+        async with open_store() as (fake, store):
+            for number in range(PAGE_ITEMS * 2 + 5):
+                fake.put("servers", f"i-{number:04}", msgspec.Raw(spec))
+            listed = (await store.list("servers")).unwrap()
+            assert len(listed.objects) == PAGE_ITEMS * 2 + 5
+
     async def test_lost_history(self) -> None:
         """A watch from a revision that is too old fails with ``HistoryGone``."""
         async with open_store() as (fake, store):
