An engine's answer with a wrong byte no longer ends an entry

Cause: the handle of a KV cache, or the id of a reservation, is sent back in the path of the call that frees it. Any text was accepted, the client encoded the path as ASCII, and UnicodeEncodeError is none of the errors of a call. The task runs in the nursery of the process, which ended.

Change: identifiers are visible ASCII, and quoted in paths; another one counts as none, which saves the decode engine a request that it would refuse. The client reports a request that cannot be encoded as NothingSent, which all callers handle, so no other path can end a process in this way.

--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -222,7 +222,7 @@
         ...
 
     def read_hold(self, body: bytes) -> str | None:
-        """Return the reservation's id, or ``None`` if the body cannot be decoded."""
+        """Return the reservation's id, or ``None`` if the body names none that can be sent."""
         ...
 
     def release_hold_call(self, hold: str) -> EngineCall:
@@ -230,7 +230,7 @@
         ...
 
     def read_kv_handle(self, body: bytes) -> str | None:
-        """Return the handle of a prefilled KV cache, or ``None`` if the body cannot be decoded."""
+        """Return a KV cache's handle, or ``None`` if the body names none that can be sent."""
         ...
 
     def free_kv_cache_call(self, handle: str) -> EngineCall:
--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -77,14 +77,19 @@
         """Reserve a slot and memory.
 
         Returns:
-            The reservation's id, or ``None`` if there is no room.
+            The reservation's id, or ``None`` if there is no room or its id is unreadable.
 
         Raises:
             LinkError: The engine could not be reached.
         """
         call = self._dialect.hold_call(tokens, ttl_s)
         response = await self._call(upstream, call, "reserve memory", HOLD_TIMEOUT_S)
-        return self._dialect.read_hold(response.body) if response.status == OK_STATUS else None
+        if response.status != OK_STATUS:
+            return None
+        hold = self._dialect.read_hold(response.body)
+        if hold is None:
+            log_event(_log, logging.WARNING, "reservation unreadable", None, peer=upstream.name)
+        return hold
 
     def release_hold(self, upstream: UpstreamRecord, hold: str) -> None:
         """Release an unused reservation in the background."""
--- a/src/chivehold/header_values.py
+++ b/src/chivehold/header_values.py
@@ -1,8 +1,9 @@
-"""Parsing of numbers in header values that another program has written."""
+"""Parsing and checks of header values that another program has written."""
 
 import re
 
 _COUNTS = re.compile(rb"\s*\d{1,6}\s*(?:,\s*\d{1,6}\s*)*")
+_VISIBLE_ASCII = re.compile(r"[!-~]+")
 MAX_NUMBER = 1e12
 
 
@@ -20,3 +21,8 @@
 def parse_counts(text: bytes) -> tuple[int, ...] | None:
     """Return whole numbers of at most six digits, separated by commas, or ``None``."""
     return tuple(map(int, text.split(b","))) if _COUNTS.fullmatch(text) else None
+
+
+def is_visible_ascii(text: str) -> bool:
+    """Return whether a text can be sent as a token in a header or, quoted, in a path."""
+    return _VISIBLE_ASCII.fullmatch(text) is not None
--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -42,7 +42,10 @@
 
 
 class NothingSent(LinkError):  # noqa: N818
-    """No connection could be established: the peer cannot have read the request."""
+    """The peer cannot have read the request.
+
+    No connection could be established, or the request contains characters that cannot be sent.
+    """
 
 
 class LinkBroken(LinkError):  # noqa: N818
@@ -211,7 +214,10 @@
             NothingSent: The peer cannot have read the request.
             LinkBroken: The peer may have read the request.
         """
-        request = _request(peer, method, path, body, headers)
+        try:
+            request = _request(peer, method, path, body, headers)
+        except UnicodeEncodeError as error:
+            raise NothingSent(step, peer, _error_detail(error)) from error
         request.extensions["timeout"] = self._timeouts(read_timeout_s)
         try:
             response = await self._pool(peer, self._pools).handle_async_request(request)
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -1,8 +1,9 @@
 """Headers and engine calls in the format of the platform's callers and upstreams."""
 
 import logging
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import TypedDict
+from urllib.parse import quote
 
 import msgspec
 
@@ -22,7 +23,7 @@
 )
 from chivehold.core.direct.organisations import read_api_key
 from chivehold.core.untrusted_json import decode_json
-from chivehold.header_values import parse_counts, parse_number
+from chivehold.header_values import is_visible_ascii, parse_counts, parse_number
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -175,20 +176,20 @@
         return EngineCall("POST", "/v1/hold-take", body)
 
     def read_hold(self, body: bytes) -> str | None:
-        """Return the reservation's id, or ``None`` if the body cannot be decoded."""
-        return _decode_text_field(body, "hold")
+        """Return the reservation's id, or ``None`` if the body names none that can be sent."""
+        return _decode_identifier(body, "hold")
 
     def release_hold_call(self, hold: str) -> EngineCall:
         """Return the call that releases a reservation."""
-        return EngineCall("DELETE", f"/v1/hold-drop/{hold}")
+        return EngineCall("DELETE", f"/v1/hold-drop/{quote(hold, safe='')}")
 
     def read_kv_handle(self, body: bytes) -> str | None:
-        """Return the handle of a prefilled KV cache, or ``None`` if the body cannot be decoded."""
-        return _decode_text_field(body, "kvRef")
+        """Return a KV cache's handle, or ``None`` if the body names none that can be sent."""
+        return _decode_identifier(body, "kvRef")
 
     def free_kv_cache_call(self, handle: str) -> EngineCall:
         """Return the call that frees a prefilled KV cache."""
-        return EngineCall("DELETE", f"/v1/kv-handle/{handle}")
+        return EngineCall("DELETE", f"/v1/kv-handle/{quote(handle, safe='')}")
 
     def report_call(self) -> EngineCall:
         """Return the call that reads an engine's state."""
@@ -286,10 +287,16 @@
     return load if load.is_plausible else None
 
 
-def _decode_text_field(body: bytes, field: str) -> str | None:
+def _decode_identifier(body: bytes, field: str) -> str | None:
+    """Return an identifier from an engine's response, or ``None`` if it cannot be sent back.
+
+    It is sent in headers and paths, which hold visible ASCII characters only.
+    """
     try:
-        decoded: Mapping[str, object] = decode_json(body, dict[str, object])
+        decoded = decode_json(body, dict[str, object])
     except msgspec.DecodeError:
         return None
     value = decoded.get(field)
-    return str(value) if isinstance(value, str | int) else None
+    if not isinstance(value, str | int) or not is_visible_ascii(str(value)):
+        return None
+    return str(value)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -197,6 +197,19 @@
         for body in (b"", b"[]", b'{"hold":null}', b"\xff", nested("hold")):
             assert DIALECT.read_hold(body) is None
 
+    # Guards against identifiers that no header or path can hold, as a spoilt answer contains them.
+    @pytest.mark.parametrize("text", ["", "3f\u00e99", "a b", "a\r\nx: y", "\0", "\ud7ff"])
+    def test_identifier_that_cannot_be_sent(self, text: str) -> None:
+        """A reservation or handle with other than visible ASCII characters is not used."""
+        assert DIALECT.read_hold(msgspec.json.encode({"hold": text})) is None
+        assert DIALECT.read_kv_handle(msgspec.json.encode({"kvRef": text})) is None
+
+    def test_identifier_in_a_path(self) -> None:
+        """Characters with a meaning in paths stay part of the identifier."""
+        assert DIALECT.read_kv_handle(b'{"kvRef":"a/b?c%"}') == "a/b?c%"
+        assert DIALECT.free_kv_cache_call("a/b?c%").path == "/v1/kv-handle/a%2Fb%3Fc%25"
+        assert DIALECT.release_hold_call("a/b").path == "/v1/hold-drop/a%2Fb"
+
     def test_order(self) -> None:
         """An order contains stage, holder, fencing number and the expected number of orders."""
         order = StageOrder(Stage.PREFILL, "node-7", 41, 2)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,7 +1,7 @@
 import pytest
 import trio
 
-from chivehold.http_client import AnswerTooLarge, ClientLimits, HttpClient, LinkBroken
+from chivehold.http_client import AnswerTooLarge, ClientLimits, HttpClient, LinkBroken, NothingSent
 
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
@@ -48,6 +48,19 @@
             await call_raw_peer(response_bytes, ClientLimits(max_answer_bytes=100), 0.3)
         assert caught.value.exceptions[0].step == "ask"
 
+    # Guards against a UnicodeEncodeError that callers do not handle and that ends the process.
+    @pytest.mark.parametrize(
+        ("path", "headers"), [("/caf\u00e9", []), ("/", [("x-name", "\u2603")])]
+    )
+    async def test_request_that_cannot_be_sent(
+        self, path: str, headers: list[tuple[str, str]]
+    ) -> None:
+        """A request with characters that cannot be encoded raises ``NothingSent``."""
+        with pytest.raises(NothingSent):
+            await HttpClient().call(
+                "127.0.0.1:1", "GET", path, step="ask", timeout_s=1.0, headers=headers
+            )
+
     async def test_complete_response(self) -> None:
         """A response as large as the limit is returned completely."""
         response = await call_raw_peer(HEAD + b"x" * 100, ClientLimits(max_answer_bytes=100), 3.0)
