Requests that wait are refused in a planned stop, not cut

Cause: the queue for memory was not told of the shutdown. Where streams differ in priority a request waits as long as its caller does, 7.4 s for a target of 2 s; the shutdown leaves 6.8 s.

Change: all waits for memory, and for room at plain services, end when the entry stops accepting; what gets room by then has the rest of the shutdown to run. A request whose expected wait is longer is refused when the signal comes.

--- a/src/chivehold/core/direct/reservations.py
+++ b/src/chivehold/core/direct/reservations.py
@@ -36,6 +36,10 @@
         """Release an unused reservation in the background."""
         ...
 
+    def drain(self, waits_end_at: float) -> None:
+        """Refuse the requests that would wait beyond a time, unless their stream has started."""
+        ...
+
     def notify_freed(self, service: str) -> None:
         """Signal that memory has become free at an engine of a service."""
         ...
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -63,6 +63,8 @@
 """The load balancer removes an entry after two failed health checks, one second apart."""
 SHUTDOWN_MARGIN_S = 1.2
 """How long before the end of the shutdown time the last requests are cut off."""
+ANSWER_MARGIN_S = 0.3
+"""How long before that the entry answers the requests that have no response yet."""
 EXIT_MARGIN_S = 0.5
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
@@ -216,6 +218,7 @@
             lambda: self._replicas.configuration_age_s(trio.current_time()),
             self._quota_gate,
             Revocations(settings.strict_revoke),
+            rng,
         )
         self._replicas = StoreReplicas(
             store,
@@ -273,11 +276,13 @@
         self._nursery.start_soon(self._settings_file.run)
         settings = self._settings
         shutdown = trio.Event()
-        drain_timeout_s = settings.shutdown_s - ACCEPT_WHILE_DRAINING_S - SHUTDOWN_MARGIN_S
+        drain_timeout_s = max(
+            0.1, settings.shutdown_s - ACCEPT_WHILE_DRAINING_S - SHUTDOWN_MARGIN_S
+        )
         limits = ServerLimits(
             max_requests=settings.max_requests,
             keep_alive_s=settings.idle_timeout_s,
-            drain_timeout_s=max(0.1, drain_timeout_s),
+            drain_timeout_s=drain_timeout_s,
             date_header=False,
         )
         operator_limits = ServerLimits(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
@@ -313,6 +318,7 @@
             task_status.started(addresses)
             await self._drain_requested.wait()
             self._nursery.start_soon(self._exit_if_drain_overruns)
+            self._nursery.start_soon(self._answer_at_the_end, drain_timeout_s)
             await self._drain()
             shutdown.set()
         log_event(_log, logging.INFO, "entry stopped", in_progress=self._callers.in_progress)
@@ -326,8 +332,15 @@
         """Keep accepting requests until the load balancer has seen that the entry is not ready."""
         in_progress = self._callers.in_progress
         log_event(_log, logging.INFO, "drain started", in_progress=in_progress)
-        self._callers.drain()
-        await trio.sleep(ACCEPT_WHILE_DRAINING_S)
+        accepts_until = trio.current_time() + ACCEPT_WHILE_DRAINING_S
+        # What begins to run later has too little time left to end.
+        self._callers.drain(accepts_until)
+        await trio.sleep_until(accepts_until)
+
+    async def _answer_at_the_end(self, drain_timeout_s: float) -> None:
+        """Answer the requests that have no response, before their connections are cut."""
+        await trio.sleep(ACCEPT_WHILE_DRAINING_S + drain_timeout_s - ANSWER_MARGIN_S)
+        self._callers.end_unanswered()
 
     async def _exit_if_drain_overruns(self) -> None:
         """Exit the process if a caller that does not read its response blocks the shutdown.
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from random import Random
 
 import trio
 
@@ -12,6 +13,7 @@
 from chivehold.core.direct.returning_callers import ReturnDetector
 from chivehold.core.direct.routes import CallKind, Route, RouteIndex, choose_service
 from chivehold.core.direct.shared_retries import SharedRetryBudget
+from chivehold.direct.draining import UnansweredRequests, drain_refusal
 from chivehold.direct.exchange import Exchange, Reply, RequestProgress
 from chivehold.direct.metrics import DirectMetrics
 from chivehold.direct.plain_calls import PlainCalls
@@ -52,6 +54,7 @@
             ``None`` if it never did.
         quota_gate: Admits the requests within the quota of their organisation.
         revocations: Ends the requests whose key is removed.
+        rng: Source of the jitter.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         configuration_age_s: Callable[[], float | None],
         quota_gate: QuotaGate,
         revocations: Revocations,
+        rng: Random,
     ) -> None:
         self._dialect = dialect
         self._plain = plain
@@ -75,8 +79,10 @@
         self._configuration_age_s = configuration_age_s
         self._quota_gate = quota_gate
         self._revocations = revocations
+        self._rng = rng
         self._return_detector = ReturnDetector()
         self._routes: RouteIndex | None = None
+        self._unanswered = UnansweredRequests()
         self._is_draining = False
         self._in_progress = 0
 
@@ -103,9 +109,15 @@
             frozenset(route.name for route in routes.table.routes)
         )
 
-    def drain(self) -> None:
-        """Close each connection after its next response."""
+    def drain(self, waits_end_at: float) -> None:
+        """Close each connection after its next response, and let no request wait beyond a time."""
         self._is_draining = True
+        self._plain.drain(waits_end_at)
+        self._streams.drain(waits_end_at)
+
+    def end_unanswered(self) -> None:
+        """Refuse the requests in progress whose response has not begun."""
+        self._unanswered.end()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one ASGI request."""
@@ -235,13 +247,21 @@
         outcome = DEPARTED
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            with self._revocations.watch(exchange, nursery.cancel_scope) as watched:
+            scope = nursery.cancel_scope
+            with (
+                self._revocations.watch(exchange, scope) as watched,
+                self._unanswered.watch(reply, scope) as drained,
+            ):
                 outcome = await self._serve(exchange, reply, routes)
             nursery.cancel_scope.cancel()
         if watched.is_revoked and outcome == DEPARTED:
             outcome = KEY_REVOKED.reason
             if not reply.started:
                 await send_refusal(reply, KEY_REVOKED)
+        elif drained.is_unanswered and outcome == DEPARTED:
+            refusal = drain_refusal(exchange.may_have_run, self._rng)
+            outcome = refusal.reason
+            await send_refusal(reply, refusal)
         self._metrics.count_request(exchange.route.kind, outcome)
         exchange.log("request ended", outcome=outcome)
 
--- a/src/chivehold/direct/crash_watch.py
+++ b/src/chivehold/direct/crash_watch.py
@@ -100,7 +100,7 @@
             upstream: The upstream.
             has_settled: Whether an earlier attempt has shown that the content is harmless.
         """
-        exchange.record_sending()
+        exchange.record_attempt()
         return AttemptWatch(self, exchange, upstream, has_settled)
 
     def record_break(self, upstream: UpstreamRecord, broken: BrokenRequest) -> None:
--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -129,7 +129,7 @@
             PeerRefused: The engine refused the prefill.
             LinkError: The engine could not be reached, or its response is incomplete or invalid.
         """
-        exchange.record_sending()
+        exchange.record_prefill()
         self._fleet.record_start(upstream)
         started_at = trio.current_time()
         verdict = Verdict.UNKNOWN
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -22,6 +22,8 @@
     def __init__(self) -> None:
         self.was_sent = False
         """Whether an attempt to send it to an upstream has begun."""
+        self.may_have_run = False
+        """Whether an upstream was to run it, and not only to prefill its prompt."""
 
 
 class Exchange(NamedTuple):
@@ -68,10 +70,21 @@
         """The request's id."""
         return self.metadata.request_id
 
-    def record_sending(self) -> None:
-        """Record that an attempt to send the request to an upstream begins."""
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.progress is None or self.progress.may_have_run
+
+    def record_prefill(self) -> None:
+        """Record that the request is about to be sent to an upstream that prefills its prompt."""
+        if self.progress is not None:
+            self.progress.was_sent = True
+
+    def record_attempt(self) -> None:
+        """Record that the request is about to be sent to an upstream that runs it."""
         if self.progress is not None:
             self.progress.was_sent = True
+            self.progress.may_have_run = True
 
     def time_left_s(self) -> float:
         """Return the time left until the request expires, in seconds; negative afterwards."""
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -122,6 +122,10 @@
         await send_refusal(reply, response)
         return response.reason
 
+    def drain(self, waits_end_at: float) -> None:
+        """Refuse the requests that would wait beyond a time for room."""
+        self._room.drain(waits_end_at)
+
     def next_upstream(self, exchange: Exchange, tried: set[str]) -> UpstreamRecord | None:
         """Return the best upstream with room that has not been tried, or ``None``."""
         ranked = self._fleet.with_room(exchange.service, trio.current_time(), tried)
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -1,6 +1,7 @@
 """Reservations of decode memory, recorded at the engines themselves under a lease."""
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from copy import copy
@@ -24,6 +25,7 @@
 )
 from chivehold.core.direct.wait_bounds import exceeds_caller_wait, retry_after_s
 from chivehold.core.direct.waiting import PassedOver, Waiter, WaitQueue
+from chivehold.direct.draining import DRAINING, drain_retry_after_s
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.metrics import DirectMetrics, WaitOutcome
 from chivehold.direct.refusals import MAX_RETRY_AFTER_S
@@ -54,6 +56,8 @@
     def __init__(self, waiter: Waiter) -> None:
         self.waiter = waiter
         self.resolved = trio.Event()
+        self.scope = trio.CancelScope(deadline=waiter.gives_up_at)
+        """Ends the wait."""
         self.result: MemoryReservation | ReservationRefused | None = None
         self.passed_over: PassedOver | None = None
 
@@ -61,6 +65,10 @@
         self.result = result
         self.resolved.set()
 
+    def limit(self, until: float) -> None:
+        """End the wait at a time, if it would last longer."""
+        self.scope.deadline = min(self.scope.deadline, until)
+
 
 class EngineMemoryReserver:
     """Reserves memory at decode engines in the order of the queue; implements ``MemoryReserver``.
@@ -93,6 +101,7 @@
         self._nursery = nursery
         self._rng = rng
         self._queues: dict[_QueueKey, _Queue] = {}
+        self._waits_end_at = math.inf
 
     async def reserve(self, service: str, waiter: Waiter) -> MemoryReservation | ReservationRefused:
         """Wait for memory until the waiter's ``gives_up_at``."""
@@ -102,12 +111,13 @@
         if is_ordered and (refusal := self._refusal_at_once(service, queue, waiter)):
             return refusal
         pending = _Pending(waiter)
+        self._limit_wait(queue, pending)
         queue.add(pending)
         if not queue.is_served:
             queue.is_served = True
             self._nursery.start_soon(self._serve_queue, key, queue)
         try:
-            with trio.move_on_at(waiter.gives_up_at):
+            with pending.scope:
                 await pending.resolved.wait()
         except trio.Cancelled:
             if is_ordered:
@@ -133,6 +143,13 @@
         self._engines.release_hold(reservation.upstream, reservation.hold)
         self.notify_freed(reservation.upstream.service)
 
+    def drain(self, waits_end_at: float) -> None:
+        """Refuse the requests that would wait beyond a time, unless their stream has started."""
+        self._waits_end_at = waits_end_at
+        for queue in self._queues.values():
+            for pending in queue.pending:
+                self._limit_wait(queue, pending)
+
     def notify_freed(self, service: str) -> None:
         """Wake the tasks that serve the queues of a service."""
         for key, queue in self._queues.items():
@@ -254,9 +271,21 @@
             "expected_wait", retry_after_s(waiter, expected_s, now, self._rng), expected_s
         )
 
+    def _limit_wait(self, queue: "_Queue", pending: _Pending) -> None:
+        """End the wait of a request before the shutdown, at once if it would be in vain."""
+        waiter = pending.waiter
+        if waiter.has_started or self._waits_end_at == math.inf:
+            return
+        now = trio.current_time()
+        expected_s = queue.expected_wait_s(waiter, now) or 0.0
+        is_in_vain = now + expected_s > self._waits_end_at
+        pending.limit(now if is_in_vain else self._waits_end_at)
+
     def _refusal_after_wait(
         self, queue: "_Queue", waiter: Waiter, is_ordered: bool
     ) -> ReservationRefused:
+        if trio.current_time() < waiter.gives_up_at:
+            return ReservationRefused(DRAINING, drain_retry_after_s(self._rng))
         if not is_ordered:
             return ReservationRefused("full", queue.retry_after_s(self._rng))
         now = trio.current_time()
@@ -344,6 +373,10 @@
         pending.resolve(result)
         return True
 
+    @property
+    def pending(self) -> tuple[_Pending, ...]:
+        return tuple(self._pending.values())
+
     async def wait(self, pause_s: float) -> None:
         """Wait for a time, or until memory is freed or a request is added.
 
--- a/src/chivehold/direct/room_waiting.py
+++ b/src/chivehold/direct/room_waiting.py
@@ -4,10 +4,13 @@
 if it could not be served before its caller's deadline.
 """
 
+import math
+
 import trio
 
 from chivehold.core.direct.fleet import Fleet
 from chivehold.core.direct.plain_queue import PlainQueue, Ticket
+from chivehold.direct.draining import DRAINING
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.refusals import MAX_RETRY_AFTER_S, Refusal, not_run_refusal
 
@@ -38,6 +41,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._by_service: dict[str, _Waiting] = {}
+        self._ends_at = math.inf
 
     async def wait(self, exchange: Exchange) -> Refusal | None:
         """Wait until an upstream has room, or return why the request is refused.
@@ -50,8 +54,8 @@
             return None
         position = waiting.queue.position(exchange.priority, exchange.arrived_at)
         served_s = self._fleet.expected_wait_s(exchange.service, position, now)
-        if now + served_s > exchange.expires_at:
-            return _refusal(served_s)
+        if refusal := self._refusal_in_vain(exchange, served_s, now):
+            return refusal
         ticket = waiting.queue.add(exchange.priority, exchange.arrived_at)
         exchange.log("waits for room", position=position, expected_s=round(served_s, 3))
         try:
@@ -60,6 +64,10 @@
             waiting.queue.remove(ticket)
             waiting.wake()
 
+    def drain(self, waits_end_at: float) -> None:
+        """Refuse the requests that would wait beyond a time, now or later."""
+        self._ends_at = waits_end_at
+
     def notify(self, service: str) -> None:
         """Wake the requests of a service after a request has ended."""
         if waiting := self._by_service.get(service):
@@ -79,8 +87,16 @@
             if waiting.queue.is_first(ticket) and self._fleet.has_room(exchange.service, now):
                 return None
             served_s = self._fleet.expected_wait_s(exchange.service, 0, now)
-            if now + served_s > exchange.expires_at:
-                return _refusal(served_s)
+            if refusal := self._refusal_in_vain(exchange, served_s, now):
+                return refusal
+
+    def _refusal_in_vain(self, exchange: Exchange, served_s: float, now: float) -> Refusal | None:
+        """Return the refusal of a request that would not be sent in time."""
+        if now + served_s > exchange.expires_at:
+            return _refusal(served_s)
+        if now + served_s > self._ends_at:
+            return not_run_refusal(DRAINING, "the entry shuts down", MIN_RETRY_AFTER_S)
+        return None
 
 
 def _refusal(wait_s: float) -> Refusal:
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -167,6 +167,10 @@
             )
         return result
 
+    def drain(self, waits_end_at: float) -> None:
+        """Refuse the requests that would wait beyond a time for memory."""
+        self._reserver.drain(waits_end_at)
+
     def release(self, reservation: MemoryReservation) -> None:
         """Release an unused reservation."""
         self._reserver.release(reservation)
--- a/tests/direct/test_reservations.py
+++ b/tests/direct/test_reservations.py
@@ -113,6 +113,66 @@
             assert 3.0 <= refused.retry_after_s <= 4.5
             nursery.cancel_scope.cancel()
 
+    # Guards against requests that wait beyond the end of a planned shutdown.
+    async def test_waits_end_with_the_shutdown(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """Requests that wait, and later ones, are refused when the entry stops accepting."""
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(Engine(), nursery, 1)
+            refusals: list[tuple[str, float]] = []
+
+            async def reserve(request: str) -> None:
+                refused = await reserver.reserve("s", make_waiter(request, 2.0))
+                assert isinstance(refused, ReservationRefused)
+                refusals.append((refused.reason, trio.current_time()))
+
+            async with trio.open_nursery() as waiting:
+                waiting.start_soon(reserve, "before")
+                await trio.sleep(0.2)
+                reserver.drain(trio.current_time() + 1.0)
+                waiting.start_soon(reserve, "after")
+            assert refusals == [("draining", 1.2), ("draining", 1.2)]
+            await reserve("last")
+            assert refusals[-1] == ("draining", 1.2)
+            nursery.cancel_scope.cancel()
+
+    async def test_wait_in_vain_ends_at_once(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A request that will not be granted memory before the end of the waits is told so."""
+        engine = Engine()
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(engine, nursery, 1)
+            refused_at: list[float] = []
+
+            async def reserve(request: str, on_time_for_s: float) -> None:
+                result = await reserver.reserve("s", make_waiter(request, on_time_for_s))
+                if isinstance(result, ReservationRefused):
+                    refused_at.append(trio.current_time())
+
+            async with trio.open_nursery() as waiting:
+                for number in range(20):
+                    waiting.start_soon(reserve, f"r{number}", 1.0 + number / 10)
+                await trio.sleep(0.6)
+                engine.free = 100
+                await trio.sleep(0.4)
+                assert len(reserver.waiting("s", None) or ()) == 19
+                reserver.drain(trio.current_time() + 1.5)
+                await trio.sleep(0.01)
+                # One grant a second so far: the next one may get memory in time, the last cannot.
+                assert 10 <= len(refused_at) < 19
+            nursery.cancel_scope.cancel()
+
+    async def test_started_stream_still_waits(self, autojump_clock: trio.testing.MockClock) -> None:
+        """A stream that lost its engine waits for as long as without a shutdown."""
+        async with trio.open_nursery() as nursery:
+            reserver = make_reserver(Engine(), nursery, 1)
+            reserver.drain(trio.current_time() + 0.1)
+            waiter = make_waiter("r", 2.0)._replace(has_started=True)
+            refused = await reserver.reserve("s", waiter)
+            assert isinstance(refused, ReservationRefused)
+            assert (refused.reason, trio.current_time()) == ("full", waiter.gives_up_at)
+            nursery.cancel_scope.cancel()
+
     async def test_cancelled_waiter_leaves_nothing_reserved(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
--- a/tests/direct/test_room_waiting.py
+++ b/tests/direct/test_room_waiting.py
@@ -61,6 +61,26 @@
             assert "late" not in upstream.runs
 
 
+class TestDrain:
+    # Guards against requests that wait for room beyond the end of a planned shutdown.
+    async def test_waits_end_with_the_shutdown(self, tmp_path: Path) -> None:
+        """A request that waits for room is refused when the entry stops accepting."""
+        async with running_entry(tmp_path) as harness:
+            upstream = await full_upstream(harness)
+            upstream.work_s = 2.0
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(harness.call, "/get/x", "first")
+                await trio.sleep(0.2)
+                started_at = trio.current_time()
+                harness.entry._callers.drain(started_at + 0.5)
+                response = await harness.call("/get/x", "waiting")
+                assert (response.status, b"draining" in response.body) == (503, True)
+                assert response.header("retry-after")
+                assert trio.current_time() - started_at < 0.7
+                nursery.cancel_scope.cancel()
+            assert "waiting" not in upstream.runs
+
+
 class TestHedging:
     # Guards against doubling the load of a service whose machines are all known to be slow.
     async def test_not_because_an_upstream_is_known_to_be_slow(self, tmp_path: Path) -> None:
