A stream is whole whatever ids its events have, and goes on only where its place is known

Cause: the entry took event ids as true. Only events newer than the last one were passed on, also those of the first engine, where nothing is joined. After a wrong "82" in place of "12" no event was newer. The same trust let a stream that broke off after a wrong id, or after events without one, go on at a wrong place of another engine, and gave such ids to the estimates of memory.

Change: events are passed on unchanged, but for those that an engine that goes on repeats first. core/direct/event_sequence.py judges whether an id follows on the one before; a stream goes on only after one that does, and only with the event that follows on it.

--- /dev/null
+++ b/src/chivehold/core/direct/event_sequence.py
@@ -0,0 +1,74 @@
+"""Whether the events of a stream follow each other, judged by their ids.
+
+A stream that breaks off goes on at another engine after the last event that the caller has. That is
+sound only if the id of this event names its place. Engines number the events of a stream evenly, so
+an id that does not follow on the one before it may be spoilt.
+"""
+
+from chivehold.core.direct.events import StreamEvent, is_newer_event
+
+FIRST_NUMBERS = (0, 1)
+MAX_NUMBER_DIGITS = 18
+"""Longer numbers are compared as text."""
+
+
+class EventSequence:
+    """The events that a caller has of one stream.
+
+    Args:
+        last_id: Id of the last event that the caller had before; ``None`` if it had none.
+    """
+
+    def __init__(self, last_id: str | None) -> None:
+        self._last_id = last_id
+        self._step = 1
+        """Difference of the last two numbers."""
+        self._is_place_known = True
+
+    @property
+    def last_id(self) -> str | None:
+        """Id of the last event that has one."""
+        return self._last_id
+
+    @property
+    def last_number(self) -> int | None:
+        """Number of the last event, or ``None`` if its place is not known."""
+        return _number(self._last_id) if self._is_place_known else None
+
+    @property
+    def is_place_known(self) -> bool:
+        """Whether the last id names the place of the last event, so that the stream can go on."""
+        return self._is_place_known
+
+    def is_repeated(self, event: StreamEvent) -> bool:
+        """Return whether the caller has an event already, if its id is right."""
+        return not is_newer_event(event.event_id, self._last_id)
+
+    def is_next(self, event: StreamEvent) -> bool:
+        """Return whether an event follows directly on the last one."""
+        if event.event_id is None:
+            return False
+        number, last_number = _number(event.event_id), _number(self._last_id)
+        if self._last_id is None:
+            return number is None or number in FIRST_NUMBERS
+        if number is None or last_number is None:
+            return number is last_number and event.event_id != self._last_id
+        return number - last_number in (1, self._step)
+
+    def record(self, event: StreamEvent) -> None:
+        """Record that an event is sent to the caller."""
+        if event.is_comment:
+            return
+        self._is_place_known = self.is_next(event)
+        if event.event_id is None:
+            return
+        number, last_number = _number(event.event_id), _number(self._last_id)
+        if number is not None and last_number is not None:
+            self._step = max(1, number - last_number)
+        self._last_id = event.event_id
+
+
+def _number(event_id: str | None) -> int | None:
+    if event_id is None or len(event_id) > MAX_NUMBER_DIGITS:
+        return None
+    return int(event_id) if event_id.isascii() and event_id.isdigit() else None
--- a/src/chivehold/core/direct/events.py
+++ b/src/chivehold/core/direct/events.py
@@ -19,7 +19,12 @@
     raw: bytes
     """The bytes of the event, including the blank line that ends it."""
     event_id: str | None
-    """Value of the ``id`` field, or ``None`` if there is none."""
+    """Value of the last ``id`` field, or ``None`` if there is none."""
+
+    @property
+    def is_comment(self) -> bool:
+        """Whether it consists of comments only, as sent to keep a connection open."""
+        return all(line.startswith(b":") or not line for line in self.raw.splitlines())
 
 
 class EventSplitter:
@@ -84,7 +89,7 @@
 
 
 def _event_id(raw: bytes) -> str | None:
-    for line in raw.splitlines():
+    for line in reversed(raw.splitlines()):
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
     return None
--- a/src/chivehold/direct/stream_calls.py
+++ b/src/chivehold/direct/stream_calls.py
@@ -218,13 +218,19 @@
         return self._priorities(exchange.service).is_ordered
 
     def record_length(
-        self, exchange: Exchange, engine_config: EngineConfig, last_event: str | None
+        self, exchange: Exchange, engine_config: EngineConfig, events: int | None
     ) -> None:
-        """Record the output length of a finished stream for the length estimator."""
+        """Record the output length of a finished stream for the length estimator.
+
+        Args:
+            exchange: The request.
+            engine_config: The configuration of the service's engines.
+            events: Number of events, or ``None`` if it is not known.
+        """
         hint = exchange.metadata.output_tokens_hint
-        if hint is not None and last_event is not None and last_event.isdigit():
+        if hint is not None and events is not None:
             estimator = self._length_estimator(exchange.service)
-            estimator.record(hint, int(last_event) * engine_config.tokens_per_event)
+            estimator.record(hint, events * engine_config.tokens_per_event)
 
     def free_kv_cache(self, exchange: Exchange, prefilled: PrefilledCache, refused: bool) -> None:
         """Free an unused KV cache.
@@ -367,8 +373,8 @@
             if result.end is AttemptEnd.QUARANTINED:
                 continue
             if result.end is AttemptEnd.WHOLE:
-                last_event = self._relay.last_event
-                self._calls.record_length(self._exchange, self._engine_config, last_event)
+                events = self._relay.last_number
+                self._calls.record_length(self._exchange, self._engine_config, events)
             if result.end in (AttemptEnd.WHOLE, AttemptEnd.ANSWERED):
                 return None
             self._exchange.log(
@@ -406,6 +412,8 @@
     def _may_repeat(self) -> bool:
         if self._exchange.trial_of is not None and not self._has_settled:
             return False
+        if not self._relay.can_go_on:
+            return False
         return self._exchange.route.retryable and self._ends < MAX_ENDS_UNDER_REQUEST
 
     def _refusal(self, reason: str, message: str, status: int) -> Refusal:
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -2,14 +2,15 @@
 
 import logging
 import math
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
 import trio
 
 from chivehold.core.direct.event_gaps import EventGaps, GapPosition
-from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent, is_newer_event
+from chivehold.core.direct.event_sequence import EventSequence
+from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent
 from chivehold.core.direct.fleet import Verdict
 from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord
 from chivehold.direct.crash_watch import AttemptWatch
@@ -75,7 +76,7 @@
         self._metrics = metrics
         self._on_pace = on_pace
         self._gaps = EventGaps(exchange.route.event_gap_target_s)
-        self._last_event = exchange.metadata.last_event
+        self._sequence = EventSequence(exchange.metadata.last_event)
         self._started_at: float | None = None
 
     @property
@@ -86,7 +87,17 @@
     @property
     def last_event(self) -> str | None:
         """Id of the last event that the caller has received."""
-        return self._last_event
+        return self._sequence.last_id
+
+    @property
+    def last_number(self) -> int | None:
+        """Number of the last event that the caller has received, if it is known."""
+        return self._sequence.last_number
+
+    @property
+    def can_go_on(self) -> bool:
+        """Whether another engine can go on exactly after what the caller has received."""
+        return not self._reply.started or self._sequence.is_place_known
 
     @property
     def has_started(self) -> bool:
@@ -129,13 +140,15 @@
             return _failed(f"no event for {event_timeout_s} s")
         except EventTooLong:
             return _failed("event too long")
+        except _OutOfSequence as error:
+            return _failed(f"event {error} does not follow on {self.last_event}")
 
     def log_end(self, event: str, reason: str | None = None) -> None:
         """Log the end of a stream that has started, with its longest gap, and count its gaps."""
         longest = self._gaps.longest
         self._metrics.observe_event_gaps(self._exchange.service, longest.length_s, self._gaps.late)
         fields: dict[str, object] = {
-            "last_event": self._last_event,
+            "last_event": self.last_event,
             "longest_gap_ms": round(longest.length_s * 1_000),
             "gap_position": longest.position,
             "late_gaps": self._gaps.late,
@@ -167,21 +180,21 @@
     ) -> AttemptResult:
         """Relay complete events as they arrive.
 
-        Only new events count as progress: an engine may send bytes that complete none, for ever.
+        The events of the first engine are passed on unchanged, whatever their ids. Only events
+        count as progress: an engine may send bytes that complete none, for ever.
         """
         self._gaps.record_resumption()
         splitter = EventSplitter()
+        resumed = _ResumedRun(self._sequence) if self._reply.started else None
         progress_at = trio.current_time()
         event_times: list[float] = []
         while True:
-            chunk = await _next_chunk(response.chunks, progress_at + event_timeout_s)
+            timeout_s = event_timeout_s if self.can_go_on else math.inf
+            chunk = await _next_chunk(response.chunks, progress_at + timeout_s)
             if chunk is None:
                 break
-            events = [
-                event
-                for event in splitter.feed(chunk)
-                if is_newer_event(event.event_id, self._last_event)
-            ]
+            completed = splitter.feed(chunk)
+            events = list(resumed.new_events(completed) if resumed else completed)
             if events:
                 progress_at = trio.current_time()
                 event_times += [progress_at] * len(events)
@@ -191,6 +204,8 @@
             watch.record_break()
             # The unfinished event is not relayed; the caller never sees part of an event.
             return _failed("ended within an event")
+        if resumed:
+            resumed.check_end()
         watch.record_harmless()
         if not self._reply.started:
             await self._start_reply(response.headers)
@@ -210,12 +225,13 @@
         if is_first_late and gap.position is not GapPosition.RESUMED:
             self._on_pace(upstream, True, None)
         await self._reply.send_chunk(b"".join(event.raw for event in events))
-        self._last_event = events[-1].event_id or self._last_event
+        for event in events:
+            self._sequence.record(event)
 
     async def _start_reply(self, headers: RawHeaders) -> None:
         self._started_at = trio.current_time()
         self._metrics.observe_response_time("stream", self._exchange.age_s())
-        self._exchange.log("first event", event_id=self._last_event)
+        self._exchange.log("first event", event_id=self.last_event)
         await self._reply.send_head(OK_STATUS, self._dialect.response_headers(headers))
 
 
@@ -226,6 +242,49 @@
     return EVENT_TIMEOUT_S if may_resume else math.inf
 
 
+class _ResumedRun:
+    """The events of an engine that goes on with a stream.
+
+    Args:
+        sequence: The events that the caller has.
+    """
+
+    def __init__(self, sequence: EventSequence) -> None:
+        self._sequence = sequence
+        self._has_new_events = False
+        self._last_repeated: str | None = None
+
+    def new_events(self, events: Iterable[StreamEvent]) -> Iterator[StreamEvent]:
+        """Yield the events that the caller lacks; an engine may repeat earlier ones first.
+
+        Raises:
+            _OutOfSequence: The first new event does not follow on the last one.
+        """
+        for event in events:
+            if not self._has_new_events and not event.is_comment:
+                if self._sequence.is_repeated(event):
+                    self._last_repeated = event.event_id
+                    continue
+                if not self._sequence.is_next(event):
+                    raise _OutOfSequence(event.event_id)
+                self._has_new_events = True
+            yield event
+
+    def check_end(self) -> None:
+        """Check that the engine has not ended before the last event that the caller has.
+
+        Raises:
+            _OutOfSequence: Its last event is none that ends the stream.
+        """
+        is_last_repeated = self._last_repeated in (None, self._sequence.last_id)
+        if not self._has_new_events and not is_last_repeated:
+            raise _OutOfSequence(self._last_repeated)
+
+
+class _OutOfSequence(Exception):  # noqa: N818
+    """An event of an engine that goes on with a stream does not follow on what the caller has."""
+
+
 class _EventTimeout(Exception):  # noqa: N818
     """The engine completed no new event within the timeout."""
 
