The id of a stream's last event reaches the engine with the same bytes

Ids are read as Latin-1 from events and headers, but were sent as UTF-8: an id with a byte above 127 reached the engine as two bytes, so it was asked to go on after an event that it does not know.

--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -246,7 +246,7 @@
     if forwarding.urgency is not None:
         yield URGENCY, str(forwarding.urgency).encode()
     if forwarding.last_event is not None:
-        yield LAST_EVENT_ID, forwarding.last_event.encode()
+        yield LAST_EVENT_ID, forwarding.last_event.encode("latin-1")
 
 
 def _is_end_to_end(name: bytes) -> bool:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -124,6 +124,15 @@
         assert headers[b"last-event-id"] == b"7"
         assert b"x-chivehold-stage" not in headers
 
+    # Guards against an id that the engine does not know, as its bytes were changed on the way.
+    def test_event_id_keeps_its_bytes(self) -> None:
+        """The id after which a stream is resumed has the bytes that the caller or engine sent."""
+        sent = [(b"x-chivehold-request-id", b"r"), (b"last-event-id", b"caf\xe9")]
+        last_event = DIALECT.read_request(sent).last_event
+        forwarding = ForwardingOptions(1.5, last_event=last_event)
+        headers = dict(DIALECT.forwarded_headers(sent, upstream("i-1"), forwarding))
+        assert headers[b"last-event-id"] == b"caf\xe9"
+
     def test_no_header_twice(self) -> None:
         """Headers set by the entry replace those of the caller."""
         headers = DIALECT.forwarded_headers(REQUEST, upstream("i-1"), ForwardingOptions(1.0, True))
