Connections are not used again after bytes that belong to no request

A success reached the caller of the next request with the body of a failure, or a body without a length was cut to another's length.

Cause: the HTTP library gives a connection back to its pool although its parser holds such bytes, and reads them as the beginning of the next answer. Its check of idle connections sees the socket only.

Change: http_connection.py gives httpcore's pool its connections, over h11. One is reused only if nothing followed the last response in the parser, and, as seen right before the next request is written, nothing is there to be read. It takes over the limit on heads of head_limit.py. Bytes after a response are logged, so that a peer that answers twice can be told from others.

Not mended by this: a part of a second answer that comes after the next request was sent.

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -9,7 +9,7 @@
 import trio
 
 from chivehold.exceptions import ChiveholdError
-from chivehold.head_limit import HeadLimitBackend, end_head
+from chivehold.http_connection import ConnectionPool
 
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
@@ -140,8 +140,8 @@
 
     def __init__(self, limits: ClientLimits = DEFAULT_CLIENT_LIMITS) -> None:
         self._limits = limits
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
-        self._single_use_pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._single_use_pools: dict[str, ConnectionPool] = {}
 
     async def call(
         self,
@@ -225,7 +225,6 @@
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise LinkBroken(step, peer, _error_detail(error)) from error
-        end_head(response)
         try:
             yield HttpStream(response, step, peer)
         finally:
@@ -277,7 +276,6 @@
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise LinkBroken(step, peer, _error_detail(error)) from error
-        end_head(response)
         try:
             lowercase_headers = tuple((key.lower(), value) for key, value in response.headers)
             yield RawResponse(
@@ -300,17 +298,14 @@
         for pool in pools:
             await pool.aclose()
 
-    def _pool(
-        self, peer: str, pools: dict[str, httpcore.AsyncConnectionPool]
-    ) -> httpcore.AsyncConnectionPool:
+    def _pool(self, peer: str, pools: dict[str, ConnectionPool]) -> ConnectionPool:
         if peer not in pools:
             max_idle = 0 if pools is self._single_use_pools else self._limits.max_idle_connections
-            pools[peer] = httpcore.AsyncConnectionPool(
-                max_connections=self._limits.max_connections,
-                max_keepalive_connections=max_idle,
-                keepalive_expiry=self._limits.keep_alive_s,
-                socket_options=_SOCKET_OPTIONS,
-                network_backend=HeadLimitBackend(),
+            pools[peer] = ConnectionPool(
+                self._limits.max_connections,
+                max_idle,
+                self._limits.keep_alive_s,
+                _SOCKET_OPTIONS,
             )
         return pools[peer]
 
