An answer merged with a part of another one is refused

The parser reads both heads as one. A 500 with its whole body reached the caller as 200, and a body without a length was cut to the other's length and ended as complete.

Cause: where a head is cut within its reason phrase or within a field's value, what follows is still a valid head, with the first one's status and length and the second one's id and stamp.

Change: on a connection that has brought an answer before, a head whose reason phrase or a field contains a status line is malformed. A first answer cannot be merged with an earlier one, and may contain anything.

--- a/src/chivehold/http_connection.py
+++ b/src/chivehold/http_connection.py
@@ -2,9 +2,12 @@
 
 A peer may send bytes that belong to no request: a second response to an earlier one, or a part of
 it. A connection is reused only if nothing followed the last response and nothing has arrived since.
+Bytes that arrive after the next request was sent come before its response. If they are a part of a
+head, the parser reads it and the response's head as one; such a head is refused.
 """
 
 import logging
+import re
 from collections.abc import AsyncGenerator, AsyncIterable, AsyncIterator, Iterable
 from enum import Enum, auto
 
@@ -25,6 +28,8 @@
 """Bytes read at once before the head is complete; other tasks run in between."""
 BODY_READ_BYTES = 65_536
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 _log = logging.getLogger(__name__)
 
 
@@ -193,6 +198,8 @@
                 raise httpcore.RemoteProtocolError("connection closed without a response")
             received += len(chunk)
             self._parser.receive_data(chunk)
+        if self._responses and _contains_status_line(event):
+            raise httpcore.RemoteProtocolError("head contains the beginning of another response")
         self._responses += 1
         return event
 
@@ -274,3 +281,8 @@
 def _timeout_s(request: httpcore.Request, step: str) -> float | None:
     timeout_s: float | None = request.extensions.get("timeout", {}).get(step)
     return timeout_s
+
+
+def _contains_status_line(head: h11.Response) -> bool:
+    values = (head.reason, *(value for _, value in head.headers))
+    return any(_STATUS_LINE.search(value) for value in values)
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -96,3 +96,36 @@
                 assert await ask(client, address, f"r{number}") is not None
             assert upstream.connections == 1
         await client.aclose()
+
+
+class TestBytesBeforeAnAnswer:
+    # Guards against an answer that is read with the status, or the length, of another one.
+    @pytest.mark.parametrize("is_framed", [True, False])
+    @pytest.mark.parametrize("is_apart", [True, False])
+    async def test_after_the_request_was_sent(self, is_framed: bool, is_apart: bool) -> None:
+        """What a part of another head is merged with is no answer, wherever it was cut."""
+        for cut in range(1, HEAD):
+
+            def script(turn: Turn, cut: int = cut) -> Sequence[bytes]:
+                if turn.request == "r1":
+                    return [answer(200, "r1", BODY)]
+                extra, own = answer(200, "r1", BODY)[:cut], next_answer(is_framed, turn.request)
+                return [extra, *own] if is_apart else [extra + own[0], *own[1:]]
+
+            client = HttpClient()
+            async with peer(script) as (address, _):
+                await ask(client, address, "r1")
+                assert await ask(client, address, "r2") is None, cut
+            await client.aclose()
+
+    async def test_field_that_quotes_a_head(self) -> None:
+        """A first answer cannot be merged with an earlier one, whatever its fields say."""
+        client = HttpClient()
+        fields = ["x-cause: the other side said HTTP/1.1 503 Busy"]
+        async with peer(lambda turn: [answer(502, turn.request, BODY, fields=fields)]) as (
+            address,
+            _,
+        ):
+            response = await ask(client, address, "r1")
+            assert response is not None and response[1] == BODY
+        await client.aclose()
