An answer that names two requests is passed on to neither

What a caller could see: where the heads of two answers become one, both ids are in it; the later one was compared with the request, so the answer was passed on.

Cause: the fields of an answer were read into a mapping, in which the last of several values wins.

Change: several ids count as one list, as HTTP has it for repeated fields; it is the id of no request.

--- a/src/chivehold/core/direct/messages.py
+++ b/src/chivehold/core/direct/messages.py
@@ -82,7 +82,7 @@
     """Properties of a response, read from its status and headers."""
 
     request_id: str | None
-    """Id of the request that the response belongs to, if it carries one."""
+    """Id of the request that the response belongs to, if it carries one; several form a list."""
     signed: bool
     """The response carries an upstream's signature."""
     not_run: bool
--- a/src/chivehold/header_values.py
+++ b/src/chivehold/header_values.py
@@ -1,6 +1,7 @@
 """Parsing and checks of header values that another program has written."""
 
 import re
+from collections.abc import Iterable
 
 _COUNTS = re.compile(rb"\s*\d{1,6}\s*(?:,\s*\d{1,6}\s*)*")
 _VISIBLE_ASCII = re.compile(r"[!-~]+")
@@ -26,3 +27,9 @@
 def is_visible_ascii(text: str) -> bool:
     """Return whether a text can be sent as a token in a header or, quoted, in a path."""
     return _VISIBLE_ASCII.fullmatch(text) is not None
+
+
+def joined_values(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the value of a header, ``None`` if it is absent; several values form a list."""
+    values = [value for key, value in headers if key == name]
+    return b", ".join(values) if values else None
--- a/src/chivehold/platform/dialect.py
+++ b/src/chivehold/platform/dialect.py
@@ -23,7 +23,7 @@
 )
 from chivehold.core.direct.organisations import read_api_key
 from chivehold.core.untrusted_json import decode_json
-from chivehold.header_values import is_visible_ascii, parse_counts, parse_number
+from chivehold.header_values import is_visible_ascii, joined_values, parse_counts, parse_number
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -138,7 +138,7 @@
     def read_response(self, status: int, headers: RawHeaders) -> ResponseMetadata:
         """Parse the status and headers of an upstream's response."""
         headers_by_name = dict(headers)
-        request = headers_by_name.get(REQUEST_ID)
+        request = joined_values(headers, REQUEST_ID)
         return ResponseMetadata(
             request_id=None if request is None else request.decode("latin-1"),
             signed=SIGNATURE in headers_by_name,
