An engine's second answer to one call is not taken for the answer to another

What could happen: engines' control calls share kept connections with requests and carry no id. A late second answer was the answer to whatever was sent next: two requests used one reservation, a prompt went on from a handle whose answer named no request, a stage counted as ordered.

Change: a handle is used only if its answer names the request; an answer that names a request is none to a control call; a reservation that an engine has granted before is refused; stages are read and ordered, which is rare, over new connections. Not covered: a second answer to a call that frees something, or a second refusal, as the answer to a later reservation; it counts as no room.

--- a/src/chivehold/direct/engines.py
+++ b/src/chivehold/direct/engines.py
@@ -16,7 +16,9 @@
     KvSource,
     StageOrder,
     UpstreamRecord,
+    incarnation_of,
 )
+from chivehold.core.direct.recent_reservations import RecentReservations
 from chivehold.direct.exchange import Exchange
 from chivehold.direct.signals import SignalReader
 from chivehold.exceptions import PeerRefused
@@ -28,6 +30,7 @@
 ORDER_TIMEOUT_S = 1.0
 MAX_PREFILL_RESPONSE_BYTES = 65_536
 OK_STATUS = 200
+OTHER_REQUEST = "response to another request"
 
 _log = logging.getLogger(__name__)
 
@@ -65,6 +68,7 @@
         self._dialect = dialect
         self._signals = signals
         self._nursery = nursery
+        self._reservations = RecentReservations()
 
     @property
     def dialect(self) -> Dialect:
@@ -80,7 +84,7 @@
             The reservation's id, or ``None`` if there is no room or its id is unreadable.
 
         Raises:
-            LinkError: The engine could not be reached.
+            LinkError: The engine could not be reached, or it repeated an earlier response.
         """
         call = self._dialect.hold_call(tokens, ttl_s)
         response = await self._call(upstream, call, "reserve memory", HOLD_TIMEOUT_S)
@@ -89,6 +93,9 @@
         hold = self._dialect.read_hold(response.body)
         if hold is None:
             log_event(_log, logging.WARNING, "reservation unreadable", None, peer=upstream.name)
+            return None
+        if not self._reservations.add(incarnation_of(upstream), hold):
+            raise LinkBroken("reserve memory", upstream.name, "response to an earlier call")
         return hold
 
     def release_hold(self, upstream: UpstreamRecord, hold: str) -> None:
@@ -101,13 +108,14 @@
         self._release(prefilled.upstream, call, "free KV cache")
 
     async def read_state(self, upstream: UpstreamRecord) -> EngineReport:
-        """Read an engine's state.
+        """Read an engine's state, over a connection without an earlier response.
 
         Raises:
             LinkError: The engine could not be reached, or its response is invalid.
         """
         step = "read engine's state"
-        response = await self._call(upstream, self._dialect.report_call(), step, ORDER_TIMEOUT_S)
+        call = self._dialect.report_call()
+        response = await self._call(upstream, call, step, ORDER_TIMEOUT_S, new_connection=True)
         report = self._dialect.read_report(response.body)
         if response.status != OK_STATUS or report is None:
             raise LinkBroken(step, upstream.name, f"status {response.status}")
@@ -116,11 +124,15 @@
     async def order_stage(self, upstream: UpstreamRecord, order: StageOrder) -> int:
         """Order an engine to change its stage, and return the status of its response.
 
+        The connection is new: a second response to another call must not count as its acceptance.
+
         Raises:
             LinkError: There was no response; the order may still be carried out.
         """
         call = self._dialect.stage_order_call(order)
-        return (await self._call(upstream, call, "order stage", ORDER_TIMEOUT_S)).status
+        step = "order stage"
+        response = await self._call(upstream, call, step, ORDER_TIMEOUT_S, new_connection=True)
+        return response.status
 
     async def prefill(self, exchange: Exchange, upstream: UpstreamRecord) -> PrefilledCache:
         """Prefill a prompt at an engine.
@@ -193,17 +205,29 @@
                     raise LinkBroken("prefill", upstream.name, "response too long")
         metadata = self._dialect.read_response(response.status, response.headers)
         if metadata.request_id is not None and not exchange.matches(metadata):
-            raise LinkBroken("prefill", upstream.name, "response to another request")
+            raise LinkBroken("prefill", upstream.name, OTHER_REQUEST)
         if response.status != OK_STATUS:
             raise PeerRefused("prefill", upstream.name, f"status {response.status}")
+        if metadata.request_id is None:
+            raise LinkBroken("prefill", upstream.name, "response without a request id")
         handle = self._dialect.read_kv_handle(bytes(body))
         if handle is None:
             raise LinkBroken("prefill", upstream.name, "response without a handle")
         return handle
 
     async def _call(
-        self, upstream: UpstreamRecord, call: EngineCall, step: str, timeout_s: float
+        self,
+        upstream: UpstreamRecord,
+        call: EngineCall,
+        step: str,
+        timeout_s: float,
+        new_connection: bool = False,
     ) -> HttpResponse:
+        """Call an engine's control interface, whose responses name no request.
+
+        Raises:
+            LinkError: There was no response, or only one to a request.
+        """
         headers = [("content-type", "application/json")] if call.body else []
         sent_at = trio.current_time()
         response = await self._client.call(
@@ -214,8 +238,11 @@
             timeout_s=timeout_s,
             body=call.body,
             headers=headers,
+            new_connection=new_connection,
         )
         raw_headers = [(key.encode(), value.encode("latin-1")) for key, value in response.headers]
+        if self._dialect.read_response(response.status, raw_headers).request_id is not None:
+            raise LinkBroken(step, upstream.name, OTHER_REQUEST)
         self._signals.read(upstream, response.status, raw_headers, sent_at)
         return response
 
--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -153,6 +153,7 @@
         timeout_s: float,
         body: bytes = b"",
         headers: Iterable[tuple[str, str]] = (),
+        new_connection: bool = False,
     ) -> HttpResponse:
         """Send a request and read the complete response, whatever its status.
 
@@ -164,6 +165,7 @@
             timeout_s: Timeout of the whole call in seconds.
             body: Request body.
             headers: Additional request headers.
+            new_connection: Open a new connection, which cannot hold bytes of an earlier response.
 
         Raises:
             NothingSent: The peer cannot have read the request.
@@ -179,6 +181,7 @@
                 body=body,
                 headers=headers,
                 read_timeout_s=timeout_s,
+                new_connection=new_connection,
             ) as stream:
                 response_body = await stream.read(self._limits.max_answer_bytes)
                 return HttpResponse(stream.status, stream.headers, response_body)
@@ -195,6 +198,7 @@
         body: bytes = b"",
         headers: Iterable[tuple[str, str]] = (),
         read_timeout_s: float = READ_TIMEOUT_S,
+        new_connection: bool = False,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as it arrives.
 
@@ -209,6 +213,7 @@
             body: Request body.
             headers: Additional request headers.
             read_timeout_s: Maximum time between two chunks of the response, in seconds.
+            new_connection: Open a new connection, which cannot hold bytes of an earlier response.
 
         Raises:
             NothingSent: The peer cannot have read the request.
@@ -220,7 +225,7 @@
             raise NothingSent(step, peer, _error_detail(error)) from error
         request.extensions["timeout"] = self._timeouts(read_timeout_s)
         try:
-            response = await self._pool(peer, self._pools).handle_async_request(request)
+            response = await self._pool(peer, new_connection).handle_async_request(request)
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
@@ -269,9 +274,8 @@
         )
         connect_timeout_s = self._limits.connect_timeout_s
         request.extensions["timeout"] = {"connect": connect_timeout_s, "pool": connect_timeout_s}
-        pools = self._single_use_pools if new_connection else self._pools
         try:
-            response = await self._pool(peer, pools).handle_async_request(request)
+            response = await self._pool(peer, new_connection).handle_async_request(request)
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise NothingSent(step, peer, _error_detail(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
@@ -298,12 +302,12 @@
         for pool in pools:
             await pool.aclose()
 
-    def _pool(self, peer: str, pools: dict[str, ConnectionPool]) -> ConnectionPool:
+    def _pool(self, peer: str, is_single_use: bool) -> ConnectionPool:
+        pools = self._single_use_pools if is_single_use else self._pools
         if peer not in pools:
-            max_idle = 0 if pools is self._single_use_pools else self._limits.max_idle_connections
             pools[peer] = ConnectionPool(
                 self._limits.max_connections,
-                max_idle,
+                0 if is_single_use else self._limits.max_idle_connections,
                 self._limits.keep_alive_s,
                 _SOCKET_OPTIONS,
             )
