--- a/tests/direct/stuttering_upstream.py
+++ b/tests/direct/stuttering_upstream.py
@@ -47,10 +47,10 @@
 ) -> bytes:
     """Return an answer; one with a body of ``None`` has no length, and nothing follows its head."""
     lines = [f"HTTP/1.1 {status} Some Reason", *fields]
-    if request:
-        lines += [f"x-chivehold-request-id: {request}", f"x-chivehold-server-stamp: {stamp}"]
     if body is not None:
         lines.append(f"content-length: {len(body)}")
+    if request:
+        lines += [f"x-chivehold-request-id: {request}", f"x-chivehold-server-stamp: {stamp}"]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
 
 
--- a/tests/direct/test_second_answers.py
+++ b/tests/direct/test_second_answers.py
@@ -23,7 +23,7 @@
 FAILURE = b"the upstream failed"
 HEAD = len(answer(200, "r1", BODY)) - len(BODY)
 WITHIN_REASON = len(b"HTTP/1.1 200 Some")
-WITHIN_ID = len(b"HTTP/1.1 200 Some Reason\r\nx-chivehold-request-id: r")
+WITHIN_ID = len(b"HTTP/1.1 200 Some Reason\r\ncontent-length: 28\r\nx-chivehold-request-id: r")
 
 
 @asynccontextmanager
