--- a/src/chivehold/core/direct/event_sequence.py
+++ b/src/chivehold/core/direct/event_sequence.py
@@ -5,6 +5,8 @@
 an id that does not follow on the one before it may be spoilt.
 """
 
+from collections.abc import Iterable, Iterator
+
 from chivehold.core.direct.events import StreamEvent, is_newer_event
 
 FIRST_NUMBERS = (0, 1)
@@ -68,6 +70,49 @@
         self._last_id = event.event_id
 
 
+class OutOfSequence(Exception):  # noqa: N818
+    """An event of an engine that goes on with a stream does not follow on what the caller has."""
+
+
+class ResumedRun:
+    """The events of an engine that goes on with a stream.
+
+    Args:
+        sequence: The events that the caller has.
+    """
+
+    def __init__(self, sequence: EventSequence) -> None:
+        self._sequence = sequence
+        self._has_new_events = False
+        self._last_repeated: str | None = None
+
+    def new_events(self, events: Iterable[StreamEvent]) -> Iterator[StreamEvent]:
+        """Yield the events that the caller lacks; an engine may repeat earlier ones first.
+
+        Raises:
+            OutOfSequence: The first new event does not follow on the last one.
+        """
+        for event in events:
+            if not self._has_new_events and not event.is_comment:
+                if self._sequence.is_repeated(event):
+                    self._last_repeated = event.event_id
+                    continue
+                if not self._sequence.is_next(event):
+                    raise OutOfSequence(event.event_id)
+                self._has_new_events = True
+            yield event
+
+    def check_end(self) -> None:
+        """Check that the engine has not ended before the last event that the caller has.
+
+        Raises:
+            OutOfSequence: Its last event is none that ends the stream.
+        """
+        is_last_repeated = self._last_repeated in (None, self._sequence.last_id)
+        if not self._has_new_events and not is_last_repeated:
+            raise OutOfSequence(self._last_repeated)
+
+
 def _number(event_id: str | None) -> int | None:
     if event_id is None or len(event_id) > MAX_NUMBER_DIGITS:
         return None
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -5,21 +5,16 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from copy import copy
-from heapq import nlargest
-from operator import itemgetter
 from random import Random
 from typing import NamedTuple
 
 import trio
 
 from chivehold.core.direct.fleet import Fleet, Verdict
-from chivehold.core.direct.grant_rate import GrantRate
 from chivehold.core.direct.messages import Stage, UpstreamRecord
-from chivehold.core.direct.refusal_checks import RefusalChecks
 from chivehold.core.direct.reservations import MemoryReservation, ReservationRefused
 from chivehold.core.direct.routes import EngineConfig
 from chivehold.core.direct.stream_priorities import (
-    ServedPriorities,
     StreamPriorities,
     equal_poll_interval_s,
 )
@@ -29,6 +24,7 @@
 from chivehold.direct.engines import EngineClient
 from chivehold.direct.metrics import DirectMetrics, WaitOutcome
 from chivehold.direct.refusals import MAX_RETRY_AFTER_S
+from chivehold.direct.reservation_queue import PendingReservation, ReservationQueue
 from chivehold.http_client import LinkError
 from chivehold.logs import log_event
 
@@ -37,9 +33,6 @@
 NO_ANSWER_PAUSE_S = 0.5
 """Shortest suspension of an engine that did not answer."""
 
-MAX_DUMPED = 64
-"""Organisations in the dump, those that were granted most."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -50,26 +43,6 @@
     software: str | None
 
 
-class _Pending:
-    """A waiting request and its result once resolved."""
-
-    def __init__(self, waiter: Waiter) -> None:
-        self.waiter = waiter
-        self.resolved = trio.Event()
-        self.scope = trio.CancelScope(deadline=waiter.gives_up_at)
-        """Ends the wait."""
-        self.result: MemoryReservation | ReservationRefused | None = None
-        self.passed_over: PassedOver | None = None
-
-    def resolve(self, result: MemoryReservation | ReservationRefused) -> None:
-        self.result = result
-        self.resolved.set()
-
-    def limit(self, until: float) -> None:
-        """End the wait at a time, if it would last longer."""
-        self.scope.deadline = min(self.scope.deadline, until)
-
-
 class EngineMemoryReserver:
     """Reserves memory at decode engines in the order of the queue; implements ``MemoryReserver``.
 
@@ -100,17 +73,17 @@
         self._metrics = metrics
         self._nursery = nursery
         self._rng = rng
-        self._queues: dict[_QueueKey, _Queue] = {}
+        self._queues: dict[_QueueKey, ReservationQueue] = {}
         self._waits_end_at = math.inf
 
     async def reserve(self, service: str, waiter: Waiter) -> MemoryReservation | ReservationRefused:
         """Wait for memory until the waiter's ``gives_up_at``."""
         key = _QueueKey(service, waiter.software)
-        queue = self._queues.setdefault(key, _Queue())
+        queue = self._queues.setdefault(key, ReservationQueue())
         is_ordered = self._priorities(service).is_ordered
         if is_ordered and (refusal := self._refusal_at_once(service, queue, waiter)):
             return refusal
-        pending = _Pending(waiter)
+        pending = PendingReservation(waiter)
         self._limit_wait(queue, pending)
         queue.add(pending)
         if not queue.is_served:
@@ -191,7 +164,7 @@
         queue = self._queues.get(_QueueKey(service, software))
         return queue.waiters if queue else None
 
-    async def _serve_queue(self, key: _QueueKey, queue: "_Queue") -> None:
+    async def _serve_queue(self, key: _QueueKey, queue: ReservationQueue) -> None:
         """Reserve memory for the next waiter until the queue is empty."""
         try:
             while (waiter := queue.waiters.next_waiter(trio.current_time())) is not None:
@@ -228,7 +201,7 @@
             return ReservationRefused("limited", min(wait_s, MAX_RETRY_AFTER_S))
         return None
 
-    async def _grant(self, service: str, queue: "_Queue", waiter: Waiter) -> bool:
+    async def _grant(self, service: str, queue: ReservationQueue, waiter: Waiter) -> bool:
         """Try each engine once, and return whether a reservation was made.
 
         A reservation for a waiter that has left meanwhile is released.
@@ -257,7 +230,7 @@
         return False
 
     def _refusal_at_once(
-        self, service: str, queue: "_Queue", waiter: Waiter
+        self, service: str, queue: ReservationQueue, waiter: Waiter
     ) -> ReservationRefused | None:
         """Return the refusal of a request that would wait in vain."""
         now = trio.current_time()
@@ -271,7 +244,7 @@
             "expected_wait", retry_after_s(waiter, expected_s, now, self._rng), expected_s
         )
 
-    def _limit_wait(self, queue: "_Queue", pending: _Pending) -> None:
+    def _limit_wait(self, queue: ReservationQueue, pending: PendingReservation) -> None:
         """End the wait of a request before the shutdown, at once if it would be in vain."""
         waiter = pending.waiter
         if waiter.has_started or self._waits_end_at == math.inf:
@@ -282,7 +255,7 @@
         pending.limit(now if is_in_vain else self._waits_end_at)
 
     def _refusal_after_wait(
-        self, queue: "_Queue", waiter: Waiter, is_ordered: bool
+        self, queue: ReservationQueue, waiter: Waiter, is_ordered: bool
     ) -> ReservationRefused:
         if trio.current_time() < waiter.gives_up_at:
             return ReservationRefused(DRAINING, drain_retry_after_s(self._rng))
@@ -304,7 +277,7 @@
         self._metrics.count_wait_end(service, waiter, outcome)
         self._metrics.observe_priority_wait(service, waiter.priority, now - waiter.arrived_at)
 
-    def _record_grant(self, service: str, queue: "_Queue", waiter: Waiter) -> None:
+    def _record_grant(self, service: str, queue: ReservationQueue, waiter: Waiter) -> None:
         """Record a grant for the order of the queue and for the estimates."""
         now = trio.current_time()
         queue.waiters.record_grant(waiter, now)
@@ -339,84 +312,6 @@
             return None
 
 
-class _Queue:
-    """Waiting requests, and the state of the task that serves them."""
-
-    RETRY_AFTER_RANGE_S = (3.0, 4.5)
-    """Range of the ``retry-after`` of refused requests."""
-
-    def __init__(self) -> None:
-        self.waiters = WaitQueue()
-        self.grant_rate = GrantRate()
-        self.served = ServedPriorities()
-        self.refusals = RefusalChecks()
-        self.is_served = False
-        self.wake = trio.Event()
-        self._pending: dict[str, _Pending] = {}
-
-    def add(self, pending: _Pending) -> None:
-        self.waiters.add(pending.waiter)
-        self._pending[pending.waiter.key] = pending
-        self.wake.set()
-
-    def remove(self, request_id: str) -> None:
-        self.waiters.remove(request_id)
-        self._pending.pop(request_id, None)
-
-    def resolve(self, request_id: str, result: MemoryReservation | ReservationRefused) -> bool:
-        """Set the result of a waiting request, or return ``False`` if it no longer waits."""
-        pending = self._pending.get(request_id)
-        if pending is None or pending.result is not None:
-            return False
-        pending.passed_over = self.waiters.passed_over(request_id)
-        self.waiters.remove(request_id)
-        pending.resolve(result)
-        return True
-
-    @property
-    def pending(self) -> tuple[_Pending, ...]:
-        return tuple(self._pending.values())
-
-    async def wait(self, pause_s: float) -> None:
-        """Wait for a time, or until memory is freed or a request is added.
-
-        Returns at once if that has happened since the last call.
-        """
-        with trio.move_on_after(pause_s):
-            await self.wake.wait()
-        self.wake = trio.Event()
-
-    def passed_over(self, request_id: str) -> PassedOver | None:
-        """Return how a request was passed over, whether it still waits or not."""
-        pending = self._pending.get(request_id)
-        return (
-            pending.passed_over
-            if pending and pending.passed_over
-            else (self.waiters.passed_over(request_id))
-        )
-
-    def dump(self, now: float) -> dict[str, object]:
-        waiters = self.waiters.waiters
-        return {
-            "waiting_by_priority": dict(Counter(str(waiter.priority) for waiter in waiters)),
-            "longest_wait_ms": round(
-                1_000 * max((now - waiter.arrived_at for waiter in waiters), default=0.0)
-            ),
-            "granted_lately": dict(
-                nlargest(MAX_DUMPED, self.waiters.granted_lately(now).items(), itemgetter(1))
-            ),
-            "over_share": sorted(self.waiters.over_share(now)),
-        }
-
-    def expected_wait_s(self, waiter: Waiter, now: float) -> float | None:
-        """Return how long a request would wait in the order of the queue, if that is known."""
-        ahead = sum(other.tokens for other in self.waiters.ahead_of(waiter, now))
-        return self.grant_rate.wait_s(ahead, waiter.tokens, now)
-
-    def retry_after_s(self, rng: Random) -> float:
-        return rng.uniform(*self.RETRY_AFTER_RANGE_S)
-
-
 def _log_passed_over(service: str, waiter: Waiter, passed_over: PassedOver | None) -> None:
     """Log, once for each request, why others were granted memory before it."""
     if passed_over is not None:
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -2,14 +2,14 @@
 
 import logging
 import math
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
 import trio
 
 from chivehold.core.direct.event_gaps import EventGaps, GapPosition
-from chivehold.core.direct.event_sequence import EventSequence
+from chivehold.core.direct.event_sequence import EventSequence, OutOfSequence, ResumedRun
 from chivehold.core.direct.events import EventSplitter, EventTooLong, StreamEvent
 from chivehold.core.direct.fleet import Verdict
 from chivehold.core.direct.messages import Dialect, RawHeaders, UpstreamRecord
@@ -140,7 +140,7 @@
             return _failed(f"no event for {event_timeout_s} s")
         except EventTooLong:
             return _failed("event too long")
-        except _OutOfSequence as error:
+        except OutOfSequence as error:
             return _failed(f"event {error} does not follow on {self.last_event}")
 
     def log_end(self, event: str, reason: str | None = None) -> None:
@@ -185,7 +185,7 @@
         """
         self._gaps.record_resumption()
         splitter = EventSplitter()
-        resumed = _ResumedRun(self._sequence) if self._reply.started else None
+        resumed = ResumedRun(self._sequence) if self._reply.started else None
         progress_at = trio.current_time()
         event_times: list[float] = []
         while True:
@@ -242,49 +242,6 @@
     return EVENT_TIMEOUT_S if may_resume else math.inf
 
 
-class _ResumedRun:
-    """The events of an engine that goes on with a stream.
-
-    Args:
-        sequence: The events that the caller has.
-    """
-
-    def __init__(self, sequence: EventSequence) -> None:
-        self._sequence = sequence
-        self._has_new_events = False
-        self._last_repeated: str | None = None
-
-    def new_events(self, events: Iterable[StreamEvent]) -> Iterator[StreamEvent]:
-        """Yield the events that the caller lacks; an engine may repeat earlier ones first.
-
-        Raises:
-            _OutOfSequence: The first new event does not follow on the last one.
-        """
-        for event in events:
-            if not self._has_new_events and not event.is_comment:
-                if self._sequence.is_repeated(event):
-                    self._last_repeated = event.event_id
-                    continue
-                if not self._sequence.is_next(event):
-                    raise _OutOfSequence(event.event_id)
-                self._has_new_events = True
-            yield event
-
-    def check_end(self) -> None:
-        """Check that the engine has not ended before the last event that the caller has.
-
-        Raises:
-            _OutOfSequence: Its last event is none that ends the stream.
-        """
-        is_last_repeated = self._last_repeated in (None, self._sequence.last_id)
-        if not self._has_new_events and not is_last_repeated:
-            raise _OutOfSequence(self._last_repeated)
-
-
-class _OutOfSequence(Exception):  # noqa: N818
-    """An event of an engine that goes on with a stream does not follow on what the caller has."""
-
-
 class _EventTimeout(Exception):  # noqa: N818
     """The engine completed no new event within the timeout."""
 
