--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -64,7 +64,7 @@
 SHUTDOWN_MARGIN_S = 1.2
 """How long before the end of the shutdown time the last requests are cut off."""
 ANSWER_MARGIN_S = 0.3
-"""How long before that the entry answers the requests that have no response yet."""
+"""How long before they are cut off the last requests without a response get one."""
 EXIT_MARGIN_S = 0.5
 """How long before the end of the shutdown time the process exits in any case."""
 EXIT_CODE_DRAIN_OVERRAN = 3
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -250,7 +250,7 @@
             scope = nursery.cancel_scope
             with (
                 self._revocations.watch(exchange, scope) as watched,
-                self._unanswered.watch(reply, scope) as drained,
+                self._unanswered.watch(reply, scope) as unanswered,
             ):
                 outcome = await self._serve(exchange, reply, routes)
             nursery.cancel_scope.cancel()
@@ -258,7 +258,7 @@
             outcome = KEY_REVOKED.reason
             if not reply.started:
                 await send_refusal(reply, KEY_REVOKED)
-        elif drained.is_unanswered and outcome == DEPARTED:
+        elif unanswered.was_ended and outcome == DEPARTED:
             refusal = drain_refusal(exchange.may_have_run, self._rng)
             outcome = refusal.reason
             await send_refusal(reply, refusal)
--- a/src/chivehold/direct/draining.py
+++ b/src/chivehold/direct/draining.py
@@ -51,8 +51,8 @@
         self._is_ended = False
 
     @property
-    def is_unanswered(self) -> bool:
-        """Whether the request was ended and its caller has not got a response."""
+    def was_ended(self) -> bool:
+        """Whether the request was ended before its response began."""
         return self._is_ended and not self._reply.started
 
     def end_if_unanswered(self) -> None:
