--- a/src/chivehold/core/direct/event_sequence.py
+++ b/src/chivehold/core/direct/event_sequence.py
@@ -1,8 +1,8 @@
 """Whether the events of a stream follow each other, judged by their ids.
 
 A stream that breaks off goes on at another engine after the last event that the caller has. That is
-sound only if the id of this event names its place. Engines number the events of a stream evenly, so
-an id that does not follow on the one before it may be spoilt.
+sound only if the id of this event is its true position. Engines number the events of a stream
+evenly, so an id that does not follow on the one before it may be wrong.
 """
 
 from collections.abc import Iterable, Iterator
@@ -10,6 +10,7 @@
 from chivehold.core.direct.events import StreamEvent, is_newer_event
 
 FIRST_NUMBERS = (0, 1)
+"""Numbers of a stream's first event."""
 MAX_NUMBER_DIGITS = 18
 """Longer numbers are compared as text."""
 
@@ -25,7 +26,7 @@
         self._last_id = last_id
         self._step = 1
         """Difference of the last two numbers."""
-        self._is_place_known = True
+        self._is_position_known = True
 
     @property
     def last_id(self) -> str | None:
@@ -34,13 +35,13 @@
 
     @property
     def last_number(self) -> int | None:
-        """Number of the last event, or ``None`` if its place is not known."""
-        return _number(self._last_id) if self._is_place_known else None
+        """Number of the last event, or ``None`` if its position is not known."""
+        return _number(self._last_id) if self._is_position_known else None
 
     @property
-    def is_place_known(self) -> bool:
-        """Whether the last id names the place of the last event, so that the stream can go on."""
-        return self._is_place_known
+    def is_position_known(self) -> bool:
+        """Whether the last id is the position of the last event, so that the stream can go on."""
+        return self._is_position_known
 
     def is_repeated(self, event: StreamEvent) -> bool:
         """Return whether the caller has an event already, if its id is right."""
@@ -61,7 +62,7 @@
         """Record that an event is sent to the caller."""
         if event.is_comment:
             return
-        self._is_place_known = self.is_next(event)
+        self._is_position_known = self.is_next(event)
         if event.event_id is None:
             return
         number, last_number = _number(event.event_id), _number(self._last_id)
--- a/src/chivehold/core/json_parts.py
+++ b/src/chivehold/core/json_parts.py
@@ -1,7 +1,7 @@
 """Splits JSON texts into the texts of their parts, without decoding those.
 
-A decoder refuses a whole text for one value that it cannot read. This splits around such values, be
-they nested too deeply or hold text that is no Unicode.
+A decoder refuses a whole text for one value that it cannot read: one that is nested too deeply, or
+a string that is not valid Unicode. Splitting the text does not look into such values.
 """
 
 import re
--- a/src/chivehold/direct/reservations.py
+++ b/src/chivehold/direct/reservations.py
@@ -77,7 +77,7 @@
         self._waits_end_at = math.inf
 
     async def reserve(self, service: str, waiter: Waiter) -> MemoryReservation | ReservationRefused:
-        """Wait for memory until the waiter's ``gives_up_at``."""
+        """Wait for memory until the waiter's ``gives_up_at`` or the end of all waits."""
         key = _QueueKey(service, waiter.software)
         queue = self._queues.setdefault(key, ReservationQueue())
         is_ordered = self._priorities(service).is_ordered
--- a/src/chivehold/direct/stream_relay.py
+++ b/src/chivehold/direct/stream_relay.py
@@ -95,9 +95,9 @@
         return self._sequence.last_number
 
     @property
-    def can_go_on(self) -> bool:
+    def can_resume(self) -> bool:
         """Whether another engine can go on exactly after what the caller has received."""
-        return not self._reply.started or self._sequence.is_place_known
+        return not self._reply.started or self._sequence.is_position_known
 
     @property
     def has_started(self) -> bool:
@@ -189,7 +189,7 @@
         progress_at = trio.current_time()
         event_times: list[float] = []
         while True:
-            timeout_s = event_timeout_s if self.can_go_on else math.inf
+            timeout_s = event_timeout_s if self.can_resume else math.inf
             chunk = await _next_chunk(response.chunks, progress_at + timeout_s)
             if chunk is None:
                 break
--- a/src/chivehold/direct/stream_request.py
+++ b/src/chivehold/direct/stream_request.py
@@ -130,7 +130,7 @@
     def _may_repeat(self) -> bool:
         if self._exchange.trial_of is not None and not self._has_settled:
             return False
-        if not self._relay.can_go_on:
+        if not self._relay.can_resume:
             return False
         return self._exchange.route.retryable and self._ends < MAX_ENDS_UNDER_REQUEST
 
--- a/tests/core/direct/test_event_sequence.py
+++ b/tests/core/direct/test_event_sequence.py
@@ -18,7 +18,7 @@
     return events
 
 
-class TestPlace:
+class TestPosition:
     @pytest.mark.parametrize(
         "event_ids",
         [
@@ -34,10 +34,10 @@
         ],
     )
     def test_known(self, event_ids: tuple[str, ...]) -> None:
-        """The place is known after evenly numbered events, also some time after a wrong id."""
-        assert sequence(*event_ids).is_place_known
+        """The position is known after evenly numbered events, also some time after a wrong id."""
+        assert sequence(*event_ids).is_position_known
 
-    # Guards against a stream that goes on at a wrong place, as the last id was spoilt.
+    # Guards against a stream that goes on at a wrong position, as the last id was spoilt.
     @pytest.mark.parametrize(
         "event_ids",
         [
@@ -55,22 +55,22 @@
         ],
     )
     def test_not_known(self, event_ids: tuple[str | None, ...]) -> None:
-        """The place is not known after an id that does not follow, or after none."""
+        """The position is not known after an id that does not follow, or after none."""
         events = sequence(*event_ids)
-        assert not events.is_place_known
+        assert not events.is_position_known
         assert events.last_number is None
 
     def test_after_the_events_of_the_caller(self) -> None:
         """A caller that resumes a stream has its events up to an id."""
-        assert sequence(last_id="17").is_place_known
+        assert sequence(last_id="17").is_position_known
         assert sequence("18", last_id="17").last_number == 18
-        assert not sequence("1", last_id="17").is_place_known
+        assert not sequence("1", last_id="17").is_position_known
 
     def test_comments_do_not_count(self) -> None:
-        """Comments that keep a connection open have no place in the stream."""
+        """Comments that keep a connection open have no position in the stream."""
         events = sequence("1", "2")
         events.record(StreamEvent(b": ping\n\n", None))
-        assert events.is_place_known
+        assert events.is_position_known
         assert events.last_id == "2"
 
 
--- a/tests/direct/test_spoilt_events.py
+++ b/tests/direct/test_spoilt_events.py
@@ -97,9 +97,11 @@
 
 
 class TestTwoEngines:
-    # Guards against a stream that goes on at a wrong place and ends as complete.
+    # Guards against a stream that goes on at a wrong position and ends as complete.
     @pytest.mark.parametrize("wrong_ids", [{2: "4"}, {2: "1"}, {2: ""}, {1: "", 2: ""}])
-    async def test_place_is_not_known(self, tmp_path: Path, wrong_ids: Mapping[int, str]) -> None:
+    async def test_position_is_not_known(
+        self, tmp_path: Path, wrong_ids: Mapping[int, str]
+    ) -> None:
         """A stream that breaks off after an event with a wrong id does not go on."""
         async with two_engines(tmp_path) as (harness, first, second):
             first.wrong_ids, first.stop_after = wrong_ids, 2
@@ -107,7 +109,7 @@
                 await resumed_body(harness, first, second)
             assert second.runs == []
 
-    async def test_place_is_known_again(self, tmp_path: Path) -> None:
+    async def test_position_is_known_again(self, tmp_path: Path) -> None:
         """A stream goes on if it breaks off some events after a wrong id."""
         async with two_engines(tmp_path) as (harness, first, second):
             first.wrong_ids, first.stop_after = {1: "9"}, 3
