--- a/tests/processes.py
+++ b/tests/processes.py
@@ -7,11 +7,24 @@
 import subprocess
 import sys
 import time
+from ipaddress import IPv4Address
 from pathlib import Path
+from random import SystemRandom
 
 READY_TIMEOUT_S = 15.0
 EXIT_TIMEOUT_S = 10.0
 TOKEN = "0123456789abcdef"
+FIRST_OWN_ADDRESS = IPv4Address("127.16.0.1")
+OWN_ADDRESSES = 1 << 22
+
+
+def own_address() -> str:
+    """Return a loopback address with port 0 that other processes are unlikely to use.
+
+    A program that listens there can be started again at the same port: the kernel gives ports of
+    127.0.0.1 to connections and to the programs of other test runs in the meantime.
+    """
+    return f"{FIRST_OWN_ADDRESS + SystemRandom().randrange(OWN_ADDRESSES)}:0"
 
 
 class RunningProgram:
--- a/tests/proofs/fleet.py
+++ b/tests/proofs/fleet.py
@@ -25,7 +25,7 @@
 from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
 from chivehold.rpc.convert_declarations import declaration_to_proto
 from tests.entry.deployed import call_operators, post
-from tests.processes import TOKEN, Programs, RunningProgram
+from tests.processes import TOKEN, Programs, RunningProgram, own_address
 from tests.proofs.callers import Callers, EntryEndpoint
 
 ANY_PORT = "127.0.0.1:0"
@@ -220,10 +220,9 @@
         options = ("--role", role, "--name", name, "--places", str(PLACES), *self._engine_options)
         return self._programs.start("chivehold.fakes.engine", *options)
 
-    def _start_sidecar(
-        self, name: str, addresses: tuple[str, ...] = (ANY_PORT,) * 3
-    ) -> RunningProgram:
+    def _start_sidecar(self, name: str, addresses: tuple[str, ...] | None = None) -> RunningProgram:
         role = ROLES[name]
+        addresses = addresses or (own_address(),) * 3
         return self._start_daemon(
             "chivehold.sidecar",
             name,
