An exception in one connection ends that connection alone

Callers saw: the process ended, and all requests in progress with it, when one client sent what its connection failed on. Cause: Hypercorn runs all connections in one nursery, so an exception in one cancels all others and leaves worker_serve. Besides, it closes a connection with send_eof, which makes a task that is just sending there fail with BusyResourceError: trio's conflict detector is held over a checkpoint.

The listener accepts with a loop of its own now. Connection extends Hypercorn's TCPServer: it logs what a connection fails with and ends that one, and closes with a shutdown of the socket that needs no detector.

--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -3,13 +3,17 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from functools import partial
 from typing import Any, NamedTuple
 
 import msgspec
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config, Sockets
-from hypercorn.trio import serve
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.utils import repr_socket_addr
 
+from chivehold.http_connections import Connection
 from chivehold.logs import log_event
 
 Scope = MutableMapping[str, Any]
@@ -34,8 +38,8 @@
     """Limits of a listener."""
 
     max_header_bytes: int = 16_384
-    """Limit of a request's head that arrives in several reads. A head that arrives in a single read
-    may have up to 64 KiB, so an application that needs an exact limit must check it itself."""
+    """Limit of a request's incomplete head. A complete one may be longer by what is read at a time,
+    so an application that needs an exact limit must check it itself."""
     max_requests: int = 4_096
     """Maximum number of concurrent requests; further ones are answered with 503."""
     keep_alive_s: float = 5.0
@@ -86,6 +90,7 @@
         stall_ms = int(self.send_stall_s * 1_000)
         for sock in sockets.insecure_sockets:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stall_ms)
+            sock.listen(self.backlog)
         return sockets
 
 
@@ -113,26 +118,46 @@
     Raises:
         OSError: The address cannot be bound.
     """
+    config = _listener_config(address, limits)
+    (listening,) = config.create_sockets().insecure_sockets
+    guarded = ASGIWrapper(_GuardedApp(app, limits, overflow or _respond_busy))
+    context = WorkerContext(None)
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        await Connection(guarded, config, context, stream).run()
+
+    async with trio.open_nursery() as handlers:
+        try:
+            async with trio.open_nursery() as acceptor:
+                listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+                acceptor.start_soon(
+                    partial(
+                        trio.serve_listeners,
+                        serve_connection,
+                        [listener],
+                        handler_nursery=handlers,
+                    )
+                )
+                task_status.started(repr_socket_addr(listening.family, listening.getsockname()))
+                await (trio.sleep_forever() if shutdown is None else shutdown.wait())
+                acceptor.cancel_scope.cancel()
+        finally:
+            await context.terminated.set()
+            handlers.cancel_scope.deadline = trio.current_time() + limits.drain_timeout_s
+
+
+def _listener_config(address: str, limits: ServerLimits) -> _ListenerConfig:
     config = _ListenerConfig()
     config.bind = [address]
     config.accesslog = None
     config.errorlog = _hypercorn_log
     config.backlog = limits.backlog
-    config.graceful_timeout = limits.drain_timeout_s
     config.h11_max_incomplete_size = limits.max_header_bytes
     config.include_server_header = False
     config.include_date_header = limits.date_header
     config.keep_alive_timeout = limits.keep_alive_s
     config.send_stall_s = limits.send_stall_s
-    shutdown_trigger = trio.sleep_forever if shutdown is None else shutdown.wait
-    async with trio.open_nursery() as nursery:
-
-        async def run(task_status: trio.TaskStatus[list[str]]) -> None:
-            guarded = _GuardedApp(app, limits, overflow or _respond_busy)
-            await serve(guarded, config, shutdown_trigger=shutdown_trigger, task_status=task_status)
-
-        (bound_address,) = await nursery.start(run)
-        task_status.started(bound_address.removeprefix("http://"))
+    return config
 
 
 def header(scope: Scope, name: str) -> str | None:
@@ -245,23 +270,18 @@
         self._in_progress = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             await send({"type": "websocket.close", "code": 1003})
             return
         exchange = _Exchange(receive, send)
+        app = self._app if self._in_progress < self._limits.max_requests else self._overflow
         self._in_progress += 1
         try:
-            await self._handle_request(scope, exchange)
+            await self._handle_request(app, scope, exchange)
         finally:
             self._in_progress -= 1
 
-    async def _handle_request(self, scope: Scope, exchange: "_Exchange") -> None:
-        app = self._app
-        if self._in_progress > self._limits.max_requests:
-            app = self._overflow
+    async def _handle_request(self, app: App, scope: Scope, exchange: "_Exchange") -> None:
         try:
             await app(scope, exchange.receive, exchange.send)
         except BodyTooLarge as error:
@@ -282,10 +302,8 @@
 class _Exchange:
     """A request and its response.
 
-    When the response ends, Hypercorn puts a last message into the application's receive queue. If
-    the application has responded without reading a long body, that queue is full and sending the
-    end of the response would deadlock. The rest of the body is therefore read and discarded before
-    the end of the response is sent.
+    The rest of a body that the application has not read is discarded before the end of the response
+    is sent, so that the client can read the response.
     """
 
     def __init__(self, receive: Receive, send: Send) -> None:
@@ -307,16 +325,12 @@
         if message["type"] == "http.response.start" or message.get("more_body", False):
             await self._send(message)
             return
-        if self._body_ended:
-            await self._send_last(message)
-            return
-        await self._send({**message, "more_body": True})
-        with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
-            await self._discard_body()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._discard_messages)
-            await self._send({**message, "body": b""})
-            nursery.cancel_scope.cancel()
+        if not self._body_ended:
+            await self._send({**message, "more_body": True})
+            message = {**message, "body": b""}
+            with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
+                await self._discard_body()
+        await self._send_last(message)
 
     async def _send_last(self, message: Message) -> None:
         """Send the last message without being cancelled.
@@ -330,15 +344,3 @@
     async def _discard_body(self) -> None:
         while not self._body_ended:
             await self.receive()
-
-    async def _discard_messages(self) -> None:
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
