Connections speak HTTP/1 alone

Callers saw: a WebSocket handshake followed by bytes ended the process; HTTP/2 was taken up (h2c upgrade, preface) with a traceback for each; after CONNECT and a 2xx the connection was closed and its task stayed for ever. Cause: Hypercorn switches protocols by itself; its other protocols have no limits here.

HttpProtocol answers a WebSocket handshake with 403 as before, other versions with 505, CONNECT with 404 as before, closes, and ignores other upgrades, as RFC 9110 allows.

--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -7,13 +7,13 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, RawData
-from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
 from hypercorn.utils import parse_socket_addr
 
+from chivehold.http_protocol import HttpProtocol
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -60,7 +60,7 @@
         client = parse_socket_addr(sock.family, sock.getpeername())
         server = parse_socket_addr(sock.family, sock.getsockname())
         async with TaskGroup() as self._task_group:
-            self.protocol = H11Protocol(
+            self.protocol = HttpProtocol(
                 self.app,
                 self.config,
                 self.context,
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -270,9 +270,6 @@
         self._in_progress = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] != "http":
-            await send({"type": "websocket.close", "code": 1003})
-            return
         exchange = _Exchange(receive, send)
         app = self._app if self._in_progress < self._limits.max_requests else self._overflow
         self._in_progress += 1
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from chivehold.http_connections import Connection
-from tests.test_http_server import LIMITS, PausedStream, serving
+from tests.test_http_server import LIMITS, PausedStream, echo, post, serving
 
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 WEBSOCKET = (
@@ -66,3 +66,25 @@
             assert await exchange(peer, b"") == b""
             stream_app.resume.set()
             assert await anext(stream) == [b"two"]
+
+
+class TestOtherProtocols:
+    async def test_websocket_is_refused(self) -> None:
+        """Guards against bytes behind a WebSocket handshake that end the process."""
+        async with serving(echo) as (client, peer):
+            answer = await exchange(peer, GET + WEBSOCKET + b"bytes" * 1_000)
+            assert answer.startswith(b"HTTP/1.1 403 ")
+            assert (await post(client, peer))[0] == 200
+
+    async def test_upgrade_to_http2_is_ignored(self) -> None:
+        """Guards against a switch to HTTP/2; the request is answered in HTTP/1.1."""
+        upgrade = b"connection: upgrade, http2-settings\r\nupgrade: h2c\r\nhttp2-settings: AA\r\n"
+        async with serving(echo) as (_, peer), await connect(peer) as stream:
+            await stream.send_all(GET + upgrade + b"\r\n")
+            assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
+
+    async def test_http2_preface_is_refused(self) -> None:
+        """The version is refused and the connection closed."""
+        async with serving(echo) as (_, peer):
+            answer = await exchange(peer, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 505 ")
