A closed connection is forgotten at once

Callers saw: memory that grows with each refused connection until idle_timeout_s has passed. Cause: the idle timeout is a task of the connection, which outlived it: a refused head never stopped it, nor did a client that closed between two requests. A request whose body was not read kept its connection too when its client left: the message of the disconnect waited for room in the queue of an application that had ended.

The timeout is stopped when reading ends, reading ends when the connection is closed, and a disconnect never waits in the queue.

--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -6,14 +6,13 @@
 
 import trio
 from hypercorn.config import Config
-from hypercorn.events import Closed, RawData
-from hypercorn.trio.task_group import TaskGroup
+from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
 from hypercorn.utils import parse_socket_addr
 
-from chivehold.http_protocol import HttpProtocol
+from chivehold.http_protocol import HttpProtocol, RequestTasks
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
@@ -37,6 +36,8 @@
         stream: trio.SocketStream,
     ) -> None:
         super().__init__(app, config, context, ConnectionState({}), stream)
+        self._reading = trio.CancelScope()
+        self._is_reading = True
 
     async def run(self) -> None:
         """Serve the connection until it ends, whatever happens on it."""
@@ -55,11 +56,19 @@
         finally:
             await self._close()
 
+    async def protocol_send(self, event: Event) -> None:
+        """Carry out what the protocol asks for: send bytes, close, or note the idle state."""
+        if isinstance(event, Updated) and not self._is_reading:
+            return
+        await super().protocol_send(event)
+        if isinstance(event, Closed):
+            self._reading.cancel()
+
     async def _serve(self) -> None:
         sock = self.stream.socket
         client = parse_socket_addr(sock.family, sock.getpeername())
         server = parse_socket_addr(sock.family, sock.getsockname())
-        async with TaskGroup() as self._task_group:
+        async with RequestTasks() as self._task_group:
             self.protocol = HttpProtocol(
                 self.app,
                 self.config,
@@ -73,14 +82,17 @@
             )
             await self.idle_task.restart(self._task_group, self._idle_timeout)
             await self._read_data()
+            # The timeout would keep the closed connection in memory until it has passed.
+            await self.idle_task.stop()
 
     async def _read_data(self) -> None:
         is_open = True
-        with suppress(trio.ClosedResourceError, trio.BrokenResourceError):
+        with suppress(trio.ClosedResourceError, trio.BrokenResourceError), self._reading:
             while is_open:
                 data = bytes(await self.stream.receive_some(MAX_RECV))
                 await self.protocol.handle(RawData(data))
                 is_open = bool(data)
+        self._is_reading = False
         await self.protocol.handle(Closed())
 
     async def _close(self) -> None:
--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -1,17 +1,29 @@
 """HTTP/1 on the server's side of a connection.
 
-Hypercorn's protocol is extended so that a connection speaks nothing else.
+Hypercorn's classes are extended so that a connection speaks nothing else, and so that a request can
+always end, however much of its body has not been read.
 """
 
+from collections.abc import Awaitable, Callable, MutableMapping
 from http import HTTPStatus
+from typing import Any
 
 import h11
+import trio
+from hypercorn.config import Config
 from hypercorn.events import Closed
 from hypercorn.protocol.events import Request
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.trio.task_group import TaskGroup, _handle
+from hypercorn.typing import AppWrapper
 
 SUPPORTED_VERSIONS = (b"1.0", b"1.1")
+MAX_QUEUED_MESSAGES = 1
+"""Parts of a body, of at most one read each, that wait for the application."""
+DISCONNECT = "http.disconnect"
+
+Message = MutableMapping[str, Any]
 
 
 class HttpProtocol(H11Protocol):  # type: ignore[misc]
@@ -58,6 +70,57 @@
         await self.send(Closed())
 
 
+class MessageQueue:
+    """The messages of a request that its application has not received yet."""
+
+    def __init__(self) -> None:
+        self._messages: list[Message] = []
+        self._is_disconnected = False
+        self._changed = trio.Event()
+
+    async def put(self, message: Message) -> None:
+        """Add a message: a disconnect at once, a part of the body when there is room for it.
+
+        After a disconnect, and while a part waits for room, parts of the body are dropped.
+        """
+        if message["type"] == DISCONNECT:
+            self._is_disconnected = True
+        while len(self._messages) >= MAX_QUEUED_MESSAGES and not self._is_disconnected:
+            await self._changed.wait()
+        if message["type"] == DISCONNECT or not self._is_disconnected:
+            self._messages.append(message)
+        self._notify()
+
+    async def get(self) -> Message:
+        """Wait for the next message and remove it."""
+        while not self._messages:
+            await self._changed.wait()
+        message = self._messages.pop(0)
+        self._notify()
+        return message
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+class RequestTasks(TaskGroup):  # type: ignore[misc]
+    """Runs the application for each request of a connection."""
+
+    async def spawn_app(
+        self,
+        app: AppWrapper,
+        config: Config,
+        scope: MutableMapping[str, Any],
+        send: Callable[[Message | None], Awaitable[None]],
+    ) -> Callable[[Message], Awaitable[None]]:
+        """Start the application on a request and return what passes messages to it."""
+        queue = MessageQueue()
+        run_sync, run = trio.to_thread.run_sync, trio.from_thread.run
+        self.spawn(_handle, app, config, scope, queue.get, send, run_sync, run)
+        return queue.put
+
+
 def _is_websocket_handshake(request: h11.Request) -> bool:
     return request.method == b"GET" and any(
         name == b"upgrade" and value.strip().lower() == b"websocket"
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -6,6 +6,14 @@
 import trio.testing
 
 from chivehold.http_connections import Connection
+from chivehold.http_server import (
+    Receive,
+    Scope,
+    Send,
+    respond,
+    send_chunk,
+    start_response,
+)
 from tests.test_http_server import LIMITS, PausedStream, echo, post, serving
 
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
@@ -67,6 +75,39 @@
             stream_app.resume.set()
             assert await anext(stream) == [b"two"]
 
+    async def test_refused_connection_is_forgotten_at_once(self) -> None:
+        """Guards against refused connections that stay in memory until their idle timeout."""
+        async with serving(echo, LONG_KEEP_ALIVE) as (_, peer):
+            tasks = await living_tasks()
+            for _ in range(5):
+                assert (await exchange(peer, b"\r\n\r\n")).startswith(b"HTTP/1.1 400 ")
+            assert await living_tasks() == tasks
+
+    async def test_closed_connection_is_forgotten_at_once(self) -> None:
+        """The same for a connection that its client closes between two requests."""
+        async with serving(echo, LONG_KEEP_ALIVE) as (_, peer):
+            tasks = await living_tasks()
+            async with await connect(peer) as stream:
+                await stream.send_all(GET + b"\r\n")
+                assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
+            assert await living_tasks() == tasks
+
+    @pytest.mark.parametrize("count", [1, 40])
+    async def test_failure_midway_with_an_unread_body(self, count: int) -> None:
+        """Guards against a connection that stays open as its unread body fills the queue."""
+
+        async def cut(scope: Scope, receive: Receive, send: Send) -> None:
+            await start_response(send, 200, "text/plain")
+            await send_chunk(send, b"one\n")
+            await trio.sleep(0.1)
+            raise ValueError
+
+        async with serving(cut) as (_, peer):
+            body = b"x" * (count * 10_000)
+            head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n" % len(body)
+            with trio.fail_after(5):
+                await exchange(peer, head + body)
+
 
 class TestOtherProtocols:
     async def test_websocket_is_refused(self) -> None:
@@ -83,6 +124,26 @@
             await stream.send_all(GET + upgrade + b"\r\n")
             assert (await stream.receive_some()).startswith(b"HTTP/1.1 200 ")
 
+    async def test_tunnel_is_refused(self) -> None:
+        """Guards against a tunnel whose closed connection is kept for ever."""
+        async with serving(echo) as (_, peer):
+            tasks = await living_tasks()
+            answer = await exchange(peer, b"CONNECT a:1 HTTP/1.1\r\nhost: a:1\r\n\r\nbytes")
+            assert answer.startswith(b"HTTP/1.1 404 ")
+            assert await living_tasks() == tasks
+
+    async def test_upgrade_with_bytes_is_forgotten(self) -> None:
+        """The same for bytes behind a request for an upgrade whose response closes."""
+
+        async def close(scope: Scope, receive: Receive, send: Send) -> None:
+            await respond(send, 200, headers=[("connection", "close")])
+
+        upgrade = GET + b"connection: upgrade\r\nupgrade: x\r\n\r\nbytes"
+        async with serving(close) as (_, peer):
+            tasks = await living_tasks()
+            assert (await exchange(peer, upgrade)).startswith(b"HTTP/1.1 200 ")
+            assert await living_tasks() == tasks
+
     async def test_http2_preface_is_refused(self) -> None:
         """The version is refused and the connection closed."""
         async with serving(echo) as (_, peer):
