The connections of each listener have a limit; idle ones give way

Callers saw: no answer while silent clients held all descriptors, and memory that grew with them. Cause: no limit but that of the process, which the connections to upstreams and the store share.

One connection more than max_connections (1280; 64 at listeners for operators; three quarters of the descriptors less 200 if that is fewer) takes the place of the oldest without a request. If all have one, it is closed unread, which clients may retry, and the next idle one makes room.

--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -46,7 +46,7 @@
 from chivehold.direct.usage_exchange import UsageExchange
 from chivehold.direct.version_tracking import VersionTracking
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import App, ServerLimits, serve_http
+from chivehold.http_server import OPERATOR_SERVER_LIMITS, App, ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import RenderedMetrics
@@ -281,11 +281,12 @@
         )
         limits = ServerLimits(
             max_requests=settings.max_requests,
+            max_connections=settings.max_connections,
             keep_alive_s=settings.idle_timeout_s,
             drain_timeout_s=drain_timeout_s,
             date_header=False,
         )
-        operator_limits = ServerLimits(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
+        operator_limits = OPERATOR_SERVER_LIMITS._replace(drain_timeout_s=SHUTDOWN_MARGIN_S / 2)
         operator = OperatorApp(
             self._unready_reason,
             self._render_metrics,
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -27,7 +27,7 @@
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.entry.vm_list import poll_leaving_vms
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import ServerLimits, serve_http
+from chivehold.http_server import OPERATOR_SERVER_LIMITS, ServerLimits, serve_http
 from chivehold.logs import log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import EntryMetrics
@@ -186,9 +186,10 @@
         limits = ServerLimits(
             max_header_bytes=settings.max_header_bytes,
             max_requests=settings.max_connections,
+            max_connections=settings.max_connections,
             drain_timeout_s=CALLER_DRAIN_TIMEOUT_S,
         )
-        operator_limits = ServerLimits(drain_timeout_s=OPERATOR_DRAIN_TIMEOUT_S)
+        operator_limits = OPERATOR_SERVER_LIMITS._replace(drain_timeout_s=OPERATOR_DRAIN_TIMEOUT_S)
         async with trio.open_nursery() as servers:
             operator_app = OperatorApp(
                 self._driver,
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -13,7 +13,7 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.utils import repr_socket_addr
 
-from chivehold.http_connections import Connection
+from chivehold.http_connections import Connection, Connections, connections_within
 from chivehold.logs import log_event
 
 Scope = MutableMapping[str, Any]
@@ -40,6 +40,9 @@
     max_header_bytes: int = 16_384
     """Limit of a request's incomplete head. A complete one may be longer by what is read at a time,
     so an application that needs an exact limit must check it itself."""
+    max_connections: int = 1_024
+    """Maximum number of connections, or fewer if the process may not have as many descriptors. One
+    more takes the place of an idle one, or is closed."""
     max_requests: int = 4_096
     """Maximum number of concurrent requests; further ones are answered with 503."""
     keep_alive_s: float = 5.0
@@ -54,6 +57,8 @@
 
 
 DEFAULT_SERVER_LIMITS = ServerLimits()
+OPERATOR_SERVER_LIMITS = ServerLimits(max_requests=32, max_connections=64)
+"""Limits of a listener for operators, health checks and metrics."""
 
 
 class BodyTooLarge(Exception):  # noqa: N818
@@ -122,9 +127,10 @@
     (listening,) = config.create_sockets().insecure_sockets
     guarded = ASGIWrapper(_GuardedApp(app, limits, overflow or _respond_busy))
     context = WorkerContext(None)
+    connections = Connections(connections_within(limits.max_connections))
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        await Connection(guarded, config, context, stream).run()
+        await Connection(guarded, config, context, connections, stream).run()
 
     async with trio.open_nursery() as handlers:
         try:
--- a/src/chivehold/settings.py
+++ b/src/chivehold/settings.py
@@ -69,7 +69,7 @@
     max_held_bytes: int = 256 * MIB
     """Maximum total size of the bodies of all requests in progress."""
     max_connections: int = 4096
-    """Maximum number of concurrent requests."""
+    """Maximum number of callers' connections, and of concurrent requests."""
     max_answer_bytes: int = 8 * MIB
     """Maximum size of a service's response."""
     default_deadline_s: float = 900.0
@@ -159,12 +159,14 @@
     """Number of entries assumed to share common budgets until the actual number is known."""
     decode_per_prefill: float = 3.0
     """Number of decode engines that one prefill engine keeps busy; roles are assigned to match."""
-    max_held_bytes: int = 32 * MIB
-    """Maximum total size of the bodies of all requests in progress."""
+    max_held_bytes: int = 16 * MIB
+    """Maximum total size of the bodies and answers of all requests in progress."""
     idle_timeout_s: float = 60.0
     """Idle connections of callers are closed after this time."""
     max_requests: int = 1024
     """Maximum number of concurrent requests."""
+    max_connections: int = 1280
+    """Maximum number of callers' connections; one more takes the place of an idle one."""
     exchange_address: str | None = None
     """``host:port`` for datagrams between the entries; ``None`` if they tell each other nothing."""
     crash_ends: int = DEFAULT_CRASH_POLICY.ends
@@ -318,6 +320,7 @@
     max_held_bytes: _Bytes
     idle_timeout_s: _Seconds
     max_requests: _Count
+    max_connections: _Count
     exchange_address: _Address
     crash_ends: Annotated[int, msgspec.Meta(ge=2, le=100, description="a count, 2 to 100")]
     crash_ends_if_sound_before: Annotated[
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -33,6 +33,7 @@
 from chivehold.core.wire import UpstreamState
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import (
+    OPERATOR_SERVER_LIMITS,
     App,
     Receive,
     Scope,
@@ -307,7 +308,14 @@
             listener_stopped.set()
 
         data = await nursery.start(serve_data)
-        operator = await nursery.start(serve_http, sidecar.operator_app, settings.operator_address)
+        operator = await nursery.start(
+            partial(
+                serve_http,
+                sidecar.operator_app,
+                settings.operator_address,
+                limits=OPERATOR_SERVER_LIMITS,
+            )
+        )
         adders = [partial(add_SidecarServicer_to_server, sidecar.control)]
         async with serve_rpc(settings.control_address, adders, settings.token) as control:
             addresses = SidecarAddresses(data, control, operator)
