What a client sends ahead is bounded

Callers saw: memory that grew with bodies sent ahead of answers that nobody read. Cause: 64 KiB were read at a time, ten such parts waited for an application, the kernel held up to 128 KiB more for each connection, and a refused client kept its connection with all of that.

A sidecar had 104.2 MB (bodies) and 99.5 MB (requests sent ahead) while a 401 kept the connection.

--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -9,7 +9,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
-from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
 from hypercorn.utils import parse_socket_addr
@@ -17,6 +17,8 @@
 from chivehold.http_protocol import HttpProtocol, RequestTasks
 from chivehold.logs import log_event
 
+READ_BYTES = 16_384
+"""Maximum number of bytes that a connection reads at a time, and so reads ahead of a response."""
 RESERVED_DESCRIPTORS = 200
 """Descriptors of the process that are left for files."""
 CONNECTION_SHARE = 0.75
@@ -222,7 +224,7 @@
         is_open = True
         with suppress(trio.ClosedResourceError, trio.BrokenResourceError), self._reading:
             while is_open:
-                data = bytes(await self.stream.receive_some(MAX_RECV))
+                data = bytes(await self.stream.receive_some(READ_BYTES))
                 self._connections.count_received(self, len(data))
                 await self.protocol.handle(RawData(data))
                 is_open = bool(data)
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -28,6 +28,10 @@
 UNREAD_BODY_TIMEOUT_S = 1.0
 """Maximum time to read and discard the rest of a body that the application has not read."""
 BUSY_RETRY_AFTER_S = 1.0
+RECEIVE_BUFFER_BYTES = 16_384
+"""Size of a connection's receive buffer in the kernel, which doubles it."""
+SEND_BUFFER_BYTES = 65_536
+"""Size of a connection's send buffer in the kernel, which doubles it."""
 
 _log = logging.getLogger(__name__)
 _hypercorn_log = logging.getLogger(f"{__name__}.hypercorn")
@@ -81,10 +85,10 @@
 
 
 class _ListenerConfig(Config):  # type: ignore[misc]
-    """Hypercorn configuration that closes connections whose peer has stopped reading.
+    """Hypercorn configuration that bounds what the kernel holds for a connection, and how long.
 
-    Hypercorn shields its writes from cancellation, so a frozen peer would prevent the process from
-    exiting.
+    Connections are closed whose peer has stopped reading. Hypercorn shields its writes from
+    cancellation, so a frozen peer would prevent the process from exiting.
     """
 
     send_stall_s = 10.0
@@ -95,6 +99,8 @@
         stall_ms = int(self.send_stall_s * 1_000)
         for sock in sockets.insecure_sockets:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stall_ms)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             sock.listen(self.backlog)
         return sockets
 
@@ -263,7 +269,9 @@
 
 async def _respond_busy(scope: Scope, receive: Receive, send: Send) -> None:
     retry_after = ("retry-after", str(int(BUSY_RETRY_AFTER_S)))
-    await respond_error(send, 503, "full", "too many requests in progress", [retry_after])
+    # What the client has sent ahead is not to wait in memory for room.
+    headers = [retry_after, ("connection", "close")]
+    await respond_error(send, 503, "full", "too many requests in progress", headers)
 
 
 class _GuardedApp:
--- a/src/chivehold/sidecar/data_app.py
+++ b/src/chivehold/sidecar/data_app.py
@@ -102,7 +102,9 @@
             body = await read_body(receive, self._max_body_bytes)
             await handler(_Exchange(scope, receive, send, body))
         except Unauthorised as error:
-            await respond_error(send, 401, Reason.UNAUTHORISED, error.detail)
+            # What such a client has sent ahead is not to be held.
+            closing = [("connection", "close")]
+            await respond_error(send, 401, Reason.UNAUTHORISED, error.detail, closing)
         except Malformed as error:
             await respond_error(send, 400, Reason.MALFORMED, error.detail)
 
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -1,6 +1,6 @@
 import resource
 from collections.abc import Iterator
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 import trio
@@ -11,6 +11,7 @@
     Receive,
     Scope,
     Send,
+    read_body,
     respond,
     send_chunk,
     start_response,
@@ -272,3 +273,37 @@
             assert await exchange(peer, b"") == b""
             stream_app.resume.set()
             assert await anext(stream) == [b"two"]
+
+    async def test_requests_sent_ahead_are_not_read(self) -> None:
+        """Guards against requests sent ahead that fill the memory while one is in progress."""
+        received = 0
+        resume = trio.Event()
+
+        async def slow(scope: Scope, receive: Receive, send: Send) -> None:
+            nonlocal received
+            received += 1
+            await read_body(receive, 100_000)
+            await resume.wait()
+            await respond(send, 200)
+
+        request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\n" + b"x" * 60_000
+        async with serving(slow) as (_, peer), flooded(peer, request) as sent:
+            await trio.sleep(0.3)
+            assert received == 1
+            assert sent[0] < 2_000_000
+            resume.set()
+
+
+@asynccontextmanager
+async def flooded(peer: str, request: bytes):
+    """Send a request again and again; yields the number of bytes that were taken up."""
+    sent = [0]
+
+    async def send_all(stream: trio.SocketStream) -> None:
+        while True:
+            sent[0] += await stream.socket.send(request)
+
+    async with await connect(peer) as stream, trio.open_nursery() as nursery:
+        nursery.start_soon(send_all, stream)
+        yield sent
+        nursery.cancel_scope.cancel()
