What a connection has parsed is freed with it; trailers are dropped

Callers saw: memory that grew with trailers, and with refused connections in between two runs of the garbage collector. Cause: h11 parses the fields of a finished trailer into objects of many times its size, which Hypercorn holds while the end of the body waits for the application; and a connection's buffers were parts of reference cycles, one of them through h11's own traceback.

TestTrailers and test_buffers_of_a_closed_connection_are_freed show each by itself.

--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -180,6 +180,9 @@
                 raise cancellations from None
         finally:
             self._connections.remove(self)
+            # The protocol refers to this object: its buffers would wait for the garbage collector.
+            with suppress(AttributeError):
+                del self.protocol
             await self._close()
 
     def abandon(self) -> None:
--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -26,9 +26,30 @@
 Message = MutableMapping[str, Any]
 
 
+class RequestParser(h11.Connection):
+    """Parses requests and drops their trailers, which nothing here reads."""
+
+    def __init__(self, max_incomplete_event_size: int) -> None:
+        super().__init__(h11.SERVER, max_incomplete_event_size)
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Return the next event; see ``h11.Connection``."""
+        try:
+            event = super().next_event()
+        except h11.RemoteProtocolError as error:
+            # h11's traceback refers to the error and would keep the buffer in memory.
+            raise error.with_traceback(None) from None
+        # Parsed, the many short fields of a long trailer take many times its size.
+        return h11.EndOfMessage() if isinstance(event, h11.EndOfMessage) else event
+
+
 class HttpProtocol(H11Protocol):  # type: ignore[misc]
     """HTTP/1 on one connection; upgrades and other versions are refused or ignored."""
 
+    def __init__(self, app: AppWrapper, config: Config, *arguments: Any) -> None:
+        super().__init__(app, config, *arguments)
+        self.connection = RequestParser(config.h11_max_incomplete_size)
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Continue with HTTP/1, whatever the request asks for."""
 
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -1,12 +1,16 @@
+import gc
 import resource
 from collections.abc import Iterator
 from contextlib import asynccontextmanager, suppress
 
+import h11
 import pytest
 import trio
 import trio.testing
+from hypercorn.protocol.h11 import H11Protocol
 
 from chivehold.http_connections import Connection, Connections, connections_within
+from chivehold.http_protocol import RequestParser
 from chivehold.http_server import (
     Receive,
     Scope,
@@ -184,6 +188,19 @@
                 assert (await exchange(peer, b"\r\n\r\n")).startswith(b"HTTP/1.1 400 ")
             assert await living_tasks() == tasks
 
+    async def test_buffers_of_a_closed_connection_are_freed(self) -> None:
+        """Guards against buffers that stay in memory until the garbage collector has run."""
+        gc.collect()
+        gc.disable()
+        try:
+            async with serving(echo) as (_, peer):
+                assert (await exchange(peer, b"\r\n\r\n")).startswith(b"HTTP/1.1 400 ")
+                await exchange(peer, GET)
+                await living_tasks()
+                assert not [item for item in gc.get_objects() if isinstance(item, H11Protocol)]
+        finally:
+            gc.enable()
+
     async def test_closed_connection_is_forgotten_at_once(self) -> None:
         """The same for a connection that its client closes between two requests."""
         async with serving(echo, LONG_KEEP_ALIVE) as (_, peer):
@@ -210,6 +227,15 @@
                 await exchange(peer, head + body)
 
 
+class TestTrailers:
+    def test_trailers_are_dropped(self) -> None:
+        """Guards against trailers that take many times their size until their request ends."""
+        parser = RequestParser(1_000)
+        parser.receive_data(GET + b"transfer-encoding: chunked\r\n\r\n0\r\na: b\r\n\r\n")
+        assert isinstance(parser.next_event(), h11.Request)
+        assert parser.next_event() == h11.EndOfMessage()
+
+
 class TestOtherProtocols:
     async def test_websocket_is_refused(self) -> None:
         """Guards against bytes behind a WebSocket handshake that end the process."""
