The heads of all requests in progress have a limit on their memory

Callers saw: memory that grew with heads of many short fields, each inside the limits. Cause: only the number of requests was limited; a field of three bytes takes some hundred.

Requests above 8 MiB of heads are refused with 503; a single one never is.

--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -32,6 +32,8 @@
 """Size of a connection's receive buffer in the kernel, which doubles it."""
 SEND_BUFFER_BYTES = 65_536
 """Size of a connection's send buffer in the kernel, which doubles it."""
+HELD_FIELD_BYTES = 400
+"""Memory for a header field besides its name and value, of which several copies exist."""
 
 _log = logging.getLogger(__name__)
 _hypercorn_log = logging.getLogger(f"{__name__}.hypercorn")
@@ -44,6 +46,9 @@
     max_header_bytes: int = 16_384
     """Limit of a request's incomplete head. A complete one may be longer by what is read at a time,
     so an application that needs an exact limit must check it itself."""
+    max_held_head_bytes: int = 8 << 20
+    """Maximum memory for the heads of all requests in progress; further ones are answered with 503,
+    and a single request never."""
     max_connections: int = 1_024
     """Maximum number of connections, or fewer if the process may not have as many descriptors. One
     more takes the place of an idle one, or is closed."""
@@ -282,15 +287,27 @@
         self._limits = limits
         self._overflow = overflow
         self._in_progress = 0
+        self._head_bytes = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = _Exchange(receive, send)
-        app = self._app if self._in_progress < self._limits.max_requests else self._overflow
+        head_bytes = _held_head_bytes(scope)
+        app = self._app if self._has_room_for(head_bytes) else self._overflow
         self._in_progress += 1
+        self._head_bytes += head_bytes
         try:
             await self._handle_request(app, scope, exchange)
         finally:
             self._in_progress -= 1
+            self._head_bytes -= head_bytes
+
+    def _has_room_for(self, head_bytes: int) -> bool:
+        if self._in_progress == 0:
+            return True
+        return (
+            self._in_progress < self._limits.max_requests
+            and self._head_bytes + head_bytes <= self._limits.max_held_head_bytes
+        )
 
     async def _handle_request(self, app: App, scope: Scope, exchange: "_Exchange") -> None:
         try:
@@ -355,3 +372,9 @@
     async def _discard_body(self) -> None:
         while not self._body_ended:
             await self.receive()
+
+
+def _held_head_bytes(scope: Scope) -> int:
+    """Return the memory that the head of a request takes."""
+    fields: Iterable[tuple[bytes, bytes]] = scope["headers"]
+    return sum(HELD_FIELD_BYTES + len(name) + len(value) for name, value in fields)
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -15,6 +15,7 @@
     Receive,
     Scope,
     Send,
+    ServerLimits,
     read_body,
     respond,
     send_chunk,
@@ -300,6 +301,20 @@
             stream_app.resume.set()
             assert await anext(stream) == [b"two"]
 
+    async def test_memory_of_heads_is_limited(self) -> None:
+        """Guards against many header fields that fill the memory; a single request is served."""
+        stream_app = PausedStream()
+        fields = {f"x-{number}": "a" for number in range(50)}
+        limits: ServerLimits = LIMITS._replace(max_held_head_bytes=10_000)
+        async with (
+            serving(stream_app, limits) as (client, peer),
+            client.stream(peer, "POST", "/", step="test", headers=fields.items()) as stream,
+        ):
+            assert await anext(stream) == [b"one"]
+            assert (await post(client, peer))[0] == 503
+            stream_app.resume.set()
+            assert await anext(stream) == [b"two"]
+
     async def test_requests_sent_ahead_are_not_read(self) -> None:
         """Guards against requests sent ahead that fill the memory while one is in progress."""
         received = 0
