A body that is held back gives way to other requests

Callers saw: 503 for up to 30 s while clients that announce a body and hold it back have all places. Cause: a body may take BODY_TIMEOUT_S, and nothing prefers requests that are whole.

If no place is left, the oldest request whose body is incomplete after 1 s is answered with 408, which promises that it has not run.

--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -2,7 +2,8 @@
 
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterable, MutableMapping
+from collections.abc import Awaitable, Callable, Iterable, Iterator, MutableMapping
+from contextlib import contextmanager
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -25,6 +26,8 @@
 
 JSON_TYPE = "application/json"
 BODY_TIMEOUT_S = 30.0
+MIN_BODY_TIMEOUT_S = 1.0
+"""Time that a body has in any case; if it takes longer, its request may give way to another one."""
 UNREAD_BODY_TIMEOUT_S = 1.0
 """Maximum time to read and discard the rest of a body that the application has not read."""
 BUSY_RETRY_AFTER_S = 1.0
@@ -288,15 +291,19 @@
         self._overflow = overflow
         self._in_progress = 0
         self._head_bytes = 0
+        self._receiving: dict[_Exchange, None] = {}
+        """The requests whose bodies are incomplete, oldest first."""
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         exchange = _Exchange(receive, send)
         head_bytes = _held_head_bytes(scope)
-        app = self._app if self._has_room_for(head_bytes) else self._overflow
+        has_room = self._has_room_for(head_bytes) or self._end_slow_body()
+        app = self._app if has_room else self._overflow
         self._in_progress += 1
         self._head_bytes += head_bytes
         try:
-            await self._handle_request(app, scope, exchange)
+            with exchange.receiving(self._receiving if has_room else {}):
+                await self._handle_request(app, scope, exchange)
         finally:
             self._in_progress -= 1
             self._head_bytes -= head_bytes
@@ -309,6 +316,11 @@
             and self._head_bytes + head_bytes <= self._limits.max_held_head_bytes
         )
 
+    def _end_slow_body(self) -> bool:
+        """End the request whose body has been incomplete for longest; return whether one had to."""
+        oldest = next(iter(self._receiving), None)
+        return oldest is not None and oldest.end_slow_body()
+
     async def _handle_request(self, app: App, scope: Scope, exchange: "_Exchange") -> None:
         try:
             await app(scope, exchange.receive, exchange.send)
@@ -337,14 +349,50 @@
     def __init__(self, receive: Receive, send: Send) -> None:
         self._receive = receive
         self._send = send
+        self._began_at = trio.current_time()
         self._body_ended = False
+        self._body_given_up = False
+        self._body_scope = trio.CancelScope()
+        self._receiving: dict[_Exchange, None] = {}
         self.started = False
 
+    @contextmanager
+    def receiving(self, receiving: "dict[_Exchange, None]") -> Iterator[None]:
+        """Be listed among those whose bodies are incomplete, until it is whole."""
+        self._receiving = receiving
+        receiving[self] = None
+        try:
+            yield
+        finally:
+            receiving.pop(self, None)
+
+    def end_slow_body(self) -> bool:
+        """Give up the body if it has taken long enough; return whether it has."""
+        if trio.current_time() - self._began_at < MIN_BODY_TIMEOUT_S:
+            return False
+        self._receiving.pop(self, None)
+        self._body_given_up = True
+        self._body_scope.cancel()
+        return True
+
     async def receive(self) -> Message:
-        """Return the next message of the request."""
+        """Return the next message of the request.
+
+        Raises:
+            BodyIncomplete: The body was given up.
+        """
+        if self._body_ended:
+            return await self._receive()
+        if not self._body_given_up:
+            with trio.CancelScope() as self._body_scope:
+                return await self._receive_body()
+        raise BodyIncomplete("other requests needed the room")
+
+    async def _receive_body(self) -> Message:
         message = await self._receive()
         if message["type"] == "http.disconnect" or not message.get("more_body", False):
             self._body_ended = True
+            self._receiving.pop(self, None)
         return message
 
     async def send(self, message: Message) -> None:
@@ -353,7 +401,7 @@
         if message["type"] == "http.response.start" or message.get("more_body", False):
             await self._send(message)
             return
-        if not self._body_ended:
+        if not self._body_ended and not self._body_given_up:
             await self._send({**message, "more_body": True})
             message = {**message, "body": b""}
             with trio.move_on_after(UNREAD_BODY_TIMEOUT_S):
@@ -371,7 +419,7 @@
 
     async def _discard_body(self) -> None:
         while not self._body_ended:
-            await self.receive()
+            await self._receive_body()
 
 
 def _held_head_bytes(scope: Scope) -> int:
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -315,6 +315,19 @@
             stream_app.resume.set()
             assert await anext(stream) == [b"two"]
 
+    async def test_slow_body_gives_way(self) -> None:
+        """Guards against bodies held back that keep ordinary callers out."""
+        held_back = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nx"
+        async with (
+            serving(echo, LIMITS._replace(max_requests=1)) as (client, peer),
+            await connect(peer) as stream,
+        ):
+            await stream.send_all(held_back)
+            assert (await post(client, peer))[0] == 503
+            await trio.sleep(1.1)
+            assert (await post(client, peer))[0] == 200
+            assert (await read_to_end(stream)).startswith(b"HTTP/1.1 408 ")
+
     async def test_requests_sent_ahead_are_not_read(self) -> None:
         """Guards against requests sent ahead that fill the memory while one is in progress."""
         received = 0
