Answers that nobody reads are bounded

Callers saw: memory that grew with long answers left unread, up to 8 MiB for each request. Cause: an answer of a plain service is held whole, and only bodies counted against max_held_bytes. A client that reads a little now and then also kept its answer without an end.

What is sent at a time has to be read within 30 s and the time at 64 KiB/s.

--- a/src/chivehold/bodies.py
+++ b/src/chivehold/bodies.py
@@ -1,9 +1,11 @@
-"""Limits on the size of callers' request bodies, individually and in total."""
+"""Limits on the size of callers' request bodies and of the answers to them."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import NamedTuple
 
+import trio
+
 from chivehold.exceptions import BudgetSpent
 from chivehold.http_server import Scope, header
 
@@ -18,7 +20,7 @@
 
 
 class BodyBudget:
-    """Limits the total size of the request bodies held in memory.
+    """Limits the total size of the request bodies and answers held in memory.
 
     Args:
         max_bytes: Maximum number of reserved bytes.
@@ -27,6 +29,7 @@
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
         self._held_bytes = 0
+        self._released = trio.Event()
 
     @property
     def held_bytes(self) -> int:
@@ -55,10 +58,15 @@
 
     def _release_bytes(self, size: int) -> None:
         self._held_bytes -= size
+        self._released.set()
+        self._released = trio.Event()
+
+    async def _wait_for_release(self) -> None:
+        await self._released.wait()
 
 
 class Reservation:
-    """The bytes reserved for one body; created by ``BodyBudget.reserve``."""
+    """The bytes reserved for one request; created by ``BodyBudget.reserve``."""
 
     def __init__(self, budget: BodyBudget, size: int) -> None:
         self._budget = budget
@@ -74,6 +82,17 @@
             self._budget._reserve_bytes(size - self._size)
             self._size = size
 
+    async def grow_when_free(self, added: int) -> None:
+        """Increase the reservation by ``added`` bytes as soon as the budget has them left.
+
+        If nothing else is reserved, the reservation may exceed the budget.
+        """
+        budget = self._budget
+        while budget._held_bytes > self._size and budget._held_bytes + added > budget._max_bytes:
+            await budget._wait_for_release()
+        budget._held_bytes += added
+        self._size += added
+
     def shrink_to(self, size: int) -> None:
         """Reduce the reservation to ``size`` bytes, if it is larger."""
         kept = min(size, self._size)
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -49,7 +49,7 @@
         streams: Serves streams of model services.
         retries: Counts each request for the retry budget.
         metrics: Counts and measures requests.
-        bodies: Limits the memory held by the bodies of all requests in progress.
+        bodies: Limits the memory held by the bodies and answers of all requests in progress.
         configuration_age_s: Returns the seconds since the store last confirmed the routes, or
             ``None`` if it never did.
         quota_gate: Admits the requests within the quota of their organisation.
@@ -182,7 +182,7 @@
                 body = await read_body(receive, max_body_bytes, on_size=reserved.grow_to)
                 exchange = self._build_exchange(
                     scope, metadata, route, routes, organisation, body, arrived_at
-                )._replace(progress=progress)
+                )._replace(progress=progress, memory=reserved)
                 await self._serve_until_disconnect(exchange, receive, reply, routes)
         except BudgetSpent as error:
             refusal = not_run_refusal("bodies_full", error.detail, BODIES_FULL_RETRY_S)
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from chivehold.bodies import Reservation
 from chivehold.core.direct.crash_keys import CrashKey
 from chivehold.core.direct.messages import RawHeaders, RequestMetadata, ResponseMetadata
 from chivehold.core.direct.organisations import Organisation
@@ -55,6 +56,8 @@
     organisation: Organisation | None = None
     """The organisation that holds the caller's API key, if there is one."""
     progress: RequestProgress | None = None
+    memory: Reservation | None = None
+    """Reserved for the body, and for answers that are held until they can be sent."""
     urgency: int | None = None
     """Urgency stated to engines; ``None`` where all streams of the service are equally urgent."""
 
@@ -86,6 +89,11 @@
             self.progress.was_sent = True
             self.progress.may_have_run = True
 
+    async def reserve_answer(self, size: int) -> None:
+        """Wait until there is memory for further bytes of an answer, and reserve them."""
+        if self.memory is not None:
+            await self.memory.grow_when_free(size)
+
     def time_left_s(self) -> float:
         """Return the time left until the request expires, in seconds; negative afterwards."""
         return self.expires_at - trio.current_time()
--- a/src/chivehold/direct/plain_calls.py
+++ b/src/chivehold/direct/plain_calls.py
@@ -1,7 +1,6 @@
 """Requests to plain services, with retries and hedging where the request is retryable."""
 
 import math
-from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import trio
@@ -31,7 +30,7 @@
 )
 from chivehold.direct.room_waiting import RoomWaiting
 from chivehold.direct.signals import SignalReader
-from chivehold.http_client import HttpClient, LinkBroken, NothingSent
+from chivehold.http_client import HttpClient, LinkBroken, NothingSent, RawResponse
 
 MAX_RESPONSE_BYTES = 8 << 20
 MIN_TIME_LEFT_S = 0.02
@@ -213,7 +212,7 @@
                 metadata = self._dialect.read_response(response.status, response.headers)
                 if metadata.request_id is not None and not exchange.matches(metadata):
                     return BrokenCall(upstream, "response to another request")
-                body = await _read_body(response.chunks)
+                body = await _read_body(response, exchange)
         except NothingSent as error:
             return NotRun(upstream, error.detail, sent=False)
         except LinkBroken as error:
@@ -377,13 +376,32 @@
     return Verdict.GONE if result.misdirected else Verdict.FULL
 
 
-async def _read_body(chunks: AsyncIterator[bytes]) -> bytes | None:
-    """Read a response body, or return ``None`` if it exceeds ``MAX_RESPONSE_BYTES``."""
+async def _read_body(response: RawResponse, exchange: Exchange) -> bytes | None:
+    """Read a response body, or return ``None`` if it exceeds ``MAX_RESPONSE_BYTES``.
+
+    Memory for it is reserved first, the whole at once if its length is known: two that are held in
+    part could wait for each other.
+    """
+    reserved = _declared_length(response)
+    if reserved > MAX_RESPONSE_BYTES:
+        return None
+    await exchange.reserve_answer(reserved)
     collected: list[bytes] = []
     size = 0
-    async for chunk in chunks:
-        collected.append(chunk)
+    async for chunk in response.chunks:
         size += len(chunk)
         if size > MAX_RESPONSE_BYTES:
             return None
+        if size > reserved:
+            await exchange.reserve_answer(size - reserved)
+            reserved = size
+        collected.append(chunk)
     return b"".join(collected)
+
+
+def _declared_length(response: RawResponse) -> int:
+    """Return the ``Content-Length`` of a response, or 0 if there is none."""
+    for name, value in response.headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -23,6 +23,9 @@
 """Descriptors of the process that are left for files."""
 CONNECTION_SHARE = 0.75
 """Share of the other descriptors that the callers' connections may take."""
+SEND_TIMEOUT_S = 30.0
+MIN_SEND_BYTES_PER_S = 65_536
+"""Bytes sent at a time have to be read within ``SEND_TIMEOUT_S`` and the time at this rate."""
 MAX_UNFINISHED_HEAD_BYTES = 4 << 20
 """Limit of the unfinished heads of all connections of a listener; the longest one gives way."""
 LIMIT_LOG_INTERVAL_S = 10.0
@@ -191,6 +194,9 @@
 
     async def protocol_send(self, event: Event) -> None:
         """Carry out what the protocol asks for: send bytes, close, or note the idle state."""
+        if isinstance(event, RawData):
+            await self._send(event.data)
+            return
         if isinstance(event, Updated):
             if not self._is_reading:
                 return
@@ -202,6 +208,20 @@
         if isinstance(event, Closed):
             self._reading.cancel()
 
+    async def _send(self, data: bytes) -> None:
+        """Send bytes, and close the connection if its client does not read them in time."""
+        timeout_s = SEND_TIMEOUT_S + len(data) / MIN_SEND_BYTES_PER_S
+        async with self.send_lock:
+            deadline = trio.current_time() + timeout_s
+            with (
+                suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+                trio.CancelScope(shield=True, deadline=deadline),
+            ):
+                await self.stream.send_all(data)
+                return
+            await self._close()
+        await self.protocol.handle(Closed())
+
     async def _serve(self) -> None:
         sock = self.stream.socket
         client = parse_socket_addr(sock.family, sock.getpeername())
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,6 +1,8 @@
-"""Limits on the size of request bodies."""
+"""Limits on the size of request bodies and answers."""
 
 import pytest
+import trio
+import trio.testing
 
 from chivehold.bodies import BodyBudget, body_bytes_to_reserve, declared_body_bytes
 from chivehold.exceptions import BudgetSpent
@@ -38,6 +40,28 @@
             assert budget.held_bytes == 10
 
 
+class TestAnswers:
+    async def test_answer_waits_for_memory(self) -> None:
+        """Guards against answers that are held without a limit because nobody reads them."""
+        budget = BodyBudget(100)
+        with budget.reserve(0) as first, budget.reserve(0) as second:
+            await first.grow_when_free(80)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.grow_when_free, 30)
+                await trio.testing.wait_all_tasks_blocked()
+                assert budget.held_bytes == 80
+                first.shrink_to(0)
+            assert budget.held_bytes == 30
+
+    async def test_single_answer_may_exceed_the_budget(self) -> None:
+        """An answer longer than the whole budget is held if there is no other."""
+        budget = BodyBudget(100)
+        with budget.reserve(10) as reserved:
+            await reserved.grow_when_free(500)
+            assert budget.held_bytes == 510
+        assert budget.held_bytes == 0
+
+
 class TestDeclaredSize:
     @pytest.mark.parametrize(
         ("headers", "declared", "expected"),
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -328,6 +328,23 @@
             assert (await post(client, peer))[0] == 200
             assert (await read_to_end(stream)).startswith(b"HTTP/1.1 408 ")
 
+    async def test_trickling_reader_is_disconnected(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a client that keeps an answer in memory by reading a little of it."""
+        ended = trio.Event()
+
+        async def answer(scope: Scope, receive: Receive, send: Send) -> None:
+            await respond(send, 200, b"x" * 4_000_000)
+            ended.set()
+
+        monkeypatch.setattr("chivehold.http_connections.SEND_TIMEOUT_S", 0.5)
+        monkeypatch.setattr("chivehold.http_connections.MIN_SEND_BYTES_PER_S", 100_000_000)
+        async with serving(answer) as (_, peer), await connect(peer) as stream:
+            await stream.send_all(GET + b"\r\n")
+            with trio.fail_after(5):
+                while not ended.is_set():
+                    await stream.receive_some(100)
+                    await trio.sleep(0.05)
+
     async def test_requests_sent_ahead_are_not_read(self) -> None:
         """Guards against requests sent ahead that fill the memory while one is in progress."""
         received = 0
