gRPC listeners limit connections and the time of the handshake

Callers saw: no answer while silent clients held all descriptors of an entry or a sidecar. Cause: grpcio accepts without a limit and waits two minutes for a client's preface.

--- a/src/chivehold/rpc/bridge.py
+++ b/src/chivehold/rpc/bridge.py
@@ -16,6 +16,10 @@
 
 SERVER_THREADS = 8
 MAX_CONCURRENT_CALLS = 256
+MAX_SERVER_CONNECTIONS = 256
+"""A server closes further connections; each peer has one."""
+HANDSHAKE_TIMEOUT_MS = 2_000
+"""Time within which a client has to begin to speak HTTP/2."""
 STOP_GRACE_S = 2.0
 """Time for the calls in progress to finish when the server stops."""
 MAX_HANDLER_S = 60.0
@@ -30,7 +34,12 @@
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
 )
-_SERVER_OPTIONS = (*_COMMON_OPTIONS, ("grpc.so_reuseport", 0))
+_SERVER_OPTIONS = (
+    *_COMMON_OPTIONS,
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_allowed_incoming_connections", MAX_SERVER_CONNECTIONS),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+)
 _CHANNEL_OPTIONS = (
     *_COMMON_OPTIONS,
     ("grpc.enable_http_proxy", 0),
