--- a/src/chivehold/bodies.py
+++ b/src/chivehold/bodies.py
@@ -6,8 +6,8 @@
 
 import trio
 
+from chivehold.asgi import Scope, header
 from chivehold.exceptions import BudgetSpent
-from chivehold.http_server import Scope, header
 
 
 class CallerLimits(NamedTuple):
--- a/src/chivehold/direct/app.py
+++ b/src/chivehold/direct/app.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from chivehold.asgi import App
 from chivehold.bodies import BodyBudget
 from chivehold.core.direct.fleet import Fleet, FleetChange
 from chivehold.core.direct.gossip import Gossip
@@ -46,7 +47,7 @@
 from chivehold.direct.usage_exchange import UsageExchange
 from chivehold.direct.version_tracking import VersionTracking
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import OPERATOR_SERVER_LIMITS, App, ServerLimits, serve_http
+from chivehold.http_server import OPERATOR_SERVER_LIMITS, ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import RenderedMetrics
--- a/src/chivehold/direct/caller_app.py
+++ b/src/chivehold/direct/caller_app.py
@@ -6,6 +6,13 @@
 
 import trio
 
+from chivehold.asgi import (
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    wait_for_disconnect,
+)
 from chivehold.bodies import BodyBudget, declared_body_bytes
 from chivehold.core.direct.crash_keys import prompt_part_keys, request_key
 from chivehold.core.direct.messages import Dialect, RawHeaders, RequestMetadata
@@ -30,7 +37,6 @@
 from chivehold.direct.revocations import Revocations
 from chivehold.direct.stream_calls import StreamCalls
 from chivehold.exceptions import BudgetSpent
-from chivehold.http_server import Receive, Scope, Send, read_body, wait_for_disconnect
 from chivehold.logs import log_event
 
 NOT_READY_RETRY_S = 0.5
--- a/src/chivehold/direct/exchange.py
+++ b/src/chivehold/direct/exchange.py
@@ -6,12 +6,12 @@
 
 import trio
 
+from chivehold.asgi import Send
 from chivehold.bodies import Reservation
 from chivehold.core.direct.crash_keys import CrashKey
 from chivehold.core.direct.messages import RawHeaders, RequestMetadata, ResponseMetadata
 from chivehold.core.direct.organisations import Organisation
 from chivehold.core.direct.routes import Route
-from chivehold.http_server import Send
 from chivehold.logs import log_event
 
 _log = logging.getLogger(__name__)
--- a/src/chivehold/direct/operator_app.py
+++ b/src/chivehold/direct/operator_app.py
@@ -5,10 +5,7 @@
 
 import msgspec
 
-from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
-from chivehold.core.untrusted_json import decode_json
-from chivehold.direct.explanations import MAX_QUESTION_BYTES, QuestionJson, decode_question
-from chivehold.http_server import (
+from chivehold.asgi import (
     Receive,
     Scope,
     Send,
@@ -17,6 +14,9 @@
     respond_error,
     respond_json,
 )
+from chivehold.core.direct.crash_keys import MAX_VALUE_LENGTH, CrashKey, KeyKind
+from chivehold.core.untrusted_json import decode_json
+from chivehold.direct.explanations import MAX_QUESTION_BYTES, QuestionJson, decode_question
 from chivehold.metrics import RenderedMetrics
 
 MAX_ORDER_BYTES = 1_024
--- a/src/chivehold/entry/attempts.py
+++ b/src/chivehold/entry/attempts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chivehold.asgi import JSON_TYPE
 from chivehold.core.declared import Upstream
 from chivehold.core.entry_messages import (
     AttemptLinkLost,
@@ -30,7 +31,6 @@
 )
 from chivehold.exceptions import Malformed, PeerRefused
 from chivehold.http_client import HttpClient, LinkError, NothingSent
-from chivehold.http_server import JSON_TYPE
 from chivehold.logs import log_event
 
 DEADLINE_MARGIN_S = 1.0
--- a/src/chivehold/entry/caller_headers.py
+++ b/src/chivehold/entry/caller_headers.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from chivehold.asgi import Scope
 from chivehold.core.identity import Organisation
 from chivehold.exceptions import Malformed
-from chivehold.http_server import Scope
 
 DEFAULT_ORGANISATION = Organisation("default")
 MAX_CLOCK_SKEW_S = 60.0
--- a/src/chivehold/entry/caller_requests.py
+++ b/src/chivehold/entry/caller_requests.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
+from chivehold.asgi import Scope
 from chivehold.core.entry_messages import RequestArrived
 from chivehold.core.identity import KeyId, RequestId, TargetName
 from chivehold.core.wire import CallContent
 from chivehold.entry.caller_headers import CallerHeaders
 from chivehold.entry.prompts import prefix_blocks, prompt_tokens
 from chivehold.exceptions import Malformed
-from chivehold.http_server import Scope
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 65_536
--- a/src/chivehold/entry/callers.py
+++ b/src/chivehold/entry/callers.py
@@ -9,6 +9,20 @@
 import msgspec
 import trio
 
+from chivehold.asgi import (
+    JSON_TYPE,
+    BodyIncomplete,
+    BodyTooLarge,
+    Receive,
+    Scope,
+    Send,
+    end_response,
+    read_body,
+    respond,
+    send_chunk,
+    start_response,
+    wait_for_disconnect,
+)
 from chivehold.bodies import (
     BodyBudget,
     CallerLimits,
@@ -43,20 +57,6 @@
 from chivehold.entry.driver import EntryDriver
 from chivehold.entry.pending import PendingRequest
 from chivehold.exceptions import BudgetSpent, Malformed
-from chivehold.http_server import (
-    JSON_TYPE,
-    BodyIncomplete,
-    BodyTooLarge,
-    Receive,
-    Scope,
-    Send,
-    end_response,
-    read_body,
-    respond,
-    send_chunk,
-    start_response,
-    wait_for_disconnect,
-)
 from chivehold.logs import log_event
 from chivehold.metrics import EntryMetrics
 
--- a/src/chivehold/entry/operator_http.py
+++ b/src/chivehold/entry/operator_http.py
@@ -2,9 +2,16 @@
 
 from collections.abc import Callable
 
+from chivehold.asgi import (
+    Receive,
+    Scope,
+    Send,
+    respond,
+    respond_error,
+    respond_json,
+)
 from chivehold.core.identity import EntryIncarnation
 from chivehold.entry.driver import EntryDriver
-from chivehold.http_server import Receive, Scope, Send, respond, respond_error, respond_json
 from chivehold.loop_monitor import LoopMonitor
 from chivehold.metrics import EntryMetrics
 
--- a/src/chivehold/fakes/engine_http.py
+++ b/src/chivehold/fakes/engine_http.py
@@ -6,11 +6,7 @@
 import msgspec
 import trio
 
-from chivehold.core.wire import OrderKind
-from chivehold.fakes.engine_runtime import CallFailed, EngineRuntime
-from chivehold.fakes.faults import FaultRequest
-from chivehold.http_client import HttpClient, LinkError
-from chivehold.http_server import (
+from chivehold.asgi import (
     Receive,
     Scope,
     Send,
@@ -21,6 +17,10 @@
     send_chunk,
     start_response,
 )
+from chivehold.core.wire import OrderKind
+from chivehold.fakes.engine_runtime import CallFailed, EngineRuntime
+from chivehold.fakes.faults import FaultRequest
+from chivehold.http_client import HttpClient, LinkError
 from chivehold.sidecar.engine_api import (
     CancelAnswer,
     CancelCall,
--- a/src/chivehold/fakes/metadata_store.py
+++ b/src/chivehold/fakes/metadata_store.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from chivehold.http_server import (
+from chivehold.asgi import (
     Message,
     Receive,
     Scope,
--- a/src/chivehold/fakes/platform.py
+++ b/src/chivehold/fakes/platform.py
@@ -9,8 +9,7 @@
 import trio
 from returns.result import Result, Success
 
-from chivehold.fakes.object_store import ANSWER_LOST, RATE_LIMITED, Faults, MemoryObjectStore
-from chivehold.http_server import (
+from chivehold.asgi import (
     Receive,
     Scope,
     Send,
@@ -19,9 +18,10 @@
     respond_error,
     respond_json,
     send_chunk,
-    serve_http,
     start_response,
 )
+from chivehold.fakes.object_store import ANSWER_LOST, RATE_LIMITED, Faults, MemoryObjectStore
+from chivehold.http_server import serve_http
 from chivehold.store.api import MAX_VALUE_BYTES, Conflict, NotFound, Unavailable, Unsure
 from chivehold.store.client import VmList
 from chivehold.store.object_json import (
--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from chivehold.http_server import (
+from chivehold.asgi import (
     Message,
     Receive,
     Scope,
--- a/src/chivehold/fakes/server.py
+++ b/src/chivehold/fakes/server.py
@@ -6,8 +6,9 @@
 
 import trio
 
+from chivehold.asgi import App
 from chivehold.fakes.faults import FaultRequest
-from chivehold.http_server import App, ServerLimits, serve_http
+from chivehold.http_server import ServerLimits, serve_http
 
 DRAIN_TIMEOUT_S = 1.0
 
--- a/src/chivehold/fakes/service_app.py
+++ b/src/chivehold/fakes/service_app.py
@@ -7,11 +7,7 @@
 import msgspec
 import trio
 
-from chivehold.core.identity import AttemptId, RequestId
-from chivehold.fakes.faults import FaultRequest, FaultState, FreezeGate
-from chivehold.fakes.history import EventLog
-from chivehold.fakes.output import prompt_digest
-from chivehold.http_server import (
+from chivehold.asgi import (
     Receive,
     Scope,
     Send,
@@ -20,6 +16,10 @@
     respond_error,
     respond_json,
 )
+from chivehold.core.identity import AttemptId, RequestId
+from chivehold.fakes.faults import FaultRequest, FaultState, FreezeGate
+from chivehold.fakes.history import EventLog
+from chivehold.fakes.output import prompt_digest
 
 MAX_BODY_BYTES = 16_777_216
 
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -8,6 +8,14 @@
 
 import trio
 
+from chivehold.asgi import (
+    App,
+    Receive,
+    Scope,
+    Send,
+    respond,
+    respond_error,
+)
 from chivehold.core.identity import Role
 from chivehold.core.sidecar import SidecarCore
 from chivehold.core.sidecar_messages import (
@@ -32,17 +40,7 @@
 )
 from chivehold.core.wire import UpstreamState
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import (
-    OPERATOR_SERVER_LIMITS,
-    App,
-    Receive,
-    Scope,
-    Send,
-    ServerLimits,
-    respond,
-    respond_error,
-    serve_http,
-)
+from chivehold.http_server import OPERATOR_SERVER_LIMITS, ServerLimits, serve_http
 from chivehold.logs import log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.rpc.bridge import serve_rpc
--- a/src/chivehold/sidecar/data_app.py
+++ b/src/chivehold/sidecar/data_app.py
@@ -8,6 +8,20 @@
 import msgspec
 import trio
 
+from chivehold.asgi import (
+    Receive,
+    Scope,
+    Send,
+    end_response,
+    header,
+    read_body,
+    respond,
+    respond_error,
+    respond_json,
+    send_chunk,
+    start_response,
+    wait_for_disconnect,
+)
 from chivehold.core.identity import AttemptId, Role
 from chivehold.core.sidecar_messages import (
     ImportArrived,
@@ -30,20 +44,6 @@
     Reason,
 )
 from chivehold.exceptions import Malformed, Unauthorised
-from chivehold.http_server import (
-    Receive,
-    Scope,
-    Send,
-    end_response,
-    header,
-    read_body,
-    respond,
-    respond_error,
-    respond_json,
-    send_chunk,
-    start_response,
-    wait_for_disconnect,
-)
 from chivehold.sidecar.driver import SidecarDriver
 from chivehold.sidecar.service_client import call_problem
 from chivehold.sidecar.sessions import AttemptStream, CallSession, Sessions
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -9,11 +9,12 @@
 import msgspec
 import trio
 
+from chivehold.asgi import App
 from chivehold.direct.app import DirectEntry
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
 from chivehold.http_client import HttpClient, HttpResponse, RawResponse
-from chivehold.http_server import App, ServerLimits, serve_http
+from chivehold.http_server import ServerLimits, serve_http
 from chivehold.logs import DroppedLogLines, NonBlockingHandler, RateLimitFilter
 from chivehold.platform import BINDING
 from chivehold.settings import DirectSettings
--- a/tests/direct/test_lost_prefills.py
+++ b/tests/direct/test_lost_prefills.py
@@ -6,8 +6,8 @@
 import pytest
 import trio
 
+from chivehold.asgi import Send, respond
 from chivehold.fakes.platform_upstream import NOT_RUN_HEADER, REQUEST_ID_HEADER, ModelEngine
-from chivehold.http_server import Send, respond
 from tests.direct import harness as harness_module
 from tests.direct.harness import ROUTES, EntryHarness, running_entry, wait_until
 
--- a/tests/direct/test_spoilt_answers.py
+++ b/tests/direct/test_spoilt_answers.py
@@ -7,8 +7,8 @@
 import pytest
 import trio
 
+from chivehold.asgi import Send, respond_json
 from chivehold.fakes.platform_upstream import REQUEST_ID_HEADER, ModelEngine
-from chivehold.http_server import Send, respond_json
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 
 SPOILT = "3f\u00e99"
--- a/tests/direct/test_spoilt_events.py
+++ b/tests/direct/test_spoilt_events.py
@@ -7,9 +7,9 @@
 import pytest
 import trio
 
+from chivehold.asgi import Send
 from chivehold.fakes.platform_upstream import REQUEST_ID_HEADER, STAMP_HEADER, ModelEngine
 from chivehold.http_client import LinkBroken
-from chivehold.http_server import Send
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 
 EVENTS = 5
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -5,6 +5,12 @@
 import msgspec
 import pytest
 
+from chivehold.asgi import (
+    read_body,
+    respond,
+    send_chunk,
+    start_response,
+)
 from chivehold.core.declared import Upstream
 from chivehold.core.entry_messages import AttemptLinkLost, CallSettled, FrameReceived
 from chivehold.core.identity import AttemptId, Role, Urgency
@@ -20,7 +26,7 @@
 )
 from chivehold.entry.attempts import AttemptClient
 from chivehold.http_client import ClientLimits, HttpClient
-from chivehold.http_server import read_body, respond, send_chunk, serve_http, start_response
+from chivehold.http_server import serve_http
 
 ATTEMPT, OTHER = AttemptId("r", 1), AttemptId("r", 2)
 OFFER = AttemptOffer(ATTEMPT, "e.1", "s.1", "lector", "bruma", 1.0, Urgency.URGENT, 0.0, 1.0, 2.0)
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
+from chivehold.asgi import Scope, Send, respond
 from chivehold.core.identity import AttemptId, RequestId, UpstreamName
 from chivehold.fakes.identity import identity_fault
 from chivehold.fakes.output import output_tokens, prompt_digest
 from chivehold.fakes.platform_upstream import REQUEST_ID_HEADER, ModelEngine, PlainUpstream
 from chivehold.history.events import UpstreamEvent, UpstreamEventKind, Violation
-from chivehold.http_server import Scope, Send, respond
 
 EXPECTED_INSTANCE = "x-chivehold-expect-instance"
 STREAM_EVENTS = 40
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,12 +8,13 @@
 
 import trio
 
+from chivehold.asgi import App
 from chivehold.core.identity import UpstreamName
 from chivehold.fakes.identity import api_key
 from chivehold.fakes.metadata_store import MetadataStore
 from chivehold.history.events import Shutdown
 from chivehold.history.recorder import Recorder
-from chivehold.http_server import App, serve_http
+from chivehold.http_server import serve_http
 from tests.soak.entries import Entry
 from tests.soak.link import Link
 from tests.soak.plan import ENGINES, PLAIN, Plan
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -4,9 +4,9 @@
 import trio
 import trio.testing
 
+from chivehold.asgi import Scope
 from chivehold.bodies import BodyBudget, body_bytes_to_reserve, declared_body_bytes
 from chivehold.exceptions import BudgetSpent
-from chivehold.http_server import Scope
 
 
 def scope(*headers: tuple[bytes, bytes]) -> Scope:
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -9,18 +9,18 @@
 import trio.testing
 from hypercorn.protocol.h11 import H11Protocol
 
-from chivehold.http_connections import Connection, Connections, connections_within
-from chivehold.http_protocol import RequestParser
-from chivehold.http_server import (
+from chivehold.asgi import (
     Receive,
     Scope,
     Send,
-    ServerLimits,
     read_body,
     respond,
     send_chunk,
     start_response,
 )
+from chivehold.http_connections import Connection, Connections, connections_within
+from chivehold.http_protocol import RequestParser
+from chivehold.http_server import ServerLimits
 from tests.test_http_server import LIMITS, PausedStream, echo, post, serving
 
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,22 +5,21 @@
 import trio
 import trio.testing
 
-from chivehold.http_client import HttpClient, LinkBroken, NothingSent
-from chivehold.http_server import (
+from chivehold.asgi import (
     App,
     Receive,
     Scope,
     Send,
-    ServerLimits,
     end_response,
     header,
     read_body,
     respond,
     send_chunk,
-    serve_http,
     start_response,
     wait_for_disconnect,
 )
+from chivehold.http_client import HttpClient, LinkBroken, NothingSent
+from chivehold.http_server import ServerLimits, serve_http
 
 LIMITS = ServerLimits(drain_timeout_s=5.0)
 
