--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -12,8 +12,9 @@
 from hypercorn.utils import repr_socket_addr
 
 from chivehold.asgi import App
+from chivehold.connection_table import ConnectionTable, connections_within
 from chivehold.guarded_app import GuardedApp
-from chivehold.http_connections import Connection, Connections, connections_within
+from chivehold.http_connections import Connection
 
 RECEIVE_BUFFER_BYTES = 16_384
 """Size of a connection's receive buffer in the kernel, which doubles it."""
@@ -100,7 +101,7 @@
     (listening,) = config.create_sockets().insecure_sockets
     guarded = ASGIWrapper(GuardedApp(app, limits.max_requests, limits.max_held_head_bytes))
     context = WorkerContext(None)
-    connections = Connections(connections_within(limits.max_connections))
+    connections = ConnectionTable(connections_within(limits.max_connections))
 
     async def serve_connection(stream: trio.SocketStream) -> None:
         await Connection(guarded, config, context, connections, stream).run()
--- a/tests/hostile/attacks.py
+++ b/tests/hostile/attacks.py
@@ -1,10 +1,11 @@
 """What one connection of a client that misbehaves sends, as an endless or finite run of pieces.
 
 An attack is a generator of the pieces to send. Nothing that the server sends is read. After the
-last piece the connection stays open.
+last piece the connection stays open, unless ``ENDINGS`` says otherwise.
 """
 
 from collections.abc import Callable, Iterator
+from enum import Enum
 from itertools import repeat
 from typing import NamedTuple
 
@@ -188,6 +189,22 @@
     yield from repeat(b"x" * PIECE_BYTES)
 
 
+def request_then_half_close(target: Target) -> Iterator[bytes]:
+    yield target.read()
+
+
+def requests_then_half_close(target: Target) -> Iterator[bytes]:
+    yield target.read() * 20
+
+
+def requests_then_reset(target: Target) -> Iterator[bytes]:
+    yield target.read() * 20
+
+
+def body_then_reset(target: Target) -> Iterator[bytes]:
+    yield target.write(f"content-length: {ANNOUNCED_BYTES}") + b"x" * BODY_BYTES
+
+
 def two_lengths(target: Target) -> Iterator[bytes]:
     yield target.write("content-length: 5", "content-length: 7")
     yield from repeat(b"x" * PIECE_BYTES)
@@ -225,10 +242,29 @@
         http2_garbage,
         tls_hello,
         connect_method,
+        request_then_half_close,
+        requests_then_half_close,
+        requests_then_reset,
+        body_then_reset,
         two_lengths,
     )
 }
 
+
+class Ending(Enum):
+    """What becomes of a connection after the last piece."""
+
+    KEEP_OPEN = "keep open"
+    HALF_CLOSE = "half close"
+    RESET = "reset"
+
+
+ENDINGS: dict[str, Ending] = {
+    "request_then_half_close": Ending.HALF_CLOSE,
+    "requests_then_half_close": Ending.HALF_CLOSE,
+    "requests_then_reset": Ending.RESET,
+    "body_then_reset": Ending.RESET,
+}
 COMMON_ATTACKS = (
     "answer_unread",
     "bodies_sent_ahead",
--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -6,18 +6,22 @@
 """
 
 import argparse
+import socket
+import struct
 import sys
 from itertools import islice
 
 import trio
 
-from tests.hostile.attacks import ATTACKS, Attack, Target
+from tests.hostile.attacks import ATTACKS, ENDINGS, Attack, Ending, Target
 
 MAX_PIECES = 400
 """Pieces that are sent on one connection at most."""
 SEND_TIMEOUT_S = 0.5
 """A connection on which a piece cannot be sent for this time is left open and idle."""
 CONNECT_TIMEOUT_S = 2.0
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Option of a socket whose close resets its connection."""
 
 
 class Client:
@@ -25,12 +29,16 @@
 
     Args:
         attack: What it sends on each connection.
+        ending: What it then does with the connection.
         target: The listener's ordinary requests.
         address: The listener's ``host`` and port.
     """
 
-    def __init__(self, attack: Attack, target: Target, address: tuple[str, int]) -> None:
+    def __init__(
+        self, attack: Attack, ending: Ending, target: Target, address: tuple[str, int]
+    ) -> None:
         self._attack = attack
+        self._ending = ending
         self._target = target
         self._address = address
         self._open: list[trio.socket.SocketType] = []
@@ -48,6 +56,7 @@
             for piece in islice(self._attack(self._target), MAX_PIECES):
                 with trio.fail_after(SEND_TIMEOUT_S):
                     await _send_all(sock, piece)
+            self._end(sock)
         except OSError:
             sock.close()
             return
@@ -55,6 +64,13 @@
             pass
         self._open.append(sock)
 
+    def _end(self, sock: trio.socket.SocketType) -> None:
+        if self._ending is Ending.HALF_CLOSE:
+            sock.shutdown(socket.SHUT_WR)
+        elif self._ending is Ending.RESET:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            sock.close()
+
 
 async def _send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     remaining = memoryview(data)
@@ -66,7 +82,9 @@
     host, _, port = arguments.address.rpartition(":")
     target = Target(arguments.read_path, arguments.write_path, tuple(arguments.header))
     attack = ATTACKS[arguments.attack]
-    clients = [Client(attack, target, (host, int(port))) for _ in range(arguments.clients)]
+    ending = ENDINGS.get(arguments.attack, Ending.KEEP_OPEN)
+    address = (host, int(port))
+    clients = [Client(attack, ending, target, address) for _ in range(arguments.clients)]
     async with trio.open_nursery() as nursery:
         for client in clients:
             nursery.start_soon(client.run, arguments.connections)
