A request that gives way keeps its place until it has ended

What callers saw: nothing yet; found by reading. At the limit of a listener a request whose body is held back gives way to a new one, which was admitted at once. A request that was not receiving its body at that moment, for example because it waits for memory, went on, so that up to twice as many requests as the limit could be in progress.

Cause: _end_slow_body returned whether a request had been told to end, not whether its place was free.

Evidence: the new test got 200 for a second request beside one that had not ended, with a limit of one; it gets 503 now.

Fix: the new request waits up to 1 s for the end of the one that gives way, and is then admitted only if there is room.

--- a/src/chivehold/guarded_app.py
+++ b/src/chivehold/guarded_app.py
@@ -20,6 +20,8 @@
 
 MIN_BODY_TIMEOUT_S = 1.0
 """Time that a body has in any case; if it takes longer, its request may give way to another one."""
+ENDED_REQUEST_TIMEOUT_S = 1.0
+"""Maximum time that a request waits for the place of one that gives way."""
 UNREAD_BODY_TIMEOUT_S = 1.0
 """Maximum time to read and discard the rest of a body that the application has not read."""
 BUSY_RETRY_AFTER_S = 1.0
@@ -58,7 +60,7 @@
         """Handle one ASGI request."""
         exchange = _Exchange(receive, send)
         head_bytes = _held_head_bytes(scope)
-        has_room = self._has_room_for(head_bytes) or self._end_slow_body()
+        has_room = self._has_room_for(head_bytes) or await self._make_room_for(head_bytes)
         app = self._app if has_room else _respond_busy
         self._in_progress += 1
         self._head_bytes += head_bytes
@@ -68,6 +70,7 @@
         finally:
             self._in_progress -= 1
             self._head_bytes -= head_bytes
+            exchange.ended.set()
 
     def _has_room_for(self, head_bytes: int) -> bool:
         if self._in_progress == 0:
@@ -77,10 +80,17 @@
             and self._head_bytes + head_bytes <= self._max_held_head_bytes
         )
 
-    def _end_slow_body(self) -> bool:
-        """End the request whose body has been incomplete for longest; return whether one had to."""
+    async def _make_room_for(self, head_bytes: int) -> bool:
+        """End the request whose body has been incomplete for longest, and return whether it helped.
+
+        The request may not be receiving its body at the moment, and keeps its place until it ends.
+        """
         oldest = next(iter(self._receiving), None)
-        return oldest is not None and oldest.end_slow_body()
+        if oldest is None or not oldest.end_slow_body():
+            return False
+        with trio.move_on_after(ENDED_REQUEST_TIMEOUT_S):
+            await oldest.ended.wait()
+        return self._has_room_for(head_bytes)
 
     async def _handle_request(self, app: App, scope: Scope, exchange: "_Exchange") -> None:
         try:
@@ -116,6 +126,8 @@
         self._body_scope = trio.CancelScope()
         self._receiving: dict[_Exchange, None] = {}
         self.started = False
+        self.ended = trio.Event()
+        """Set once the request no longer takes a place."""
 
     @contextmanager
     def receiving(self, receiving: "dict[_Exchange, None]") -> Iterator[None]:
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -237,6 +237,28 @@
             assert (await post(client, peer))[0] == 200
             assert (await read_to_end(stream)).startswith(b"HTTP/1.1 408 ")
 
+    async def test_request_that_gives_way_keeps_its_place_until_it_ends(self) -> None:
+        """Guards against more requests than the limit while one that gives way does not end."""
+        ended = trio.Event()
+
+        async def read_one_piece(scope: Scope, receive: Receive, send: Send) -> None:
+            if scope["path"] == "/slow":
+                await receive()
+                await ended.wait()
+            await respond(send, 200, b"done")
+
+        held_back = b"POST /slow HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nx"
+        async with (
+            serving(read_one_piece, LIMITS._replace(max_requests=1)) as (client, peer),
+            await connect(peer) as stream,
+        ):
+            await stream.send_all(held_back)
+            await trio.sleep(1.1)
+            assert (await post(client, peer))[0] == 503
+            ended.set()
+            assert (await read_to_end(stream)).startswith(b"HTTP/1.1 200 ")
+            assert (await post(client, peer))[0] == 200
+
     async def test_trickling_reader_is_disconnected(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against a client that keeps an answer in memory by reading a little of it."""
         ended = trio.Event()
