Clients without the token are bounded before grpcio reads what they send

Cause: grpcio reads and answers whatever a client sends and checks the token call by call, after that. A connection that sends pings without end is not closed while there is something to write, and the time for a ping grows with their number. Calls without the token are taken up without a limit too.

Change: the process accepts the connections itself and relays them to grpcio through a Unix socket. Up to a connection's first call with the token it follows the frames and closes the connection after 32 KiB, 64 frames or two calls. A connection without such a call gives way when all places are taken, one with it never does.

--- a/src/chivehold/rpc/bridge.py
+++ b/src/chivehold/rpc/bridge.py
@@ -14,12 +14,13 @@
 import grpc
 import trio
 
+from chivehold.rpc.client_check import Metadata
+from chivehold.rpc.connections import Relay, bind, random_socket_name
+
 SERVER_THREADS = 8
 MAX_CONCURRENT_CALLS = 256
-MAX_SERVER_CONNECTIONS = 256
-"""A server closes further connections; each peer has one."""
 HANDSHAKE_TIMEOUT_MS = 2_000
-"""Time within which a client has to begin to speak HTTP/2."""
+"""Time within which a client has to send its settings."""
 STOP_GRACE_S = 2.0
 """Time for the calls in progress to finish when the server stops."""
 MAX_HANDLER_S = 60.0
@@ -37,7 +38,6 @@
 _SERVER_OPTIONS = (
     *_COMMON_OPTIONS,
     ("grpc.so_reuseport", 0),
-    ("grpc.max_allowed_incoming_connections", MAX_SERVER_CONNECTIONS),
     ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
 )
 _CHANNEL_OPTIONS = (
@@ -165,7 +165,7 @@
         method = continuation(details)
         if method is None:
             return None
-        if not self._authorised(details.invocation_metadata):
+        if not self.is_authorised(details.invocation_metadata):
             return _refusing_handler(
                 method, grpc.StatusCode.UNAUTHENTICATED, "wrong or missing token"
             )
@@ -175,7 +175,8 @@
 
         return _unary_handler(method, run_on_loop)
 
-    def _authorised(self, metadata: Iterable[tuple[str, str | bytes]]) -> bool:
+    def is_authorised(self, metadata: Metadata) -> bool:
+        """Return whether the metadata of a call carry the token."""
         if self._expected is None:
             return True
         values = (value for name, value in metadata if name == "authorization")
@@ -218,15 +219,6 @@
     return _unary_handler(method, refuse)
 
 
-def _bind(server: Any, address: str) -> str:
-    host, _, _ = address.rpartition(":")
-    try:
-        port = server.add_insecure_port(address)
-    except RuntimeError as error:
-        raise OSError(f"cannot listen for gRPC on {address}: {error}") from error
-    return f"{host}:{port}"
-
-
 @asynccontextmanager
 async def serve_rpc(
     address: str, adders: Iterable[ServicerAdder], token: str | None
@@ -256,21 +248,33 @@
     )
     for add in adders:
         add(server)
-    bound = _bind(server, address)
+    listeners = await bind(address)
+    socket_name = random_socket_name()
+    server.add_insecure_port(f"unix-abstract:{socket_name}")
+    relay = Relay(listeners, socket_name, interceptor.is_authorised)
     async with trio.open_nursery() as nursery:
         interceptor.open(nursery)
         server.start()
+        nursery.start_soon(relay.run)
         try:
-            yield bound
+            yield _bound_address(address, listeners[0])
         finally:
             with trio.CancelScope(shield=True):
+                relay.stop_accepting()
                 stopped = server.stop(STOP_GRACE_S)
                 await trio.to_thread.run_sync(stopped.wait, 2 * STOP_GRACE_S)
+            relay.close()
             interceptor.close()
             nursery.cancel_scope.cancel()
             workers.shutdown(wait=False)
 
 
+def _bound_address(address: str, listener: trio.SocketListener) -> str:
+    host, _, _ = address.rpartition(":")
+    port = listener.socket.getsockname()[1]
+    return f"{host}:{port}"
+
+
 class RpcChannel:
     """A connection to the gRPC server of one peer, to be created and used on the trio loop."""
 
--- a/tests/hostile/attacks.py
+++ b/tests/hostile/attacks.py
@@ -280,13 +280,3 @@
     "websocket",
 )
 """One attack of each kind, for the listeners that serve no callers."""
-HTTP2_ATTACKS = (
-    "endless_empty_lines",
-    "endless_header",
-    "head_held_back",
-    "http2_garbage",
-    "http2_preface",
-    "silence",
-    "tls_hello",
-)
-"""Attacks on the listeners that speak HTTP/2 alone."""
--- a/tests/hostile/crowd.py
+++ b/tests/hostile/crowd.py
@@ -14,7 +14,9 @@
 import trio
 
 from tests.hostile.attacks import ATTACKS, ENDINGS, Attack, Ending, Target
+from tests.hostile.rpc_attacks import RPC_ATTACKS
 
+ALL_ATTACKS = ATTACKS | RPC_ATTACKS
 MAX_PIECES = 400
 """Pieces that are sent on one connection at most."""
 SEND_TIMEOUT_S = 0.5
@@ -81,7 +83,7 @@
 async def _run(arguments: argparse.Namespace) -> None:
     host, _, port = arguments.address.rpartition(":")
     target = Target(arguments.read_path, arguments.write_path, tuple(arguments.header))
-    attack = ATTACKS[arguments.attack]
+    attack = ALL_ATTACKS[arguments.attack]
     ending = ENDINGS.get(arguments.attack, Ending.KEEP_OPEN)
     address = (host, int(port))
     clients = [Client(attack, ending, target, address) for _ in range(arguments.clients)]
@@ -95,7 +97,7 @@
 def main() -> None:
     """Run the crowd that the command line describes."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("attack", choices=sorted(ATTACKS))
+    parser.add_argument("attack", choices=sorted(ALL_ATTACKS))
     parser.add_argument("address")
     parser.add_argument("--clients", type=int, required=True)
     parser.add_argument("--connections", type=int, required=True, help="of each client")
--- a/tests/hostile/test_sidecars.py
+++ b/tests/hostile/test_sidecars.py
@@ -20,7 +20,8 @@
     start_fake_upstream,
     wait_ready,
 )
-from tests.hostile.attacks import ATTACKS, COMMON_ATTACKS, HTTP2_ATTACKS, Target
+from tests.hostile.attacks import ATTACKS, COMMON_ATTACKS, Target
+from tests.hostile.rpc_attacks import RPC_ATTACKS
 from tests.hostile.trial import (
     Listener,
     OrdinaryCall,
@@ -120,7 +121,7 @@
 ATTACKED = [
     *(("entry callers", attack) for attack in ATTACKS),
     *product(("entry operator", "sidecar data", "sidecar operator"), COMMON_ATTACKS),
-    *product(("entry control", "sidecar control"), HTTP2_ATTACKS),
+    *product(("entry control", "sidecar control"), RPC_ATTACKS),
 ]
 
 
--- /dev/null
+++ b/tests/rpc/test_connections.py
@@ -0,0 +1,153 @@
+"""Connections of a gRPC server's clients."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import grpc
+import pytest
+import trio
+
+from chivehold.rpc.bridge import STOP_GRACE_S, RpcChannel, RpcFailed, serve_rpc
+from chivehold.rpc.chivehold_pb2 import DrainRequest, DrainResponse
+from chivehold.rpc.chivehold_pb2_grpc import (
+    SidecarServicer,
+    SidecarStub,
+    add_SidecarServicer_to_server,
+)
+from chivehold.rpc.client_check import CLIENT_PREFACE, MAX_UNAUTHORISED_FRAMES
+
+TIMEOUT_S = 5.0
+SETTINGS = b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+PING = b"\x00\x00\x08\x06\x00\x00\x00\x00\x00" + bytes(8)
+
+Handler = Callable[[], Awaitable[None]]
+
+
+class DrainServicer(SidecarServicer):
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    async def Drain(  # noqa: N802
+        self, request: DrainRequest, context: grpc.ServicerContext
+    ) -> DrainResponse:
+        await self._handler()
+        return DrainResponse(state="drained")
+
+
+@asynccontextmanager
+async def serving(handler: Handler = trio.lowlevel.checkpoint) -> AsyncIterator[str]:
+    def add(server: grpc.Server) -> None:
+        add_SidecarServicer_to_server(DrainServicer(handler), server)
+
+    async with serve_rpc("127.0.0.1:0", [add], None) as address:
+        yield address
+
+
+@asynccontextmanager
+async def channel_to(address: str) -> AsyncIterator[RpcChannel]:
+    channel = RpcChannel(address, None)
+    try:
+        yield channel
+    finally:
+        channel.close()
+
+
+async def drain(channel: RpcChannel) -> str:
+    stub = SidecarStub(channel.grpc_channel)
+    response: DrainResponse = await channel.call(stub.Drain, DrainRequest(), TIMEOUT_S)
+    return response.state
+
+
+async def connect(address: str) -> trio.SocketStream:
+    host, _, port = address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def wait_closed(stream: trio.SocketStream) -> None:
+    with trio.fail_after(TIMEOUT_S):
+        try:
+            while await stream.receive_some():
+                pass
+        except trio.BrokenResourceError:
+            return
+
+
+class TestRelay:
+    @pytest.mark.parametrize(
+        "sent",
+        [b"GET / HTTP/1.1\r\n\r\n", CLIENT_PREFACE + SETTINGS + PING * MAX_UNAUTHORISED_FRAMES],
+    )
+    async def test_connection_is_closed(self, sent: bytes) -> None:
+        """Guards against clients of other protocols and against pings without end."""
+        async with serving() as address, channel_to(address) as channel:
+            async with await connect(address) as stream:
+                await stream.send_all(sent)
+                await wait_closed(stream)
+            assert await drain(channel) == "drained"
+
+    async def test_silent_connection_is_closed(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against clients that connect and never speak."""
+        monkeypatch.setattr("chivehold.rpc.connections.PREFACE_TIMEOUT_S", 0.1)
+        async with serving() as address, await connect(address) as stream:
+            await wait_closed(stream)
+
+    async def test_connection_without_a_call_gives_way(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against clients that keep all connections to themselves."""
+        monkeypatch.setattr("chivehold.rpc.connections.MAX_CONNECTIONS", 2)
+        async with serving() as address, channel_to(address) as channel:
+            assert await drain(channel) == "drained"
+            async with await connect(address) as first, await connect(address) as second:
+                await first.send_all(CLIENT_PREFACE + SETTINGS)
+                await second.send_all(CLIENT_PREFACE + SETTINGS)
+                await wait_closed(first)
+                async with await connect(address):
+                    await wait_closed(second)
+            assert await drain(channel) == "drained"
+
+
+class TestStop:
+    async def test_call_in_progress_is_answered(self) -> None:
+        """A call that ends within the grace is answered, though the server accepts no more."""
+        started = trio.Event()
+        states: list[str] = []
+
+        async def handle() -> None:
+            started.set()
+            await trio.sleep(STOP_GRACE_S / 4)
+
+        async def call(channel: RpcChannel) -> None:
+            states.append(await drain(channel))
+
+        async with trio.open_nursery() as nursery, serving(handle) as address:
+            channel = RpcChannel(address, None)
+            nursery.start_soon(call, channel)
+            await started.wait()
+        channel.close()
+        assert states == ["drained"]
+
+    async def test_cancelled_server_answers(self) -> None:
+        """A call whose handler is cancelled with the server is told so."""
+        started = trio.Event()
+        codes: list[tuple[grpc.StatusCode, str]] = []
+
+        async def handle() -> None:
+            started.set()
+            await trio.sleep_forever()
+
+        async def call(channel: RpcChannel) -> None:
+            with pytest.raises(RpcFailed) as caught:
+                await drain(channel)
+            codes.append((caught.value.code, caught.value.detail))
+
+        async with trio.open_nursery() as nursery:
+            with trio.CancelScope() as scope:
+                async with serving(handle) as address:
+                    channel = RpcChannel(address, None)
+                    nursery.start_soon(call, channel)
+                    await started.wait()
+                    scope.cancel()
+                    await trio.lowlevel.checkpoint()
+        channel.close()
+        assert codes == [(grpc.StatusCode.UNAVAILABLE, "shutting down")]
