Tests of gRPC share one server; a connection with the token keeps its place

test_bridge.py and test_connections.py each had a servicer, a server and a channel of their own. New: a newcomer is closed while the only place has a call in progress, which is answered.

--- a/tests/rpc/test_bridge.py
+++ b/tests/rpc/test_bridge.py
@@ -7,53 +7,35 @@
 import trio
 
 from chivehold.rpc.bridge import RpcChannel, RpcFailed, RpcRefused, serve_rpc
-from chivehold.rpc.chivehold_pb2 import DrainRequest, DrainResponse
-from chivehold.rpc.chivehold_pb2_grpc import (
-    SidecarServicer,
-    SidecarStub,
-    add_SidecarServicer_to_server,
-)
+from tests.rpc.drain_service import TIMEOUT_S, TOKEN, channel_to, drain, serving
 
-TIMEOUT_S = 5.0
 
-
-class DrainServicer(SidecarServicer):
+class NamedOutcomes:
     """Refuses, fails or never answers, depending on the upstream's name; echoes other names."""
 
     def __init__(self):
         self.started = trio.Event()
         self.cancelled = trio.Event()
 
-    async def Drain(self, request, context):  # noqa: N802
+    async def handle(self, upstream):
         await trio.lowlevel.checkpoint()
-        if request.upstream == "refuse":
+        if upstream == "refuse":
             raise RpcRefused(grpc.StatusCode.FAILED_PRECONDITION, "no")
-        if request.upstream == "fail":
+        if upstream == "fail":
             raise ValueError("broken")
-        if request.upstream == "freeze":
+        if upstream == "freeze":
             self.started.set()
             try:
                 await trio.sleep_forever()
             finally:
                 self.cancelled.set()
-        return DrainResponse(state=request.upstream)
 
 
 @asynccontextmanager
-async def servicer_and_channel(channel_token="secret"):
-    servicer = DrainServicer()
-    adders = [lambda server: add_SidecarServicer_to_server(servicer, server)]
-    async with serve_rpc("127.0.0.1:0", adders, "secret") as address:
-        channel = RpcChannel(address, channel_token)
-        try:
-            yield servicer, channel
-        finally:
-            channel.close()
-
-
-async def drain(channel, upstream, timeout_s=TIMEOUT_S):
-    stub = SidecarStub(channel.grpc_channel)
-    return await channel.call(stub.Drain, DrainRequest(upstream=upstream), timeout_s)
+async def outcomes_and_channel(channel_token=TOKEN):
+    outcomes = NamedOutcomes()
+    async with serving(outcomes.handle) as address, channel_to(address, channel_token) as channel:
+        yield outcomes, channel
 
 
 class TestCall:
@@ -62,9 +44,9 @@
         answers = {}
 
         async def call_drain(channel, name):
-            answers[name] = (await drain(channel, name)).state
+            answers[name] = await drain(channel, name)
 
-        async with servicer_and_channel() as (_, channel), trio.open_nursery() as nursery:
+        async with outcomes_and_channel() as (_, channel), trio.open_nursery() as nursery:
             for number in range(40):
                 nursery.start_soon(call_drain, channel, str(number))
         assert answers == {str(number): str(number) for number in range(40)}
@@ -80,7 +62,7 @@
     )
     async def test_failure_reports_code_and_whether_sent(self, upstream, token, code, sent):
         """A failed call reports its step, peer, code and whether a handler may have run."""
-        async with servicer_and_channel(token) as (_, channel):
+        async with outcomes_and_channel(token) as (_, channel):
             with pytest.raises(RpcFailed) as caught:
                 await drain(channel, upstream)
             failure = caught.value
@@ -89,29 +71,29 @@
 
     async def test_deadline_cancels_a_frozen_handler(self):
         """A call and its handler both end at the deadline if the handler does not answer."""
-        async with servicer_and_channel() as (servicer, channel):
+        async with outcomes_and_channel() as (outcomes, channel):
             with pytest.raises(RpcFailed) as caught, trio.fail_after(TIMEOUT_S):
                 await drain(channel, "freeze", timeout_s=0.2)
             with trio.fail_after(TIMEOUT_S):
-                await servicer.cancelled.wait()
+                await outcomes.cancelled.wait()
         assert caught.value.code is grpc.StatusCode.DEADLINE_EXCEEDED
         assert caught.value.sent
 
     async def test_cancelled_call_keeps_the_channel_usable(self):
         """A cancelled call returns at once, and the channel still works."""
-        async with servicer_and_channel() as (servicer, channel):
+        async with outcomes_and_channel() as (outcomes, channel):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(drain, channel, "freeze")
                 with trio.fail_after(TIMEOUT_S):
-                    await servicer.started.wait()
+                    await outcomes.started.wait()
                 nursery.cancel_scope.cancel()
-            assert (await drain(channel, "echo")).state == "echo"
+            assert await drain(channel, "echo") == "echo"
 
     async def test_refused_connection_is_not_sent(self):
         """A call whose connection is refused is reported as not sent."""
-        async with servicer_and_channel() as (_, channel):
+        async with outcomes_and_channel() as (_, channel):
             address = channel.address
-        channel = RpcChannel(address, "secret")
+        channel = RpcChannel(address, TOKEN)
         with pytest.raises(RpcFailed) as caught:
             await drain(channel, "echo")
         channel.close()
@@ -121,7 +103,7 @@
 class TestServer:
     async def test_address_in_use_is_an_error(self):
         """A second server on the same address raises an error, instead of sharing the port."""
-        async with servicer_and_channel() as (_, channel):
+        async with outcomes_and_channel() as (_, channel):
             with pytest.raises(OSError, match=channel.address):
                 async with serve_rpc(channel.address, [], None):
                     pass
--- a/tests/rpc/test_connections.py
+++ b/tests/rpc/test_connections.py
@@ -1,62 +1,16 @@
 """Connections of a gRPC server's clients."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-
 import grpc
 import pytest
 import trio
 
-from chivehold.rpc.bridge import STOP_GRACE_S, RpcChannel, RpcFailed, serve_rpc
-from chivehold.rpc.chivehold_pb2 import DrainRequest, DrainResponse
-from chivehold.rpc.chivehold_pb2_grpc import (
-    SidecarServicer,
-    SidecarStub,
-    add_SidecarServicer_to_server,
-)
+from chivehold.rpc.bridge import STOP_GRACE_S, RpcChannel, RpcFailed
 from chivehold.rpc.client_check import CLIENT_PREFACE, MAX_UNAUTHORISED_FRAMES
+from tests.rpc.drain_service import TIMEOUT_S, TOKEN, channel_to, drain, serving
 
-TIMEOUT_S = 5.0
 SETTINGS = b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
 PING = b"\x00\x00\x08\x06\x00\x00\x00\x00\x00" + bytes(8)
 
-Handler = Callable[[], Awaitable[None]]
-
-
-class DrainServicer(SidecarServicer):
-    def __init__(self, handler: Handler) -> None:
-        self._handler = handler
-
-    async def Drain(  # noqa: N802
-        self, request: DrainRequest, context: grpc.ServicerContext
-    ) -> DrainResponse:
-        await self._handler()
-        return DrainResponse(state="drained")
-
-
-@asynccontextmanager
-async def serving(handler: Handler = trio.lowlevel.checkpoint) -> AsyncIterator[str]:
-    def add(server: grpc.Server) -> None:
-        add_SidecarServicer_to_server(DrainServicer(handler), server)
-
-    async with serve_rpc("127.0.0.1:0", [add], None) as address:
-        yield address
-
-
-@asynccontextmanager
-async def channel_to(address: str) -> AsyncIterator[RpcChannel]:
-    channel = RpcChannel(address, None)
-    try:
-        yield channel
-    finally:
-        channel.close()
-
-
-async def drain(channel: RpcChannel) -> str:
-    stub = SidecarStub(channel.grpc_channel)
-    response: DrainResponse = await channel.call(stub.Drain, DrainRequest(), TIMEOUT_S)
-    return response.state
-
 
 async def connect(address: str) -> trio.SocketStream:
     host, _, port = address.rpartition(":")
@@ -83,7 +37,7 @@
             async with await connect(address) as stream:
                 await stream.send_all(sent)
                 await wait_closed(stream)
-            assert await drain(channel) == "drained"
+            assert await drain(channel, "a") == "a"
 
     async def test_silent_connection_is_closed(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Guards against clients that connect and never speak."""
@@ -97,14 +51,41 @@
         """Guards against clients that keep all connections to themselves."""
         monkeypatch.setattr("chivehold.rpc.connections.MAX_CONNECTIONS", 2)
         async with serving() as address, channel_to(address) as channel:
-            assert await drain(channel) == "drained"
+            assert await drain(channel, "a") == "a"
             async with await connect(address) as first, await connect(address) as second:
                 await first.send_all(CLIENT_PREFACE + SETTINGS)
                 await second.send_all(CLIENT_PREFACE + SETTINGS)
                 await wait_closed(first)
                 async with await connect(address):
                     await wait_closed(second)
-            assert await drain(channel) == "drained"
+            assert await drain(channel, "a") == "a"
+
+    async def test_connection_with_the_token_keeps_its_place(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against clients without the token that interrupt the calls of peers."""
+        monkeypatch.setattr("chivehold.rpc.connections.MAX_CONNECTIONS", 1)
+        started, ended = trio.Event(), trio.Event()
+        states: list[str] = []
+
+        async def handle(upstream: str) -> None:
+            started.set()
+            await ended.wait()
+
+        async def call(channel: RpcChannel) -> None:
+            states.append(await drain(channel, "a"))
+
+        async with (
+            serving(handle) as address,
+            channel_to(address) as channel,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(call, channel)
+            await started.wait()
+            async with await connect(address) as newcomer:
+                await wait_closed(newcomer)
+            ended.set()
+        assert states == ["a"]
 
 
 class TestStop:
@@ -113,26 +94,26 @@
         started = trio.Event()
         states: list[str] = []
 
-        async def handle() -> None:
+        async def handle(upstream: str) -> None:
             started.set()
             await trio.sleep(STOP_GRACE_S / 4)
 
         async def call(channel: RpcChannel) -> None:
-            states.append(await drain(channel))
+            states.append(await drain(channel, "a"))
 
         async with trio.open_nursery() as nursery, serving(handle) as address:
-            channel = RpcChannel(address, None)
+            channel = RpcChannel(address, TOKEN)
             nursery.start_soon(call, channel)
             await started.wait()
         channel.close()
-        assert states == ["drained"]
+        assert states == ["a"]
 
     async def test_cancelled_server_answers(self) -> None:
         """A call whose handler is cancelled with the server is told so."""
         started = trio.Event()
         codes: list[tuple[grpc.StatusCode, str]] = []
 
-        async def handle() -> None:
+        async def handle(upstream: str) -> None:
             started.set()
             await trio.sleep_forever()
 
@@ -144,7 +125,7 @@
         async with trio.open_nursery() as nursery:
             with trio.CancelScope() as scope:
                 async with serving(handle) as address:
-                    channel = RpcChannel(address, None)
+                    channel = RpcChannel(address, TOKEN)
                     nursery.start_soon(call, channel)
                     await started.wait()
                     scope.cancel()
