--- a/examples/slopes/wire.py
+++ b/examples/slopes/wire.py
@@ -7,12 +7,13 @@
 import trio
 
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel, serve_rpc
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import (
     SidecarServicer,
     SidecarStub,
     add_SidecarServicer_to_server,
 )
+from chivehold.rpc.server import serve_rpc
 from examples.slopes.fit import Slope, fit_line
 from examples.slopes.messages import heartbeat, load_report
 
--- a/src/chivehold/commands/application.py
+++ b/src/chivehold/commands/application.py
@@ -16,7 +16,7 @@
 from chivehold.commands.quarantine import QuarantineCommand
 from chivehold.commands.read import GetCommand, StatusCommand, WatchCommand
 from chivehold.exceptions import DeclarationInvalid
-from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.errors import RpcFailed
 
 COMMANDS = (
     ApplyCommand,
--- a/src/chivehold/commands/change.py
+++ b/src/chivehold/commands/change.py
@@ -17,8 +17,8 @@
 from chivehold.commands.output import enum_label, table
 from chivehold.declaration_files import read_declarations
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
 from chivehold.rpc.convert_declarations import declaration_to_proto
+from chivehold.rpc.errors import RpcFailed
 
 STATUS_POLL_S = 0.1
 DEFAULT_WAIT_S = 10.0
--- a/src/chivehold/commands/operator_client.py
+++ b/src/chivehold/commands/operator_client.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
 
 CALL_TIMEOUT_S = 15.0
--- a/src/chivehold/entry/app.py
+++ b/src/chivehold/entry/app.py
@@ -31,8 +31,8 @@
 from chivehold.logs import log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
 from chivehold.metrics import EntryMetrics
-from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_OperatorsServicer_to_server
+from chivehold.rpc.server import serve_rpc
 from chivehold.settings import EntrySettings
 from chivehold.store.claims import ClaimWriter
 from chivehold.store.client import HttpObjectStore
--- a/src/chivehold/entry/control.py
+++ b/src/chivehold/entry/control.py
@@ -13,7 +13,7 @@
 from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.errors import RpcFailed
 
 READ_PAUSE_S = 0.05
 IDLE_PAUSE_S = 0.5
--- a/src/chivehold/entry/declaration_peers.py
+++ b/src/chivehold/entry/declaration_peers.py
@@ -10,11 +10,11 @@
 from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
 from chivehold.rpc.convert_declarations import (
     declaration_version_from_proto,
     declaration_version_to_proto,
 )
+from chivehold.rpc.errors import RpcFailed
 
 _log = logging.getLogger(__name__)
 
--- a/src/chivehold/entry/heartbeats.py
+++ b/src/chivehold/entry/heartbeats.py
@@ -16,7 +16,7 @@
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.exceptions import Malformed
 from chivehold.logs import log_event
-from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.errors import RpcFailed
 
 SCORE_BYTES = 8
 FIRST_HEARTBEAT_S = 1.0
--- a/src/chivehold/entry/operators.py
+++ b/src/chivehold/entry/operators.py
@@ -15,8 +15,8 @@
 from chivehold.entry.heartbeats import Heartbeats
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed, RpcRefused
 from chivehold.rpc.convert_declarations import declaration_from_proto, declaration_version_to_proto
+from chivehold.rpc.errors import RpcFailed, RpcRefused
 from chivehold.store.declaration_apply import ApplyRequest, Change, ChangeKind
 from chivehold.store.declaration_sync import DeclarationSync
 
--- a/src/chivehold/entry/sidecar_calls.py
+++ b/src/chivehold/entry/sidecar_calls.py
@@ -17,7 +17,7 @@
 from chivehold.entry.attempts import FindUpstream
 from chivehold.exceptions import Malformed
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel, RpcFailed
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
 from chivehold.rpc.convert import (
     Revocation,
@@ -31,6 +31,7 @@
     revocation_to_proto,
     revoke_result_from_proto,
 )
+from chivehold.rpc.errors import RpcFailed
 
 CALL_TIMEOUT_S = 0.5
 REVOKE_TIMEOUT_S = 1.0
--- a/src/chivehold/rpc/bridge.py
+++ b/src/chivehold/rpc/server.py
@@ -1,21 +1,22 @@
-"""Unary gRPC calls on trio: a server that runs its handlers on the trio loop, and a channel.
+"""A gRPC server that runs its handlers on the trio loop.
 
-grpcio has its own threads, which only transfer messages. Every handler is an async function that
-runs on the trio loop, and every caller waits there.
+grpcio has its own threads, which only transfer messages. Every handler is an async function.
 """
 
 import hmac
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from concurrent.futures import Future, ThreadPoolExecutor
-from contextlib import asynccontextmanager, suppress
-from typing import Any, Generic, NamedTuple, Protocol, TypeVar
+from contextlib import asynccontextmanager
+from typing import Any, Generic, NamedTuple, TypeVar
 
 import grpc
 import trio
 
 from chivehold.rpc.client_check import Metadata
 from chivehold.rpc.connections import Relay, bind, random_socket_name
+from chivehold.rpc.errors import RpcRefused
+from chivehold.rpc.options import COMMON_OPTIONS
 
 SERVER_THREADS = 8
 MAX_CONCURRENT_CALLS = 256
@@ -25,83 +26,22 @@
 """Time for the calls in progress to finish when the server stops."""
 MAX_HANDLER_S = 60.0
 """A handler is cancelled after this time even if its caller has set no deadline."""
-MAX_MESSAGE_BYTES = 8 * 1024 * 1024
-INITIAL_RECONNECT_MS = 100
-MAX_RECONNECT_MS = 500
-CONNECT_TIMEOUT_MS = 1_000
-
-_COMMON_OPTIONS = (
-    ("grpc.enable_retries", 0),
-    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-)
+
 _SERVER_OPTIONS = (
-    *_COMMON_OPTIONS,
+    *COMMON_OPTIONS,
     ("grpc.so_reuseport", 0),
     ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
 )
-_CHANNEL_OPTIONS = (
-    *_COMMON_OPTIONS,
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.initial_reconnect_backoff_ms", INITIAL_RECONNECT_MS),
-    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
-    ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_MS),
-)
-_CONNECT_FAILED_DETAIL = "failed to connect to all addresses"
-"""Part of grpcio's error text when no connection could be made, so that nothing was sent."""
-_CODES_BEFORE_HANDLER = (grpc.StatusCode.UNAUTHENTICATED, grpc.StatusCode.RESOURCE_EXHAUSTED)
-"""Status codes with which the server refuses a call before its handler runs."""
 
 _log = logging.getLogger(__name__)
 
-RequestT = TypeVar("RequestT", contravariant=True)
-ResponseT = TypeVar("ResponseT", covariant=True)
+RequestT = TypeVar("RequestT")
+ResponseT = TypeVar("ResponseT")
 
 ServicerAdder = Callable[[Any], None]
 """Registers a servicer with a gRPC server, as ``add_…Servicer_to_server`` of the generated code."""
 
 
-class RpcFailed(Exception):  # noqa: N818
-    """A call to a peer failed.
-
-    Attributes:
-        step: The method that was called, for example ``/chivehold.v1.Sidecar/Heartbeat``.
-        peer: The address that was called.
-        code: The gRPC status code.
-        sent: Whether a handler of the peer may have run; ``False`` means that none did.
-        detail: The detail text of the gRPC status.
-    """
-
-    def __init__(
-        self, step: str, peer: str, code: grpc.StatusCode, sent: bool, detail: str = ""
-    ) -> None:
-        super().__init__(f"{step} at {peer}: {code.name}: {detail}")
-        self.step = step
-        self.peer = peer
-        self.code = code
-        self.sent = sent
-        self.detail = detail
-
-
-class RpcRefused(Exception):  # noqa: N818
-    """Raised by a handler to answer with a status code and a detail text."""
-
-    def __init__(self, code: grpc.StatusCode, detail: str) -> None:
-        super().__init__(f"{code.name}: {detail}")
-        self.code = code
-        self.detail = detail
-
-
-class UnaryMethod(Protocol[RequestT, ResponseT]):
-    """A unary method of a generated stub."""
-
-    def future(
-        self, request: RequestT, timeout: float, metadata: Any, compression: Any = None
-    ) -> Any:
-        """Start the call and return its future."""
-        ...
-
-
 class _Failure(NamedTuple):
     code: grpc.StatusCode
     detail: str
@@ -273,83 +213,3 @@
     host, _, _ = address.rpartition(":")
     port = listener.socket.getsockname()[1]
     return f"{host}:{port}"
-
-
-class RpcChannel:
-    """A connection to the gRPC server of one peer, to be created and used on the trio loop."""
-
-    def __init__(self, address: str, token: str | None) -> None:
-        self._address = address
-        self._metadata = () if token is None else (("authorization", f"Bearer {token}"),)
-        self._channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
-
-    @property
-    def address(self) -> str:
-        """The peer's ``host:port``."""
-        return self._address
-
-    @property
-    def grpc_channel(self) -> Any:
-        """The grpcio channel for a generated stub, as in ``SidecarStub(channel.grpc_channel)``."""
-        return self._channel
-
-    async def call(
-        self,
-        method: UnaryMethod[RequestT, ResponseT],
-        request: RequestT,
-        timeout_s: float,
-        *,
-        compressed: bool = False,
-    ) -> ResponseT:
-        """Call a method of a stub and wait for its response; cancelling the wait cancels the call.
-
-        Args:
-            method: The stub's method, for example ``stub.Heartbeat``.
-            request: The request message.
-            timeout_s: Time in seconds after which the call fails with ``DEADLINE_EXCEEDED``.
-            compressed: Whether to compress the request; useful only for long ones.
-
-        Returns:
-            The response message.
-
-        Raises:
-            RpcFailed: The peer refused, failed, or did not answer in time.
-        """
-        trio_token = trio.lowlevel.current_trio_token()
-        done = trio.Event()
-        future = method.future(
-            request,
-            timeout=timeout_s,
-            metadata=self._metadata,
-            compression=grpc.Compression.Gzip if compressed else None,
-        )
-
-        def settle(_future: Any) -> None:
-            with suppress(trio.RunFinishedError):
-                trio_token.run_sync_soon(done.set)
-
-        future.add_done_callback(settle)
-        try:
-            await done.wait()
-        finally:
-            future.cancel()
-        if future.code() is grpc.StatusCode.OK:
-            response: ResponseT = future.result()
-            return response
-        raise self._failure(method, future)
-
-    def close(self) -> None:
-        """Close the connection; calls in progress fail with ``CANCELLED``."""
-        self._channel.close()
-
-    def _failure(self, method: Any, future: Any) -> RpcFailed:
-        code = future.code()
-        detail = future.details() or ""
-        never_connected = code is grpc.StatusCode.UNAVAILABLE and _CONNECT_FAILED_DETAIL in detail
-        sent = not (never_connected or code in _CODES_BEFORE_HANDLER)
-        return RpcFailed(_method_name(method), self._address, code, sent, detail)
-
-
-def _method_name(method: Any) -> str:
-    name = getattr(method, "_method", b"")
-    return name.decode() if isinstance(name, bytes) else str(name)
--- a/src/chivehold/sidecar/app.py
+++ b/src/chivehold/sidecar/app.py
@@ -43,8 +43,8 @@
 from chivehold.http_server import OPERATOR_SERVER_LIMITS, ServerLimits, serve_http
 from chivehold.logs import log_event
 from chivehold.loop_monitor import LoopMonitor, monitored_loop
-from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
+from chivehold.rpc.server import serve_rpc
 from chivehold.settings import SidecarSettings
 from chivehold.sidecar.command_log import log_command
 from chivehold.sidecar.control import SidecarControl
--- a/src/chivehold/sidecar/control.py
+++ b/src/chivehold/sidecar/control.py
@@ -21,7 +21,6 @@
 from chivehold.exceptions import Malformed
 from chivehold.http_client import LinkError
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcRefused
 from chivehold.rpc.chivehold_pb2_grpc import SidecarServicer
 from chivehold.rpc.convert import (
     commit_from_proto,
@@ -34,6 +33,7 @@
     revocation_from_proto,
     revoke_result_to_proto,
 )
+from chivehold.rpc.errors import RpcRefused
 from chivehold.sidecar.declarations import SidecarDeclarations
 from chivehold.sidecar.driver import SidecarDriver
 from chivehold.sidecar.engine_api import EngineState
--- a/tests/entry/deployed.py
+++ b/tests/entry/deployed.py
@@ -10,7 +10,7 @@
 from chivehold.core.declared import Deployment, Service, TrafficClass, Upstream
 from chivehold.core.identity import Role, Urgency
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
 from chivehold.rpc.convert_declarations import declaration_to_proto
 from tests.processes import TOKEN, Programs, RunningProgram
--- a/tests/entry/test_control.py
+++ b/tests/entry/test_control.py
@@ -11,7 +11,7 @@
 from chivehold.core.wire import EngineOrder, OrderKind, OrderResult
 from chivehold.entry.control import EngineController
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
 from chivehold.rpc.convert import order_to_proto
 from tests.entry.deployed import Deployed, call_operators, post, start_entry
--- a/tests/entry/test_operators.py
+++ b/tests/entry/test_operators.py
@@ -12,9 +12,11 @@
 from chivehold.entry.sidecar_calls import SidecarCalls
 from chivehold.fakes.object_store import MemoryObjectStore
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel, RpcFailed, serve_rpc
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub, add_OperatorsServicer_to_server
 from chivehold.rpc.convert_declarations import declaration_to_proto
+from chivehold.rpc.errors import RpcFailed
+from chivehold.rpc.server import serve_rpc
 from chivehold.store.declaration_sync import DeclarationSync
 from tests.core.declared_examples import service
 from tests.processes import TOKEN
--- a/tests/hostile/test_sidecars.py
+++ b/tests/hostile/test_sidecars.py
@@ -10,7 +10,7 @@
 from chivehold.core.declared import Service, Upstream
 from chivehold.core.identity import Role
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
+from chivehold.rpc.errors import RpcFailed
 from tests.entry.deployed import (
     ANY_PORT,
     CLASSES,
--- a/tests/proofs/fleet.py
+++ b/tests/proofs/fleet.py
@@ -21,9 +21,10 @@
 from chivehold.history.events import History, Shutdown
 from chivehold.history.recorder import Recorder
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel, RpcFailed
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import OperatorsStub
 from chivehold.rpc.convert_declarations import declaration_to_proto
+from chivehold.rpc.errors import RpcFailed
 from tests.entry.deployed import call_operators, post
 from tests.processes import TOKEN, Programs, RunningProgram, own_address
 from tests.proofs.callers import Callers, EntryEndpoint
--- a/tests/rpc/drain_service.py
+++ b/tests/rpc/drain_service.py
@@ -6,13 +6,14 @@
 import grpc
 import trio
 
-from chivehold.rpc.bridge import RpcChannel, serve_rpc
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2 import DrainRequest, DrainResponse
 from chivehold.rpc.chivehold_pb2_grpc import (
     SidecarServicer,
     SidecarStub,
     add_SidecarServicer_to_server,
 )
+from chivehold.rpc.server import serve_rpc
 
 TIMEOUT_S = 5.0
 TOKEN = "secret"
--- a/tests/rpc/test_bridge.py
+++ b/tests/rpc/test_calls.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 
-from chivehold.rpc.bridge import RpcChannel, RpcFailed, RpcRefused, serve_rpc
+from chivehold.rpc.channel import RpcChannel
+from chivehold.rpc.errors import RpcFailed, RpcRefused
+from chivehold.rpc.server import serve_rpc
 from tests.rpc.drain_service import TIMEOUT_S, TOKEN, channel_to, drain, serving
 
 
--- a/tests/rpc/test_connections.py
+++ b/tests/rpc/test_connections.py
@@ -4,8 +4,10 @@
 import pytest
 import trio
 
-from chivehold.rpc.bridge import STOP_GRACE_S, RpcChannel, RpcFailed
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.client_check import CLIENT_PREFACE, MAX_UNAUTHORISED_FRAMES
+from chivehold.rpc.errors import RpcFailed
+from chivehold.rpc.server import STOP_GRACE_S
 from tests.rpc.drain_service import TIMEOUT_S, TOKEN, channel_to, drain, serving
 
 SETTINGS = b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -28,9 +28,10 @@
 from chivehold.fakes.service_app import ServiceOptions
 from chivehold.http_client import HttpClient, HttpResponse
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcChannel, RpcFailed
+from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.chivehold_pb2_grpc import SidecarStub
 from chivehold.rpc.convert import heartbeat_to_proto, load_report_from_proto
+from chivehold.rpc.errors import RpcFailed
 from chivehold.settings import SidecarSettings
 from chivehold.sidecar.app import SidecarAddresses, run_sidecar
 
--- a/tests/sidecar/test_control.py
+++ b/tests/sidecar/test_control.py
@@ -7,9 +7,9 @@
 from chivehold.core.identity import KeyId, RequestId, Role
 from chivehold.core.wire import EngineOrder, KeyCommit, KeyRegistration, OrderKind
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
 from chivehold.rpc.convert import commit_to_proto, order_to_proto, registration_to_proto
 from chivehold.rpc.convert_declarations import declaration_to_proto
+from chivehold.rpc.errors import RpcFailed
 from tests.sidecar.rig import ENTRY, TOKEN, SidecarClient, start_rig, wait_until
 
 KEY = KeyId("bruma", "lector", "key")
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -5,8 +5,8 @@
 from chivehold.core.identity import Role
 from chivehold.core.wire import EngineOrder, OrderKind
 from chivehold.rpc import chivehold_pb2 as pb
-from chivehold.rpc.bridge import RpcFailed
 from chivehold.rpc.convert import order_to_proto
+from chivehold.rpc.errors import RpcFailed
 from tests.sidecar.rig import Rig, start_rig
 
 OLD_FENCING_NUMBER, NEW_FENCING_NUMBER = 7, 9
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,8 +6,8 @@
 import trio
 
 from chivehold.entry.sidecar_calls import SidecarCalls
-from chivehold.rpc.bridge import serve_rpc
 from chivehold.rpc.chivehold_pb2_grpc import add_SidecarServicer_to_server
+from chivehold.rpc.server import serve_rpc
 from chivehold.sidecar.control import SidecarControl
 from chivehold.sidecar.declarations import SidecarDeclarations
 from examples.slopes.fit import fit_line
