Connections of gRPC clients whose machine is gone are closed by the kernel

A connection that has had a call with the token keeps its place; without keepalive that of a dead machine would keep it for hours and, after enough restarts, new peers out. Found by reading, not seen. Probes after 30 s without a byte, three of them 10 s apart.

--- a/src/chivehold/rpc/__init__.py
+++ b/src/chivehold/rpc/__init__.py
@@ -1,1 +1,1 @@
-"""The gRPC layer: generated code, conversions of its messages, and servers and channels for trio."""
+"""The gRPC layer: generated code, conversions of its messages, servers and channels for trio."""
--- a/src/chivehold/rpc/connections.py
+++ b/src/chivehold/rpc/connections.py
@@ -27,6 +27,10 @@
 READ_BYTES = 16_384
 RECEIVE_BUFFER_BYTES = 16_384
 """Size of a connection's receive buffer in the kernel, which doubles it."""
+KEEPALIVE_IDLE_S = 30
+"""Time without a byte after which the kernel asks whether the client's machine is still there."""
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_PROBES = 3
 
 _log = logging.getLogger(__name__)
 
@@ -149,10 +153,19 @@
     except OSError as error:
         raise OSError(f"cannot listen for gRPC on {address}: {error}") from error
     for listener in listeners:
-        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        _set_options(listener.socket)
     return listeners
 
 
+def _set_options(sock: trio.socket.SocketType) -> None:
+    """Set the options that accepted sockets inherit."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 class Relay:
     """Accepts clients and relays their connections to a gRPC server.
 
--- a/tests/rpc/test_connections.py
+++ b/tests/rpc/test_connections.py
@@ -1,11 +1,15 @@
 """Connections of a gRPC server's clients."""
 
+import socket
+
 import grpc
 import pytest
 import trio
+import trio.testing
 
 from chivehold.rpc.channel import RpcChannel
 from chivehold.rpc.client_check import CLIENT_PREFACE, MAX_UNAUTHORISED_FRAMES
+from chivehold.rpc.connections import KEEPALIVE_IDLE_S, bind
 from chivehold.rpc.errors import RpcFailed
 from chivehold.rpc.server import STOP_GRACE_S
 from tests.rpc.drain_service import TIMEOUT_S, TOKEN, channel_to, drain, serving
@@ -90,6 +94,18 @@
         assert states == ["a"]
 
 
+class TestBind:
+    async def test_dead_peers_are_noticed(self) -> None:
+        """Guards against places kept by connections of machines that are gone."""
+        (listener,) = await bind("127.0.0.1:0")
+        async with listener:
+            stream = await trio.testing.open_stream_to_socket_listener(listener)
+            async with stream, await listener.accept() as accepted:
+                assert accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                idle_s = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+                assert idle_s == KEEPALIVE_IDLE_S
+
+
 class TestStop:
     async def test_call_in_progress_is_answered(self) -> None:
         """A call that ends within the grace is answered, though the server accepts no more."""
