http: report the error of a failed write at the end of a response

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The caller got that part as a complete answer; a stream ended as complete after the events that had arrived.

Cause: the whole request is written before the response is read. The reset was reported to the write (ECONNRESET), which was swallowed, and a socket reports its error once: the reads returned the bytes that had arrived and then an empty read, as after an orderly end. That completes a response without a length.

Change: the connection keeps the error and raises it where a read would report the end. EPIPE is left out, as the kernel reports it if the peer had closed its side first: all that it sent has arrived, and such an answer stays whole. All answers are read by this class: engine calls, plain calls, streams, the store, calls between entries and sidecars and from sidecars to services.

Ruled out: the parser (it refuses every response with a stated end), the reads (they report an error that no write has taken).

--- a/src/chivehold/fakes/platform_upstream.py
+++ b/src/chivehold/fakes/platform_upstream.py
@@ -18,7 +18,7 @@
     wait_for_disconnect,
 )
 
-MAX_BODY_BYTES = 1 << 20
+MAX_BODY_BYTES = 8 << 20
 STAMP_HEADER = "x-chivehold-server-stamp"
 REQUEST_ID_HEADER = "x-chivehold-request-id"
 NOT_RUN_HEADER = ("x-chivehold-not-run", "1")
--- a/src/chivehold/http_connection.py
+++ b/src/chivehold/http_connection.py
@@ -64,6 +64,8 @@
         self._state = _State.NEW
         self._expires_at = 0.0
         self._responses = 0
+        self._send_failure = ""
+        """Why the connection broke while a request was being sent, empty if it did not."""
 
     async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
         """Send a request and return its response, whose body has still to be read.
@@ -163,9 +165,26 @@
         try:
             for part in self._encoded(request, await _body_of(request)):
                 await stream.write(part, timeout_s)
-        except httpcore.WriteError:
+        except httpcore.WriteError as error:
             # A peer may respond and close the connection before it has read the whole body.
-            return
+            if not _is_broken_pipe(error):
+                self._send_failure = str(error)
+
+    async def _read(
+        self, stream: httpcore.AsyncNetworkStream, max_bytes: int, timeout_s: float | None
+    ) -> bytes:
+        """Return the next bytes of a response, empty at an orderly end of the connection.
+
+        A socket reports its error once. After a failed write its reads return the bytes that have
+        arrived, and then an end like that of a connection that the peer has closed.
+
+        Raises:
+            httpcore.ReadError: The connection broke, now or while the request was being sent.
+        """
+        chunk = await stream.read(max_bytes, timeout_s)
+        if not chunk and self._send_failure:
+            raise httpcore.ReadError(self._send_failure)
+        return chunk
 
     def _encoded(self, request: httpcore.Request, body: bytes) -> list[bytes]:
         """Return the bytes of a request."""
@@ -193,7 +212,7 @@
                 raise httpcore.RemoteProtocolError("no response where one is due")
             if received >= MAX_HEAD_BYTES:
                 raise httpcore.ReadError(f"no response within {MAX_HEAD_BYTES} bytes")
-            chunk = await stream.read(HEAD_READ_BYTES, timeout_s)
+            chunk = await self._read(stream, HEAD_READ_BYTES, timeout_s)
             if not chunk:
                 raise httpcore.RemoteProtocolError("connection closed without a response")
             received += len(chunk)
@@ -212,7 +231,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif event is h11.NEED_DATA:
-                self._parser.receive_data(await stream.read(BODY_READ_BYTES, timeout_s))
+                self._parser.receive_data(await self._read(stream, BODY_READ_BYTES, timeout_s))
             else:
                 return
 
@@ -278,6 +297,17 @@
     return b"".join([chunk async for chunk in request.stream])
 
 
+def _is_broken_pipe(error: BaseException) -> bool:
+    """Return whether a write failed as the peer had closed the connection in an orderly way.
+
+    All that it has sent has arrived then. If the connection breaks first, the error is another one.
+    """
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, OSError):
+        cause = cause.__cause__
+    return isinstance(cause, BrokenPipeError)
+
+
 def _timeout_s(request: httpcore.Request, step: str) -> float | None:
     timeout_s: float | None = request.extensions.get("timeout", {}).get(step)
     return timeout_s
--- a/tests/direct/harness.py
+++ b/tests/direct/harness.py
@@ -111,7 +111,11 @@
         self.store.put("servers", upstream.name, record | stage | dict(fields or {}))
 
     def configure(
-        self, version: int, routes: list[dict[str, Any]], organisations: object = None
+        self,
+        version: int,
+        routes: list[dict[str, Any]],
+        organisations: object = None,
+        max_body_bytes: int = 100_000,
     ) -> None:
         """Write a configuration into the store."""
         services = [
@@ -122,7 +126,7 @@
             "version": version,
             "routes": routes,
             "services": services,
-            "limits": {"maxBodyBytes": 100_000},
+            "limits": {"maxBodyBytes": max_body_bytes},
         }
         if organisations is not None:
             spec["tenants"] = organisations
@@ -163,7 +167,11 @@
 
     @asynccontextmanager
     async def stream(
-        self, path: str, request: str = "r1", headers: Mapping[str, str] | None = None
+        self,
+        path: str,
+        request: str = "r1",
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"prompt",
     ) -> AsyncIterator[RawResponse]:
         """Send a request and yield the response as it arrives."""
         tokens = {"x-chivehold-token-count": "100,200", "x-chivehold-length-hint": "100"}
@@ -172,13 +180,15 @@
             for key, value in self._headers(request, {**tokens, **(headers or {})}).items()
         ]
         async with self._client.relay(
-            self.address, "POST", path.encode(), step="stream", headers=raw, body=b"prompt"
+            self.address, "POST", path.encode(), step="stream", headers=raw, body=body
         ) as response:
             yield response
 
-    async def events(self, path: str, request: str = "r1", **headers: str) -> list[int]:
+    async def events(
+        self, path: str, request: str = "r1", prompt: bytes = b"prompt", **headers: str
+    ) -> list[int]:
         """Send a request for a stream and return the numbers of its events."""
-        async with self.stream(path, request, headers) as response:
+        async with self.stream(path, request, headers, prompt) as response:
             assert response.status == 200, response
             body = b"".join([chunk async for chunk in response.chunks])
         return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
--- a/tests/direct/raw_upstream.py
+++ b/tests/direct/raw_upstream.py
@@ -13,6 +13,7 @@
 
 MAX_REQUEST_BYTES = 65_536
 ENDLESS_CHUNK_BYTES = 1_400
+RESET_DELAY_S = 0.1
 
 
 GRANTED = b'HTTP/1.1 200 OK\r\ncontent-length: 13\r\nconnection: close\r\n\r\n{"hold": "h"}'
@@ -29,6 +30,8 @@
     """Bytes that complete nothing go on until the caller closes."""
     TRICKLE = "trickle"
     """The same, a byte at a time."""
+    RESET_LATER = "reset later"
+    """The answer ends in an orderly way; a moment later the rest of the request is reset."""
 
 
 class RawUpstream:
@@ -38,21 +41,27 @@
         answer: Returns the bytes of the answer to a request of a given id.
         ending: How the connection ends.
         filler: Repeated after the answer if bytes go on without end.
+        is_early: Answer a request that has an id once its head is there, and read none of its body.
     """
 
     def __init__(
-        self, answer: Callable[[str], bytes], ending: Ending, filler: bytes = b"x"
+        self,
+        answer: Callable[[str], bytes],
+        ending: Ending,
+        filler: bytes = b"x",
+        is_early: bool = False,
     ) -> None:
         self._answer = answer
         self._ending = ending
         self._filler = filler
+        self._is_early = is_early
         self.requests = 0
         self.sent_bytes = 0
 
     async def handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
         try:
-            request_id = await _read_request_id(stream)
+            request_id = await _read_request_id(stream, self._is_early)
             if not request_id:
                 # Reservations carry no request id; each is granted.
                 await stream.send_all(GRANTED)
@@ -69,6 +78,9 @@
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         elif self._ending is Ending.SILENT:
             await trio.sleep_forever()
+        elif self._ending is Ending.RESET_LATER:
+            await stream.send_eof()
+            await trio.sleep(RESET_DELAY_S)
         while self._ending in (Ending.ENDLESS, Ending.TRICKLE):
             filler = self._filler
             if self._ending is Ending.ENDLESS:
@@ -79,34 +91,45 @@
 
 
 @asynccontextmanager
-async def raw_upstream(
-    harness: EntryHarness, service: str, upstream: RawUpstream
-) -> AsyncIterator[None]:
-    """Serve an upstream and list it in the store."""
+async def raw_peer(upstream: RawUpstream) -> AsyncIterator[str]:
+    """Serve an upstream and yield its address."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     host, port = listeners[0].socket.getsockname()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, upstream.handle, listeners)
+        yield f"{host}:{port}"
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def raw_upstream(
+    harness: EntryHarness, service: str, upstream: RawUpstream
+) -> AsyncIterator[None]:
+    """Serve an upstream and list it in the store."""
+    async with raw_peer(upstream) as address:
         listed = ModelEngine("raw", "decode") if service == "model" else PlainUpstream("raw")
-        harness.list_upstream(listed, service, f"{host}:{port}")
+        harness.list_upstream(listed, service, address)
         yield
-        nursery.cancel_scope.cancel()
 
 
-async def _read_request_id(stream: trio.SocketStream) -> str:
-    """Read a whole request and return its id, empty if there is none.
+async def _read_request_id(stream: trio.SocketStream, is_early: bool) -> str:
+    """Read a request and return its id, empty if there is none.
 
-    Closing a connection with unread bytes would reset it.
+    Closing a connection with unread bytes would reset it, so the body is read as well, unless the
+    answer to a request with an id is to be early.
     """
     received = bytearray()
     while b"\r\n\r\n" not in received and len(received) < MAX_REQUEST_BYTES:
         received += await _receive(stream)
     head, _, body = bytes(received).partition(b"\r\n\r\n")
     fields = dict(_fields(head))
+    request_id = fields.get(b"x-chivehold-request-id", b"").decode()
+    if is_early and request_id:
+        return request_id
     missing = int(fields.get(b"content-length", b"0")) - len(body)
     while missing > 0:
         missing -= len(await _receive(stream))
-    return fields.get(b"x-chivehold-request-id", b"").decode()
+    return request_id
 
 
 def _fields(head: bytes) -> Iterator[tuple[bytes, bytes]]:
--- /dev/null
+++ b/tests/direct/test_early_answers.py
@@ -0,0 +1,90 @@
+"""Upstreams that answer a long upload at once, without a length, and reset the connection."""
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
+from chivehold.http_client import LinkError
+from tests.direct.harness import ROUTES, EntryHarness, running_entry, wait_until
+from tests.direct.raw_upstream import Ending, RawUpstream, raw_upstream
+
+UPLOAD = bytes(8 << 20)
+"""More than the buffers of two sockets hold, so that it cannot be sent without being read."""
+SOUND_EVENTS = [1, 2, 3, 4, 5]
+
+
+def head(request_id: str) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nx-chivehold-server-stamp: by.raw\r\n"
+        b"x-chivehold-request-id: %s\r\n\r\n" % request_id.encode()
+    )
+
+
+def part_of_a_body(request_id: str) -> bytes:
+    return head(request_id) + b"x" * 3_000
+
+
+def part_of_a_stream(request_id: str) -> bytes:
+    return head(request_id) + b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 4))
+
+
+async def allow_uploads(harness: EntryHarness) -> None:
+    harness.configure(2, ROUTES, max_body_bytes=len(UPLOAD))
+    await wait_until(lambda: harness.entry.dump()["configuration"] == 2)
+    await wait_until(lambda: harness.entry.dump()["upstreams"])
+
+
+class TestPlainAnswer:
+    # Guards against a part of an answer that is passed on as a whole one.
+    @pytest.mark.parametrize("path", ["/post/a", "/get/a"])
+    async def test_caller_is_told_that_it_broke_off(self, tmp_path: Path, path: str) -> None:
+        """Without another upstream the caller gets a failure that promises nothing."""
+        upstream = RawUpstream(part_of_a_body, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
+            await allow_uploads(harness)
+            assert (await harness.call(path, "r1", "POST", UPLOAD)).status == 502
+            assert upstream.requests == 1
+
+    async def test_idempotent_request_is_repeated(self, tmp_path: Path) -> None:
+        """The caller gets the answer of another upstream."""
+        upstream = RawUpstream(part_of_a_body, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
+            await harness.add_upstream(PlainUpstream("sound"), "plain")
+            await allow_uploads(harness)
+            await wait_until(lambda: len(harness.entry.dump()["upstreams"]) == 2)
+            for number in range(4):
+                response = await harness.call("/get/a", f"r{number}", "POST", UPLOAD)
+                assert response.status == 200
+                assert response.header("x-chivehold-server-stamp") != "by.raw"
+            assert upstream.requests
+
+
+class TestStream:
+    # Guards against a stream that is cut after a whole event and ends as complete.
+    @pytest.mark.parametrize("path", ["/tell/a", "/resume/a"])
+    async def test_caller_is_cut_off_as_well(self, tmp_path: Path, path: str) -> None:
+        """Without another engine the caller's stream breaks off."""
+        upstream = RawUpstream(part_of_a_stream, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "model", upstream):
+            await allow_uploads(harness)
+            with pytest.raises(LinkError):
+                await harness.events(path, prompt=UPLOAD)
+            assert upstream.requests == 1
+
+    async def test_resumable_stream_goes_on(self, tmp_path: Path) -> None:
+        """The stream is resumed at another engine."""
+        upstream = RawUpstream(part_of_a_stream, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "model", upstream):
+            await allow_uploads(harness)
+            results: list[list[int]] = []
+
+            async def ask() -> None:
+                results.append(await harness.events("/resume/a", prompt=UPLOAD))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await wait_until(lambda: upstream.requests)
+                await harness.add_upstream(ModelEngine("d2", "decode"), "model")
+            assert results == [SOUND_EVENTS]
--- a/tests/sidecar/rig.py
+++ b/tests/sidecar/rig.py
@@ -150,14 +150,16 @@
         answer = await self.post("/v1/imports", msgspec.json.encode(order))
         return msgspec.json.decode(answer.body, type=bool)
 
-    async def call(self, offer: AttemptOffer, path: str = "/chairs", **head: Any) -> CallResult:
+    async def call(
+        self, offer: AttemptOffer, path: str = "/chairs", body: bytes = b"body", **head: Any
+    ) -> CallResult:
         """Send a call through this sidecar."""
         call = ("PUT", path, [("idempotency-key", offer.attempt.request)])
         headers = [
             ("chivehold-offer", msgspec.json.encode(offer).decode()),
             ("chivehold-call", msgspec.json.encode(head.get("call", call)).decode()),
         ]
-        answer = await self.post("/v1/calls", b"body", headers)
+        answer = await self.post("/v1/calls", body, headers)
         assert answer.status == 200, answer
         result = msgspec.json.decode(answer.header("chivehold-result") or "", type=CallResult)
         return result._replace(body=answer.body)
