http: refuse a response whose head has a folded line

What callers saw: an answer with the lines "X-A: 1" and " Content-Length: 2" reached them as a 200 with the value "1 Content-Length: 2" and with all bytes up to the end of the connection as its body.

Cause: the parser joins a line that begins with a blank to the value before it. Such lines are obsolete, and RFC 9112 (5.2) lets a gateway refuse them.

Change: the connection keeps the bytes of the head, at most the limit that was there, and searches them. The checks of a head have a module of their own. Bodies that come in the packet with the head may have lines that begin with blanks (test).

The tests that repeat a request at a second upstream now keep the first one's answer back until the entry knows the second.

--- a/src/chivehold/http_connection.py
+++ b/src/chivehold/http_connection.py
@@ -7,7 +7,6 @@
 """
 
 import logging
-import re
 from collections.abc import AsyncGenerator, AsyncIterable, AsyncIterator, Iterable
 from enum import Enum, auto
 
@@ -16,6 +15,7 @@
 import trio
 
 from chivehold.logs import log_event
+from chivehold.response_head import head_problem
 
 MAX_HEAD_BYTES = 131_072
 """Limit on the bytes before a response's head is complete, interim responses (1xx) included.
@@ -28,8 +28,6 @@
 """Bytes read at once before the head is complete; other tasks run in between."""
 BODY_READ_BYTES = 65_536
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
-
 _log = logging.getLogger(__name__)
 
 
@@ -201,7 +199,7 @@
         self, stream: httpcore.AsyncNetworkStream, request: httpcore.Request
     ) -> h11.Response:
         timeout_s = _timeout_s(request, "read")
-        received = 0
+        received = bytearray()
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
@@ -210,15 +208,17 @@
                 continue
             if event is not h11.NEED_DATA:
                 raise httpcore.RemoteProtocolError("no response where one is due")
-            if received >= MAX_HEAD_BYTES:
+            if len(received) >= MAX_HEAD_BYTES:
                 raise httpcore.ReadError(f"no response within {MAX_HEAD_BYTES} bytes")
             chunk = await self._read(stream, HEAD_READ_BYTES, timeout_s)
             if not chunk:
                 raise httpcore.RemoteProtocolError("connection closed without a response")
-            received += len(chunk)
+            received += chunk
             self._parser.receive_data(chunk)
-        if self._responses and _contains_status_line(event):
-            raise httpcore.RemoteProtocolError("head contains the beginning of another response")
+        body_part, _ = self._parser.trailing_data
+        raw_head = bytes(received[: len(received) - len(body_part)])
+        if problem := head_problem(event, raw_head, is_first=not self._responses):
+            raise httpcore.RemoteProtocolError(problem)
         self._responses += 1
         return event
 
@@ -311,8 +311,3 @@
 def _timeout_s(request: httpcore.Request, step: str) -> float | None:
     timeout_s: float | None = request.extensions.get("timeout", {}).get(step)
     return timeout_s
-
-
-def _contains_status_line(head: h11.Response) -> bool:
-    values = (head.reason, *(value for _, value in head.headers))
-    return any(_STATUS_LINE.search(value) for value in values)
--- /dev/null
+++ b/src/chivehold/response_head.py
@@ -0,0 +1,29 @@
+"""Checks of a response's head that its parser does not make."""
+
+import re
+
+import h11
+
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+
+def head_problem(head: h11.Response, raw: bytes, is_first: bool) -> str:
+    """Return why a head is refused, or an empty string if it is sound.
+
+    Args:
+        head: The parsed head.
+        raw: Its bytes, after those of any interim responses (1xx).
+        is_first: Whether it is the first one on its connection.
+    """
+    if _FOLDED_LINE.search(raw):
+        # The parser appends such a line to the value before it, even if it was a field by itself.
+        return "head has a line that begins with a blank"
+    if not is_first and _contains_status_line(head):
+        return "head contains the beginning of another response"
+    return ""
+
+
+def _contains_status_line(head: h11.Response) -> bool:
+    values = (head.reason, *(value for _, value in head.headers))
+    return any(_STATUS_LINE.search(value) for value in values)
--- a/tests/direct/raw_upstream.py
+++ b/tests/direct/raw_upstream.py
@@ -9,7 +9,7 @@
 import trio
 
 from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
-from tests.direct.harness import EntryHarness
+from tests.direct.harness import EntryHarness, wait_until
 
 MAX_REQUEST_BYTES = 65_536
 ENDLESS_CHUNK_BYTES = 1_400
@@ -55,9 +55,19 @@
         self._ending = ending
         self._filler = filler
         self._is_early = is_early
+        self._may_answer = trio.Event()
+        self._may_answer.set()
         self.requests = 0
         self.sent_bytes = 0
 
+    def hold_answers(self) -> None:
+        """Keep back all answers until they are released."""
+        self._may_answer = trio.Event()
+
+    def release_answers(self) -> None:
+        """Send the answers that have been kept back."""
+        self._may_answer.set()
+
     async def handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
         try:
@@ -67,6 +77,7 @@
                 await stream.send_all(GRANTED)
                 return
             self.requests += 1
+            await self._may_answer.wait()
             await stream.send_all(self._answer(request_id))
             await self._end(stream)
         except trio.BrokenResourceError:
@@ -112,6 +123,17 @@
         yield
 
 
+async def add_second_upstream(
+    harness: EntryHarness, raw: RawUpstream, second: PlainUpstream, service: str
+) -> None:
+    """Add an upstream once the raw one has a request, whose answer is kept back until then."""
+    raw.hold_answers()
+    await wait_until(lambda: raw.requests)
+    await harness.add_upstream(second, service)
+    await wait_until(lambda: len(harness.entry.dump()["upstreams"]) == 2)
+    raw.release_answers()
+
+
 async def _read_request_id(stream: trio.SocketStream, is_early: bool) -> str:
     """Read a request and return its id, empty if there is none.
 
--- a/tests/direct/test_early_answers.py
+++ b/tests/direct/test_early_answers.py
@@ -8,7 +8,7 @@
 from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
 from chivehold.http_client import LinkError
 from tests.direct.harness import ROUTES, EntryHarness, running_entry, wait_until
-from tests.direct.raw_upstream import Ending, RawUpstream, raw_upstream
+from tests.direct.raw_upstream import Ending, RawUpstream, add_second_upstream, raw_upstream
 
 UPLOAD = bytes(8 << 20)
 """More than the buffers of two sockets hold, so that it cannot be sent without being read."""
@@ -51,14 +51,14 @@
         """The caller gets the answer of another upstream."""
         upstream = RawUpstream(part_of_a_body, Ending.RESET, is_early=True)
         async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
-            await harness.add_upstream(PlainUpstream("sound"), "plain")
             await allow_uploads(harness)
-            await wait_until(lambda: len(harness.entry.dump()["upstreams"]) == 2)
-            for number in range(4):
-                response = await harness.call("/get/a", f"r{number}", "POST", UPLOAD)
-                assert response.status == 200
-                assert response.header("x-chivehold-server-stamp") != "by.raw"
-            assert upstream.requests
+            async with trio.open_nursery() as nursery:
+                second = PlainUpstream("second")
+                nursery.start_soon(add_second_upstream, harness, upstream, second, "plain")
+                response = await harness.call("/get/a", "r1", "POST", UPLOAD)
+            assert response.status == 200
+            assert response.header("x-chivehold-server-stamp") != "by.raw"
+            assert upstream.requests == 1
 
 
 class TestStream:
@@ -78,13 +78,8 @@
         upstream = RawUpstream(part_of_a_stream, Ending.RESET, is_early=True)
         async with running_entry(tmp_path) as harness, raw_upstream(harness, "model", upstream):
             await allow_uploads(harness)
-            results: list[list[int]] = []
-
-            async def ask() -> None:
-                results.append(await harness.events("/resume/a", prompt=UPLOAD))
-
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                await wait_until(lambda: upstream.requests)
-                await harness.add_upstream(ModelEngine("d2", "decode"), "model")
-            assert results == [SOUND_EVENTS]
+                second = ModelEngine("second", "decode")
+                nursery.start_soon(add_second_upstream, harness, upstream, second, "model")
+                assert await harness.events("/resume/a", prompt=UPLOAD) == SOUND_EVENTS
+            assert upstream.requests == 1
--- a/tests/sidecar/test_broken_answers.py
+++ b/tests/sidecar/test_broken_answers.py
@@ -1,9 +1,12 @@
-"""Services that send a part of an answer."""
+"""Services that send a part of an answer, or bytes that are none in the protocol."""
+
+import pytest
 
 from chivehold.core.identity import Role
 from chivehold.core.wire import CallResult, Reason
 from chivehold.fakes.server import StandInAddresses
 from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.malformed_heads import MALFORMED_HEADS
 from tests.sidecar.rig import start_rig
 
 UPLOAD = bytes(8 << 20)
@@ -28,3 +31,14 @@
         result = await call(upstream, UPLOAD)
         assert (result.status, result.reason) == (0, Reason.ENGINE_FAILED)
         assert upstream.requests == 1
+
+    # Guards against an answer whose head is none in the protocol.
+    @pytest.mark.parametrize("head", MALFORMED_HEADS)
+    async def test_malformed_head(self, head: bytes) -> None:
+        """The answer counts as none; the call may have run."""
+        upstream = RawUpstream(
+            lambda request_id: head + b"\r\nconnection: close\r\n\r\n{}", Ending.ORDERLY
+        )
+        result = await call(upstream)
+        assert (result.status, result.reason) == (0, Reason.ENGINE_FAILED)
+        assert result.started
