http: refuse a response with a status above 599

What callers saw: an upstream's answer with the status 600 or 999 was passed on as it came, where 000 and 099 gave 502.

Cause: the parser accepts any status of three digits from 200. Statuses above 599 are not valid (RFC 9110, 15).

Evidence: on the commit before, 8 of the new tests failed: 600 and 999 at the client, with and without a length, at an entry and at a sidecar.

Change: such a head is refused like one with the status 000, so that the attempt counts as broken off and is repeated only where that is allowed. 200 to 599 stay answers (test).

--- a/src/chivehold/response_head.py
+++ b/src/chivehold/response_head.py
@@ -4,6 +4,9 @@
 
 import h11
 
+MAX_STATUS = 599
+"""Largest status of the protocol (RFC 9110, 15); the parser accepts any of three digits."""
+
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
@@ -16,6 +19,8 @@
         raw: Its bytes, after those of any interim responses (1xx).
         is_first: Whether it is the first one on its connection.
     """
+    if head.status_code > MAX_STATUS:
+        return f"status {head.status_code} is not in the protocol"
     if _FOLDED_LINE.search(raw):
         # The parser appends such a line to the value before it, even if it was a field by itself.
         return "head has a line that begins with a blank"
--- a/tests/malformed_heads.py
+++ b/tests/malformed_heads.py
@@ -5,6 +5,8 @@
 MALFORMED_HEADS = [
     pytest.param(b"HTTP/1.1 000 Trouble", id="status 000"),
     pytest.param(b"HTTP/1.1 099 Trouble", id="status 099"),
+    pytest.param(b"HTTP/1.1 600 Trouble", id="status 600"),
+    pytest.param(b"HTTP/1.1 999 Trouble", id="status 999"),
     pytest.param(b"HTTP/1.1 200 OK\r\nX A: 1", id="blank in a name"),
     pytest.param(b"HTTP/1.1 200 OK\r\nX-A : 1", id="blank after a name"),
     pytest.param(b"HTTP/1.1 200 OK\r\nX\tA: 1", id="tab in a name"),
