http: limit the detail of a failed call

What operators saw: nothing yet. A malformed line in the head of an upstream's answer was quoted as a whole in the log line of the failed attempt.

Cause: the parser's error quotes the line, and the detail took it over.

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -13,6 +13,8 @@
 
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
+MAX_DETAIL_CHARS = 200
+"""Limit on an error's detail, which may quote what a peer has sent."""
 TCP_USER_TIMEOUT_MS = 3_000
 """A connection is closed if sent data stays unacknowledged for this time."""
 _SOCKET_OPTIONS = (
@@ -358,4 +360,5 @@
 
 
 def _error_detail(error: Exception) -> str:
-    return f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
+    detail = f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
+    return detail if len(detail) <= MAX_DETAIL_CHARS else f"{detail[:MAX_DETAIL_CHARS]}..."
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -1,6 +1,6 @@
 import pytest
 
-from chivehold.http_client import HttpClient, RawResponse
+from chivehold.http_client import MAX_DETAIL_CHARS, HttpClient, LinkBroken, RawResponse
 from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
 from tests.malformed_heads import MALFORMED_HEADS
 from tests.test_second_answers import ask
@@ -21,6 +21,21 @@
         await client.aclose()
 
 
+async def problem_of(peer: RawUpstream) -> str:
+    """Send a request and return why its answer is none."""
+    client = HttpClient()
+    headers = [("x-chivehold-request-id", "r1")]
+    try:
+        async with raw_peer(peer) as address:
+            try:
+                await client.call(address, "GET", "/", step="ask", timeout_s=2.0, headers=headers)
+            except LinkBroken as error:
+                return error.detail
+    finally:
+        await client.aclose()
+    return ""
+
+
 class TestMalformedHead:
     # Guards against a head that is none in the protocol and whose answer is passed on.
     @pytest.mark.parametrize("head", MALFORMED_HEADS)
@@ -29,6 +44,14 @@
         """The call breaks, whatever else the head says."""
         assert await answer_of(upstream(head, fields)) is None
 
+    # Guards against logs of whatever size a peer's head has.
+    @pytest.mark.parametrize("size", [1_000, 90_000])
+    async def test_problem_is_short(self, size: int) -> None:
+        """The reason names what is wrong and quotes no more than the beginning of a line."""
+        problem = await problem_of(upstream(b"HTTP/1.1 200 OK\r\nX A: " + b"1" * size))
+        assert "illegal header line" in problem
+        assert len(problem) <= MAX_DETAIL_CHARS + len("...")
+
 
 class TestSoundHead:
     @pytest.mark.parametrize("status", [200, 299, 404, 503, 599])
