http: reset an incomplete response to a client of HTTP/1.0

What callers saw: with HTTP/1.0, a stream whose engine was reset after three events ended with a plain end of the connection, like a complete one.

Cause: such a client gets no chunks, so the end of the connection is the end of its response, and the listener closed the connection alike whether the response was complete or not.

Change: closing a connection resets it if its response is incomplete and only the end of the connection would tell so. All listeners for HTTP share this class.

--- a/src/chivehold/http_connections.py
+++ b/src/chivehold/http_connections.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import struct
 from contextlib import suppress
 
 import trio
@@ -22,6 +23,9 @@
 MIN_SEND_BYTES_PER_S = 65_536
 """Bytes sent at a time have to be read within ``SEND_TIMEOUT_S`` and the time at this rate."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: enabled, for 0 seconds."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -49,6 +53,7 @@
         self._scope = trio.CancelScope()
         self._reading = trio.CancelScope()
         self._is_reading = True
+        self._must_reset = False
 
     async def run(self) -> None:
         """Serve the connection until it ends, whatever happens on it."""
@@ -70,6 +75,7 @@
                 raise cancellations from None
         finally:
             self._connections.remove(self)
+            self._note_cut_off_response()
             # The protocol refers to this object: its buffers would wait for the garbage collector.
             with suppress(AttributeError):
                 del self.protocol
@@ -142,7 +148,18 @@
         await self.protocol.handle(Closed())
 
     async def _close(self) -> None:
-        # ``send_eof`` would make a task fail that is sending.
+        """Close the connection, so that its client can tell whether a response is complete."""
+        self._note_cut_off_response()
+        sock = self.stream.socket
         with suppress(OSError):
-            self.stream.socket.shutdown(socket.SHUT_WR)
+            if self._must_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            else:
+                # ``send_eof`` would make a task fail that is sending.
+                sock.shutdown(socket.SHUT_WR)
         await self.stream.aclose()
+
+    def _note_cut_off_response(self) -> None:
+        protocol = getattr(self, "protocol", None)
+        if protocol is not None and protocol.is_response_cut_off:
+            self._must_reset = True
--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -18,7 +18,8 @@
 from hypercorn.trio.task_group import TaskGroup, _handle
 from hypercorn.typing import AppWrapper
 
-SUPPORTED_VERSIONS = (b"1.0", b"1.1")
+HTTP_1_0 = b"1.0"
+SUPPORTED_VERSIONS = (HTTP_1_0, b"1.1")
 MAX_QUEUED_MESSAGES = 1
 """Parts of a body, of at most one read each, that wait for the application."""
 DISCONNECT = "http.disconnect"
@@ -50,6 +51,15 @@
         super().__init__(app, config, *arguments)
         self.connection = RequestParser(config.h11_max_incomplete_size)
 
+    @property
+    def is_response_cut_off(self) -> bool:
+        """Whether closing the connection would look like the end of an incomplete response.
+
+        A client of HTTP/1.0 gets no chunks: the end of the connection is that of the response.
+        """
+        is_incomplete = self.connection.our_state is h11.SEND_BODY
+        return is_incomplete and self.connection.their_http_version == HTTP_1_0
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Continue with HTTP/1, whatever the request asks for."""
 
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -12,6 +12,7 @@
     Receive,
     Scope,
     Send,
+    end_response,
     read_body,
     respond,
     send_chunk,
@@ -22,6 +23,7 @@
 from chivehold.http_server import ServerLimits
 from tests.test_http_server import LIMITS, PausedStream, echo, post, serving
 
+HTTP_1_0 = b"GET / HTTP/1.0\r\nhost: x\r\n\r\n"
 GET = b"GET / HTTP/1.1\r\nhost: x\r\n"
 WEBSOCKET = (
     b"connection: upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\n"
@@ -137,6 +139,61 @@
                 await exchange(peer, head + body)
 
 
+async def cut_off(scope: Scope, receive: Receive, send: Send) -> None:
+    await start_response(send, 200, "text/plain")
+    await send_chunk(send, b"one\n")
+    await trio.sleep(0.1)
+    raise ValueError
+
+
+async def never_end(scope: Scope, receive: Receive, send: Send) -> None:
+    await start_response(send, 200, "text/plain")
+    await send_chunk(send, b"one\n")
+    await trio.sleep_forever()
+
+
+async def whole(scope: Scope, receive: Receive, send: Send) -> None:
+    await start_response(send, 200, "text/plain")
+    await send_chunk(send, b"one\n")
+    await end_response(send)
+
+
+async def is_reset(stream: trio.SocketStream) -> bool:
+    """Read a response of one line and return whether its connection is reset."""
+    received = bytearray()
+    while not received.endswith(b"one\n"):
+        received += await stream.receive_some()
+    try:
+        return bool(await stream.receive_some())
+    except trio.BrokenResourceError:
+        return True
+
+
+class TestHttp10:
+    # Guards against a response that breaks off and looks complete to a client of HTTP/1.0, to which
+    # the end of the connection is the end of the response.
+    async def test_response_that_breaks_off(self) -> None:
+        """The connection is reset."""
+        async with serving(cut_off) as (_, peer), await connect(peer) as stream:
+            await stream.send_all(HTTP_1_0)
+            assert await is_reset(stream)
+
+    async def test_response_that_a_shutdown_cuts_off(self) -> None:
+        """The same at the end of the time for responses in progress."""
+        shutdown = trio.Event()
+        limits = LIMITS._replace(drain_timeout_s=0.1)
+        async with serving(never_end, limits, shutdown) as (_, peer), await connect(peer) as stream:
+            await stream.send_all(HTTP_1_0)
+            shutdown.set()
+            assert await is_reset(stream)
+
+    async def test_whole_response(self) -> None:
+        """The connection ends in an orderly way."""
+        async with serving(whole) as (_, peer), await connect(peer) as stream:
+            await stream.send_all(HTTP_1_0)
+            assert not await is_reset(stream)
+
+
 class TestTrailers:
     def test_trailers_are_dropped(self) -> None:
         """Guards against trailers that take many times their size until their request ends."""
