http: refuse a request whose head has a folded line

What callers saw: a request with the lines "X-A: 1" and " Content-Length: 47" was run without a body, and the 47 bytes that its client had sent as the body were run as a request of their own.

Cause: the parser of requests joins a line that begins with a blank to the value before it, like that of responses.

Evidence: an entry before a stand-in, asked by a socket: before, two answers with 200 and two requests at the upstream, after, one answer with 400 and none. 4 new tests failed before (blank, tab, after LF alone, as the second request of a connection); that of a body with such lines passed.

Change: the bytes of a head are searched once it is parsed, and the connection is closed after the 400. RFC 9112 (5.2) names this answer.

--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -18,6 +18,8 @@
 from hypercorn.trio.task_group import TaskGroup, _handle
 from hypercorn.typing import AppWrapper
 
+from chivehold.folded_lines import FOLDED_LINE_PROBLEM, has_folded_line
+
 HTTP_1_0 = b"1.0"
 SUPPORTED_VERSIONS = (HTTP_1_0, b"1.1")
 MAX_QUEUED_MESSAGES = 1
@@ -28,21 +30,33 @@
 
 
 class RequestParser(h11.Connection):
-    """Parses requests and drops their trailers, which nothing here reads."""
+    """Parses requests, refuses folded lines, and drops trailers, which nothing here reads."""
 
     def __init__(self, max_incomplete_event_size: int) -> None:
         super().__init__(h11.SERVER, max_incomplete_event_size)
 
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event; see ``h11.Connection``."""
+        unparsed = self._unparsed_head()
         try:
             event = super().next_event()
         except h11.RemoteProtocolError as error:
             # h11's traceback refers to the error and would keep the buffer in memory.
             raise error.with_traceback(None) from None
+        if isinstance(event, h11.Request):
+            rest, _ = self.trailing_data
+            if has_folded_line(unparsed[: len(unparsed) - len(rest)]):
+                raise h11.RemoteProtocolError(FOLDED_LINE_PROBLEM)
         # Parsed, the many short fields of a long trailer take many times its size.
         return h11.EndOfMessage() if isinstance(event, h11.EndOfMessage) else event
 
+    def _unparsed_head(self) -> bytes:
+        """Return what has been received of the next request, empty if one is in progress."""
+        if self.their_state is not h11.IDLE:
+            return b""
+        unparsed, _ = self.trailing_data
+        return unparsed
+
 
 class HttpProtocol(H11Protocol):  # type: ignore[misc]
     """HTTP/1 on one connection; upgrades and other versions are refused or ignored."""
--- a/src/chivehold/response_head.py
+++ b/src/chivehold/response_head.py
@@ -4,10 +4,11 @@
 
 import h11
 
+from chivehold.folded_lines import FOLDED_LINE_PROBLEM, has_folded_line
+
 MAX_STATUS = 599
 """Largest status of the protocol (RFC 9110, 15); the parser accepts any of three digits."""
 
-_FOLDED_LINE = re.compile(rb"\n[ \t]")
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
@@ -21,9 +22,8 @@
     """
     if head.status_code > MAX_STATUS:
         return f"status {head.status_code} is not in the protocol"
-    if _FOLDED_LINE.search(raw):
-        # The parser appends such a line to the value before it, even if it was a field by itself.
-        return "head has a line that begins with a blank"
+    if has_folded_line(raw):
+        return FOLDED_LINE_PROBLEM
     if not is_first and _contains_status_line(head):
         return "head contains the beginning of another response"
     return ""
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -203,6 +203,35 @@
         assert parser.next_event() == h11.EndOfMessage()
 
 
+class TestFoldedLines:
+    # Guards against a request that is hidden in what its client takes for the body of another.
+    @pytest.mark.parametrize("fold", [b"\r\n ", b"\r\n\t", b"\n "])
+    async def test_request_is_refused(self, fold: bytes) -> None:
+        """A field line that begins with a blank is no part of the value before it."""
+        head = b"POST / HTTP/1.1\r\nhost: x\r\nx-a: 1" + fold + b"content-length: %d\r\n\r\n"
+        hidden = GET + b"\r\n"
+        async with serving(echo) as (_, peer):
+            answer = await exchange(peer, head % len(hidden) + hidden)
+            assert answer.startswith(b"HTTP/1.1 400 ")
+            assert answer.count(b"HTTP/1.1 ") == 1
+
+    async def test_second_request_on_a_connection(self) -> None:
+        """The same for a head that comes with the end of another request."""
+        folded = b"GET / HTTP/1.1\r\nhost: x\r\nx-a: 1\r\n b: 2\r\n\r\n"
+        async with serving(echo) as (_, peer):
+            answer = await exchange(peer, GET + b"\r\n" + folded)
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert b"HTTP/1.1 400 " in answer
+
+    async def test_body_with_such_lines(self) -> None:
+        """Lines of a body may begin with blanks, also if they come with the head."""
+        body = b"{\n  1\n\n }"
+        head = b"POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n"
+        async with serving(echo) as (_, peer):
+            answer = await exchange(peer, head % len(body) + body)
+            assert answer.endswith(body + b"x")
+
+
 class TestOtherProtocols:
     async def test_websocket_is_refused(self) -> None:
         """Guards against bytes behind a WebSocket handshake that end the process."""
