--- a/tests/direct/raw_upstream.py
+++ b/tests/direct/raw_upstream.py
@@ -42,6 +42,7 @@
         ending: How the connection ends.
         filler: Repeated after the answer if bytes go on without end.
         is_early: Answer a request that has an id once its head is there, and read none of its body.
+        answers_calls: Answer requests without an id in the same way; else all are granted.
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         ending: Ending,
         filler: bytes = b"x",
         is_early: bool = False,
+        answers_calls: bool = False,
     ) -> None:
         self._answer = answer
         self._ending = ending
         self._filler = filler
         self._is_early = is_early
+        self._answers_calls = answers_calls
         self._may_answer = trio.Event()
         self._may_answer.set()
         self.requests = 0
@@ -71,9 +74,9 @@
     async def handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
         try:
-            request_id = await _read_request_id(stream, self._is_early)
-            if not request_id:
-                # Reservations carry no request id; each is granted.
+            request_id = await _read_request_id(stream, self._is_early, self._answers_calls)
+            if not request_id and not self._answers_calls:
+                # Reservations carry no request id.
                 await stream.send_all(GRANTED)
                 return
             self.requests += 1
@@ -134,7 +137,7 @@
     raw.release_answers()
 
 
-async def _read_request_id(stream: trio.SocketStream, is_early: bool) -> str:
+async def _read_request_id(stream: trio.SocketStream, is_early: bool, answers_calls: bool) -> str:
     """Read a request and return its id, empty if there is none.
 
     Closing a connection with unread bytes would reset it, so the body is read as well, unless the
@@ -146,7 +149,7 @@
     head, _, body = bytes(received).partition(b"\r\n\r\n")
     fields = dict(_fields(head))
     request_id = fields.get(b"x-chivehold-request-id", b"").decode()
-    if is_early and request_id:
+    if is_early and (request_id or answers_calls):
         return request_id
     missing = int(fields.get(b"content-length", b"0")) - len(body)
     while missing > 0:
--- a/tests/direct/test_malformed_heads.py
+++ b/tests/direct/test_malformed_heads.py
@@ -82,3 +82,24 @@
                 nursery.start_soon(add_second_upstream, harness, raw, second, "model")
                 assert await harness.events("/resume/a") == [1, 2, 3, 4, 5]
             assert raw.requests == 1
+
+
+class TestControlCall:
+    # Guards against an answer to a call that is no request and that is believed.
+    @pytest.mark.parametrize("head", MALFORMED_HEADS)
+    async def test_reservation_is_made_at_another_engine(self, tmp_path: Path, head: bytes) -> None:
+        """The engine gets no request."""
+        requests: list[str] = []
+
+        def answer(request_id: str) -> bytes:
+            requests.append(request_id)
+            return head + b'\r\nconnection: close\r\n\r\n{"hold": "h"}'
+
+        raw = RawUpstream(answer, Ending.ORDERLY, answers_calls=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "model", raw):
+            await wait_for_upstream(harness)
+            async with trio.open_nursery() as nursery:
+                second = ModelEngine("second", "decode")
+                nursery.start_soon(add_second_upstream, harness, raw, second, "model")
+                assert await harness.events("/tell/a") == [1, 2, 3, 4, 5]
+            assert set(requests) == {""}
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -27,6 +27,8 @@
 from chivehold.entry.attempts import AttemptClient
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import serve_http
+from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.malformed_heads import MALFORMED_HEADS
 
 ATTEMPT, OTHER = AttemptId("r", 1), AttemptId("r", 2)
 OFFER = AttemptOffer(ATTEMPT, "e.1", "s.1", "lector", "bruma", 1.0, Urgency.URGENT, 0.0, 1.0, 2.0)
@@ -65,13 +67,17 @@
         address = "127.0.0.1:1"
         if app is not None:
             address = await nursery.start(serve_http, app, "127.0.0.1:0")
-        upstream = Upstream("u", Role.DECODE, "sjo-a", address, address, 20)
-        client = HttpClient(ClientLimits(max_answer_bytes=MAX_ANSWER_BYTES))
-        return AttemptClient(client, {"u": upstream}.get, "0123456789abcdef")
+        return _client_of(address)
 
     return connect
 
 
+def _client_of(address: str) -> AttemptClient:
+    upstream = Upstream("u", Role.DECODE, "sjo-a", address, address, 20)
+    client = HttpClient(ClientLimits(max_answer_bytes=MAX_ANSWER_BYTES))
+    return AttemptClient(client, {"u": upstream}.get, "0123456789abcdef")
+
+
 def _result(attempt: AttemptId = ATTEMPT) -> tuple[str, str]:
     return ("chivehold-result", msgspec.json.encode(CallResult(attempt, 201)).decode())
 
@@ -136,6 +142,30 @@
         assert msgspec.json.decode(head) == msgspec.json.decode(msgspec.json.encode(CALL[:3]))
 
 
+class TestBrokenAnswer:
+    # Guards against an answer that is none in the protocol and is taken for a sidecar's.
+    @pytest.mark.parametrize("head", MALFORMED_HEADS)
+    async def test_malformed_head(self, head: bytes) -> None:
+        """The link is lost; the call and the attempt may have run."""
+        fields = ": ".join(_result()).encode()
+        answer = head + b"\r\n" + fields + b"\r\n\r\n" + _lines(GRANTED, FINISHED)
+        raw = RawUpstream(lambda request: answer, Ending.ORDERLY, answers_calls=True)
+        async with raw_peer(raw) as address:
+            client = _client_of(address)
+            assert await client.call("u", OFFER, CALL) == AttemptLinkLost(ATTEMPT, True)
+            events = [event async for event in client.offer("u", OFFER)]
+            assert events == [AttemptLinkLost(ATTEMPT, True)]
+
+    async def test_reset_while_the_call_is_sent(self) -> None:
+        """A part of an answer without a length is none."""
+        answer = b"HTTP/1.1 200 OK\r\n" + ": ".join(_result()).encode() + b"\r\n\r\na part"
+        raw = RawUpstream(lambda request: answer, Ending.RESET, is_early=True, answers_calls=True)
+        async with raw_peer(raw) as address:
+            call = CALL._replace(body=bytes(8 << 20))
+            result = await _client_of(address).call("u", OFFER, call)
+            assert result == AttemptLinkLost(ATTEMPT, True)
+
+
 class TestPrefillAndImport:
     @pytest.mark.parametrize(
         ("app", "kind"),
