http: name the modules of connections after their side

http_connection.py (the client's) and http_connections.py (the server's) differed in one letter. They are http_client_connection.py and http_server_connection.py; the checks of heads, of requests and responses, stand together in http_heads.py. Moves and names only.

--- a/src/chivehold/http_client.py
+++ b/src/chivehold/http_client.py
@@ -9,7 +9,7 @@
 import trio
 
 from chivehold.exceptions import ChiveholdError
-from chivehold.http_connection import ConnectionPool
+from chivehold.http_client_connection import ConnectionPool
 
 READ_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 4_194_304
--- a/src/chivehold/http_connection.py
+++ b/src/chivehold/http_client_connection.py
@@ -14,8 +14,8 @@
 import httpcore
 import trio
 
+from chivehold.http_heads import response_problem
 from chivehold.logs import log_event
-from chivehold.response_head import head_problem
 
 MAX_HEAD_BYTES = 131_072
 """Limit on the bytes before a response's head is complete, interim responses (1xx) included.
@@ -217,7 +217,7 @@
             self._parser.receive_data(chunk)
         body_part, _ = self._parser.trailing_data
         raw_head = bytes(received[: len(received) - len(body_part)])
-        if problem := head_problem(event, raw_head, is_first=not self._responses):
+        if problem := response_problem(event, raw_head, is_first=not self._responses):
             raise httpcore.RemoteProtocolError(problem)
         self._responses += 1
         return event
--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -18,7 +18,7 @@
 from hypercorn.trio.task_group import TaskGroup, _handle
 from hypercorn.typing import AppWrapper
 
-from chivehold.folded_lines import FOLDED_LINE_PROBLEM, has_folded_line
+from chivehold.http_heads import folded_line_problem
 
 HTTP_1_0 = b"1.0"
 SUPPORTED_VERSIONS = (HTTP_1_0, b"1.1")
@@ -45,8 +45,8 @@
             raise error.with_traceback(None) from None
         if isinstance(event, h11.Request):
             rest, _ = self.trailing_data
-            if has_folded_line(unparsed[: len(unparsed) - len(rest)]):
-                raise h11.RemoteProtocolError(FOLDED_LINE_PROBLEM)
+            if problem := folded_line_problem(unparsed[: len(unparsed) - len(rest)]):
+                raise h11.RemoteProtocolError(problem)
         # Parsed, the many short fields of a long trailer take many times its size.
         return h11.EndOfMessage() if isinstance(event, h11.EndOfMessage) else event
 
--- a/src/chivehold/http_server.py
+++ b/src/chivehold/http_server.py
@@ -14,7 +14,7 @@
 from chivehold.asgi import App
 from chivehold.connection_table import ConnectionTable, connections_within
 from chivehold.guarded_app import GuardedApp
-from chivehold.http_connections import Connection
+from chivehold.http_server_connection import Connection
 
 RECEIVE_BUFFER_BYTES = 16_384
 """Size of a connection's receive buffer in the kernel, which doubles it."""
--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -9,7 +9,7 @@
 from chivehold.direct.plain_calls import MAX_RESPONSE_BYTES
 from chivehold.fakes.platform_upstream import ModelEngine
 from chivehold.http_client import LinkError
-from chivehold.http_connection import MAX_HEAD_BYTES
+from chivehold.http_client_connection import MAX_HEAD_BYTES
 from tests.direct.harness import EntryHarness, running_entry, wait_until
 from tests.direct.raw_upstream import Ending, RawUpstream, raw_upstream
 
--- a/tests/test_http_connections.py
+++ b/tests/test_http_server_connection.py
@@ -18,9 +18,9 @@
     send_chunk,
     start_response,
 )
-from chivehold.http_connections import Connection
 from chivehold.http_protocol import RequestParser
 from chivehold.http_server import ServerLimits
+from chivehold.http_server_connection import Connection
 from tests.test_http_server import LIMITS, PausedStream, echo, post, serving
 
 HTTP_1_0 = b"GET / HTTP/1.0\r\nhost: x\r\n\r\n"
@@ -353,8 +353,8 @@
             await respond(send, 200, b"x" * 4_000_000)
             ended.set()
 
-        monkeypatch.setattr("chivehold.http_connections.SEND_TIMEOUT_S", 0.5)
-        monkeypatch.setattr("chivehold.http_connections.MIN_SEND_BYTES_PER_S", 100_000_000)
+        monkeypatch.setattr("chivehold.http_server_connection.SEND_TIMEOUT_S", 0.5)
+        monkeypatch.setattr("chivehold.http_server_connection.MIN_SEND_BYTES_PER_S", 100_000_000)
         async with serving(answer) as (_, peer), await connect(peer) as stream:
             await stream.send_all(GET + b"\r\n")
             with trio.fail_after(5):
