--- a/tests/direct/test_unframed_answers.py
+++ b/tests/direct/test_unframed_answers.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from chivehold.direct.plain_calls import MAX_RESPONSE_BYTES
+from chivehold.direct.plain_attempts import MAX_RESPONSE_BYTES
 from chivehold.fakes.platform_upstream import ModelEngine
 from chivehold.http_client import LinkError
 from chivehold.http_client_connection import MAX_HEAD_BYTES
