--- a/src/chivehold/http_client_connection.py
+++ b/src/chivehold/http_client_connection.py
@@ -216,7 +216,7 @@
             received += chunk
             self._parser.receive_data(chunk)
         body_part, _ = self._parser.trailing_data
-        raw_head = bytes(received[: len(received) - len(body_part)])
+        raw_head = bytes(received).removesuffix(body_part)
         if problem := response_problem(event, raw_head, is_first=not self._responses):
             raise httpcore.RemoteProtocolError(problem)
         self._responses += 1
--- a/src/chivehold/http_protocol.py
+++ b/src/chivehold/http_protocol.py
@@ -44,8 +44,8 @@
             # h11's traceback refers to the error and would keep the buffer in memory.
             raise error.with_traceback(None) from None
         if isinstance(event, h11.Request):
-            rest, _ = self.trailing_data
-            if problem := folded_line_problem(unparsed[: len(unparsed) - len(rest)]):
+            body_part, _ = self.trailing_data
+            if problem := folded_line_problem(unparsed.removesuffix(body_part)):
                 raise h11.RemoteProtocolError(problem)
         # Parsed, the many short fields of a long trailer take many times its size.
         return h11.EndOfMessage() if isinstance(event, h11.EndOfMessage) else event
