direct: a refusal counts even if its body breaks off

Cause: the outcome was taken from the body's end, though all that counts of a refusal is in its head.

Change: the body of a refusal is read only so that the connection can be used again. Streams never read it.

--- a/src/chivehold/direct/plain_attempts.py
+++ b/src/chivehold/direct/plain_attempts.py
@@ -1,5 +1,6 @@
 """One attempt at a request to a plain service: sends it to an upstream and reads the response."""
 
+from contextlib import suppress
 from typing import NamedTuple
 
 import trio
@@ -131,6 +132,9 @@
                 metadata = self._dialect.read_response(response.status, response.headers)
                 if metadata.request_id is not None and not exchange.matches(metadata):
                     return BrokenCall(upstream, "response to another request")
+                if metadata.not_run:
+                    await _discard_body(response, exchange)
+                    return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
                 body = await _read_body(response, exchange)
         except NothingSent as error:
             return NotRun(upstream, error.detail, sent=False)
@@ -138,8 +142,6 @@
             watch.record_break()
             ended = await self._crashes.has_ended(upstream)
             return BrokenCall(upstream, error.detail, ended)
-        if metadata.not_run:
-            return NotRun(upstream, f"status {response.status}", True, metadata.misdirected)
         if response.status < MIN_ERROR_STATUS:
             watch.record_harmless()
         if body is None:
@@ -157,6 +159,15 @@
     return Verdict.GONE if result.misdirected else Verdict.FULL
 
 
+async def _discard_body(response: RawResponse, exchange: Exchange) -> None:
+    """Read a body that is not passed on, so that its connection can be used again.
+
+    The head of a refusal says all that counts, whether its body is complete or not.
+    """
+    with suppress(LinkBroken):
+        await _read_body(response, exchange)
+
+
 async def _read_body(response: RawResponse, exchange: Exchange) -> bytes | None:
     """Read a response body, or return ``None`` if it exceeds ``MAX_RESPONSE_BYTES``.
 
--- a/tests/direct/test_early_answers.py
+++ b/tests/direct/test_early_answers.py
@@ -26,6 +26,11 @@
     return head(request_id) + b"x" * 3_000
 
 
+def refusal(request_id: str) -> bytes:
+    status = b"HTTP/1.1 503 Full\r\nx-chivehold-not-run: 1"
+    return head(request_id).replace(b"HTTP/1.1 200 OK", status) + b"a part"
+
+
 def part_of_a_stream(request_id: str) -> bytes:
     return head(request_id) + b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 4))
 
@@ -61,6 +66,32 @@
             assert upstream.requests == 1
 
 
+class TestEarlyRefusal:
+    # Guards against a refusal that counts as a request whose outcome nobody knows, as the rest of
+    # its body is missing.
+    async def test_refused_request_is_repeated(self, tmp_path: Path) -> None:
+        """A request that is not idempotent is served by another upstream."""
+        upstream = RawUpstream(refusal, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
+            await allow_uploads(harness)
+            async with trio.open_nursery() as nursery:
+                second = PlainUpstream("second")
+                nursery.start_soon(add_second_upstream, harness, upstream, second, "plain")
+                # The route of /post/ allows one run, and a refused request has not run.
+                response = await harness.call("/post/a", "r1", "POST", UPLOAD)
+            assert response.status == 200
+            assert upstream.requests == 1
+
+    async def test_caller_may_come_back(self, tmp_path: Path) -> None:
+        """Without another upstream the caller is told that the request has not run."""
+        upstream = RawUpstream(refusal, Ending.RESET, is_early=True)
+        async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
+            await allow_uploads(harness)
+            response = await harness.call("/post/a", "r1", "POST", UPLOAD)
+            assert response.status == 503
+            assert response.header("retry-after") is not None
+
+
 class TestStream:
     # Guards against a stream that is cut after a whole event and ends as complete.
     @pytest.mark.parametrize("path", ["/tell/a", "/resume/a"])
