--- a/tests/direct/raw_upstream.py
+++ b/tests/direct/raw_upstream.py
@@ -14,6 +14,8 @@
 MAX_REQUEST_BYTES = 65_536
 ENDLESS_CHUNK_BYTES = 1_400
 RESET_DELAY_S = 0.1
+LONG_BODY = bytes(8 << 20)
+"""More than the buffers of two sockets hold, so that it cannot be sent without being read."""
 
 
 GRANTED = b'HTTP/1.1 200 OK\r\ncontent-length: 13\r\nconnection: close\r\n\r\n{"hold": "h"}'
--- a/tests/direct/test_early_answers.py
+++ b/tests/direct/test_early_answers.py
@@ -8,10 +8,14 @@
 from chivehold.fakes.platform_upstream import ModelEngine, PlainUpstream
 from chivehold.http_client import LinkError
 from tests.direct.harness import ROUTES, EntryHarness, running_entry, wait_until
-from tests.direct.raw_upstream import Ending, RawUpstream, add_second_upstream, raw_upstream
+from tests.direct.raw_upstream import (
+    LONG_BODY,
+    Ending,
+    RawUpstream,
+    add_second_upstream,
+    raw_upstream,
+)
 
-UPLOAD = bytes(8 << 20)
-"""More than the buffers of two sockets hold, so that it cannot be sent without being read."""
 SOUND_EVENTS = [1, 2, 3, 4, 5]
 
 
@@ -36,7 +40,7 @@
 
 
 async def allow_uploads(harness: EntryHarness) -> None:
-    harness.configure(2, ROUTES, max_body_bytes=len(UPLOAD))
+    harness.configure(2, ROUTES, max_body_bytes=len(LONG_BODY))
     await wait_until(lambda: harness.entry.dump()["configuration"] == 2)
     await wait_until(lambda: harness.entry.dump()["upstreams"])
 
@@ -49,7 +53,7 @@
         upstream = RawUpstream(part_of_a_body, Ending.RESET, is_early=True)
         async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
             await allow_uploads(harness)
-            assert (await harness.call(path, "r1", "POST", UPLOAD)).status == 502
+            assert (await harness.call(path, "r1", "POST", LONG_BODY)).status == 502
             assert upstream.requests == 1
 
     async def test_idempotent_request_is_repeated(self, tmp_path: Path) -> None:
@@ -60,7 +64,7 @@
             async with trio.open_nursery() as nursery:
                 second = PlainUpstream("second")
                 nursery.start_soon(add_second_upstream, harness, upstream, second, "plain")
-                response = await harness.call("/get/a", "r1", "POST", UPLOAD)
+                response = await harness.call("/get/a", "r1", "POST", LONG_BODY)
             assert response.status == 200
             assert response.header("x-chivehold-server-stamp") != "by.raw"
             assert upstream.requests == 1
@@ -78,7 +82,7 @@
                 second = PlainUpstream("second")
                 nursery.start_soon(add_second_upstream, harness, upstream, second, "plain")
                 # The route of /post/ allows one run, and a refused request has not run.
-                response = await harness.call("/post/a", "r1", "POST", UPLOAD)
+                response = await harness.call("/post/a", "r1", "POST", LONG_BODY)
             assert response.status == 200
             assert upstream.requests == 1
 
@@ -87,7 +91,7 @@
         upstream = RawUpstream(refusal, Ending.RESET, is_early=True)
         async with running_entry(tmp_path) as harness, raw_upstream(harness, "plain", upstream):
             await allow_uploads(harness)
-            response = await harness.call("/post/a", "r1", "POST", UPLOAD)
+            response = await harness.call("/post/a", "r1", "POST", LONG_BODY)
             assert response.status == 503
             assert response.header("retry-after") is not None
 
@@ -101,7 +105,7 @@
         async with running_entry(tmp_path) as harness, raw_upstream(harness, "model", upstream):
             await allow_uploads(harness)
             with pytest.raises(LinkError):
-                await harness.events(path, prompt=UPLOAD)
+                await harness.events(path, prompt=LONG_BODY)
             assert upstream.requests == 1
 
     async def test_resumable_stream_goes_on(self, tmp_path: Path) -> None:
@@ -112,5 +116,5 @@
             async with trio.open_nursery() as nursery:
                 second = ModelEngine("second", "decode")
                 nursery.start_soon(add_second_upstream, harness, upstream, second, "model")
-                assert await harness.events("/resume/a", prompt=UPLOAD) == SOUND_EVENTS
+                assert await harness.events("/resume/a", prompt=LONG_BODY) == SOUND_EVENTS
             assert upstream.requests == 1
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -27,7 +27,7 @@
 from chivehold.entry.attempts import AttemptClient
 from chivehold.http_client import ClientLimits, HttpClient
 from chivehold.http_server import serve_http
-from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.direct.raw_upstream import LONG_BODY, Ending, RawUpstream, raw_peer
 from tests.malformed_heads import MALFORMED_HEADS
 
 ATTEMPT, OTHER = AttemptId("r", 1), AttemptId("r", 2)
@@ -161,7 +161,7 @@
         answer = b"HTTP/1.1 200 OK\r\n" + ": ".join(_result()).encode() + b"\r\n\r\na part"
         raw = RawUpstream(lambda request: answer, Ending.RESET, is_early=True, answers_calls=True)
         async with raw_peer(raw) as address:
-            call = CALL._replace(body=bytes(8 << 20))
+            call = CALL._replace(body=LONG_BODY)
             result = await _client_of(address).call("u", OFFER, call)
             assert result == AttemptLinkLost(ATTEMPT, True)
 
--- a/tests/sidecar/test_broken_answers.py
+++ b/tests/sidecar/test_broken_answers.py
@@ -5,18 +5,17 @@
 from chivehold.core.identity import Role
 from chivehold.core.wire import CallResult, Reason
 from chivehold.fakes.server import StandInAddresses
-from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.direct.raw_upstream import LONG_BODY, Ending, RawUpstream, raw_peer
 from tests.malformed_heads import MALFORMED_HEADS
 from tests.sidecar.rig import start_rig
 
-UPLOAD = bytes(8 << 20)
 CALL = ("PUT", "/chairs", [("x-chivehold-request-id", "r1")])
 
 
 async def call(upstream: RawUpstream, body: bytes = b"body") -> CallResult:
     async with start_rig(()) as rig, raw_peer(upstream) as address:
         rig.engines[Role.SERVICE] = StandInAddresses(address, "")
-        await rig.start_sidecar(Role.SERVICE, max_body_bytes=len(UPLOAD))
+        await rig.start_sidecar(Role.SERVICE, max_body_bytes=len(LONG_BODY))
         sidecar = rig.sidecars[Role.SERVICE]
         return await sidecar.call(await sidecar.offer(1), body=body, call=CALL)
 
@@ -28,7 +27,7 @@
         upstream = RawUpstream(
             lambda request_id: b"HTTP/1.1 200 OK\r\n\r\na part", Ending.RESET, is_early=True
         )
-        result = await call(upstream, UPLOAD)
+        result = await call(upstream, LONG_BODY)
         assert (result.status, result.reason) == (0, Reason.ENGINE_FAILED)
         assert upstream.requests == 1
 
--- a/tests/store/test_broken_answers.py
+++ b/tests/store/test_broken_answers.py
@@ -10,7 +10,7 @@
 from chivehold.platform.store import PlatformStore
 from chivehold.store.api import ObjectStore, Unavailable, Unsure
 from chivehold.store.client import HttpObjectStore
-from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.direct.raw_upstream import LONG_BODY, Ending, RawUpstream, raw_peer
 from tests.malformed_heads import MALFORMED_HEADS
 
 OpenStore = Callable[[str, HttpClient], ObjectStore]
@@ -21,8 +21,6 @@
     b'"kind": "kind", "name": "a", "value": "eA==", "version": 7, "uid": "u", '
     b'"operations": ["one"]}'
 )
-LONG_VALUE = b"x" * (8 << 20)
-"""More than the buffers of two sockets hold, so that it cannot be sent without being read."""
 
 
 def open_platform_store(address: str, client: HttpClient) -> ObjectStore:
@@ -81,4 +79,4 @@
             answers_calls=True,
         )
         async with opened(open_store, raw) as store:
-            assert problem(await store.put("kind", "a", LONG_VALUE, 0, "one")) is Unsure
+            assert problem(await store.put("kind", "a", LONG_BODY, 0, "one")) is Unsure
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -7,13 +7,11 @@
 import trio
 
 from chivehold.http_client import HttpClient, LinkBroken
-from tests.direct.raw_upstream import Ending, RawUpstream, raw_peer
+from tests.direct.raw_upstream import LONG_BODY, Ending, RawUpstream, raw_peer
 
-UPLOAD = bytes(8 << 20)
-"""More than the buffers of two sockets hold, so that it cannot be sent without being read."""
 BODY = b"x" * 3_000
 RESET = "Connection reset by peer"
-MOST_S = 10.0
+MAX_WAIT_S = 10.0
 
 Answer = Callable[[str], bytes]
 
@@ -51,13 +49,13 @@
     problem: str = ""
 
 
-async def upload(answer: Answer, ending: Ending, size: int = len(UPLOAD)) -> Outcome:
+async def upload(answer: Answer, ending: Ending, size: int = len(LONG_BODY)) -> Outcome:
     """Send a request and read its answer."""
     client = HttpClient()
     headers = [(b"host", b"x"), (b"x-chivehold-request-id", b"r1")]
     try:
         async with raw_peer(RawUpstream(answer, ending, is_early=True)) as peer:
-            return await _upload(client, peer, headers, UPLOAD[:size])
+            return await _upload(client, peer, headers, LONG_BODY[:size])
     finally:
         await client.aclose()
 
@@ -66,7 +64,7 @@
     client: HttpClient, peer: str, headers: list[tuple[bytes, bytes]], body: bytes
 ) -> Outcome:
     try:
-        with trio.fail_after(MOST_S):
+        with trio.fail_after(MAX_WAIT_S):
             async with client.relay(
                 peer, "POST", b"/", step="ask", headers=headers, body=body
             ) as response:
