--- a/review/lab3.py
+++ b/review/lab3.py
@@ -199,11 +199,16 @@
         return port
 
     async def _heartbeats(self) -> None:
+        """Renew the entry of each upstream every ``HEARTBEAT_S``, one after the other."""
         while True:
-            await trio.sleep(HEARTBEAT_S)
-            for name, spec in self.records.items():
-                spec["seq"] += 1
-                self.store.put("servers", name, dict(spec))
+            names = list(self.records)
+            for name in names:
+                await trio.sleep(HEARTBEAT_S / len(names))
+                if name in self.records:
+                    self.records[name]["seq"] += 1
+                    self.store.put("servers", name, dict(self.records[name]))
+            if not names:
+                await trio.sleep(HEARTBEAT_S)
 
     def add_entry(self, name: str) -> Entry:
         """Return an entry that is not started yet."""
