--- a/review/lab3.py
+++ b/review/lab3.py
@@ -31,6 +31,7 @@
 HEARTBEAT_S = 1.2
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
+# The bounds are those of splatka-bnpl-grown.
 SETTINGS = """\
 name = "{name}"
 zone = "zone-a"
@@ -40,11 +41,11 @@
 exchange_address = "127.0.0.1:{exchange}"
 store_address = "127.0.0.1:{store}"
 retry_share = 0.2
-retry_extra = 54
+retry_extra = 96
 retry_window_s = 10
-routes_deadline_ms = 2000
-upstreams_deadline_ms = 2000
-silence_allowance_ms = 3000
+routes_deadline_ms = 3000
+upstreams_deadline_ms = 3000
+silence_allowance_ms = 4000
 upstream_heartbeat_ms = 1200
 shutdown_s = 8
 """
